--- /dev/null
+++ b/cmd/rosemarybay-bench/main.go
@@ -0,0 +1,86 @@
+// Command rosemarybay-bench runs a fleet of real processes on loopback, with
+// stand-ins for the platform's store and for targets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rosemarybay/rosemarybay/internal/bench/demo"
+	"github.com/rosemarybay/rosemarybay/internal/bench/fleet"
+	"github.com/rosemarybay/rosemarybay/internal/bench/replay"
+	"github.com/rosemarybay/rosemarybay/internal/process/daemon"
+)
+
+// Exit statuses.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+const usage = `usage: rosemarybay-bench COMMAND
+
+  demo          run a few hundred ticket-desk jobs and print a table
+  roundtrip     measure what the system adds to a call of an idle target
+  replay FILE.. replay traces and check their outcomes
+`
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	if len(args) == 0 {
+		_, _ = fmt.Fprint(os.Stderr, usage)
+		return exitUsage
+	}
+	if args[0] == fleet.NodeCommand {
+		return daemon.Main(args[1:], os.Stderr)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	switch args[0] {
+	case "demo":
+		return runDemo(ctx)
+	case "roundtrip":
+		return status(demo.RoundTrip(ctx, os.Stdout))
+	case "replay":
+		return runReplay(ctx, args[1:])
+	default:
+		_, _ = fmt.Fprint(os.Stderr, usage)
+		return exitUsage
+	}
+}
+
+func status(err error) int {
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "rosemarybay-bench:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func runDemo(ctx context.Context) int {
+	ok, err := demo.Run(ctx, os.Stdout)
+	if err == nil && !ok {
+		_, _ = fmt.Fprintln(os.Stderr, "rosemarybay-bench: a promise was broken")
+		return exitFailed
+	}
+	return status(err)
+}
+
+func runReplay(ctx context.Context, paths []string) int {
+	if len(paths) == 0 {
+		_, _ = fmt.Fprint(os.Stderr, usage)
+		return exitUsage
+	}
+	worst := exitOK
+	for _, path := range paths {
+		worst = max(worst, replay.File(ctx, path, os.Stdout, os.Stderr))
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/bench/demo/demo.go
@@ -0,0 +1,215 @@
+// Package demo runs the main job of the system once and prints what came of it.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/client"
+	"github.com/rosemarybay/rosemarybay/internal/bench/fleet"
+	standintarget "github.com/rosemarybay/rosemarybay/internal/standin/target"
+)
+
+// The ticket desk of the demonstration.
+const (
+	department  = "ticket-desk"
+	jobCount    = 300
+	minTasks    = 6
+	maxTasks    = 14
+	minRun      = 50 * time.Millisecond
+	maxRun      = 200 * time.Millisecond
+	arrivalTime = 8 * time.Second
+	jobDeadline = 10 * time.Second
+	seed        = 1
+)
+
+// ratioScale turns a ratio into a histogram value.
+const (
+	ratioScale  = 1000
+	maxRatio    = 1000 * ratioScale
+	significant = 3
+)
+
+// Spec returns the fleet of today's size: three data centres with two entries
+// each, and ten targets of eight slots.
+func Spec() fleet.Spec {
+	spec := fleet.Spec{
+		Trace:                "demo",
+		Seed:                 seed,
+		EntriesPerDataCentre: 2,
+		DataCentres:          []string{"nbo1", "nbo2", "nbo3"},
+		Departments:          []fleet.Department{{Name: department}},
+		Distances:            fleet.Distances{DataCentres: 500 * time.Microsecond, Callers: 3 * time.Millisecond},
+	}
+	for i := range 10 {
+		spec.Targets = append(spec.Targets, fleet.Target{
+			Name:       fmt.Sprintf("runner-%d", i+1),
+			DataCentre: spec.DataCentres[i%len(spec.DataCentres)],
+			Rack:       fmt.Sprintf("rack-%d", i/3+1),
+			Slots:      8,
+			Size:       fleet.Size{CPUs: 30, MemoryMB: 130_000},
+		})
+	}
+	return spec
+}
+
+// run is one demonstration.
+type run struct {
+	fleet *fleet.Fleet
+
+	mu       sync.Mutex
+	complete int
+	failed   int
+	wrong    int
+	ratios   *hdrhistogram.Histogram
+	errors   map[string]int
+}
+
+// Run plays the demonstration and reports whether every promise held.
+func Run(ctx context.Context, out io.Writer) (bool, error) {
+	f, err := fleet.Start(ctx, Spec())
+	if err != nil {
+		return false, err
+	}
+	defer f.Close()
+	r := &run{
+		fleet:  f,
+		ratios: hdrhistogram.New(1, maxRatio, significant),
+		errors: make(map[string]int),
+	}
+	_, _ = fmt.Fprintf(out, "fleet of %d entries and %d targets is up; %d jobs follow\n", len(f.Entries), len(f.Agents), jobCount)
+	r.submitAll(ctx)
+	return r.report(out), ctx.Err()
+}
+
+func (r *run) submitAll(ctx context.Context) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	clients := make([]*client.Client, len(r.fleet.Entries))
+	for i, n := range r.fleet.Entries {
+		clients[i] = r.fleet.Client(department, "volunteer", n)
+	}
+	var waits sync.WaitGroup
+	for i := range jobCount {
+		runs := make([]time.Duration, minTasks+random.IntN(maxTasks-minTasks+1))
+		for k := range runs {
+			runs[k] = minRun + time.Duration(random.Int64N(int64(maxRun-minRun)))
+		}
+		c := clients[random.IntN(len(clients))]
+		waits.Go(func() { r.submit(ctx, c, i, runs) })
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(arrivalTime/jobCount)))
+	}
+	waits.Wait()
+}
+
+func (r *run) submit(ctx context.Context, c *client.Client, number int, runs []time.Duration) {
+	j := client.Job{Label: fmt.Sprintf("ticket-%d", number), Deadline: jobDeadline}
+	var longest time.Duration
+	for i, d := range runs {
+		j.Tasks = append(j.Tasks, newTask(taskName(number, i), d))
+		longest = max(longest, d.Truncate(time.Millisecond))
+	}
+	ticket, err := c.Ticket(ctx)
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	began := time.Now()
+	answer, err := c.Resubmit(ctx, ticket, j)
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	ideal := longest + 2*r.fleet.Spec.Distances.Callers
+	r.succeed(number, len(runs), answer, float64(time.Since(began))/float64(ideal))
+}
+
+func taskName(job, task int) string { return fmt.Sprintf("%d/%d", job, task) }
+
+func newTask(name string, d time.Duration) *apiv1.Task {
+	payload, _ := json.Marshal(standintarget.Payload{Task: name, RunMS: int(d.Milliseconds())})
+	return &apiv1.Task{
+		Kind:    "ticket",
+		Size:    &apiv1.Size{Cpus: 1, MemoryMb: 512},
+		RunMs:   uint32(d.Milliseconds()),
+		Payload: payload,
+	}
+}
+
+func (r *run) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failed++
+	r.errors[err.Error()]++
+}
+
+func (r *run) succeed(number, tasks int, answer *apiv1.Answer, ratio float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.complete++
+	_ = r.ratios.RecordValue(int64(ratio * ratioScale))
+	if len(answer.GetResults()) != tasks {
+		r.wrong++
+		return
+	}
+	for i, result := range answer.GetResults() {
+		if string(result.GetOutput()) != taskName(number, i) {
+			r.wrong++
+			return
+		}
+	}
+}
+
+// report prints the table and reports whether every promise held.
+func (r *run) report(out io.Writer) bool {
+	starts := make(map[string]int)
+	twice := 0
+	for _, s := range r.fleet.Ledger.Starts() {
+		starts[s.Task]++
+		if starts[s.Task] == 2 {
+			twice++
+		}
+	}
+	counters := r.fleet.Counters()
+	tasks := float64(max(1, len(starts)))
+	work := float64(counters["link_work_sent_frames"])
+	control := float64(counters["link_control_sent_frames"])
+	refused := float64(counters["retried_target_full"])
+	for _, row := range []struct {
+		name  string
+		value string
+	}{
+		{"jobs complete", fmt.Sprint(r.complete)},
+		{"jobs failed", fmt.Sprint(r.failed)},
+		{"answers partial or of another job", fmt.Sprint(r.wrong)},
+		{"tasks started", fmt.Sprint(len(starts))},
+		{"tasks started twice", fmt.Sprint(twice)},
+		{"response over ideal p50", quantile(r.ratios, 50)},
+		{"response over ideal p99", quantile(r.ratios, 99)},
+		{"work messages a task", fmt.Sprintf("%.2f", work/tasks)},
+		{"control messages a task", fmt.Sprintf("%.2f", control/tasks)},
+		{"starts refused a task", fmt.Sprintf("%.3f", refused/tasks)},
+	} {
+		_, _ = fmt.Fprintf(out, "%-36s %10s\n", row.name, row.value)
+	}
+	for message, n := range r.errors {
+		_, _ = fmt.Fprintf(out, "failed %d times: %s\n", n, message)
+	}
+	return r.complete == jobCount && r.wrong == 0 && twice == 0
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) string {
+	return fmt.Sprintf("%.3f", float64(h.ValueAtQuantile(q))/ratioScale)
+}
+
+// oneTask returns the tasks of a job whose only task ends at once.
+func oneTask(number int) []*apiv1.Task {
+	return []*apiv1.Task{newTask(taskName(number, 0), 0)}
+}
--- /dev/null
+++ b/internal/bench/fleet/fleet.go
@@ -0,0 +1,297 @@
+// Package fleet runs a fleet of real entry and agent processes on loopback,
+// with stand-ins for the platform's store and for targets inside the bench.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/identity"
+	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+	standinstore "github.com/rosemarybay/rosemarybay/internal/standin/store"
+	standintarget "github.com/rosemarybay/rosemarybay/internal/standin/target"
+)
+
+// Ports of the nodes; each node has an IP address of its own.
+const (
+	peerPort   = 7000
+	callerPort = 7001
+	statusPort = 7002
+	relayPort  = 7100
+	targetPort = 7200
+	storePort  = 7300
+)
+
+// Times allowed for the start of a fleet.
+const (
+	readyTimeout  = 30 * time.Second
+	readyInterval = 20 * time.Millisecond
+)
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Spec    Spec
+	Store   *standinstore.Server
+	Ledger  *standintarget.Ledger
+	Entries []*Node
+	Agents  []*Node
+
+	dir        string
+	ca         identity.Pair
+	network    *network
+	spawner    *spawner
+	targets    map[string]*standintarget.Target
+	targetURLs map[string]string
+	relays     []*relay
+	servers    []*http.Server
+	storeURL   string
+	peers      []string
+	subnet     [2]byte
+	hosts      int
+
+	mu       sync.Mutex
+	counters map[string]int64 // of incarnations that ended
+	http     *http.Client
+}
+
+// Start starts a fleet and waits until every entry is linked with every agent.
+func Start(ctx context.Context, spec Spec) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "rosemarybay-fleet-")
+	if err != nil {
+		return nil, eris.Wrap(err, "make directory")
+	}
+	ca, err := identity.NewCA("bench")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		Spec:       spec,
+		Store:      standinstore.New(),
+		Ledger:     &standintarget.Ledger{},
+		dir:        dir,
+		ca:         ca,
+		network:    newNetwork(spec.Distances.DataCentres),
+		spawner:    newSpawner(),
+		targets:    make(map[string]*standintarget.Target),
+		targetURLs: make(map[string]string),
+		counters:   make(map[string]int64),
+		http:       newHTTPClient(),
+	}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if err := f.chooseSubnet(); err != nil {
+		return err
+	}
+	if err := f.addEntries(); err != nil {
+		return err
+	}
+	for _, t := range f.Spec.Targets {
+		if err := f.addTarget(t); err != nil {
+			return err
+		}
+	}
+	for _, n := range f.Nodes() {
+		if err := n.Start(); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.waitReady(ctx); err != nil {
+		return err
+	}
+	if err := f.createDepartments(ctx); err != nil {
+		return err
+	}
+	return f.waitLinked(ctx)
+}
+
+// chooseSubnet finds a part of the loopback range that no other fleet uses, and
+// starts the store there.
+func (f *Fleet) chooseSubnet() error {
+	const tries = 50
+	var err error
+	for range tries {
+		f.subnet = [2]byte{byte(16 + rand.N(200)), byte(rand.N(200))}
+		f.hosts = 0
+		address := f.newHost()
+		var listener net.Listener
+		listener, err = net.Listen("tcp", netip.AddrPortFrom(address, storePort).String())
+		if err != nil {
+			continue
+		}
+		f.network.add(StoreNode, "", address)
+		f.serve(listener, f.network.guard(StoreNode, f.Store.Handler()))
+		f.storeURL = "http://" + listener.Addr().String()
+		return nil
+	}
+	return eris.Wrap(err, "find a free part of the loopback range")
+}
+
+const hostsPerSubnet = 250
+
+// newHost returns the next unused address of the fleet's loopback range.
+func (f *Fleet) newHost() netip.Addr {
+	f.hosts++
+	third := f.subnet[1] + byte(f.hosts/hostsPerSubnet)
+	return netip.AddrFrom4([4]byte{127, f.subnet[0], third, byte(1 + f.hosts%hostsPerSubnet)})
+}
+
+func (f *Fleet) serve(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }()
+}
+
+func (f *Fleet) addEntries() error {
+	for _, dc := range f.Spec.DataCentres {
+		for i := range f.Spec.EntriesPerDataCentre {
+			if err := f.addEntry(fmt.Sprintf("%s-entry-%d", dc, i+1), dc); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) addEntry(name, dataCentre string) error {
+	host := f.newHost()
+	f.network.add(name, dataCentre, host)
+	listen := netip.AddrPortFrom(host, peerPort)
+	advertise := netip.AddrPortFrom(host, relayPort)
+	r, err := newRelay(f.network, name, advertise, listen)
+	if err != nil {
+		return eris.Wrap(err, "start relay")
+	}
+	f.relays = append(f.relays, r)
+	f.peers = append(f.peers, advertise.String())
+	callers := netip.AddrPortFrom(host, callerPort).String()
+	s, err := f.nodeSettings(name, dataCentre, settings.RoleEntry)
+	if err != nil {
+		return err
+	}
+	s.Entry = &settings.Entry{
+		CallerListen:  callers,
+		PeerListen:    listen.String(),
+		PeerAdvertise: advertise.String(),
+		StoreURL:      f.storeURL,
+		Lease:         settings.Duration(f.Spec.Tune.Lease),
+		QueueLimit:    f.Spec.Tune.QueueLimit,
+	}
+	n, err := newNode(s, f.dir, "http://"+callers, f.spawner)
+	f.Entries = append(f.Entries, n)
+	return err
+}
+
+func (f *Fleet) addTarget(t Target) error {
+	host := f.newHost()
+	agent := t.Name + "-agent"
+	f.network.add(agent, t.DataCentre, host)
+	targetHost := f.newHost()
+	f.network.add(t.Name, t.DataCentre, targetHost)
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(targetHost, targetPort).String())
+	if err != nil {
+		return eris.Wrap(err, "listen for target")
+	}
+	standin := standintarget.New(t.Name, t.DataCentre, f.Ledger)
+	f.targets[t.Name] = standin
+	f.targetURLs[t.Name] = "http://" + listener.Addr().String()
+	f.serve(listener, f.network.guardFrom(agent, t.Name, standin))
+	s, err := f.nodeSettings(agent, t.DataCentre, settings.RoleAgent)
+	if err != nil {
+		return err
+	}
+	status := netip.AddrPortFrom(host, statusPort).String()
+	s.Agent = &settings.Agent{
+		Entries:      f.peers,
+		StatusListen: status,
+		Target: settings.Target{
+			Name:         t.Name,
+			Rack:         t.Rack,
+			URL:          f.targetURLs[t.Name],
+			Slots:        t.Slots,
+			CPUs:         t.Size.CPUs,
+			MemoryMB:     t.Size.MemoryMB,
+			Accelerators: t.Size.Accelerators,
+			Departments:  t.Departments,
+		},
+	}
+	n, err := newNode(s, f.dir, "http://"+status, f.spawner)
+	f.Agents = append(f.Agents, n)
+	return err
+}
+
+func (f *Fleet) nodeSettings(name, dataCentre string, role settings.Role) (*settings.Settings, error) {
+	pair, err := identity.NewNode(f.ca, identity.Identity{Name: name, Role: string(role), DataCentre: dataCentre})
+	if err != nil {
+		return nil, err
+	}
+	return &settings.Settings{
+		Role:        role,
+		Name:        name,
+		DataCentre:  dataCentre,
+		TLS:         settings.TLS{CA: f.ca.Cert, Cert: pair.Cert, Key: pair.Key},
+		StopTimeout: settings.Duration(f.Spec.Tune.StopTimeout),
+	}, nil
+}
+
+// Nodes returns all nodes, entries first.
+func (f *Fleet) Nodes() []*Node {
+	return append(append([]*Node(nil), f.Entries...), f.Agents...)
+}
+
+// Node returns the node of a name, or nil.
+func (f *Fleet) Node(name string) *Node {
+	for _, n := range f.Nodes() {
+		if n.Name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// Target returns the stand-in target of a name, or nil.
+func (f *Fleet) Target(name string) *standintarget.Target { return f.targets[name] }
+
+// Partition cuts a from b in both directions until heal is called.
+func (f *Fleet) Partition(a, b []string) (heal func()) {
+	there, back := f.network.cutOneWay(a, b), f.network.cutOneWay(b, a)
+	return func() { there(); back() }
+}
+
+// CutOneWay drops what a sends to b until heal is called.
+func (f *Fleet) CutOneWay(a, b []string) (heal func()) { return f.network.cutOneWay(a, b) }
+
+// Close ends all processes and frees all ports.
+func (f *Fleet) Close() {
+	for _, n := range f.Nodes() {
+		if n.IsRunning() {
+			n.Kill()
+		}
+	}
+	close(f.spawner.requests)
+	for _, r := range f.relays {
+		r.close()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	f.Store.Close()
+	f.http.CloseIdleConnections()
+	_ = os.RemoveAll(f.dir)
+}
--- /dev/null
+++ b/internal/connection/target/target.go
@@ -0,0 +1,100 @@
+// Package target runs tasks on the back end beside an agent, over HTTP.
+package target
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+// Headers that tell a target whose task it runs.
+const (
+	HeaderDepartment = "Rosemarybay-Department"
+	HeaderOwner      = "Rosemarybay-Owner"
+	HeaderKind       = "Rosemarybay-Kind"
+)
+
+// MaxOutputBytes is the largest output of a task.
+const MaxOutputBytes = 256 << 10
+
+const dialTimeout = time.Second
+
+// Client runs tasks on one target. It is safe for concurrent use.
+type Client struct {
+	url    string
+	client *http.Client
+}
+
+// New returns a client that opens at most maxConnections connections.
+func New(url string, maxConnections int) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		url: url,
+		client: &http.Client{
+			Transport: &http.Transport{
+				DialContext:         dialer.DialContext,
+				MaxConnsPerHost:     maxConnections,
+				MaxIdleConnsPerHost: maxConnections,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Run starts one task and returns its output. The error says whether the task
+// may have run. The request is sent once: its method is not idempotent and its
+// body cannot be rewound, so net/http never resends it.
+func (c *Client) Run(ctx context.Context, department, owner string, task *apiv1.Task) ([]byte, *verdict.Error) {
+	body := io.NopCloser(bytes.NewReader(task.GetPayload()))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, body)
+	if err != nil {
+		return nil, verdict.NotRunError(apiv1.Reason_REASON_INTERNAL, "%v", err)
+	}
+	request.ContentLength = int64(len(task.GetPayload()))
+	request.Header.Set(HeaderDepartment, department)
+	request.Header.Set(HeaderOwner, owner)
+	request.Header.Set(HeaderKind, task.GetKind())
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, requestError(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	output, err := io.ReadAll(io.LimitReader(response.Body, MaxOutputBytes+1))
+	switch {
+	case err != nil:
+		return nil, verdict.New(verdict.Ran, reasonOf(ctx), "read output: %v", err)
+	case len(output) > MaxOutputBytes:
+		return nil, verdict.New(verdict.Ran, apiv1.Reason_REASON_TARGET_FAILED, "output exceeds %d bytes", MaxOutputBytes)
+	case response.StatusCode != http.StatusOK:
+		return nil, verdict.New(verdict.Ran, apiv1.Reason_REASON_TARGET_FAILED, "target answered %d", response.StatusCode)
+	}
+	return output, nil
+}
+
+// requestError returns the error of a request without an answer. Only a failed
+// dial proves that the task has not run.
+func requestError(ctx context.Context, err error) *verdict.Error {
+	var op *net.OpError
+	if eris.As(err, &op) && op.Op == "dial" {
+		return verdict.New(verdict.NotRun, apiv1.Reason_REASON_TARGET_FAILED, "%v", err)
+	}
+	return verdict.New(verdict.MayHaveRun, reasonOf(ctx), "%v", err)
+}
+
+func reasonOf(ctx context.Context) verdict.Reason {
+	if ctx.Err() != nil {
+		return apiv1.Reason_REASON_CANCELLED
+	}
+	return apiv1.Reason_REASON_TARGET_FAILED
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.client.CloseIdleConnections() }
--- /dev/null
+++ b/internal/process/agent/agent.go
@@ -0,0 +1,191 @@
+// Package agent is the process beside a target: it announces the target to the
+// entries, starts tasks on it and returns their results.
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	"github.com/rosemarybay/rosemarybay/internal/connection/identity"
+	"github.com/rosemarybay/rosemarybay/internal/connection/link"
+	"github.com/rosemarybay/rosemarybay/internal/connection/target"
+	"github.com/rosemarybay/rosemarybay/internal/process/attempts"
+	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+	"github.com/rosemarybay/rosemarybay/internal/version/config"
+	"github.com/rosemarybay/rosemarybay/internal/version/roster"
+)
+
+const (
+	expireInterval = 5 * time.Second
+	drainInterval  = 10 * time.Millisecond
+)
+
+// Agent is one agent incarnation.
+type Agent struct {
+	settings    *settings.Settings
+	log         zerolog.Logger
+	incarnation uint64
+	info        *peerv1.TargetInfo
+	counters    *metrics.Counters
+	transport   *quic.Transport
+	dialer      *link.Dialer
+	status      *http.Server
+	attempts    *attempts.Table
+	target      *target.Client
+	config      *config.View
+	roster      *roster.View
+	permit      permit
+
+	mu       sync.Mutex
+	sessions map[uint64]*session // by entry incarnation
+	dialers  map[string]context.CancelFunc
+	waiters  []*session // refused since the target was full
+	draining bool
+}
+
+// New returns an agent. It listens but does not dial yet.
+func New(s *settings.Settings, log zerolog.Logger) (*Agent, error) {
+	tlsConfig, err := identity.LoadTLS(s.TLS.CA, s.TLS.Cert, s.TLS.Key)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", s.Agent.StatusListen)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for status")
+	}
+	transport, err := newTransport(s.Agent.StatusListen)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	counters := metrics.New()
+	a := &Agent{
+		settings:    s,
+		log:         log,
+		incarnation: rand.Uint64(),
+		info:        targetInfo(s),
+		counters:    counters,
+		transport:   transport,
+		dialer: &link.Dialer{
+			Transport: transport,
+			TLS:       tlsConfig,
+			Stats:     link.NewStats(counters.Registry()),
+		},
+		attempts: attempts.New(s.Agent.Target.Slots),
+		target:   target.New(s.Agent.Target.URL, s.Agent.Target.MaxConnections),
+		config:   config.NewView(),
+		roster:   roster.NewView(),
+		sessions: make(map[uint64]*session),
+		dialers:  make(map[string]context.CancelFunc),
+	}
+	a.status = &http.Server{Handler: a.statusHandler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = a.status.Serve(listener) }()
+	return a, nil
+}
+
+// newTransport binds a UDP socket to the IP of the status address, so that all
+// traffic of the process comes from the address in its settings.
+func newTransport(statusListen string) (*quic.Transport, error) {
+	address, err := netip.ParseAddrPort(statusListen)
+	if err != nil {
+		return nil, eris.Wrap(err, "parse status address")
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(address.Addr(), 0)))
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for peers")
+	}
+	return &quic.Transport{Conn: conn}, nil
+}
+
+func targetInfo(s *settings.Settings) *peerv1.TargetInfo {
+	t := s.Agent.Target
+	return &peerv1.TargetInfo{
+		Name:        t.Name,
+		DataCentre:  s.DataCentre,
+		Rack:        t.Rack,
+		Slots:       uint32(t.Slots),
+		Size:        t.Size(),
+		Departments: t.Departments,
+	}
+}
+
+// Run serves until stop is closed, and then drains for at most the stop
+// timeout.
+func (a *Agent) Run(stop <-chan struct{}) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, address := range a.settings.Agent.Entries {
+		a.dial(ctx, address)
+	}
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			a.attempts.Expire(now)
+		case <-stop:
+			a.drain()
+			cancel()
+			a.close()
+			return
+		}
+	}
+}
+
+// drain announces the stop, waits for running tasks, and then for the entries
+// to have taken all results.
+func (a *Agent) drain() {
+	ctx, cancel := context.WithTimeout(context.Background(), a.settings.StopTimeout.Std())
+	defer cancel()
+	a.mu.Lock()
+	a.draining = true
+	sessions := make([]*session, 0, len(a.sessions))
+	for _, s := range a.sessions {
+		sessions = append(sessions, s)
+	}
+	a.mu.Unlock()
+	for _, s := range sessions {
+		_ = s.link.Send(&peerv1.Frame{Body: &peerv1.Frame_Goodbye{Goodbye: &peerv1.Goodbye{}}})
+	}
+	for _, s := range sessions {
+		s.confirm(ctx)
+	}
+	for a.attempts.Busy() > 0 && ctx.Err() == nil {
+		time.Sleep(drainInterval)
+	}
+	for _, s := range sessions {
+		s.confirm(ctx)
+	}
+}
+
+func (a *Agent) close() {
+	a.mu.Lock()
+	sessions := a.sessions
+	a.sessions = make(map[uint64]*session)
+	a.mu.Unlock()
+	for _, s := range sessions {
+		s.link.Close()
+	}
+	_ = a.transport.Close()
+	_ = a.status.Close()
+	a.target.Close()
+}
+
+func (a *Agent) statusHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		_ = a.counters.WriteText(w)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/process/agent/start.go
@@ -0,0 +1,115 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+// start begins an attempt or refuses it.
+func (a *Agent) start(s *session, start *peerv1.Start) {
+	ctx, cancel := context.WithCancel(context.Background())
+	gate := func() *verdict.Error { return a.gate(start) }
+	if err := a.attempts.Begin(start, gate, cancel); err != nil {
+		cancel()
+		s.refuse(start, err)
+		return
+	}
+	go a.run(ctx, cancel, start)
+}
+
+// gate checks, in the instant of starting, that the task may start here.
+func (a *Agent) gate(start *peerv1.Start) *verdict.Error {
+	if a.isDraining() {
+		return verdict.NotRunError(apiv1.Reason_REASON_STOPPING, "agent is stopping")
+	}
+	if !a.permit.isValid(time.Now()) {
+		return verdict.NotRunError(apiv1.Reason_REASON_STALE_PERMIT, "no fresh entry has confirmed the configuration")
+	}
+	snapshot := a.config.Load()
+	if err := snapshot.CheckDepartment(start.GetDepartment()); err != nil {
+		return err
+	}
+	return snapshot.CheckTarget(start.GetDepartment(), a.info.GetDataCentre(), a.info.GetName())
+}
+
+func (a *Agent) isDraining() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.draining
+}
+
+// run runs an attempt on the target and sends its result to the entry that
+// asked for it. Without a link the result is kept for a Query.
+func (a *Agent) run(ctx context.Context, cancel context.CancelFunc, start *peerv1.Start) {
+	defer cancel()
+	began := time.Now()
+	output, err := a.target.Run(ctx, start.GetDepartment(), start.GetOwner(), start.GetTask())
+	result := &peerv1.Result{
+		Id:     start.GetId(),
+		Output: output,
+		RunUs:  uint32(time.Since(began).Microseconds()),
+	}
+	if err != nil {
+		a.counters.Refuse(err.Reason)
+		result.Failure = err.Failure()
+	}
+	a.attempts.Finish(result)
+	a.deliver(start.GetSender(), result)
+	a.wakeWaiter()
+}
+
+func (a *Agent) deliver(entry uint64, r *peerv1.Result) {
+	a.mu.Lock()
+	s := a.sessions[entry]
+	a.mu.Unlock()
+	if s == nil {
+		return
+	}
+	_ = s.link.Send(&peerv1.Frame{Body: &peerv1.Frame_Result{Result: &peerv1.Result{
+		Id:      r.GetId(),
+		Output:  r.GetOutput(),
+		Failure: r.GetFailure(),
+		RunUs:   r.GetRunUs(),
+		Load:    a.load(),
+	}}})
+}
+
+func (a *Agent) load() *peerv1.Load {
+	free := a.attempts.Free()
+	return &peerv1.Load{
+		Free:           uint32(max(0, free)),
+		Busy:           a.info.GetSlots() - uint32(max(0, free)),
+		ConfigRevision: a.config.Load().Revision(),
+	}
+}
+
+// addWaiter remembers an entry that was refused for want of a free slot.
+func (a *Agent) addWaiter(s *session) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !slices.Contains(a.waiters, s) {
+		a.waiters = append(a.waiters, s)
+	}
+}
+
+// wakeWaiter tells the entry that has waited longest of a free slot.
+func (a *Agent) wakeWaiter() {
+	for {
+		a.mu.Lock()
+		if len(a.waiters) == 0 {
+			a.mu.Unlock()
+			return
+		}
+		s := a.waiters[0]
+		a.waiters = a.waiters[1:]
+		a.mu.Unlock()
+		if s.link.Send(&peerv1.Frame{Body: &peerv1.Frame_Load{Load: a.load()}}) == nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,90 @@
+// Package daemon is the entry point of the daemon, for its own command and for
+// the bench, which starts its nodes through it.
+package daemon
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarybay/rosemarybay/internal/process/agent"
+	"github.com/rosemarybay/rosemarybay/internal/process/entry"
+	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+)
+
+// Exit statuses.
+const (
+	exitOK    = 0
+	exitUsage = 2
+)
+
+// node is one role of the daemon.
+type node interface {
+	Run(stop <-chan struct{})
+}
+
+// Main runs the daemon with its command-line arguments and returns its exit
+// status: 0 after a planned stop, 2 when it cannot start.
+func Main(args []string, stderr io.Writer) int {
+	flags := flag.NewFlagSet("rosemarybayd", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	path := flags.String("settings", "", "settings `FILE` in JSON")
+	check := flags.Bool("check", false, "validate the settings and exit")
+	if err := flags.Parse(args); err != nil {
+		return exitUsage
+	}
+	if *path == "" || flags.NArg() > 0 {
+		return fail(stderr, "usage: rosemarybayd -settings FILE [-check]")
+	}
+	s, err := settings.Load(*path)
+	if err != nil {
+		return fail(stderr, "rosemarybayd: %v", err)
+	}
+	if *check {
+		return exitOK
+	}
+	n, err := start(s, newLogger(s, stderr))
+	if err != nil {
+		return fail(stderr, "rosemarybayd: %v", err)
+	}
+	n.Run(stopSignal())
+	return exitOK
+}
+
+func fail(w io.Writer, format string, args ...any) int {
+	_, _ = fmt.Fprintf(w, format+"\n", args...)
+	return exitUsage
+}
+
+func newLogger(s *settings.Settings, w io.Writer) zerolog.Logger {
+	level, _ := zerolog.ParseLevel(s.LogLevel)
+	return zerolog.New(w).Level(level).With().
+		Timestamp().
+		Str("node", s.Name).
+		Str("data_centre", s.DataCentre).
+		Logger()
+}
+
+func start(s *settings.Settings, log zerolog.Logger) (node, error) {
+	if s.Role == settings.RoleEntry {
+		return entry.New(s, log)
+	}
+	return agent.New(s, log)
+}
+
+// stopSignal returns a channel closed by SIGTERM or SIGINT.
+func stopSignal() <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stop := make(chan struct{})
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	return stop
+}
--- /dev/null
+++ b/internal/process/dispatch/outcome.go
@@ -0,0 +1,142 @@
+package dispatch
+
+import (
+	"time"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+// HandleResult takes the outcome of an attempt from a target's agent. A result
+// of an attempt that is not in flight there is dropped and counted.
+func (d *Dispatcher) HandleResult(name string, r *peerv1.Result) {
+	d.mu.Lock()
+	defer d.unlockAndComplete()
+	t := d.targets[name]
+	if t == nil {
+		d.late.Inc(1)
+		return
+	}
+	d.applyLoad(t, r.GetLoad())
+	at, ok := t.inFlight[keyOf(r.GetId())]
+	if !ok {
+		d.late.Inc(1)
+		return
+	}
+	delete(t.inFlight, at.key)
+	d.endAttempt(at, r)
+	d.pump()
+}
+
+// endAttempt decides what follows an attempt's result; the caller holds d.mu.
+func (d *Dispatcher) endAttempt(at *attempt, r *peerv1.Result) {
+	task := at.task
+	if task.current != at {
+		d.late.Inc(1)
+		return
+	}
+	failure := verdict.FromFailure(r.GetFailure())
+	switch {
+	case failure == nil:
+		d.budget.Success()
+		d.finish(task, Outcome{Output: r.GetOutput()})
+	case failure.Verdict == verdict.NotRun:
+		d.refused(at, failure)
+	default:
+		d.failed(at, failure)
+	}
+}
+
+// refused handles an attempt that has not run and never will.
+func (d *Dispatcher) refused(at *attempt, failure *verdict.Error) {
+	task := at.task
+	switch {
+	case failure.Reason == apiv1.Reason_REASON_TARGET_FULL:
+		at.target.full = at.target.free <= 0
+	case failure.Reason == apiv1.Reason_REASON_STALE_PERMIT:
+		at.target.blockedUntil = time.Now().Add(staleBackoff)
+		time.AfterFunc(staleBackoff, d.Refresh)
+	}
+	if task.cancelled || failure.Reason == apiv1.Reason_REASON_FENCED {
+		d.finish(task, Outcome{Err: verdict.New(task.started, failure.Reason, "%s", failure.Message)})
+		return
+	}
+	d.requeue(task, failure.Reason)
+}
+
+// failed handles an attempt that ran or may have run.
+func (d *Dispatcher) failed(at *attempt, failure *verdict.Error) {
+	task := at.task
+	task.started = verdict.Worst(task.started, failure.Verdict)
+	if task.cancelled || !task.Spec.GetRepeatable() {
+		d.finish(task, Outcome{Err: failure})
+		return
+	}
+	if !d.budget.Take() {
+		d.opts.Counters.Refuse(apiv1.Reason_REASON_RETRY_BUDGET)
+		d.finish(task, Outcome{Err: failure})
+		return
+	}
+	d.repeated.Inc(1)
+	d.requeue(task, failure.Reason)
+}
+
+func (d *Dispatcher) requeue(task *Task, reason verdict.Reason) {
+	d.opts.Counters.Retry(reason)
+	task.phase = phaseQueued
+	task.current = nil
+	d.queue.pushFront(task)
+}
+
+// HandleStates takes an agent's word on attempts after a Cancel or a Query.
+func (d *Dispatcher) HandleStates(name string, states []*peerv1.AttemptState) {
+	d.mu.Lock()
+	defer d.unlockAndComplete()
+	t := d.targets[name]
+	if t == nil {
+		return
+	}
+	for _, s := range states {
+		at, ok := t.inFlight[keyOf(s.GetId())]
+		if !ok || s.GetPhase() != peerv1.AttemptPhase_ATTEMPT_PHASE_TOMBSTONE {
+			continue
+		}
+		delete(t.inFlight, at.key)
+		if at.task.current == at {
+			d.refused(at, verdict.NotRunError(apiv1.Reason_REASON_TOMBSTONED, "attempt was stopped before its start"))
+		}
+	}
+	d.pump()
+}
+
+// HandleLoad takes a report of a target's slots.
+func (d *Dispatcher) HandleLoad(name string, load *peerv1.Load) {
+	d.mu.Lock()
+	defer d.unlockAndComplete()
+	if t := d.targets[name]; t != nil {
+		d.applyLoad(t, load)
+		d.pump()
+	}
+}
+
+func (d *Dispatcher) applyLoad(t *target, load *peerv1.Load) {
+	if load == nil {
+		return
+	}
+	t.free = int(load.GetFree())
+	t.revision = max(t.revision, load.GetConfigRevision())
+	if t.free > 0 {
+		t.full = false
+	}
+}
+
+// loseAttempts ends all attempts at a target that cannot be asked any more.
+func (d *Dispatcher) loseAttempts(t *target, reason verdict.Reason) {
+	for key, at := range t.inFlight {
+		delete(t.inFlight, key)
+		if at.task.current == at {
+			d.failed(at, verdict.New(verdict.MayHaveRun, reason, "agent of target %q is gone", t.info.GetName()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/dispatch/target.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"time"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/version/config"
+)
+
+// Sender sends frames to an agent. After an error the frame was not and will
+// not be written.
+type Sender interface {
+	Send(*peerv1.Frame) error
+}
+
+// target is what the entry knows of one target.
+type target struct {
+	info        *peerv1.TargetInfo
+	incarnation uint64
+	link        Sender // nil while the link is gone
+	inFlight    map[attemptKey]*attempt
+	// free is the last reported number of free slots.
+	free int
+	// full is set by a refusal until the agent reports a free slot.
+	full         bool
+	blockedUntil time.Time
+	draining     bool
+	revision     uint64
+	lostTimer    *time.Timer
+}
+
+func (t *target) send(f *peerv1.Frame) bool {
+	return t.link != nil && t.link.Send(f) == nil
+}
+
+// fits reports whether the target could ever run the task.
+func (t *target) fits(task *Task, snapshot *config.Snapshot) bool {
+	need, have := task.Spec.GetSize(), t.info.GetSize()
+	if need.GetCpus() > have.GetCpus() || need.GetMemoryMb() > have.GetMemoryMb() || need.GetAccelerators() > have.GetAccelerators() {
+		return false
+	}
+	if !serves(t.info.GetDepartments(), task.Department) {
+		return false
+	}
+	err := snapshot.CheckTarget(task.Department, t.info.GetDataCentre(), t.info.GetName())
+	return err == nil || err.Reason != apiv1.Reason_REASON_NO_ELIGIBLE_TARGET
+}
+
+func serves(departments []string, department string) bool {
+	if len(departments) == 0 {
+		return true
+	}
+	for _, d := range departments {
+		if d == department {
+			return true
+		}
+	}
+	return false
+}
+
+// isAvailable reports whether the target may be sent a task now.
+func (t *target) isAvailable(now time.Time) bool {
+	return t.link != nil && !t.draining && !t.full && len(t.inFlight) < int(t.info.GetSlots()) && !now.Before(t.blockedUntil)
+}
+
+// Attach makes a target available over a link. When the agent is the one known
+// before, its attempts are asked for; when it is a new incarnation, they are
+// lost.
+func (d *Dispatcher) Attach(info *peerv1.TargetInfo, incarnation uint64, link Sender) {
+	d.mu.Lock()
+	defer d.unlockAndComplete()
+	t, ok := d.targets[info.GetName()]
+	if !ok {
+		t = &target{inFlight: make(map[attemptKey]*attempt)}
+		d.targets[info.GetName()] = t
+	}
+	if t.lostTimer != nil {
+		t.lostTimer.Stop()
+		t.lostTimer = nil
+	}
+	if t.incarnation != incarnation {
+		d.loseAttempts(t, apiv1.Reason_REASON_AGENT_LOST)
+	}
+	t.info, t.incarnation, t.link = info, incarnation, link
+	t.free, t.full = int(info.GetSlots()), false
+	t.draining = false
+	d.query(t)
+	d.pump()
+}
+
+// query asks the agent for all attempts in flight.
+func (d *Dispatcher) query(t *target) {
+	if len(t.inFlight) == 0 {
+		return
+	}
+	q := &peerv1.Query{}
+	for key := range t.inFlight {
+		q.Ids = append(q.Ids, key.proto())
+	}
+	t.send(&peerv1.Frame{Body: &peerv1.Frame_Query{Query: q}})
+}
+
+// Detach ends the use of a link. The target's attempts stay in doubt until the
+// agent is back or recoveryWindow has passed.
+func (d *Dispatcher) Detach(name string, link Sender) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.targets[name]
+	if t == nil || t.link != link {
+		return
+	}
+	t.link = nil
+	t.lostTimer = time.AfterFunc(recoveryWindow, func() { d.lose(name) })
+}
+
+func (d *Dispatcher) lose(name string) {
+	d.mu.Lock()
+	defer d.unlockAndComplete()
+	t := d.targets[name]
+	if t == nil || t.link != nil {
+		return
+	}
+	delete(d.targets, name)
+	d.loseAttempts(t, apiv1.Reason_REASON_LINK_LOST)
+	d.pump()
+}
+
+// TargetStatus describes one target for operators.
+func (d *Dispatcher) TargetStatus() []*apiv1.TargetStatus {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := make([]*apiv1.TargetStatus, 0, len(d.targets))
+	for name, t := range d.targets {
+		list = append(list, &apiv1.TargetStatus{
+			Name:           name,
+			DataCentre:     t.info.GetDataCentre(),
+			Rack:           t.info.GetRack(),
+			Slots:          t.info.GetSlots(),
+			Busy:           t.info.GetSlots() - uint32(max(0, min(t.free, int(t.info.GetSlots())))),
+			Connected:      t.link != nil,
+			ConfigRevision: t.revision,
+		})
+	}
+	return list
+}
+
+// Drain ends new work for a target whose agent stops as planned.
+func (d *Dispatcher) Drain(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t := d.targets[name]; t != nil {
+		t.draining = true
+	}
+}
--- /dev/null
+++ b/internal/process/entry/agentlink.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"time"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	"github.com/rosemarybay/rosemarybay/internal/connection/link"
+	"github.com/rosemarybay/rosemarybay/internal/version/config"
+	"github.com/rosemarybay/rosemarybay/internal/version/roster"
+)
+
+// agentLink is the link to one agent.
+type agentLink struct {
+	entry  *Entry
+	link   *link.Link
+	name   string
+	target *peerv1.TargetInfo
+}
+
+// serveAgent runs an agent's link from its Hello to its end.
+func (e *Entry) serveAgent(l *link.Link, hello *peerv1.Hello) {
+	if hello.GetTarget().GetName() == "" || hello.GetName() != l.Remote().Name || hello.GetTarget().GetDataCentre() != l.Remote().DataCentre {
+		e.counters.Counter("links_refused").Inc(1)
+		return
+	}
+	a := &agentLink{entry: e, link: l, name: hello.GetName(), target: hello.GetTarget()}
+	_ = l.Send(e.welcome())
+	a.sendConfig(e.config.Load(), hello.GetConfigRevision())
+	a.sendRoster(e.roster.Load())
+	e.addAgent(a)
+	defer e.removeAgent(a)
+	e.dispatcher.Attach(a.target, hello.GetIncarnation(), l)
+	defer e.dispatcher.Detach(a.target.GetName(), l)
+	for {
+		f, err := l.Receive()
+		if err != nil {
+			return
+		}
+		a.handle(f)
+	}
+}
+
+func (e *Entry) addAgent(a *agentLink) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.agents[a.name] = a
+	e.log.Info().Str("agent", a.name).Str("target", a.target.GetName()).Msg("agent linked")
+}
+
+func (e *Entry) removeAgent(a *agentLink) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.agents[a.name] == a {
+		delete(e.agents, a.name)
+	}
+	e.log.Info().Str("agent", a.name).Msg("agent link closed")
+}
+
+func (a *agentLink) handle(f *peerv1.Frame) {
+	d := a.entry.dispatcher
+	name := a.target.GetName()
+	switch body := f.GetBody().(type) {
+	case *peerv1.Frame_Result:
+		d.HandleResult(name, body.Result)
+		a.acknowledge(body.Result)
+	case *peerv1.Frame_AttemptStates:
+		d.HandleStates(name, body.AttemptStates.GetStates())
+	case *peerv1.Frame_Load:
+		d.HandleLoad(name, body.Load)
+	case *peerv1.Frame_Heartbeat:
+		a.answer(body.Heartbeat)
+	case *peerv1.Frame_Goodbye:
+		d.Drain(name)
+	default:
+		a.entry.counters.Counter("frames_unexpected").Inc(1)
+	}
+}
+
+// acknowledge releases a result at the agent.
+func (a *agentLink) acknowledge(r *peerv1.Result) {
+	_ = a.link.Send(&peerv1.Frame{Body: &peerv1.Frame_ResultAck{
+		ResultAck: &peerv1.ResultAck{Ids: []*peerv1.AttemptID{r.GetId()}},
+	}})
+}
+
+// answer replies to an agent's heartbeat with a permit.
+func (a *agentLink) answer(h *peerv1.Heartbeat) {
+	e := a.entry
+	_ = a.link.Send(&peerv1.Frame{Body: &peerv1.Frame_Heartbeat{Heartbeat: &peerv1.Heartbeat{
+		ReplyTo:        h.GetSequence(),
+		ConfigRevision: e.config.Load().Revision(),
+		PermitMs:       uint32(e.permit() / time.Millisecond),
+	}}})
+}
+
+// permit returns how long an agent may start tasks on this entry's word.
+func (e *Entry) permit() time.Duration {
+	if !e.ready.Load() {
+		return 0
+	}
+	return e.settings.Entry.Permit.Std()
+}
+
+func (a *agentLink) sendConfig(s *config.Snapshot, from uint64) {
+	if s.Revision() <= from {
+		return
+	}
+	_ = a.link.Send(&peerv1.Frame{Body: &peerv1.Frame_ConfigUpdate{ConfigUpdate: s.Since(from)}})
+}
+
+func (a *agentLink) sendRoster(r *roster.Roster) {
+	_ = a.link.Send(&peerv1.Frame{Body: &peerv1.Frame_Roster{Roster: r.Proto()}})
+}
+
+// eachAgent calls f for all linked agents.
+func (e *Entry) eachAgent(f func(*agentLink)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, a := range e.agents {
+		f(a)
+	}
+}
--- /dev/null
+++ b/internal/process/entry/fleetservice.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/api/v1/apiv1connect"
+)
+
+type fleetService struct {
+	entry *Entry
+}
+
+func (e *Entry) fleetService() (string, http.Handler) {
+	return apiv1connect.NewFleetServiceHandler(&fleetService{entry: e}, handlerOptions())
+}
+
+// GetStatus implements the fleet service.
+func (s *fleetService) GetStatus(context.Context, *connect.Request[apiv1.GetStatusRequest]) (*connect.Response[apiv1.GetStatusResponse], error) {
+	e := s.entry
+	if err := e.checkReady(); err != nil {
+		return nil, e.refuse(err)
+	}
+	status := &apiv1.GetStatusResponse{
+		Targets:        e.dispatcher.TargetStatus(),
+		ConfigRevision: e.config.Load().Revision(),
+		StoreReachable: e.reachable.Load(),
+		JobsRunning:    uint32(e.jobs.Running()),
+		TasksQueued:    uint32(e.dispatcher.Queued()),
+	}
+	for _, r := range e.roster.Load().Entries {
+		status.Entries = append(status.Entries, &apiv1.EntryStatus{
+			Name:        r.GetName(),
+			DataCentre:  r.GetDataCentre(),
+			Incarnation: r.GetIncarnation(),
+			Address:     r.GetCallerAddress(),
+		})
+	}
+	return connect.NewResponse(status), nil
+}
+
+// GetCounters implements the fleet service.
+func (s *fleetService) GetCounters(context.Context, *connect.Request[apiv1.GetCountersRequest]) (*connect.Response[apiv1.GetCountersResponse], error) {
+	response := &apiv1.GetCountersResponse{}
+	for _, v := range s.entry.counters.Values() {
+		response.Counters = append(response.Counters, &apiv1.Counter{Name: v.Name, Value: v.Value})
+	}
+	return connect.NewResponse(response), nil
+}
--- /dev/null
+++ b/internal/process/entry/jobservice.go
@@ -0,0 +1,239 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/api/v1/apiv1connect"
+	"github.com/rosemarybay/rosemarybay/internal/connection/caller"
+	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+const (
+	// compressMin is the body size in bytes from which answers are compressed.
+	compressMin = 4 << 10
+	// forwardBackoff is the time between tries to reach a ticket's home.
+	forwardBackoff = 100 * time.Millisecond
+	// forwardGrace is added to a job's deadline while its home is asked.
+	forwardGrace = 2 * time.Second
+	// maxWait bounds the wait of GetJob.
+	maxWait = time.Minute
+)
+
+func handlerOptions() connect.HandlerOption {
+	return connect.WithHandlerOptions(
+		connect.WithCompressMinBytes(compressMin),
+		connect.WithReadMaxBytes(caller.MaxBodyBytes),
+	)
+}
+
+type jobService struct {
+	entry *Entry
+}
+
+func (e *Entry) jobService() (string, http.Handler) {
+	return apiv1connect.NewJobServiceHandler(&jobService{entry: e}, handlerOptions())
+}
+
+// refuse counts an error and turns it into an RPC error.
+func (e *Entry) refuse(err *verdict.Error) error {
+	e.counters.Refuse(err.Reason)
+	return err.ToConnect()
+}
+
+func (e *Entry) checkReady() *verdict.Error {
+	if !e.ready.Load() {
+		return verdict.NotRunError(apiv1.Reason_REASON_STORE_UNAVAILABLE, "entry has not reached the platform's store yet")
+	}
+	return nil
+}
+
+// IssueTickets implements the job service.
+func (s *jobService) IssueTickets(_ context.Context, r *connect.Request[apiv1.IssueTicketsRequest]) (*connect.Response[apiv1.IssueTicketsResponse], error) {
+	e, m := s.entry, r.Msg
+	if err := e.checkIssue(m); err != nil {
+		return nil, e.refuse(err)
+	}
+	return connect.NewResponse(&apiv1.IssueTicketsResponse{
+		Tickets:     e.jobs.Issue(m.GetDepartment(), m.GetOwner(), int(m.GetCount())),
+		ExpiresInMs: uint32(e.jobs.Lifetime().Milliseconds()),
+	}), nil
+}
+
+func (e *Entry) checkIssue(m *apiv1.IssueTicketsRequest) *verdict.Error {
+	if err := e.checkReady(); err != nil {
+		return err
+	}
+	if e.draining.Load() {
+		return verdict.NotRunError(apiv1.Reason_REASON_STOPPING, "entry is stopping")
+	}
+	if err := jobs.ValidateOwner(m.GetDepartment(), m.GetOwner()); err != nil {
+		return err
+	}
+	if n := m.GetCount(); n == 0 || n > jobs.MaxTicketBatch {
+		return verdict.NotRunError(apiv1.Reason_REASON_INVALID_ARGUMENT, "count must be between 1 and %d", jobs.MaxTicketBatch)
+	}
+	return e.config.Load().CheckDepartment(m.GetDepartment())
+}
+
+// Submit implements the job service.
+func (s *jobService) Submit(ctx context.Context, r *connect.Request[apiv1.SubmitRequest]) (*connect.Response[apiv1.SubmitResponse], error) {
+	answer, err := s.entry.submit(ctx, r.Msg)
+	if err != nil {
+		return nil, s.entry.refuse(err)
+	}
+	return connect.NewResponse(&apiv1.SubmitResponse{Answer: answer}), nil
+}
+
+func (e *Entry) submit(ctx context.Context, m *apiv1.SubmitRequest) (*apiv1.Answer, *verdict.Error) {
+	if err := e.checkReady(); err != nil {
+		return nil, err
+	}
+	if err := jobs.Validate(m); err != nil {
+		return nil, err
+	}
+	t, err := e.jobs.Decode(m.GetTicket(), m.GetDepartment(), m.GetOwner())
+	if err != nil {
+		return nil, err
+	}
+	if t.Home == e.incarnation {
+		return e.submitHere(ctx, m)
+	}
+	limit := time.Duration(m.GetDeadlineMs())*time.Millisecond + forwardGrace
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return e.forward(ctx, t.Home, &peerv1.Call{Request: &peerv1.Call_Submit{Submit: m}})
+}
+
+// submitHere handles a submission whose home is this entry.
+func (e *Entry) submitHere(ctx context.Context, m *apiv1.SubmitRequest) (*apiv1.Answer, *verdict.Error) {
+	t, err := e.jobs.Decode(m.GetTicket(), m.GetDepartment(), m.GetOwner())
+	if err != nil {
+		return nil, err
+	}
+	if t.Home != e.incarnation {
+		return nil, errWrongHome()
+	}
+	j, err := e.jobs.Submit(t, m, func() *verdict.Error {
+		return e.config.Load().CheckDepartment(m.GetDepartment())
+	})
+	if err != nil {
+		return nil, err
+	}
+	if m.GetNoWait() {
+		return j.Answer(), nil
+	}
+	return j.Wait(ctx), nil
+}
+
+func errWrongHome() *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_HOME_LOST, "ticket belongs to another incarnation")
+}
+
+// forward passes a call to the home of its ticket. It is repeated while the
+// home is in the roster, since a resubmission joins the job in progress.
+func (e *Entry) forward(ctx context.Context, home uint64, call *peerv1.Call) (*apiv1.Answer, *verdict.Error) {
+	for {
+		to := e.roster.Load().ByIncarnation(home)
+		if to == nil {
+			return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_HOME_LOST, "the entry that issued the ticket is gone")
+		}
+		reply, err := e.peers.call(ctx, to, call)
+		if err == nil {
+			return reply.GetAnswer(), verdict.FromFailure(reply.GetFailure())
+		}
+		e.counters.Counter("forwards_failed").Inc(1)
+		sleep(ctx, forwardBackoff)
+		if ctx.Err() != nil {
+			return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN, "home of the ticket did not answer: %v", err)
+		}
+	}
+}
+
+// GetJob implements the job service.
+func (s *jobService) GetJob(ctx context.Context, r *connect.Request[apiv1.GetJobRequest]) (*connect.Response[apiv1.GetJobResponse], error) {
+	e := s.entry
+	answer, err := e.routeByTicket(ctx, r.Msg, func() (*apiv1.Answer, *verdict.Error) {
+		return e.getHere(ctx, r.Msg)
+	}, &peerv1.Call{Request: &peerv1.Call_GetJob{GetJob: r.Msg}})
+	if err != nil {
+		return nil, e.refuse(err)
+	}
+	return connect.NewResponse(&apiv1.GetJobResponse{Answer: answer}), nil
+}
+
+// CancelJob implements the job service.
+func (s *jobService) CancelJob(ctx context.Context, r *connect.Request[apiv1.CancelJobRequest]) (*connect.Response[apiv1.CancelJobResponse], error) {
+	e := s.entry
+	answer, err := e.routeByTicket(ctx, r.Msg, func() (*apiv1.Answer, *verdict.Error) {
+		return e.cancelHere(ctx, r.Msg)
+	}, &peerv1.Call{Request: &peerv1.Call_CancelJob{CancelJob: r.Msg}})
+	if err != nil {
+		return nil, e.refuse(err)
+	}
+	return connect.NewResponse(&apiv1.CancelJobResponse{Answer: answer}), nil
+}
+
+// ticketed is a request that names a submitted job.
+type ticketed interface {
+	GetTicket() []byte
+	GetDepartment() string
+	GetOwner() string
+}
+
+// routeByTicket handles a request here or passes it to its home.
+func (e *Entry) routeByTicket(ctx context.Context, m ticketed, here func() (*apiv1.Answer, *verdict.Error), call *peerv1.Call) (*apiv1.Answer, *verdict.Error) {
+	if err := e.checkReady(); err != nil {
+		return nil, err
+	}
+	t, err := e.jobs.Decode(m.GetTicket(), m.GetDepartment(), m.GetOwner())
+	if err != nil {
+		return nil, err
+	}
+	if t.Home == e.incarnation {
+		return here()
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxWait+forwardGrace)
+	defer cancel()
+	return e.forward(ctx, t.Home, call)
+}
+
+func (e *Entry) findJob(m ticketed) (*jobs.Job, *verdict.Error) {
+	t, err := e.jobs.Decode(m.GetTicket(), m.GetDepartment(), m.GetOwner())
+	if err != nil {
+		return nil, err
+	}
+	if t.Home != e.incarnation {
+		return nil, errWrongHome()
+	}
+	return e.jobs.Get(t)
+}
+
+func (e *Entry) getHere(ctx context.Context, m *apiv1.GetJobRequest) (*apiv1.Answer, *verdict.Error) {
+	j, err := e.findJob(m)
+	if err != nil {
+		return nil, err
+	}
+	wait := min(time.Duration(m.GetWaitMs())*time.Millisecond, maxWait)
+	if wait == 0 {
+		return j.Answer(), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return j.Wait(ctx), nil
+}
+
+func (e *Entry) cancelHere(ctx context.Context, m *apiv1.CancelJobRequest) (*apiv1.Answer, *verdict.Error) {
+	j, err := e.findJob(m)
+	if err != nil {
+		return nil, err
+	}
+	j.Fail(verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_CANCELLED, "cancelled by its caller"))
+	return j.Wait(ctx), nil
+}
--- /dev/null
+++ b/internal/process/jobs/table.go
@@ -0,0 +1,203 @@
+// Package jobs keeps the jobs of one entry incarnation: it issues tickets, joins
+// resubmissions to the job in progress and remembers answers until their
+// tickets expire.
+package jobs
+
+import (
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+// Limits of a submission.
+const (
+	MaxTasks        = 460
+	MaxTicketBatch  = 1000
+	MaxPayloadBytes = 64 << 10
+	MaxNameBytes    = 256
+	MaxDeadline     = 10 * time.Minute
+)
+
+const expireInterval = time.Second
+
+// Table holds the jobs of one entry incarnation.
+type Table struct {
+	home       uint64
+	key        ticket.Key
+	lifetime   time.Duration
+	dispatcher Dispatcher
+	counters   *metrics.Counters
+	seed       maphash.Seed
+
+	mu       sync.Mutex
+	sequence uint64
+	jobs     map[ticket.ID]*Job
+	expiring map[int64][]ticket.ID // by second of expiry
+	running  int
+}
+
+// NewTable returns an empty table. Tickets live for lifetime.
+func NewTable(home uint64, key ticket.Key, lifetime time.Duration, d Dispatcher, c *metrics.Counters) *Table {
+	return &Table{
+		home:       home,
+		key:        key,
+		lifetime:   lifetime,
+		dispatcher: d,
+		counters:   c,
+		seed:       maphash.MakeSeed(),
+		jobs:       make(map[ticket.ID]*Job),
+		expiring:   make(map[int64][]ticket.ID),
+	}
+}
+
+// Lifetime returns how long a ticket is valid.
+func (t *Table) Lifetime() time.Duration { return t.lifetime }
+
+// Issue returns n signed tickets of one owner.
+func (t *Table) Issue(department, owner string, n int) [][]byte {
+	t.mu.Lock()
+	first := t.sequence + 1
+	t.sequence += uint64(n)
+	t.mu.Unlock()
+	expires := time.Now().Add(t.lifetime)
+	tickets := make([][]byte, n)
+	for i := range tickets {
+		id := ticket.ID{Home: t.home, Sequence: first + uint64(i)}
+		tickets[i] = t.key.Encode(ticket.Ticket{ID: id, Expires: expires}, department, owner)
+	}
+	return tickets
+}
+
+// Decode verifies a ticket.
+func (t *Table) Decode(b []byte, department, owner string) (ticket.Ticket, *verdict.Error) {
+	return t.key.Decode(b, department, owner)
+}
+
+// Submit starts the job of a ticket of this home, or joins it. admit is asked
+// only for a job that was not submitted before. A refused job is forgotten, so
+// that its ticket can be submitted again.
+func (t *Table) Submit(tk ticket.Ticket, r *apiv1.SubmitRequest, admit func() *verdict.Error) (*Job, *verdict.Error) {
+	fingerprint := t.fingerprint(r)
+	t.mu.Lock()
+	if j, ok := t.jobs[tk.ID]; ok {
+		t.mu.Unlock()
+		return t.join(j, fingerprint)
+	}
+	if !time.Now().Before(tk.Expires) {
+		t.mu.Unlock()
+		return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_TICKET_EXPIRED, "ticket expired at %s", tk.Expires.UTC().Format(time.RFC3339))
+	}
+	if err := admit(); err != nil {
+		t.mu.Unlock()
+		return nil, err
+	}
+	j := newJob(tk.ID, fingerprint, t.dispatcher)
+	t.jobs[tk.ID] = j
+	second := tk.Expires.Unix()
+	t.expiring[second] = append(t.expiring[second], tk.ID)
+	t.running++
+	t.mu.Unlock()
+	if err := j.start(r, tk.Expires); err != nil {
+		t.forget(tk.ID)
+		return nil, err
+	}
+	go t.untilDone(j)
+	return j, nil
+}
+
+func (t *Table) forget(id ticket.ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.jobs, id)
+	t.running--
+}
+
+func (t *Table) untilDone(j *Job) {
+	<-j.done
+	t.mu.Lock()
+	t.running--
+	t.mu.Unlock()
+	if f := j.Answer().GetFailure(); f != nil {
+		t.counters.Counter("jobs_failed").Inc(1)
+		return
+	}
+	t.counters.Counter("jobs_complete").Inc(1)
+}
+
+// join returns the job of an earlier submission, which must have asked for the
+// same tasks.
+func (t *Table) join(j *Job, fingerprint uint64) (*Job, *verdict.Error) {
+	t.counters.Counter("jobs_joined").Inc(1)
+	if j.fingerprint != fingerprint {
+		return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_INVALID_ARGUMENT, "ticket was submitted before with other tasks")
+	}
+	return j, nil
+}
+
+// Get returns the job of a ticket of this home.
+func (t *Table) Get(tk ticket.Ticket) (*Job, *verdict.Error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if j, ok := t.jobs[tk.ID]; ok {
+		return j, nil
+	}
+	if !time.Now().Before(tk.Expires) {
+		return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_TICKET_EXPIRED, "ticket has expired")
+	}
+	return nil, verdict.NotRunError(apiv1.Reason_REASON_JOB_UNKNOWN, "ticket was never submitted")
+}
+
+// Running returns the number of jobs without an answer.
+func (t *Table) Running() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.running
+}
+
+// fingerprint hashes what a resubmission must repeat.
+func (t *Table) fingerprint(r *apiv1.SubmitRequest) uint64 {
+	var h maphash.Hash
+	h.SetSeed(t.seed)
+	var buffer []byte
+	for _, task := range r.GetTasks() {
+		buffer, _ = proto.MarshalOptions{Deterministic: true}.MarshalAppend(buffer[:0], task)
+		_, _ = h.Write(buffer)
+		_ = h.WriteByte(0)
+	}
+	return h.Sum64()
+}
+
+// Expire forgets jobs whose tickets have expired, until stop is closed.
+func (t *Table) Expire(stop <-chan struct{}) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case now := <-ticker.C:
+			t.expire(now.Unix())
+		}
+	}
+}
+
+func (t *Table) expire(now int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for second, ids := range t.expiring {
+		if second >= now {
+			continue
+		}
+		for _, id := range ids {
+			delete(t.jobs, id)
+		}
+		delete(t.expiring, second)
+	}
+}
--- /dev/null
+++ b/internal/process/settings/settings.go
@@ -0,0 +1,151 @@
+// Package settings reads and checks the settings file of the daemon.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+)
+
+// Role selects what the daemon does.
+type Role string
+
+// The roles.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Duration is a time.Duration written as a string such as "250ms".
+type Duration time.Duration
+
+// UnmarshalJSON accepts only strings with a unit.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return eris.Errorf("duration %s is not a string with a unit, such as \"250ms\"", b)
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return eris.Errorf("duration %q has no valid unit; write it as \"250ms\" or \"3s\"", s)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalJSON writes the duration as a string.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Settings is the settings file.
+type Settings struct {
+	Role       Role   `json:"role"`
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	// LogLevel is a zerolog level; default "info".
+	LogLevel string `json:"log_level,omitempty"`
+	TLS      TLS    `json:"tls"`
+	// StopTimeout bounds a planned stop.
+	StopTimeout Duration `json:"stop_timeout,omitempty"`
+	Entry       *Entry   `json:"entry,omitempty"`
+	Agent       *Agent   `json:"agent,omitempty"`
+}
+
+// TLS names the keys of a node: each field is PEM text or a path.
+type TLS struct {
+	CA   string `json:"ca"`
+	Cert string `json:"cert"`
+	Key  string `json:"key"`
+}
+
+// Entry holds the settings of the entry role.
+type Entry struct {
+	// CallerListen is the TCP address for callers and operators.
+	CallerListen string `json:"caller_listen"`
+	// PeerListen is the UDP address for agents and other entries.
+	PeerListen string `json:"peer_listen"`
+	// PeerAdvertise is the address at which others reach PeerListen; default PeerListen.
+	PeerAdvertise string `json:"peer_advertise,omitempty"`
+	// StoreURL is the address of the platform's store.
+	StoreURL string `json:"store_url"`
+	// Lease is the time to live of the entry's registration.
+	Lease Duration `json:"lease,omitempty"`
+	// TicketLifetime is how long a ticket and its answer are kept.
+	TicketLifetime Duration `json:"ticket_lifetime,omitempty"`
+	// Permit is how long an agent may start tasks without contact.
+	Permit Duration `json:"permit,omitempty"`
+	// QueueLimit is the largest number of tasks that wait for a slot.
+	QueueLimit int `json:"queue_limit,omitempty"`
+}
+
+// Agent holds the settings of the agent role.
+type Agent struct {
+	// Entries are the peer addresses of some entries; the rest are learned.
+	Entries []string `json:"entries"`
+	// StatusListen is the TCP address for counters.
+	StatusListen string `json:"status_listen"`
+	Target       Target `json:"target"`
+}
+
+// Target describes the back end beside an agent.
+type Target struct {
+	Name string `json:"name"`
+	Rack string `json:"rack"`
+	// URL is the HTTP address of the target.
+	URL string `json:"url"`
+	// Slots is the number of tasks run at once.
+	Slots int `json:"slots"`
+	// MaxConnections bounds the connections to the target.
+	MaxConnections int      `json:"max_connections,omitempty"`
+	CPUs           float64  `json:"cpus"`
+	MemoryMB       int      `json:"memory_mb"`
+	Accelerators   int      `json:"accelerators,omitempty"`
+	Departments    []string `json:"departments,omitempty"`
+}
+
+// Load reads, completes and validates the settings file at path.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	return Parse(b)
+}
+
+// Parse decodes b, completes it with defaults and validates it. Unknown fields
+// are errors.
+func Parse(b []byte) (*Settings, error) {
+	decoder := json.NewDecoder(bytes.NewReader(b))
+	decoder.DisallowUnknownFields()
+	s := &Settings{}
+	if err := decoder.Decode(s); err != nil {
+		return nil, eris.Wrap(err, "decode settings")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, eris.New("decode settings: data after the settings object")
+	}
+	s.setDefaults()
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Size returns the size of the target's worker.
+func (t *Target) Size() *apiv1.Size {
+	return &apiv1.Size{
+		Cpus:         t.CPUs,
+		MemoryMb:     uint32(t.MemoryMB),
+		Accelerators: uint32(t.Accelerators),
+	}
+}
--- /dev/null
+++ b/internal/version/roster/roster.go
@@ -0,0 +1,71 @@
+// Package roster holds the list of entries at one revision.
+package roster
+
+import (
+	"sort"
+	"sync/atomic"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+)
+
+// Roster is the list of entries at one revision, sorted by name. It never
+// changes.
+type Roster struct {
+	Revision uint64
+	Entries  []*peerv1.RosterEntry
+}
+
+// New returns a roster of entries.
+func New(revision uint64, entries []*peerv1.RosterEntry) *Roster {
+	sort.Slice(entries, func(i, j int) bool {
+		a, b := entries[i], entries[j]
+		if a.GetName() != b.GetName() {
+			return a.GetName() < b.GetName()
+		}
+		return a.GetIncarnation() < b.GetIncarnation()
+	})
+	return &Roster{Revision: revision, Entries: entries}
+}
+
+// ByIncarnation returns the entry of an incarnation, or nil.
+func (r *Roster) ByIncarnation(incarnation uint64) *peerv1.RosterEntry {
+	for _, e := range r.Entries {
+		if e.GetIncarnation() == incarnation {
+			return e
+		}
+	}
+	return nil
+}
+
+// Proto returns the wire form of r.
+func (r *Roster) Proto() *peerv1.Roster {
+	return &peerv1.Roster{Entries: r.Entries, Revision: r.Revision}
+}
+
+// View holds the present roster of a process.
+type View struct {
+	current atomic.Pointer[Roster]
+}
+
+// NewView returns a view of an empty roster.
+func NewView() *View {
+	v := &View{}
+	v.current.Store(&Roster{})
+	return v
+}
+
+// Load returns the present roster.
+func (v *View) Load() *Roster { return v.current.Load() }
+
+// Apply replaces the roster unless r is older. It reports whether it did.
+func (v *View) Apply(r *Roster) bool {
+	for {
+		present := v.current.Load()
+		if r.Revision <= present.Revision {
+			return false
+		}
+		if v.current.CompareAndSwap(present, r) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Generates the Go code of the schema under api/ into the directory given,
+# default the repository itself.
+set -eu
+cd "$(dirname "$0")/.."
+out=${1:-.}
+bin=$(mktemp -d)
+trap 'rm -rf "$bin"' EXIT
+go build -modfile=tools/go.mod -o "$bin/" google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+PATH="$bin:$PATH" go tool -modfile=tools/buf/go.mod buf generate -o "$out"
