--- /dev/null
+++ b/internal/command/output.go
@@ -0,0 +1,49 @@
+package command
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+// Output formats.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+const tablePadding = 2
+
+// printMessage prints m as JSON, or as the table that rows returns.
+func (c *call) printMessage(m proto.Message, rows func() [][]string) error {
+	if c.output == outputTable {
+		return c.printTable(rows())
+	}
+	b, err := protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(c.Out, string(b))
+	return err
+}
+
+func (c *call) printTable(rows [][]string) error {
+	w := tabwriter.NewWriter(c.Out, 0, 0, tablePadding, ' ', 0)
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(w, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// isUnknown reports whether an error leaves open what happened.
+func isUnknown(e *verdict.Error) bool {
+	return e.Reason == apiv1.Reason_REASON_OUTCOME_UNKNOWN
+}
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -20,7 +20,9 @@
 	// request. The engine queues its close callback behind the request itself,
 	// so the connection has to be looked at.
 	hangupInterval = 100 * time.Millisecond
-	keepalive      = 2 * time.Minute
+	// keepalive is the time between requests on a connection. The engine counts
+	// it while a request waits too, so it exceeds the longest job.
+	keepalive = 12 * time.Minute
 )
 
 // Server is an HTTP server. The context of a request ends when its caller hangs
@@ -32,9 +34,15 @@
 // Listen starts a server on a TCP address.
 func Listen(address string, handler http.Handler) (*Server, error) {
 	logging.SetLevel(logging.LevelNone)
+	// The engine does not return when its own listening fails.
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for callers")
+	}
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Network:           "tcp",
 		Addrs:             []string{address},
+		Listen:            func(string, string) (net.Listener, error) { return listener, nil },
 		MaxHTTPBodySize:   MaxBodyBytes,
 		KeepaliveTime:     keepalive,
 		ServerExecutor:    func(f func()) { go f() },
@@ -66,13 +74,21 @@
 		}
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
-		if conn, ok := response.Parser.Conn.(closer); ok {
+		if conn, ok := underlying(response.Parser.Conn).(closer); ok {
 			go cancelOnHangup(ctx, cancel, conn)
 		}
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
+// underlying returns the connection that the engine polls.
+func underlying(conn net.Conn) net.Conn {
+	if wrapped, ok := conn.(*nbhttp.Conn); ok {
+		return wrapped.Conn
+	}
+	return conn
+}
+
 func cancelOnHangup(ctx context.Context, cancel context.CancelFunc, conn closer) {
 	ticker := time.NewTicker(hangupInterval)
 	defer ticker.Stop()
