Adopt the tickets of a lost entry, and hand over those of a stopping one

Cause: a ticket of an entry that was gone was refused with MayHaveRun for ever, an entry that woke from a pause registered its old incarnation again, and a planned stop dropped its remembered answers.

Change: one entry adopts a lost incarnation by compare-and-swap of one key, fences it at the agents and completes its jobs from what they keep; an entry that loses its lease retires and follows itself under a new incarnation; a stopping entry names an heir and sends it its answers. Agents keep results until the ticket expires, at most 16 MiB, so results are no longer acknowledged one by one. Remembered answers have a bound in bytes, with the refusal overload. The default lease is 4 s.

--- a/internal/process/agent/session.go
+++ b/internal/process/agent/session.go
@@ -156,8 +156,8 @@
 	switch body := f.GetBody().(type) {
 	case *peerv1.Frame_Start:
 		s.agent.start(s, body.Start)
-	case *peerv1.Frame_ResultAck:
-		s.agent.attempts.Acknowledge(body.ResultAck.GetIds())
+	case *peerv1.Frame_Fence:
+		s.fence(body.Fence)
 	case *peerv1.Frame_Cancel:
 		s.stop(body.Cancel.GetIds(), true)
 	case *peerv1.Frame_Query:
--- a/internal/process/agent/start.go
+++ b/internal/process/agent/start.go
@@ -43,7 +43,7 @@
 }
 
 // run runs an attempt on the target and sends its result to the entry that
-// asked for it. Without a link the result is kept for a Query.
+// answers for its job. The result is kept for a Query or a Fence.
 func (a *Agent) run(ctx context.Context, cancel context.CancelFunc, start *peerv1.Start) {
 	defer cancel()
 	began := time.Now()
@@ -58,7 +58,7 @@
 		result.Failure = err.Failure()
 	}
 	a.attempts.Finish(result)
-	a.deliver(start.GetSender(), result)
+	a.deliver(a.attempts.Owner(start.GetId().GetIncarnation()), result)
 	a.wakeWaiter()
 }
 
--- a/internal/process/attempts/table.go
+++ b/internal/process/attempts/table.go
@@ -3,9 +3,12 @@
 package attempts
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
@@ -31,7 +34,6 @@
 
 type record struct {
 	phase   peerv1.AttemptPhase
-	sender  uint64
 	expires time.Time
 	cancel  func()
 	result  *peerv1.Result
@@ -41,23 +43,38 @@
 // outlives any frame still on its way.
 const tombstoneLifetime = time.Minute
 
+// MaxResultBytes bounds the results kept by a table. The oldest are dropped
+// first; their attempts stay known.
+const MaxResultBytes = 16 << 20
+
+// fence names the entry that may start attempts of a lost incarnation.
+type fence struct {
+	adopter    uint64
+	generation uint32
+}
+
 // Table holds the attempts of one agent incarnation. It is safe for concurrent
 // use.
 type Table struct {
-	slots int
+	slots    int
+	maxBytes int
 
 	mu      sync.Mutex
 	records map[Key]*record
-	fenced  map[uint64]struct{}
+	fences  map[uint64]fence // by the lost incarnation
 	busy    int
+	// kept lists the attempts with a result, oldest first.
+	kept      []Key
+	keptBytes int
 }
 
 // New returns an empty table for a target with a number of slots.
 func New(slots int) *Table {
 	return &Table{
-		slots:   slots,
-		records: make(map[Key]*record),
-		fenced:  make(map[uint64]struct{}),
+		slots:    slots,
+		maxBytes: MaxResultBytes,
+		records:  make(map[Key]*record),
+		fences:   make(map[uint64]fence),
 	}
 }
 
@@ -83,16 +100,23 @@
 	t.busy++
 	t.records[key] = &record{
 		phase:   peerv1.AttemptPhase_ATTEMPT_PHASE_RUNNING,
-		sender:  s.GetSender(),
 		expires: time.Now().Add(time.Duration(s.GetExpiresMs()) * time.Millisecond),
 		cancel:  cancel,
 	}
 	return nil
 }
 
+// isFenced reports whether a start comes from a lost entry, or from one that is
+// neither the home nor its present adopter.
 func (t *Table) isFenced(s *peerv1.Start) bool {
-	_, sender := t.fenced[s.GetSender()]
-	return sender
+	if _, lost := t.fences[s.GetSender()]; lost {
+		return true
+	}
+	home := s.GetId().GetIncarnation()
+	if f, adopted := t.fences[home]; adopted {
+		return s.GetSender() != f.adopter
+	}
+	return s.GetSender() != home
 }
 
 // Finish records the result of a running attempt and frees its slot.
@@ -107,6 +131,23 @@
 	rec.phase = peerv1.AttemptPhase_ATTEMPT_PHASE_DONE
 	rec.result = r
 	rec.cancel = nil
+	t.keep(KeyOf(r.GetId()), r)
+}
+
+// keep bounds the results kept; the caller holds t.mu.
+func (t *Table) keep(key Key, r *peerv1.Result) {
+	t.kept = append(t.kept, key)
+	t.keptBytes += proto.Size(r)
+	for t.keptBytes > t.maxBytes {
+		t.dropOldest()
+	}
+}
+
+func (t *Table) dropOldest() {
+	rec := t.records[t.kept[0]]
+	t.kept = t.kept[1:]
+	t.keptBytes -= proto.Size(rec.result)
+	rec.result = nil
 }
 
 // Stop sets a tombstone for each attempt that has not started and, with
@@ -142,42 +183,47 @@
 	return rec
 }
 
-// Acknowledge forgets the results that their entry has taken; the attempts stay
-// known until their tickets expire.
-func (t *Table) Acknowledge(ids []*peerv1.AttemptID) {
+// Fence forbids further starts of a lost incarnation by any entry but its
+// adopter, and returns what is kept of it. It reports false when an adoption of
+// a higher generation is known.
+func (t *Table) Fence(f *peerv1.Fence) (kept []*peerv1.KeptAttempt, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, id := range ids {
-		if rec, ok := t.records[KeyOf(id)]; ok && rec.phase == peerv1.AttemptPhase_ATTEMPT_PHASE_DONE {
-			rec.result = nil
+	lost := f.GetIncarnation()
+	if known := t.fences[lost]; known.generation > f.GetGeneration() {
+		return nil, false
+	}
+	t.fences[lost] = fence{adopter: f.GetAdopter(), generation: f.GetGeneration()}
+	for key, rec := range t.records {
+		if key.Incarnation == lost {
+			kept = append(kept, rec.kept(key))
 		}
 	}
+	return kept, true
+}
+
+func (r *record) kept(key Key) *peerv1.KeptAttempt {
+	id := &peerv1.AttemptID{
+		Incarnation: key.Incarnation,
+		Sequence:    key.Sequence,
+		Task:        key.Task,
+		Attempt:     key.Attempt,
+	}
+	return &peerv1.KeptAttempt{
+		State:  &peerv1.AttemptState{Id: id, Phase: r.phase},
+		Result: r.result,
+	}
 }
 
-// Fence forbids further starts of an incarnation and returns what is kept of it.
-func (t *Table) Fence(incarnation uint64) []*peerv1.KeptAttempt {
+// Owner returns the entry that answers for a home's attempts: its adopter if it
+// was lost, else the home.
+func (t *Table) Owner(home uint64) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.fenced[incarnation] = struct{}{}
-	var kept []*peerv1.KeptAttempt
-	for key, rec := range t.records {
-		if key.Incarnation != incarnation {
-			continue
-		}
-		kept = append(kept, &peerv1.KeptAttempt{
-			State: &peerv1.AttemptState{
-				Id: &peerv1.AttemptID{
-					Incarnation: key.Incarnation,
-					Sequence:    key.Sequence,
-					Task:        key.Task,
-					Attempt:     key.Attempt,
-				},
-				Phase: rec.phase,
-			},
-			Result: rec.result,
-		})
-	}
-	return kept
+	if f, adopted := t.fences[home]; adopted {
+		return f.adopter
+	}
+	return home
 }
 
 // Expire forgets the attempts whose tickets have expired and that do not run.
@@ -186,9 +232,17 @@
 	defer t.mu.Unlock()
 	for key, rec := range t.records {
 		if now.After(rec.expires) && rec.phase != peerv1.AttemptPhase_ATTEMPT_PHASE_RUNNING {
-			delete(t.records, key)
+			t.forget(key, rec)
 		}
 	}
+	t.kept = slices.DeleteFunc(t.kept, func(key Key) bool { return t.records[key] == nil })
+}
+
+func (t *Table) forget(key Key, rec *record) {
+	if rec.result != nil {
+		t.keptBytes -= proto.Size(rec.result)
+	}
+	delete(t.records, key)
 }
 
 // Busy returns the number of running attempts.
--- a/internal/process/dispatch/outcome.go
+++ b/internal/process/dispatch/outcome.go
@@ -58,6 +58,10 @@
 		at.target.blockedUntil = time.Now().Add(staleBackoff)
 		time.AfterFunc(staleBackoff, d.Refresh)
 	}
+	if failure.Reason == apiv1.Reason_REASON_FENCED {
+		// The adopter may start the task.
+		task.started = verdict.Worst(task.started, verdict.MayHaveRun)
+	}
 	if task.cancelled || failure.Reason == apiv1.Reason_REASON_FENCED {
 		d.finish(task, Outcome{Err: verdict.New(task.started, failure.Reason, "%s", failure.Message)})
 		return
--- /dev/null
+++ b/internal/process/entry/adopt.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
+)
+
+const (
+	// fenceWait bounds the wait for the agents' word on a lost incarnation.
+	fenceWait = time.Second
+	// adoptionSweep is the time between looks for expired adoptions.
+	adoptionSweep = 10 * time.Second
+)
+
+// errHomePresent reports a home that the store still lists.
+var errHomePresent = eris.New("home is registered")
+
+func adoptedKey(incarnation uint64) string {
+	return fmt.Sprintf("%s%016x", adoptedPrefix, incarnation)
+}
+
+// adopt makes this entry the adopter of an incarnation that has left the roster,
+// unless another entry is. Exactly one entry wins each generation, by
+// compare-and-swap. On success either the adoption is held or its adopter known.
+func (e *Entry) adopt(ctx context.Context, lost uint64) error {
+	e.adoptions.adopting.Lock()
+	defer e.adoptions.adopting.Unlock()
+	if e.adoptions.get(lost) != nil || e.isRegistered(e.adoptions.adopter(lost)) {
+		return nil
+	}
+	// The roster here may be older than the home.
+	home, err := e.store.Get(ctx, entryKey(lost))
+	if err != nil {
+		return err
+	}
+	if home != nil {
+		return errHomePresent
+	}
+	present, err := e.store.Get(ctx, adoptedKey(lost))
+	if err != nil {
+		return err
+	}
+	return e.claim(ctx, lost, present)
+}
+
+// isRegistered reports whether the roster lists an incarnation.
+func (e *Entry) isRegistered(incarnation uint64) bool {
+	return e.roster.Load().ByIncarnation(incarnation) != nil
+}
+
+func (e *Entry) claim(ctx context.Context, lost uint64, present *store.Value) error {
+	former := &peerv1.Adoption{}
+	change := store.Change{Key: adoptedKey(lost)}
+	if present != nil {
+		if err := proto.Unmarshal(present.Data, former); err != nil {
+			return eris.Wrap(err, "decode adoption")
+		}
+		if former.GetAdopter() == e.incarnation {
+			// The answer to the claim was lost.
+			e.holdAdoption(lost, former.GetGeneration())
+			return nil
+		}
+		adopter, err := e.store.Get(ctx, entryKey(former.GetAdopter()))
+		if err != nil {
+			return err
+		}
+		if adopter != nil {
+			e.adoptions.learn(*present)
+			return nil
+		}
+		change.Expected = present.Revision
+	}
+	next := &peerv1.Adoption{Incarnation: lost, Adopter: e.incarnation, Generation: former.GetGeneration() + 1}
+	data, err := proto.Marshal(next)
+	if err != nil {
+		return err
+	}
+	change.Data = data
+	result, err := e.store.CompareAndSwap(ctx, change)
+	if err != nil {
+		return err
+	}
+	if !result.Swapped {
+		return errLostRace
+	}
+	e.holdAdoption(lost, next.GetGeneration())
+	return nil
+}
+
+// holdAdoption fences a lost incarnation at the agents and gathers what they
+// keep of it.
+func (e *Entry) holdAdoption(lost uint64, generation uint32) {
+	a := e.newAdoption(lost, jobs.Adopted{Generation: generation, Records: jobs.NewRecords()})
+	e.counters.Counter("homes_adopted").Inc(1)
+	e.log.Warn().Uint64("incarnation", lost).Uint32("generation", generation).Msg("adopted a lost entry")
+	e.startAdoption(a, true)
+}
+
+func (e *Entry) newAdoption(lost uint64, adopted jobs.Adopted) *adoption {
+	return &adoption{
+		incarnation: lost,
+		generation:  adopted.Generation,
+		table:       e.jobs.NewAdopted(lost, adopted),
+		records:     adopted.Records,
+		until:       time.Now().Add(e.jobs.Lifetime()),
+		stop:        make(chan struct{}),
+		waiting:     make(map[string]struct{}),
+		ready:       make(chan struct{}),
+	}
+}
+
+// startAdoption sends the fences. With gather, the table waits for the agents.
+func (e *Entry) startAdoption(a *adoption, gather bool) {
+	var links []*agentLink
+	e.eachAgent(func(l *agentLink) { links = append(links, l) })
+	if gather {
+		for _, l := range links {
+			a.await(l.name)
+		}
+	}
+	e.adoptions.hold(a)
+	for _, l := range links {
+		if l.link.Send(a.fence(e.incarnation)) != nil {
+			a.heard(l.name)
+		}
+	}
+	go a.table.Expire(a.stop)
+	a.openAfter(fenceWait)
+}
+
+// sendFences tells a newly linked agent of all adoptions of this entry.
+func (a *agentLink) sendFences() {
+	for _, held := range a.entry.adoptions.all() {
+		_ = a.link.Send(held.fence(a.entry.incarnation))
+	}
+}
+
+// handleFenceAck takes what an agent keeps of an adopted incarnation.
+func (a *agentLink) handleFenceAck(ack *peerv1.FenceAck) {
+	e := a.entry
+	held := e.adoptions.get(ack.GetIncarnation())
+	if held == nil || held.generation != ack.GetGeneration() {
+		return
+	}
+	if ack.GetSuperseded() {
+		e.loseAdoption(ack.GetIncarnation())
+		return
+	}
+	for _, k := range ack.GetKept() {
+		held.records.Add(a.target.GetName(), k)
+	}
+	if ack.GetComplete() {
+		held.heard(a.name)
+	}
+}
+
+// noteRecord keeps a result of an adopted incarnation for a later submission.
+func (a *agentLink) noteRecord(r *peerv1.Result) {
+	held := a.entry.adoptions.get(r.GetId().GetIncarnation())
+	if held == nil || isRefusal(r) {
+		return
+	}
+	held.records.Add(a.target.GetName(), &peerv1.KeptAttempt{
+		State:  &peerv1.AttemptState{Id: r.GetId(), Phase: peerv1.AttemptPhase_ATTEMPT_PHASE_DONE},
+		Result: r,
+	})
+}
+
+func isRefusal(r *peerv1.Result) bool {
+	return r.GetFailure().GetVerdict() == apiv1.Verdict_VERDICT_NOT_RUN
+}
+
+// noteFenced acts on an agent's word that another entry has taken over.
+func (e *Entry) noteFenced(r *peerv1.Result) {
+	if r.GetFailure().GetReason() != apiv1.Reason_REASON_FENCED {
+		return
+	}
+	if home := r.GetId().GetIncarnation(); home != e.incarnation {
+		e.loseAdoption(home)
+		return
+	}
+	e.retire("fenced by an agent")
+}
+
+func (e *Entry) loseAdoption(lost uint64) {
+	e.counters.Counter("adoptions_lost").Inc(1)
+	e.adoptions.drop(lost, apiv1.Reason_REASON_HOME_LOST, "another entry has taken the ticket over")
+}
+
+// sweepAdoptions drops the adoptions whose tickets have expired, and their keys.
+func (e *Entry) sweepAdoptions(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, adoptionSweep)
+		for _, a := range e.adoptions.all() {
+			if time.Now().After(a.until) {
+				e.adoptions.drop(a.incarnation, apiv1.Reason_REASON_TICKET_EXPIRED, "ticket has expired")
+				e.deleteAdoption(ctx, a.incarnation)
+			}
+		}
+	}
+}
+
+func (e *Entry) deleteAdoption(ctx context.Context, lost uint64) {
+	value, err := e.store.Get(ctx, adoptedKey(lost))
+	if err != nil || value == nil {
+		return
+	}
+	_, err = e.store.CompareAndSwap(ctx, store.Change{Key: value.Key, Expected: value.Revision, Delete: true})
+	e.noteStore(err)
+}
--- a/internal/process/entry/agentlink.go
+++ b/internal/process/entry/agentlink.go
@@ -29,8 +29,10 @@
 	a.sendRoster(e.roster.Load())
 	e.addAgent(a)
 	defer e.removeAgent(a)
-	e.dispatcher.Attach(a.target, hello.GetIncarnation(), l)
-	defer e.dispatcher.Detach(a.target.GetName(), l)
+	a.sendFences()
+	sender := &leasedSender{entry: e, link: l}
+	e.dispatcher.Attach(a.target, hello.GetIncarnation(), sender)
+	defer e.dispatcher.Detach(a.target.GetName(), sender)
 	for {
 		f, err := l.Receive()
 		if err != nil {
@@ -53,6 +55,9 @@
 	if e.agents[a.name] == a {
 		delete(e.agents, a.name)
 	}
+	for _, held := range e.adoptions.all() {
+		held.heard(a.name)
+	}
 	e.log.Info().Str("agent", a.name).Msg("agent link closed")
 }
 
@@ -61,8 +66,11 @@
 	name := a.target.GetName()
 	switch body := f.GetBody().(type) {
 	case *peerv1.Frame_Result:
+		a.noteRecord(body.Result)
+		a.entry.noteFenced(body.Result)
 		d.HandleResult(name, body.Result)
-		a.acknowledge(body.Result)
+	case *peerv1.Frame_FenceAck:
+		a.handleFenceAck(body.FenceAck)
 	case *peerv1.Frame_AttemptStates:
 		d.HandleStates(name, body.AttemptStates.GetStates())
 	case *peerv1.Frame_Load:
@@ -76,11 +84,19 @@
 	}
 }
 
-// acknowledge releases a result at the agent.
-func (a *agentLink) acknowledge(r *peerv1.Result) {
-	_ = a.link.Send(&peerv1.Frame{Body: &peerv1.Frame_ResultAck{
-		ResultAck: &peerv1.ResultAck{Ids: []*peerv1.AttemptID{r.GetId()}},
-	}})
+// leasedSender sends starts only while the entry holds its lease.
+type leasedSender struct {
+	entry *Entry
+	link  *link.Link
+}
+
+// Send implements dispatch.Sender.
+func (s *leasedSender) Send(f *peerv1.Frame) error {
+	if f.GetStart() != nil && !s.entry.lease.isHeld(time.Now()) {
+		go s.entry.retire("start without a lease")
+		return link.ErrClosed
+	}
+	return s.link.Send(f)
 }
 
 // answer replies to an agent's heartbeat with a permit.
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -30,7 +30,11 @@
 	"github.com/rosemarybay/rosemarybay/internal/version/roster"
 )
 
-const drainInterval = 10 * time.Millisecond
+const (
+	drainInterval = 10 * time.Millisecond
+	// retireTimeout bounds the last answers of a lost incarnation.
+	retireTimeout = time.Second
+)
 
 // Entry is one entry incarnation.
 type Entry struct {
@@ -52,13 +56,27 @@
 	draining    atomic.Bool
 	reachable   atomic.Bool // the store answered last time
 	jobs        *jobs.Table // set before ready
+	memory      *jobs.Memory
+	lease       *lease
+	adoptions   *adoptions
+	calls       atomic.Int64 // calls of callers and peers in progress
+	retired     chan struct{}
+	retireOnce  sync.Once
+	// handedOver is closed once the tickets have an heir, or none was found.
+	handedOver chan struct{}
 
 	mu     sync.Mutex
 	agents map[string]*agentLink // by agent name
+	// inherited holds the answers of hand-overs in progress, by home.
+	inherited map[uint64][]*peerv1.RememberedAnswer
 }
 
 // New returns an entry that listens but does not serve yet.
 func New(s *settings.Settings, log zerolog.Logger) (*Entry, error) {
+	return newIncarnation(s, log, metrics.New())
+}
+
+func newIncarnation(s *settings.Settings, log zerolog.Logger, counters *metrics.Counters) (*Entry, error) {
 	tlsConfig, err := identity.LoadTLS(s.TLS.CA, s.TLS.Cert, s.TLS.Key)
 	if err != nil {
 		return nil, err
@@ -67,7 +85,6 @@
 	if err != nil {
 		return nil, err
 	}
-	counters := metrics.New()
 	e := &Entry{
 		settings:    s,
 		log:         log,
@@ -81,6 +98,11 @@
 		config:      config.NewView(),
 		roster:      roster.NewView(),
 		agents:      make(map[string]*agentLink),
+		memory:      jobs.NewMemory(int64(s.Entry.AnswerMemoryMB) << 20),
+		lease:       newLease(s.Entry.Lease.Std()),
+		adoptions:   newAdoptions(),
+		retired:     make(chan struct{}),
+		handedOver:  make(chan struct{}),
 	}
 	e.peers = newPeers(e)
 	e.dispatcher = dispatch.New(dispatch.Options{
@@ -117,27 +139,63 @@
 }
 
 // Run serves until stop is closed, and then drains for at most the stop
-// timeout.
+// timeout. An incarnation that loses its lease is followed by a new one.
 func (e *Entry) Run(stop <-chan struct{}) {
+	for e.runIncarnation(stop) {
+		next := e.successor(stop)
+		if next == nil {
+			return
+		}
+		e = next
+	}
+}
+
+// runIncarnation reports whether the incarnation ended by the loss of its lease.
+func (e *Entry) runIncarnation(stop <-chan struct{}) bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.accept(ctx)
+	go e.watchPulse(ctx)
 	go e.follow(ctx)
-	<-stop
-	e.drain()
-	cancel()
-	e.close()
+	go e.sweepAdoptions(ctx)
+	select {
+	case <-e.retired:
+		cancel()
+		e.shut()
+		return true
+	case <-stop:
+		e.drain(ctx)
+		cancel()
+		e.close()
+		return false
+	}
 }
 
-// drain finishes the jobs in progress.
-func (e *Entry) drain() {
-	e.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.StopTimeout.Std())
+// shut closes a lost incarnation after its last answers.
+func (e *Entry) shut() {
+	ctx, cancel := context.WithTimeout(context.Background(), retireTimeout)
 	defer cancel()
-	for e.ready.Load() && e.jobs.Running() > 0 && ctx.Err() == nil {
-		time.Sleep(drainInterval)
-	}
+	e.draining.Store(true)
+	e.waitIdle(ctx)
 	e.server.Close(ctx)
+	e.close()
+}
+
+// successor returns a new incarnation at the same addresses, or nil when stop is
+// closed first.
+func (e *Entry) successor(stop <-chan struct{}) *Entry {
+	for {
+		next, err := newIncarnation(e.settings, e.log, e.counters)
+		if err == nil {
+			return next
+		}
+		e.log.Error().Err(err).Msg("new incarnation cannot listen")
+		select {
+		case <-stop:
+			return nil
+		case <-time.After(storeBackoff):
+		}
+	}
 }
 
 func (e *Entry) close() {
@@ -180,7 +238,7 @@
 		e.serveAgent(l, hello)
 	case "entry":
 		_ = l.Send(e.welcome())
-		l.ServeCalls(e.handleCall)
+		l.ServeCalls(e.countCall(e.handleCall))
 	}
 }
 
@@ -206,5 +264,17 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.calls.Add(1)
+		defer e.calls.Add(-1)
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (e *Entry) countCall(next link.Handler) link.Handler {
+	return func(ctx context.Context, call *peerv1.Call) *peerv1.Reply {
+		e.calls.Add(1)
+		defer e.calls.Add(-1)
+		return next(ctx, call)
+	}
 }
--- a/internal/process/entry/follow.go
+++ b/internal/process/entry/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"fmt"
 	"strings"
 	"time"
 
@@ -23,13 +22,13 @@
 	keyPrefix     = "rosemarybay/"
 	configPrefix  = keyPrefix + "config/"
 	entriesPrefix = keyPrefix + "entries/"
+	adoptedPrefix = keyPrefix + "adopted/"
 	ticketKeyName = keyPrefix + "keys/ticket"
 )
 
 const (
-	storeBackoff  = 200 * time.Millisecond
-	watchWait     = 10 * time.Second
-	leaseRenewals = 3 // renewals in one lease time
+	storeBackoff = 200 * time.Millisecond
+	watchWait    = 10 * time.Second
 )
 
 // follow registers the entry and keeps its configuration and roster up to date.
@@ -91,64 +90,11 @@
 	}
 	key := ticket.Key(value.Data)
 	e.jobs = jobs.NewTable(e.incarnation, key, e.settings.Entry.TicketLifetime.Std(), e.dispatcher, e.counters)
+	e.jobs.SetMemory(e.memory)
 	go e.jobs.Expire(ctx.Done())
 	return nil
 }
 
-// register puts the entry into the roster under a lease and keeps the lease.
-func (e *Entry) register(ctx context.Context) error {
-	ttl := e.settings.Entry.Lease.Std()
-	id, err := e.store.GrantLease(ctx, ttl)
-	if err != nil {
-		return err
-	}
-	key := fmt.Sprintf("%s%016x", entriesPrefix, e.incarnation)
-	data, err := proto.Marshal(&peerv1.RosterEntry{
-		Name:          e.settings.Name,
-		DataCentre:    e.settings.DataCentre,
-		Incarnation:   e.incarnation,
-		PeerAddress:   e.settings.Entry.PeerAdvertise,
-		CallerAddress: e.settings.Entry.CallerListen,
-	})
-	if err != nil {
-		return err
-	}
-	result, err := e.store.CompareAndSwap(ctx, store.Change{Key: key, Data: data, LeaseID: id})
-	if err != nil {
-		return err
-	}
-	if !result.Swapped && result.Present == nil {
-		return eris.New("registration was refused")
-	}
-	go e.keepLease(ctx, id)
-	return nil
-}
-
-func (e *Entry) keepLease(ctx context.Context, id uint64) {
-	interval := e.settings.Entry.Lease.Std() / leaseRenewals
-	for {
-		sleep(ctx, interval)
-		if ctx.Err() != nil {
-			e.revoke(id)
-			return
-		}
-		err := e.store.RenewLease(ctx, id)
-		if eris.Is(err, store.ErrLeaseLapsed) {
-			e.log.Warn().Msg("lease lapsed")
-			e.retry(ctx, e.register)
-			return
-		}
-		e.noteStore(err)
-	}
-}
-
-// revoke takes a stopping entry out of the roster.
-func (e *Entry) revoke(id uint64) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_ = e.store.RevokeLease(ctx, id)
-}
-
 // storeState follows the store's keys by one watch.
 type storeState struct {
 	entry    *Entry
@@ -193,6 +139,8 @@
 		switch {
 		case strings.HasPrefix(v.Key, configPrefix):
 			s.addObject(update, v)
+		case strings.HasPrefix(v.Key, adoptedPrefix):
+			s.entry.adoptions.learn(v)
 		case strings.HasPrefix(v.Key, entriesPrefix):
 			rosterChanged = true
 			s.applyEntry(v)
--- /dev/null
+++ b/internal/process/entry/handover.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
+)
+
+const (
+	// handOverTimeout bounds the hand-over past the stop timeout.
+	handOverTimeout = 5 * time.Second
+	// maxHandOverBytes bounds the answers in one part of a hand-over.
+	maxHandOverBytes = 1 << 20
+	// lastWords is the time for answers on their way when the links are closed.
+	lastWords = 50 * time.Millisecond
+)
+
+// drain finishes the jobs in progress, hands the tickets over and leaves the
+// roster. Jobs that outlast the stop timeout are answered with MayHaveRun.
+func (e *Entry) drain(ctx context.Context) {
+	e.draining.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, e.settings.StopTimeout.Std())
+	defer cancel()
+	if e.ready.Load() {
+		e.announceDraining(ctx)
+		e.jobs.Close()
+		e.finishJobs(ctx)
+		e.handOver()
+	}
+	close(e.handedOver)
+	idle, stop := context.WithTimeout(context.Background(), handOverTimeout)
+	defer stop()
+	e.waitIdle(idle)
+	e.leave()
+	time.Sleep(lastWords)
+	e.server.Close(idle)
+}
+
+func (e *Entry) finishJobs(ctx context.Context) {
+	for e.jobs.Running()+e.adoptions.running() > 0 && ctx.Err() == nil {
+		time.Sleep(drainInterval)
+	}
+	const message = "the entry stopped before the job ended; submit it again"
+	e.jobs.Abandon(apiv1.Reason_REASON_STOPPING, message)
+	e.adoptions.abandon(apiv1.Reason_REASON_STOPPING, message)
+}
+
+// waitIdle waits for the calls in progress, or until ctx ends.
+func (e *Entry) waitIdle(ctx context.Context) {
+	for e.calls.Load() > 0 && ctx.Err() == nil {
+		time.Sleep(drainInterval)
+	}
+}
+
+// handOver names an heir of this entry's tickets in the store and sends it the
+// remembered answers. When it fails, the tickets are adopted like those of a
+// lost entry.
+func (e *Entry) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	heir := e.chooseHeir()
+	if heir == nil {
+		return
+	}
+	if err := e.nameHeir(ctx, heir.GetIncarnation()); err != nil {
+		e.log.Warn().Err(err).Msg("no heir of the tickets")
+		return
+	}
+	if err := e.sendAnswers(ctx, heir); err != nil {
+		e.log.Warn().Err(err).Msg("answers were not handed over")
+		return
+	}
+	e.log.Info().Str("heir", heir.GetName()).Msg("tickets handed over")
+}
+
+// chooseHeir returns another entry, of the own data centre if there is one.
+func (e *Entry) chooseHeir() *peerv1.RosterEntry {
+	var near, far []*peerv1.RosterEntry
+	for _, r := range e.roster.Load().Entries {
+		switch {
+		case r.GetIncarnation() == e.incarnation || r.GetDraining():
+		case r.GetDataCentre() == e.settings.DataCentre:
+			near = append(near, r)
+		default:
+			far = append(far, r)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	return near[rand.IntN(len(near))]
+}
+
+func (e *Entry) nameHeir(ctx context.Context, heir uint64) error {
+	m := &peerv1.Adoption{Incarnation: e.incarnation, Adopter: heir, Generation: 1}
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return eris.Wrap(err, "encode adoption")
+	}
+	value := store.Value{Key: adoptedKey(e.incarnation), Data: data}
+	result, err := e.store.CompareAndSwap(ctx, store.Change{Key: value.Key, Data: data})
+	if err != nil {
+		return err
+	}
+	if !result.Swapped {
+		return eris.New("the tickets were adopted before")
+	}
+	e.adoptions.learn(value)
+	return nil
+}
+
+func (e *Entry) sendAnswers(ctx context.Context, heir *peerv1.RosterEntry) error {
+	part, size := &peerv1.HandOver{Incarnation: e.incarnation}, 0
+	for _, a := range e.jobs.Answers() {
+		if size += proto.Size(a); size > maxHandOverBytes {
+			if err := e.sendPart(ctx, heir, part); err != nil {
+				return err
+			}
+			part, size = &peerv1.HandOver{Incarnation: e.incarnation}, proto.Size(a)
+		}
+		part.Answers = append(part.Answers, a)
+	}
+	part.Complete = true
+	return e.sendPart(ctx, heir, part)
+}
+
+func (e *Entry) sendPart(ctx context.Context, heir *peerv1.RosterEntry, part *peerv1.HandOver) error {
+	reply, err := e.peers.call(ctx, heir, &peerv1.Call{Request: &peerv1.Call_HandOver{HandOver: part}})
+	if err != nil {
+		return err
+	}
+	if reply.GetHandOver() == nil {
+		return eris.New("heir refused the answers")
+	}
+	return nil
+}
+
+// takeOver receives a part of a stopping entry's answers.
+func (e *Entry) takeOver(m *peerv1.HandOver) *peerv1.Reply {
+	if e.draining.Load() {
+		return &peerv1.Reply{Failure: errHomeLost("entry is stopping").Failure()}
+	}
+	answers := e.inheritance(m)
+	if m.GetComplete() {
+		e.inherit(m.GetIncarnation(), answers)
+	}
+	return &peerv1.Reply{Response: &peerv1.Reply_HandOver{HandOver: &peerv1.HandOverAck{}}}
+}
+
+// inheritance adds a part to those received before and returns them all.
+func (e *Entry) inheritance(m *peerv1.HandOver) []*peerv1.RememberedAnswer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.inherited == nil {
+		e.inherited = make(map[uint64][]*peerv1.RememberedAnswer)
+	}
+	home := m.GetIncarnation()
+	e.inherited[home] = append(e.inherited[home], m.GetAnswers()...)
+	all := e.inherited[home]
+	if m.GetComplete() {
+		delete(e.inherited, home)
+	}
+	return all
+}
+
+func (e *Entry) inherit(home uint64, answers []*peerv1.RememberedAnswer) {
+	if e.adoptions.get(home) != nil {
+		return
+	}
+	a := e.newAdoption(home, jobs.Adopted{Generation: 1, Records: jobs.NewRecords(), HandedOver: true})
+	a.table.Restore(answers)
+	e.counters.Counter("homes_inherited").Inc(1)
+	e.log.Info().Uint64("incarnation", home).Int("answers", len(answers)).Msg("tickets taken over")
+	e.startAdoption(a, false)
+}
--- /dev/null
+++ b/internal/process/jobs/adopted.go
@@ -0,0 +1,106 @@
+package jobs
+
+import (
+	"time"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/process/dispatch"
+	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+// Adopted describes the tickets of another incarnation that a table answers for.
+type Adopted struct {
+	Generation uint32
+	// Records are the attempts that agents keep.
+	Records *Records
+	// HandedOver: the home stopped as planned and listed its jobs, so that any
+	// other ticket was never submitted.
+	HandedOver bool
+}
+
+// NewAdopted returns a table for the tickets of a lost or stopped home. It
+// issues no tickets.
+func (t *Table) NewAdopted(home uint64, a Adopted) *Table {
+	table := NewTable(home, t.key, t.lifetime, t.dispatcher, t.counters)
+	table.memory = t.memory
+	table.adopted = &a
+	return table
+}
+
+// lostResult stands for a result that an agent no longer keeps.
+func lostResult(id *peerv1.AttemptID) *peerv1.Result {
+	return &peerv1.Result{
+		Id:      id,
+		Failure: verdict.New(verdict.Ran, apiv1.Reason_REASON_HOME_LOST, "the result is no longer kept").Failure(),
+	}
+}
+
+// resume takes over the tasks of an adopted job. When a task that may not be
+// repeated has no attempt anywhere, the job fails and nothing is started.
+func (j *Job) resume(a *Adopted, tasks []*dispatch.Task) *verdict.Error {
+	kept := make([]dispatch.Kept, len(tasks))
+	worst := verdict.MayHaveRun
+	missing := -1
+	for i, t := range tasks {
+		kept[i] = a.Records.Find(j.id.Sequence, t.Index)
+		if kept[i].Attempt != 0 {
+			worst = verdict.Ran
+		} else if !t.Spec.GetRepeatable() {
+			missing = i
+		}
+	}
+	if missing >= 0 {
+		return verdict.New(worst, apiv1.Reason_REASON_HOME_LOST, "the home of the job is lost and no agent keeps an attempt of task %d", missing)
+	}
+	j.dispatcher.Resume(tasks, kept, a.Generation)
+	j.catchUp(a, tasks, kept)
+	return nil
+}
+
+// catchUp passes on the results that came between the look at the records and
+// Resume.
+func (j *Job) catchUp(a *Adopted, tasks []*dispatch.Task, kept []dispatch.Kept) {
+	for i, t := range tasks {
+		now := a.Records.Find(j.id.Sequence, t.Index)
+		if kept[i].Attempt != 0 && kept[i].Result == nil && now.Result != nil {
+			j.dispatcher.HandleResult(now.Target, now.Result)
+		}
+	}
+}
+
+// Answers returns the remembered answers of the table, for its heir.
+func (t *Table) Answers() []*peerv1.RememberedAnswer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]*peerv1.RememberedAnswer, 0, len(t.jobs))
+	for id, j := range t.jobs {
+		answer := j.Answer()
+		if answer.GetState() == apiv1.JobState_JOB_STATE_RUNNING {
+			continue
+		}
+		list = append(list, &peerv1.RememberedAnswer{
+			Sequence:    id.Sequence,
+			Answer:      answer,
+			ExpiresMs:   uint32(max(0, time.Until(j.expires).Milliseconds())),
+			Fingerprint: j.fingerprint,
+		})
+	}
+	return list
+}
+
+// Restore takes the remembered answers of a stopped home.
+func (t *Table) Restore(answers []*peerv1.RememberedAnswer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range answers {
+		id := ticket.ID{Home: t.home, Sequence: a.GetSequence()}
+		j := newJob(id, a.GetFingerprint(), t.dispatcher)
+		j.expires = time.Now().Add(time.Duration(a.GetExpiresMs()) * time.Millisecond)
+		j.answer = a.GetAnswer()
+		close(j.done)
+		t.insert(j)
+		t.count(j)
+	}
+}
--- a/internal/process/jobs/table.go
+++ b/internal/process/jobs/table.go
@@ -4,7 +4,7 @@
 package jobs
 
 import (
-	"hash/maphash"
+	"hash/fnv"
 	"sync"
 	"time"
 
@@ -25,6 +25,9 @@
 	MaxDeadline     = 10 * time.Minute
 )
 
+// DefaultMemory is the memory for remembered answers in bytes.
+const DefaultMemory = 256 << 20
+
 const expireInterval = time.Second
 
 // Table holds the jobs of one entry incarnation.
@@ -34,13 +37,16 @@
 	lifetime   time.Duration
 	dispatcher Dispatcher
 	counters   *metrics.Counters
-	seed       maphash.Seed
+	memory     *Memory
+	// adopted is set in a table for the tickets of another incarnation.
+	adopted *Adopted
 
 	mu       sync.Mutex
 	sequence uint64
 	jobs     map[ticket.ID]*Job
 	expiring map[int64][]ticket.ID // by second of expiry
 	running  int
+	closed   bool
 }
 
 // NewTable returns an empty table. Tickets live for lifetime.
@@ -51,7 +57,7 @@
 		lifetime:   lifetime,
 		dispatcher: d,
 		counters:   c,
-		seed:       maphash.MakeSeed(),
+		memory:     NewMemory(DefaultMemory),
 		jobs:       make(map[ticket.ID]*Job),
 		expiring:   make(map[int64][]ticket.ID),
 	}
@@ -84,45 +90,70 @@
 // only for a job that was not submitted before. A refused job is forgotten, so
 // that its ticket can be submitted again.
 func (t *Table) Submit(tk ticket.Ticket, r *apiv1.SubmitRequest, admit func() *verdict.Error) (*Job, *verdict.Error) {
-	fingerprint := t.fingerprint(r)
+	hash := fingerprint(r)
 	t.mu.Lock()
 	if j, ok := t.jobs[tk.ID]; ok {
 		t.mu.Unlock()
-		return t.join(j, fingerprint)
+		return t.join(j, hash)
 	}
 	if !time.Now().Before(tk.Expires) {
 		t.mu.Unlock()
 		return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_TICKET_EXPIRED, "ticket expired at %s", tk.Expires.UTC().Format(time.RFC3339))
 	}
-	if err := admit(); err != nil {
+	if err := t.admit(admit); err != nil {
 		t.mu.Unlock()
 		return nil, err
 	}
-	j := newJob(tk.ID, fingerprint, t.dispatcher)
-	t.jobs[tk.ID] = j
-	second := tk.Expires.Unix()
-	t.expiring[second] = append(t.expiring[second], tk.ID)
+	j := newJob(tk.ID, hash, t.dispatcher)
+	j.expires = tk.Expires
+	t.insert(j)
 	t.running++
 	t.mu.Unlock()
-	if err := j.start(r, tk.Expires); err != nil {
-		t.forget(tk.ID)
-		return nil, err
+	if err := j.start(r, t.adopted); err != nil {
+		return t.refused(j, err)
 	}
 	go t.untilDone(j)
 	return j, nil
 }
 
-func (t *Table) forget(id ticket.ID) {
+// admit decides on a job that was not submitted before; the caller holds t.mu.
+func (t *Table) admit(admit func() *verdict.Error) *verdict.Error {
+	if t.closed {
+		return verdict.NotRunError(apiv1.Reason_REASON_STOPPING, "entry is stopping")
+	}
+	if t.memory.isFull() {
+		return verdict.NotRunError(apiv1.Reason_REASON_OVERLOAD, "remembered answers take up %d bytes", t.memory.Used())
+	}
+	return admit()
+}
+
+// insert adds a job; the caller holds t.mu.
+func (t *Table) insert(j *Job) {
+	t.jobs[j.id] = j
+	second := j.expires.Unix()
+	t.expiring[second] = append(t.expiring[second], j.id)
+}
+
+// refused forgets a job that has not run. One that may have run is remembered.
+func (t *Table) refused(j *Job, err *verdict.Error) (*Job, *verdict.Error) {
+	if err.Verdict != verdict.NotRun {
+		go t.untilDone(j)
+		return j, nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.jobs, id)
+	delete(t.jobs, j.id)
 	t.running--
+	return nil, err
 }
 
 func (t *Table) untilDone(j *Job) {
 	<-j.done
 	t.mu.Lock()
 	t.running--
+	if t.jobs[j.id] == j {
+		t.count(j)
+	}
 	t.mu.Unlock()
 	if f := j.Answer().GetFailure(); f != nil {
 		t.counters.Counter("jobs_failed").Inc(1)
@@ -151,9 +182,34 @@
 	if !time.Now().Before(tk.Expires) {
 		return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_TICKET_EXPIRED, "ticket has expired")
 	}
+	if t.adopted != nil && !t.adopted.HandedOver {
+		return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_HOME_LOST, "the home of the ticket is lost; submit the job again for its answer")
+	}
 	return nil, verdict.NotRunError(apiv1.Reason_REASON_JOB_UNKNOWN, "ticket was never submitted")
 }
 
+// Close refuses further jobs; those submitted before can still be joined.
+func (t *Table) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+}
+
+// Abandon closes the table and ends its jobs in progress with an error that
+// says they may have run, without a word to the agents.
+func (t *Table) Abandon(reason verdict.Reason, message string) {
+	t.mu.Lock()
+	t.closed = true
+	list := make([]*Job, 0, len(t.jobs))
+	for _, j := range t.jobs {
+		list = append(list, j)
+	}
+	t.mu.Unlock()
+	for _, j := range list {
+		j.abandon(verdict.New(verdict.MayHaveRun, reason, "%s", message))
+	}
+}
+
 // Running returns the number of jobs without an answer.
 func (t *Table) Running() int {
 	t.mu.Lock()
@@ -161,15 +217,15 @@
 	return t.running
 }
 
-// fingerprint hashes what a resubmission must repeat.
-func (t *Table) fingerprint(r *apiv1.SubmitRequest) uint64 {
-	var h maphash.Hash
-	h.SetSeed(t.seed)
+// fingerprint hashes what a resubmission must repeat. Every entry computes the
+// same.
+func fingerprint(r *apiv1.SubmitRequest) uint64 {
+	h := fnv.New64a()
 	var buffer []byte
 	for _, task := range r.GetTasks() {
 		buffer, _ = proto.MarshalOptions{Deterministic: true}.MarshalAppend(buffer[:0], task)
+		buffer = append(buffer, 0)
 		_, _ = h.Write(buffer)
-		_ = h.WriteByte(0)
 	}
 	return h.Sum64()
 }
@@ -196,8 +252,26 @@
 			continue
 		}
 		for _, id := range ids {
-			delete(t.jobs, id)
+			t.forget(id)
 		}
 		delete(t.expiring, second)
 	}
 }
+
+// forget drops a job whose ticket has expired; the caller holds t.mu.
+func (t *Table) forget(id ticket.ID) {
+	j, ok := t.jobs[id]
+	if !ok {
+		return
+	}
+	delete(t.jobs, id)
+	if j.counted {
+		t.memory.add(-j.size())
+	}
+}
+
+// count charges an answer to the memory; the caller holds t.mu.
+func (t *Table) count(j *Job) {
+	j.counted = true
+	t.memory.add(j.size())
+}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -86,6 +86,8 @@
 	Permit Duration `json:"permit,omitempty"`
 	// QueueLimit is the largest number of tasks that wait for a slot.
 	QueueLimit int `json:"queue_limit,omitempty"`
+	// AnswerMemoryMB bounds the memory of remembered answers.
+	AnswerMemoryMB int `json:"answer_memory_mb,omitempty"`
 }
 
 // Agent holds the settings of the agent role.
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -13,11 +13,12 @@
 const (
 	defaultLogLevel       = "info"
 	defaultStopTimeout    = 30 * time.Second
-	defaultLease          = 10 * time.Second
+	defaultLease          = 4 * time.Second
 	defaultTicketLifetime = 10 * time.Minute
 	defaultPermit         = 3 * time.Second
 	defaultQueueLimit     = 20000
 	defaultMaxConnections = 60
+	defaultAnswerMemoryMB = 256
 )
 
 // MaxSlots is the largest number of slots of a target.
@@ -32,6 +33,7 @@
 		setDefault(&e.TicketLifetime, Duration(defaultTicketLifetime))
 		setDefault(&e.Permit, Duration(defaultPermit))
 		setDefault(&e.QueueLimit, defaultQueueLimit)
+		setDefault(&e.AnswerMemoryMB, defaultAnswerMemoryMB)
 	}
 	if a := s.Agent; a != nil {
 		setDefault(&a.Target.MaxConnections, defaultMaxConnections)
@@ -92,6 +94,9 @@
 	if e.Lease <= 0 || e.TicketLifetime <= 0 || e.Permit <= 0 {
 		return eris.New("entry.lease, entry.ticket_lifetime and entry.permit must be positive")
 	}
+	if e.AnswerMemoryMB <= 0 {
+		return eris.New("entry.answer_memory_mb must be positive")
+	}
 	if e.QueueLimit <= 0 {
 		return eris.New("entry.queue_limit must be positive")
 	}
