Free the sockets of a lost incarnation, and bound the dial of a lost entry

Cause: quic-go leaves the caller's socket open when a transport closes, so the new incarnation could not listen; calls queued behind the dial of a dead home waited 3 s each in turn. Change: close the socket; dial for at most 1 s and look at the roster again after the wait.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -207,6 +207,7 @@
 		a.link.Close()
 	}
 	_ = e.transport.Close()
+	_ = e.transport.Conn.Close()
 }
 
 // accept serves the links of agents and other entries until the listener ends.
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -13,8 +13,12 @@
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
-// peerKeepAlive keeps the links between entries open.
-const peerKeepAlive = time.Second
+const (
+	// peerKeepAlive keeps the links between entries open.
+	peerKeepAlive = time.Second
+	// peerDialTimeout bounds the dial of an entry that may be gone.
+	peerDialTimeout = time.Second
+)
 
 // peers holds the links this entry dialled to other entries, by address.
 type peers struct {
@@ -68,6 +72,12 @@
 	if pl.isOpen() && pl.incarnation == to.GetIncarnation() {
 		return pl.link, nil
 	}
+	// Calls that waited for a dial in vain do not dial in turn.
+	if !p.entry.isRegistered(to.GetIncarnation()) {
+		return nil, eris.Errorf("entry %s has left the roster", to.GetName())
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+	defer cancel()
 	if err := p.open(ctx, pl, to); err != nil {
 		return nil, err
 	}
