--- a/client/client.go
+++ b/client/client.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/api/v1/apiv1connect"
+	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
@@ -122,9 +124,26 @@
 func (c *Client) Resubmit(ctx context.Context, ticket []byte, j Job) (*apiv1.Answer, error) {
 	response, err := c.jobs.Submit(ctx, connect.NewRequest(c.request(ticket, j)))
 	if err != nil {
-		return nil, verdict.FromError(err)
+		e := verdict.FromError(err)
+		if e.Reason == apiv1.Reason_REASON_HOME_LOST {
+			c.Discard(ticket)
+		}
+		return nil, e
 	}
-	return check(response.Msg.GetAnswer())
+	answer, err := check(response.Msg.GetAnswer())
+	if answer.GetFailure().GetReason() == apiv1.Reason_REASON_HOME_LOST {
+		c.Discard(ticket)
+	}
+	return answer, err
+}
+
+// Discard drops the fetched tickets that the same entry issued as the given one.
+// It is used when that entry is lost, since a task that may not be repeated no
+// longer runs under its tickets.
+func (c *Client) Discard(lost []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tickets = slices.DeleteFunc(c.tickets, func(t []byte) bool { return ticket.IsSameHome(t, lost) })
 }
 
 // Start submits a job without waiting for its answer.
--- a/internal/bench/chaos/caller.go
+++ b/internal/bench/chaos/caller.go
@@ -15,9 +15,12 @@
 
 // Shape of the jobs.
 const (
-	maxTasks    = 4
-	minRun      = 20 * time.Millisecond
-	maxRun      = 80 * time.Millisecond
+	maxTasks = 4
+	minRun   = 20 * time.Millisecond
+	maxRun   = 80 * time.Millisecond
+	// longShare is one job in so many whose tasks run longer by longFactor.
+	longShare   = 20
+	longFactor  = 12
 	jobDeadline = 10 * time.Second
 	// patience is how long a caller goes on submitting its job.
 	patience = 12 * time.Second
@@ -29,6 +32,9 @@
 	onceShare = 5
 )
 
+// homeEnd is the size of a ticket's version and home in bytes.
+const homeEnd = 1 + 8
+
 // job is one job and what its caller saw.
 type job struct {
 	number     int
@@ -38,7 +44,8 @@
 	request    client.Job
 	random     *rand.Rand
 
-	issuer  int // entry that issued the ticket
+	issuer  int       // entry that issued the ticket
+	fetched time.Time // of the first ticket of the same home
 	began   time.Time
 	first   time.Time // of the first answer
 	replies []reply
@@ -60,8 +67,12 @@
 		random:     rand.New(rand.NewPCG(random.Uint64(), 0)),
 		request:    client.Job{Label: fmt.Sprintf("job-%d", number), Deadline: jobDeadline},
 	}
+	factor := time.Duration(1)
+	if random.IntN(longShare) == 0 {
+		factor = longFactor
+	}
 	for i := range 1 + random.IntN(maxTasks) {
-		run := minRun + time.Duration(random.Int64N(int64(maxRun-minRun)))
+		run := factor * between(random, minRun, maxRun)
 		payload, _ := json.Marshal(standintarget.Payload{Task: j.taskName(i), RunMS: int(run.Milliseconds())})
 		j.request.Tasks = append(j.request.Tasks, &apiv1.Task{
 			Kind:       "chaos",
@@ -86,6 +97,7 @@
 		return
 	}
 	j.began = time.Now()
+	j.fetched = r.firstSeen(ticket, j.began)
 	for {
 		last := r.submit(ctx, j, ticket)
 		if j.once || !isOpen(last) || !sleep(ctx, askAgain) {
@@ -110,6 +122,17 @@
 	}
 }
 
+// firstSeen returns when a ticket of the same home was first used.
+func (r *run) firstSeen(ticket []byte, now time.Time) time.Time {
+	home := string(ticket[:homeEnd])
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.homes[home]; !ok {
+		r.homes[home] = now
+	}
+	return r.homes[home]
+}
+
 func (r *run) submit(ctx context.Context, j *job, ticket []byte) reply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -121,6 +144,9 @@
 		j.first = next.at
 	}
 	j.replies = append(j.replies, next)
+	if next.err != nil && next.err.Reason == apiv1.Reason_REASON_HOME_LOST {
+		r.clients[j.owner][j.issuer].Discard(ticket)
+	}
 	return next
 }
 
--- a/internal/bench/chaos/chaos.go
+++ b/internal/bench/chaos/chaos.go
@@ -42,6 +42,7 @@
 	jobs   []*job
 	lost   map[string][]time.Time // kills by entry
 	faults map[string]int
+	homes  map[string]time.Time // first use of a ticket by home
 }
 
 // Run plays the jobs and reports whether every promise held. The error reports
@@ -58,6 +59,7 @@
 		out:     out,
 		lost:    make(map[string][]time.Time),
 		faults:  make(map[string]int),
+		homes:   make(map[string]time.Time),
 	}
 	for owner := range owners {
 		for _, n := range f.Entries {
--- a/internal/bench/chaos/report.go
+++ b/internal/bench/chaos/report.go
@@ -131,14 +131,24 @@
 // isHit reports whether the home of a job was killed while its first submission
 // was under way.
 func (r *run) isHit(j *job) bool {
+	return r.wasKilled(j, j.began, j.first.Add(time.Millisecond))
+}
+
+// isStranded reports whether the home of a job was killed between the issue of
+// the ticket and the first submission.
+func (r *run) isStranded(j *job) bool {
+	return r.wasKilled(j, j.fetched, j.began)
+}
+
+func (r *run) wasKilled(j *job, from, to time.Time) bool {
 	return slices.ContainsFunc(r.lost[r.fleet.Entries[j.issuer].Name], func(at time.Time) bool {
-		return at.After(j.began) && at.Before(j.first.Add(time.Millisecond))
+		return at.After(from) && at.Before(to)
 	})
 }
 
 func (f *findings) print() {
 	r := f.run
-	var all, hitAgain, hitOnce share
+	var all, hitAgain, hitOnce, stranded share
 	failed := make(map[string]int)
 	for _, j := range r.jobs {
 		all.add(j)
@@ -146,7 +156,10 @@
 			failed[j.lastError()]++
 		}
 		switch {
-		case len(j.replies) == 0 || !r.isHit(j):
+		case len(j.replies) == 0:
+		case r.isStranded(j):
+			stranded.add(j)
+		case !r.isHit(j):
 		case j.once:
 			hitOnce.add(j)
 		default:
@@ -162,6 +175,7 @@
 	f.row("jobs complete", all)
 	f.row("home killed meanwhile, submitted again", hitAgain)
 	f.row("home killed meanwhile, not submitted again", hitOnce)
+	f.row("home killed before the first submission", stranded)
 	f.row("repeatable tasks started again", f.repeated)
 	for _, name := range []string{"attempts_repeated", "homes_adopted", "homes_inherited", "incarnations_lost", "adoptions_lost", "results_late"} {
 		f.row(name+" (of nodes that still run or were asked)", counters[name])
@@ -186,5 +200,9 @@
 	if last.err == nil {
 		return "still running"
 	}
-	return verdict.Name(last.err.Verdict) + " " + verdict.ReasonName(last.err.Reason)
+	caller := ""
+	if j.once {
+		caller = ", not submitted again"
+	}
+	return verdict.Name(last.err.Verdict) + " " + verdict.ReasonName(last.err.Reason) + caller
 }
--- a/internal/process/dispatch/resume.go
+++ b/internal/process/dispatch/resume.go
@@ -26,8 +26,9 @@
 
 // Resume takes over the tasks of a lost home, kept[i] being the attempt of
 // tasks[i]. An attempt that runs is waited for, and one that has ended ends its
-// task. A task without an attempt is started again when it is repeatable, within
-// the retry budget, and fails with MayHaveRun otherwise.
+// task. A task without an attempt is started again when it is repeatable, and
+// fails with MayHaveRun otherwise. The retry budget does not bound these starts:
+// the lost home starts nothing any more, so they do not multiply load.
 func (d *Dispatcher) Resume(tasks []*Task, kept []Kept, generation uint32) {
 	d.mu.Lock()
 	defer d.unlockAndComplete()
@@ -57,6 +58,9 @@
 		d.endAttempt(at, k.Result)
 	case k.Attempt != 0 && tg.inFlight != nil:
 		tg.inFlight[at.key] = at
+	case k.Attempt == 0 && t.Spec.GetRepeatable():
+		d.repeated.Inc(1)
+		d.requeue(t, apiv1.Reason_REASON_HOME_LOST)
 	default:
 		d.failed(at, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_HOME_LOST, "no agent keeps an attempt of task %d", t.Index))
 	}
--- a/internal/process/entry/jobservice.go
+++ b/internal/process/entry/jobservice.go
@@ -55,6 +55,16 @@
 	return nil
 }
 
+// checkRoute refuses a call for a ticket while the entry cannot tell who answers
+// for it. The ticket may have been submitted before, through another entry.
+func (e *Entry) checkRoute() *verdict.Error {
+	err := e.checkReady()
+	if err != nil {
+		err.Verdict = verdict.MayHaveRun
+	}
+	return err
+}
+
 // IssueTickets implements the job service.
 func (s *jobService) IssueTickets(_ context.Context, r *connect.Request[apiv1.IssueTicketsRequest]) (*connect.Response[apiv1.IssueTicketsResponse], error) {
 	e, m := s.entry, r.Msg
@@ -93,7 +103,7 @@
 }
 
 func (e *Entry) submit(ctx context.Context, m *apiv1.SubmitRequest) (*apiv1.Answer, *verdict.Error) {
-	if err := e.checkReady(); err != nil {
+	if err := e.checkRoute(); err != nil {
 		return nil, err
 	}
 	if err := jobs.Validate(m); err != nil {
@@ -156,7 +166,7 @@
 
 // routeByTicket passes a request to the entry that answers for its ticket.
 func (e *Entry) routeByTicket(ctx context.Context, m ticketed, call *peerv1.Call) (*apiv1.Answer, *verdict.Error) {
-	if err := e.checkReady(); err != nil {
+	if err := e.checkRoute(); err != nil {
 		return nil, err
 	}
 	t, err := e.decodeLive(m)
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -122,8 +122,7 @@
 
 // handleCall answers the calls of other entries.
 func (e *Entry) handleCall(ctx context.Context, call *peerv1.Call) *peerv1.Reply {
-	if err := e.checkReady(); err != nil {
-		err.Verdict = verdict.MayHaveRun
+	if err := e.checkRoute(); err != nil {
 		return &peerv1.Reply{Failure: err.Failure()}
 	}
 	if m := call.GetHandOver(); m != nil {
--- a/internal/request/ticket/ticket.go
+++ b/internal/request/ticket/ticket.go
@@ -4,6 +4,7 @@
 package ticket
 
 import (
+	"bytes"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/binary"
@@ -70,6 +71,13 @@
 	}, nil
 }
 
+// IsSameHome reports whether two encoded tickets name the same home. It verifies
+// neither.
+func IsSameHome(a, b []byte) bool {
+	const homeEnd = 1 + 8
+	return len(a) == TicketSize && len(b) == TicketSize && bytes.Equal(a[:homeEnd], b[:homeEnd])
+}
+
 func (k *Key) mac(body []byte, department, owner string) []byte {
 	h := hmac.New(sha256.New, k[:])
 	h.Write(body)
