Forget what ran at an agent that restarted, and test the verdicts in any order

Cause: an adopter that had heard of a running attempt waited for it until the job's deadline when the agent restarted before the job was submitted again. Found by a property test over jobs, dispatcher and attempts with random orders of frames, losses, restarts and adoption.

Change: records of an adopted home note the incarnation of each agent.

--- a/internal/process/entry/adopt.go
+++ b/internal/process/entry/adopt.go
@@ -99,7 +99,7 @@
 // holdAdoption fences a lost incarnation at the agents and gathers what they
 // keep of it.
 func (e *Entry) holdAdoption(lost uint64, generation uint32) {
-	a := e.newAdoption(lost, jobs.Adopted{Generation: generation, Records: jobs.NewRecords()})
+	a := e.newAdoption(lost, jobs.Adopted{Generation: generation, Records: jobs.NewRecords(lost)})
 	e.counters.Counter("homes_adopted").Inc(1)
 	e.log.Warn().Uint64("incarnation", lost).Uint32("generation", generation).Msg("adopted a lost entry")
 	e.startAdoption(a, true)
@@ -129,6 +129,7 @@
 	}
 	e.adoptions.hold(a)
 	for _, l := range links {
+		a.records.NoteAgent(l.target.GetName(), l.incarnation)
 		if l.link.Send(a.fence(e.incarnation)) != nil {
 			a.heard(l.name)
 		}
@@ -140,6 +141,7 @@
 // sendFences tells a newly linked agent of all adoptions of this entry.
 func (a *agentLink) sendFences() {
 	for _, held := range a.entry.adoptions.all() {
+		held.records.NoteAgent(a.target.GetName(), a.incarnation)
 		_ = a.link.Send(held.fence(a.entry.incarnation))
 	}
 }
--- a/internal/process/entry/agentlink.go
+++ b/internal/process/entry/agentlink.go
@@ -15,6 +15,8 @@
 	link   *link.Link
 	name   string
 	target *peerv1.TargetInfo
+	// incarnation is that of the agent.
+	incarnation uint64
 }
 
 // serveAgent runs an agent's link from its Hello to its end.
@@ -23,7 +25,7 @@
 		e.counters.Counter("links_refused").Inc(1)
 		return
 	}
-	a := &agentLink{entry: e, link: l, name: hello.GetName(), target: hello.GetTarget()}
+	a := &agentLink{entry: e, link: l, name: hello.GetName(), target: hello.GetTarget(), incarnation: hello.GetIncarnation()}
 	_ = l.Send(e.welcome())
 	a.sendConfig(e.config.Load(), hello.GetConfigRevision())
 	a.sendRoster(e.roster.Load())
--- a/internal/process/entry/handover.go
+++ b/internal/process/entry/handover.go
@@ -178,7 +178,7 @@
 	if e.adoptions.get(home) != nil {
 		return
 	}
-	a := e.newAdoption(home, jobs.Adopted{Generation: 1, Records: jobs.NewRecords(), HandedOver: true})
+	a := e.newAdoption(home, jobs.Adopted{Generation: 1, Records: jobs.NewRecords(home), HandedOver: true})
 	a.table.Restore(answers)
 	e.counters.Counter("homes_inherited").Inc(1)
 	e.log.Info().Uint64("incarnation", home).Int("answers", len(answers)).Msg("tickets taken over")
--- a/internal/process/jobs/adopted.go
+++ b/internal/process/jobs/adopted.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// lostAttempt stands for an attempt that ran when its agent was lost.
+func lostAttempt(id *peerv1.AttemptID) *peerv1.Result {
+	return &peerv1.Result{
+		Id:      id,
+		Failure: verdict.New(verdict.Ran, apiv1.Reason_REASON_AGENT_LOST, "the agent was lost while the task ran").Failure(),
+	}
+}
+
 // resume takes over the tasks of an adopted job. When a task that may not be
 // repeated has no attempt anywhere, the job fails and nothing is started.
 func (j *Job) resume(a *Adopted, tasks []*dispatch.Task) *verdict.Error {
--- a/internal/process/jobs/records.go
+++ b/internal/process/jobs/records.go
@@ -11,7 +11,10 @@
 // concurrent use.
 type Records struct {
 	mu    sync.Mutex
+	home  uint64
 	tasks map[recordKey]dispatch.Kept
+	// agents holds the incarnation of the agent of each target.
+	agents map[string]uint64
 }
 
 type recordKey struct {
@@ -19,10 +22,34 @@
 	task     uint32
 }
 
-// NewRecords returns an empty set.
-func NewRecords() *Records {
+func (k recordKey) attemptID(home uint64, attempt uint32) *peerv1.AttemptID {
+	return &peerv1.AttemptID{Incarnation: home, Sequence: k.sequence, Task: k.task, Attempt: attempt}
+}
+
+// NewRecords returns an empty set for a lost home.
+func NewRecords(home uint64) *Records {
 	return &Records{
-		tasks: make(map[recordKey]dispatch.Kept),
+		home:   home,
+		tasks:  make(map[recordKey]dispatch.Kept),
+		agents: make(map[string]uint64),
+	}
+}
+
+// NoteAgent takes the incarnation of a target's agent. What ran at an earlier one
+// is lost.
+func (r *Records) NoteAgent(target string, incarnation uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.agents[target]
+	r.agents[target] = incarnation
+	if !ok || known == incarnation {
+		return
+	}
+	for key, k := range r.tasks {
+		if k.Target == target && k.Result == nil {
+			k.Result = lostAttempt(key.attemptID(r.home, k.Attempt))
+			r.tasks[key] = k
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/process/jobs/world_test.go
@@ -0,0 +1,272 @@
+package jobs
+
+import (
+	"fmt"
+	"sync"
+
+	"pgregory.net/rapid"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/process/attempts"
+	"github.com/rosemarybay/rosemarybay/internal/process/dispatch"
+	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+	"github.com/rosemarybay/rosemarybay/internal/version/config"
+)
+
+const testSlots = 16
+
+// testLink carries frames between an entry and an agent, in order, until it is
+// cut.
+type testLink struct {
+	mu      sync.Mutex
+	toAgent []*peerv1.Frame
+	toEntry []*peerv1.Frame
+	cut     bool
+}
+
+// Send implements dispatch.Sender.
+func (l *testLink) Send(f *peerv1.Frame) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		return fmt.Errorf("link is cut")
+	}
+	l.toAgent = append(l.toAgent, f)
+	return nil
+}
+
+func (l *testLink) sendBack(f *peerv1.Frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.cut {
+		l.toEntry = append(l.toEntry, f)
+	}
+}
+
+func (l *testLink) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut, l.toAgent, l.toEntry = true, nil, nil
+}
+
+func pop(mu *sync.Mutex, queue *[]*peerv1.Frame) *peerv1.Frame {
+	mu.Lock()
+	defer mu.Unlock()
+	if len(*queue) == 0 {
+		return nil
+	}
+	f := (*queue)[0]
+	*queue = (*queue)[1:]
+	return f
+}
+
+type testAgent struct {
+	name        string
+	incarnation uint64
+	table       *attempts.Table
+	running     []*peerv1.Start
+	links       [2]*testLink // by entry
+}
+
+func (a *testAgent) info() *peerv1.TargetInfo {
+	return &peerv1.TargetInfo{Name: a.name, DataCentre: "nbo1", Slots: testSlots}
+}
+
+type testEntry struct {
+	incarnation uint64
+	dispatcher  *dispatch.Dispatcher
+	table       *Table
+}
+
+type testJob struct {
+	ticket  ticket.Ticket
+	request *apiv1.SubmitRequest
+	jobs    []*Job
+	resumed bool // submitted to the adopter
+}
+
+func (j *testJob) taskName(task uint32) string {
+	return fmt.Sprintf("%d/%d", j.ticket.Sequence, task)
+}
+
+// world is a home (entry 0), its adopter (entry 1) and two agents, with links
+// whose frames the test delivers.
+type world struct {
+	entries [2]*testEntry
+	agents  [2]*testAgent
+	jobs    []*testJob
+	starts  map[string]int
+
+	adopted  *Adopted
+	adoption *Table
+	awaited  map[string]bool
+}
+
+func newWorld() *world {
+	w := &world{starts: make(map[string]int), awaited: make(map[string]bool)}
+	for i := range w.entries {
+		counters := metrics.New()
+		incarnation := uint64(i + 1)
+		d := dispatch.New(dispatch.Options{
+			Sender:     incarnation,
+			DataCentre: "nbo1",
+			QueueLimit: 1000,
+			Config:     config.NewView(),
+			Counters:   counters,
+		})
+		w.entries[i] = &testEntry{
+			incarnation: incarnation,
+			dispatcher:  d,
+			table:       NewTable(incarnation, ticket.Key{1}, MaxDeadline, d, counters),
+		}
+	}
+	for i := range w.agents {
+		w.agents[i] = &testAgent{name: fmt.Sprintf("r%d", i)}
+		w.restart(w.agents[i])
+	}
+	return w
+}
+
+// restart gives an agent a new incarnation.
+func (w *world) restart(a *testAgent) {
+	a.incarnation++
+	a.table = attempts.New(testSlots)
+	a.running = nil
+	for e := range w.entries {
+		w.relink(a, e)
+	}
+}
+
+// relink cuts the link between an agent and an entry and opens another.
+func (w *world) relink(a *testAgent, e int) {
+	if old := a.links[e]; old != nil {
+		old.close()
+		w.entries[e].dispatcher.Detach(a.name, old)
+	}
+	l := &testLink{}
+	a.links[e] = l
+	if e == 1 && w.adopted != nil {
+		w.adopted.Records.NoteAgent(a.name, a.incarnation)
+		_ = l.Send(w.fence())
+	}
+	w.entries[e].dispatcher.Attach(a.info(), a.incarnation, l)
+}
+
+func (w *world) fence() *peerv1.Frame {
+	return &peerv1.Frame{Body: &peerv1.Frame_Fence{Fence: &peerv1.Fence{
+		Incarnation: w.entries[0].incarnation,
+		Adopter:     w.entries[1].incarnation,
+		Generation:  1,
+	}}}
+}
+
+// adopt makes entry 1 the adopter of entry 0, which goes on unaware.
+func (w *world) adopt() {
+	if w.adopted != nil {
+		return
+	}
+	w.adopted = &Adopted{Generation: 1, Records: NewRecords(w.entries[0].incarnation)}
+	w.adoption = w.entries[1].table.NewAdopted(w.entries[0].incarnation, *w.adopted)
+	for _, a := range w.agents {
+		w.adopted.Records.NoteAgent(a.name, a.incarnation)
+		w.awaited[a.name] = true
+		_ = a.links[1].Send(w.fence())
+	}
+}
+
+// toAgent delivers one frame to an agent. It reports whether there was one.
+func (w *world) toAgent(a *testAgent, e int) bool {
+	l := a.links[e]
+	f := pop(&l.mu, &l.toAgent)
+	switch body := f.GetBody().(type) {
+	case *peerv1.Frame_Start:
+		w.begin(a, l, body.Start)
+	case *peerv1.Frame_Cancel:
+		a.stop(l, body.Cancel.GetIds())
+	case *peerv1.Frame_Query:
+		a.stop(l, body.Query.GetIds())
+	case *peerv1.Frame_Fence:
+		kept, ok := a.table.Fence(body.Fence)
+		l.sendBack(&peerv1.Frame{Body: &peerv1.Frame_FenceAck{FenceAck: &peerv1.FenceAck{Kept: kept, Complete: true, Superseded: !ok}}})
+	}
+	return f != nil
+}
+
+func (w *world) begin(a *testAgent, l *testLink, s *peerv1.Start) {
+	err := a.table.Begin(s, func() *verdict.Error { return nil }, func() {})
+	if err != nil {
+		l.sendBack(&peerv1.Frame{Body: &peerv1.Frame_Result{Result: &peerv1.Result{Id: s.GetId(), Failure: err.Failure()}}})
+		return
+	}
+	w.starts[fmt.Sprintf("%d/%d", s.GetId().GetSequence(), s.GetId().GetTask())]++
+	a.running = append(a.running, s)
+}
+
+func (a *testAgent) stop(l *testLink, ids []*peerv1.AttemptID) {
+	states, results := a.table.Stop(ids, false)
+	l.sendBack(&peerv1.Frame{Body: &peerv1.Frame_AttemptStates{AttemptStates: &peerv1.AttemptStates{States: states}}})
+	for _, r := range results {
+		l.sendBack(&peerv1.Frame{Body: &peerv1.Frame_Result{Result: r}})
+	}
+}
+
+// finish ends the running attempt at an index.
+func (w *world) finish(a *testAgent, index int, failed bool) {
+	s := a.running[index]
+	a.running = append(a.running[:index], a.running[index+1:]...)
+	id := s.GetId()
+	r := &peerv1.Result{Id: id, Output: fmt.Appendf(nil, "%d/%d", id.GetSequence(), id.GetTask())}
+	if failed {
+		r.Output = nil
+		r.Failure = verdict.New(verdict.Ran, apiv1.Reason_REASON_TARGET_FAILED, "failed").Failure()
+	}
+	a.table.Finish(r)
+	a.links[a.table.Owner(id.GetIncarnation())-1].sendBack(&peerv1.Frame{Body: &peerv1.Frame_Result{Result: r}})
+}
+
+// toEntry delivers one frame to an entry. It reports whether there was one.
+func (w *world) toEntry(a *testAgent, e int) bool {
+	l := a.links[e]
+	f := pop(&l.mu, &l.toEntry)
+	d := w.entries[e].dispatcher
+	switch body := f.GetBody().(type) {
+	case *peerv1.Frame_Result:
+		if e == 1 && body.Result.GetFailure().GetVerdict() != verdict.NotRun {
+			w.adopted.Records.Add(a.name, &peerv1.KeptAttempt{
+				State:  &peerv1.AttemptState{Id: body.Result.GetId(), Phase: peerv1.AttemptPhase_ATTEMPT_PHASE_DONE},
+				Result: body.Result,
+			})
+		}
+		d.HandleResult(a.name, body.Result)
+	case *peerv1.Frame_AttemptStates:
+		d.HandleStates(a.name, body.AttemptStates.GetStates())
+	case *peerv1.Frame_FenceAck:
+		for _, k := range body.FenceAck.GetKept() {
+			w.adopted.Records.Add(a.name, k)
+		}
+		delete(w.awaited, a.name)
+	}
+	return f != nil
+}
+
+func (w *world) submit(t *rapid.T) {
+	j := &testJob{request: &apiv1.SubmitRequest{DeadlineMs: uint32(MaxDeadline.Milliseconds())}}
+	for range rapid.IntRange(1, 3).Draw(t, "tasks") {
+		j.request.Tasks = append(j.request.Tasks, &apiv1.Task{Repeatable: rapid.Bool().Draw(t, "repeatable")})
+	}
+	home := w.entries[0].table
+	j.ticket, _ = home.Decode(home.Issue("desk", "mama", 1)[0], "desk", "mama")
+	w.jobs = append(w.jobs, j)
+	w.submitTo(t, j, home)
+}
+
+func (w *world) submitTo(t *rapid.T, j *testJob, table *Table) {
+	job, err := table.Submit(j.ticket, j.request, func() *verdict.Error { return nil })
+	if err != nil {
+		t.Fatalf("submission was refused: %v", err)
+	}
+	j.jobs = append(j.jobs, job)
+}
