Add operators' subcommands, callers' tokens, and keys that rotate

Cause: operators could only submit, and everyone who reached a port could act as anyone; peers were verified for any key usage. Change: subcommands for data centres, targets, departments, configuration, counters, keys and version; settings entry.callers and entry.caller_tls; an interceptor that refuses what a token does not allow; key usages and roles checked in the handshake, refusals counted; keys and callers reloaded on SIGHUP; limits for slow, oversized and too frequent requests.

--- a/client/client.go
+++ b/client/client.go
@@ -61,10 +61,14 @@
 // maxIdleConns is the number of connections kept open between calls.
 const maxIdleConns = 64
 
+// maxIdleTime is less than the time after which an entry cuts an idle
+// connection, so that no request meets the cut.
+const maxIdleTime = time.Minute
+
 // New returns a client. It makes no call.
 func New(c Config) *Client {
 	if c.HTTP == nil {
-		c.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
+		c.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: maxIdleTime}}
 	}
 	return &Client{config: c, jobs: apiv1connect.NewJobServiceClient(c.HTTP, c.URL)}
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -11,9 +11,6 @@
 	"net/http"
 	"os/user"
 	"time"
-
-	"github.com/rosemarybay/rosemarybay/api/v1/apiv1connect"
-	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
 // Exit statuses.
@@ -42,6 +39,9 @@
 	args string
 	// argCount is the number of positional arguments.
 	argCount int
+	// readOnly commands change nothing, so none of their errors leaves an
+	// outcome unknown.
+	readOnly bool
 }
 
 // subcommands lists the verbs in the order of the usage text.
@@ -50,7 +50,26 @@
 		submitCommand(),
 		jobStatusCommand(),
 		jobCancelCommand(),
+		dataCentreListCommand(),
+		dataCentreOutCommand(),
+		dataCentreInCommand(),
+		targetListCommand(),
+		targetLeaveCommand(),
+		targetReturnCommand(),
+		departmentListCommand(),
+		departmentCreateCommand(),
+		departmentAllowCommand(),
+		departmentQuotaCommand(),
+		departmentLeaveCommand(),
+		departmentReturnCommand(),
+		configGetCommand(),
+		configHistoryCommand(),
+		configWatchCommand(),
 		statusCommand(),
+		countersCommand(),
+		keysNewCommand(),
+		keysShowCommand(),
+		versionCommand(),
 	}
 }
 
@@ -58,11 +77,17 @@
 type call struct {
 	Streams
 	flags   *flag.FlagSet
+	args    []string
 	address string
 	output  string
 	timeout time.Duration
-	by      string
+	access  accessFlags
 	job     jobFlags
+	change  changeFlags
+	allow   allowFlags
+	keys    keyFlags
+	watch   watchFlags
+	http    *http.Client
 }
 
 // errUsage reports wrong arguments.
@@ -79,19 +104,36 @@
 		return exitUsage
 	}
 	c := newCall(sub, streams)
-	if err := c.flags.Parse(rest); err != nil {
+	if err := c.parse(rest); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return exitOK
 		}
 		return exitUsage
 	}
-	if c.flags.NArg() != sub.argCount || (c.output != outputTable && c.output != outputJSON) {
+	if len(c.args) != sub.argCount || (c.output != outputTable && c.output != outputJSON) {
 		c.flags.Usage()
 		return exitUsage
 	}
+	if err := c.connect(); err != nil {
+		return exitStatus(streams.Err, sub, err)
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	return exitStatus(streams.Err, sub.run(ctx, c))
+	return exitStatus(streams.Err, sub, sub.run(ctx, c))
+}
+
+// parse accepts flags before, between and after the positional arguments.
+func (c *call) parse(args []string) error {
+	for {
+		if err := c.flags.Parse(args); err != nil {
+			return err
+		}
+		if c.flags.NArg() == 0 {
+			return nil
+		}
+		c.args = append(c.args, c.flags.Arg(0))
+		args = c.flags.Args()[1:]
+	}
 }
 
 // find returns the subcommand that the leading words of args name.
@@ -113,10 +155,9 @@
 func newCall(sub subcommand, streams Streams) *call {
 	c := &call{Streams: streams, flags: flag.NewFlagSet(sub.name, flag.ContinueOnError)}
 	c.flags.SetOutput(streams.Err)
-	c.flags.StringVar(&c.address, "address", "http://127.0.0.1:7001", "`URL` of an entry or of the balancer")
+	c.accessFlags()
 	c.flags.StringVar(&c.output, "o", outputTable, "output `format`: table or json")
 	c.flags.DurationVar(&c.timeout, "timeout", defaultTimeout, "time allowed for the command")
-	c.flags.StringVar(&c.by, "by", currentUser(), "`name` of the operator")
 	if sub.flags != nil {
 		sub.flags(c)
 	}
@@ -139,30 +180,6 @@
 	_, _ = fmt.Fprintln(w, "usage: rosemarybay COMMAND [flags]")
 	_, _ = fmt.Fprintln(w)
 	for _, sub := range subcommands() {
-		_, _ = fmt.Fprintf(w, "  %-18s %s\n", sub.name, sub.summary)
-	}
-}
-
-// exitStatus prints an error and returns the exit status that belongs to it.
-func exitStatus(w io.Writer, err error) int {
-	if err == nil {
-		return exitOK
-	}
-	if errors.Is(err, errUsage) {
-		_, _ = fmt.Fprintln(w, err)
-		return exitUsage
+		_, _ = fmt.Fprintf(w, "  %-20s %s\n", sub.name, sub.summary)
 	}
-	e := verdict.FromError(err)
-	_, _ = fmt.Fprintf(w, "verdict: %s\nreason: %s\n%s\n", verdict.Name(e.Verdict), verdict.ReasonName(e.Reason), e.Message)
-	if e.RetryAfter > 0 {
-		_, _ = fmt.Fprintf(w, "try again in %s\n", e.RetryAfter)
-	}
-	if isUnknown(e) {
-		return exitUnknown
-	}
-	return exitFailed
-}
-
-func (c *call) fleet() apiv1connect.FleetServiceClient {
-	return apiv1connect.NewFleetServiceClient(http.DefaultClient, c.address)
 }
--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -15,6 +15,7 @@
 		summary:  "Print the answer of a job, or that it runs.",
 		args:     "TICKET",
 		argCount: 1,
+		readOnly: true,
 		flags: func(c *call) {
 			c.identityFlags()
 			c.flags.DurationVar(&c.job.wait, "wait", 0, "wait this long for the answer")
@@ -43,7 +44,7 @@
 }
 
 func runJob(c *call, ask func(*client.Client, []byte) (*apiv1.Answer, error)) error {
-	ticket, err := decodeTicket(c.flags.Arg(0))
+	ticket, err := decodeTicket(c.args[0])
 	if err != nil {
 		return err
 	}
--- a/internal/command/output.go
+++ b/internal/command/output.go
@@ -7,9 +7,6 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
-
-	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
-	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
 // Output formats.
@@ -42,8 +39,3 @@
 	}
 	return w.Flush()
 }
-
-// isUnknown reports whether an error leaves open what happened.
-func isUnknown(e *verdict.Error) bool {
-	return e.Reason == apiv1.Reason_REASON_OUTCOME_UNKNOWN
-}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -11,9 +11,10 @@
 
 func statusCommand() subcommand {
 	return subcommand{
-		name:    "status",
-		summary: "Print the entries and targets that one entry knows.",
-		run:     runStatus,
+		name:     "status",
+		summary:  "Print entries, targets, slots, and the configuration revision of each node.",
+		readOnly: true,
+		run:      runStatus,
 	}
 }
 
@@ -27,21 +28,43 @@
 }
 
 func statusRows(s *apiv1.GetStatusResponse) [][]string {
-	rows := [][]string{{"KIND", "NAME", "DATA CENTRE", "SLOTS", "BUSY", "LINK"}}
+	rows := [][]string{{"KIND", "NAME", "DATA CENTRE", "SLOTS", "BUSY", "STATE", "REVISION"}}
 	for _, e := range s.GetEntries() {
-		rows = append(rows, []string{"entry", e.GetName(), e.GetDataCentre(), "", "", e.GetAddress()})
+		rows = append(rows, []string{
+			"entry", e.GetName(), e.GetDataCentre(), "-", "-", e.GetAddress(), revisionText(e.GetConfigRevision()),
+		})
 	}
+	var slots, busy uint32
 	for _, t := range s.GetTargets() {
-		state := "up"
-		if !t.GetConnected() {
-			state = "down"
-		}
 		rows = append(rows, []string{
 			"target", t.GetName(), t.GetDataCentre(),
-			fmt.Sprint(t.GetSlots()), fmt.Sprint(t.GetBusy()), state,
+			fmt.Sprint(t.GetSlots()), fmt.Sprint(t.GetBusy()), targetState(t), revisionText(t.GetConfigRevision()),
 		})
+		slots += t.GetSlots()
+		busy += t.GetBusy()
+	}
+	return append(rows, []string{fmt.Sprintf(
+		"revision %d, store reachable: %t, entries: %d, targets: %d, slots free: %d, busy: %d, jobs running: %d, tasks queued: %d",
+		s.GetConfigRevision(), s.GetStoreReachable(), len(s.GetEntries()), len(s.GetTargets()),
+		max(slots, busy)-busy, busy, s.GetJobsRunning(), s.GetTasksQueued(),
+	)})
+}
+
+func targetState(t *apiv1.TargetStatus) string {
+	switch {
+	case !t.GetConnected():
+		return "down"
+	case t.GetEjected():
+		return "ejected"
+	default:
+		return "up"
+	}
+}
+
+// revisionText returns a revision, or "-" for a node that did not report one.
+func revisionText(revision uint64) string {
+	if revision == 0 {
+		return "-"
 	}
-	summary := fmt.Sprintf("revision %d, store reachable: %t, jobs running: %d, tasks queued: %d",
-		s.GetConfigRevision(), s.GetStoreReachable(), s.GetJobsRunning(), s.GetTasksQueued())
-	return append(rows, []string{summary})
+	return fmt.Sprint(revision)
 }
--- a/internal/command/submit.go
+++ b/internal/command/submit.go
@@ -31,7 +31,7 @@
 }
 
 func (c *call) client() *client.Client {
-	return client.New(client.Config{URL: c.address, Department: c.job.department, Owner: c.job.owner})
+	return client.New(client.Config{URL: c.address, Department: c.job.department, Owner: c.job.owner, HTTP: c.http})
 }
 
 func submitCommand() subcommand {
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -5,54 +5,90 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
 // MaxBodyBytes is the largest request body: 460 tasks of 64 KiB in JSON.
-const MaxBodyBytes = 48 << 20
+const MaxBodyBytes = 40 << 20
 
 const (
-	// hangupInterval is the time between looks at the connection of a waiting
-	// request. The engine queues its close callback behind the request itself,
-	// so the connection has to be looked at.
-	hangupInterval = 100 * time.Millisecond
-	// keepalive is the time between requests on a connection. The engine counts
-	// it while a request waits too, so it exceeds the longest job.
-	keepalive = 12 * time.Minute
+	// maxReadBytes is the size at which a connection is cut instead of answered.
+	maxReadBytes = MaxBodyBytes + 8<<20
+	// requestTimeout exceeds the longest job.
+	requestTimeout = 12 * time.Minute
+	// writeTimeout is the time allowed for a caller to take its answer.
+	writeTimeout = time.Minute
 )
 
+// Options configures a Server.
+type Options struct {
+	// Address is the TCP address to listen on.
+	Address string
+	Handler http.Handler
+	// Keys are those of HTTPS; nil serves plain HTTP.
+	Keys *Keys
+	// Rate is the largest number of requests a second of one connection.
+	Rate int
+	// Idle is the time allowed for the next request of a connection to arrive
+	// whole.
+	Idle time.Duration
+	// MaxConnections bounds the open connections.
+	MaxConnections int
+	// Refused is told of requests refused before they reach Handler.
+	Refused func(verdict.Reason)
+	// Closed is told why a connection was cut; nil for an end by the caller.
+	Closed func(Cut)
+}
+
 // Server is an HTTP server. The context of a request ends when its caller hangs
 // up.
 type Server struct {
-	engine *nbhttp.Engine
+	options Options
+	engine  *nbhttp.Engine
+	// limiters holds a *rate.Limiter for each open connection.
+	limiters sync.Map
 }
 
-// Listen starts a server on a TCP address.
-func Listen(address string, handler http.Handler) (*Server, error) {
+// Listen starts a server.
+func Listen(o Options) (*Server, error) {
 	logging.SetLevel(logging.LevelNone)
 	// The engine does not return when its own listening fails.
-	listener, err := net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", o.Address)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for callers")
 	}
-	engine := nbhttp.NewEngine(nbhttp.Config{
+	s := &Server{options: o}
+	config := nbhttp.Config{
 		Network:           "tcp",
-		Addrs:             []string{address},
 		Listen:            func(string, string) (net.Listener, error) { return listener, nil },
-		MaxHTTPBodySize:   MaxBodyBytes,
-		KeepaliveTime:     keepalive,
+		MaxLoad:           o.MaxConnections,
+		ReadLimit:         maxReadBytes,
+		MaxHTTPBodySize:   maxReadBytes,
+		KeepaliveTime:     o.Idle,
 		ServerExecutor:    func(f func()) { go f() },
 		SupportServerOnly: true,
-		Handler:           withHangup(handler),
-	})
-	if err := engine.Start(); err != nil {
-		return nil, eris.Wrapf(err, "listen for callers on %s", address)
+		Handler:           s.withDeadlines(withHangup(s.withLimits(o.Handler))),
+	}
+	if o.Keys == nil {
+		config.Addrs = []string{o.Address}
+	} else {
+		config.AddrsTLS = []string{o.Address}
+		config.TLSConfig = o.Keys.config()
+	}
+	s.engine = nbhttp.NewEngine(config)
+	s.engine.OnClose(s.closed)
+	if err := s.engine.Start(); err != nil {
+		return nil, eris.Wrapf(err, "listen for callers on %s", o.Address)
 	}
-	return &Server{engine: engine}, nil
+	return s, nil
 }
 
 // Close stops the server; ctx bounds the wait for open connections.
@@ -60,49 +96,40 @@
 	_ = s.engine.Shutdown(ctx)
 }
 
-// closer is what a connection of the engine says of itself.
-type closer interface {
-	IsClosed() (bool, error)
+// closed is called when a connection has ended.
+func (s *Server) closed(conn net.Conn, err error) {
+	s.limiters.Delete(conn)
+	if cut, ok := cutOf(err); ok && s.options.Closed != nil {
+		s.options.Closed(cut)
+	}
 }
 
-func withHangup(next http.Handler) http.Handler {
+// withDeadlines gives a request that has arrived the time of the longest job,
+// since the engine counts its keepalive while the request waits, and the caller
+// a time to take the answer.
+func (s *Server) withDeadlines(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		response, ok := w.(*nbhttp.Response)
-		if !ok {
+		conn := engineConn(w)
+		if conn == nil {
 			next.ServeHTTP(w, r)
 			return
 		}
-		ctx, cancel := context.WithCancel(r.Context())
-		defer cancel()
-		if conn, ok := underlying(response.Parser.Conn).(closer); ok {
-			go cancelOnHangup(ctx, cancel, conn)
-		}
-		next.ServeHTTP(w, r.WithContext(ctx))
+		_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
+		next.ServeHTTP(w, r)
+		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	})
 }
 
-// underlying returns the connection that the engine polls.
-func underlying(conn net.Conn) net.Conn {
-	if wrapped, ok := conn.(*nbhttp.Conn); ok {
-		return wrapped.Conn
+// allow takes a request out of the rate of its connection.
+func (s *Server) allow(conn net.Conn) bool {
+	if conn == nil || s.options.Rate <= 0 {
+		return true
 	}
-	return conn
-}
-
-func cancelOnHangup(ctx context.Context, cancel context.CancelFunc, conn closer) {
-	ticker := time.NewTicker(hangupInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if closed, _ := conn.IsClosed(); closed {
-				cancel()
-				return
-			}
-		}
+	limiter, ok := s.limiters.Load(conn)
+	if !ok {
+		limiter, _ = s.limiters.LoadOrStore(conn, rate.NewLimiter(rate.Limit(s.options.Rate), s.options.Rate))
 	}
+	return limiter.(*rate.Limiter).Allow()
 }
 
 // LocalAddress returns the host part of a listening address as an address for
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -17,7 +17,7 @@
 	}
 	address := l.Addr().String()
 	_ = l.Close()
-	s, err := Listen(address, handler)
+	s, err := Listen(Options{Address: address, Handler: handler, Idle: time.Minute})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -63,7 +63,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = l.Close() }()
-	if _, err := Listen(l.Addr().String(), http.NotFoundHandler()); err == nil {
+	if _, err := Listen(Options{Address: l.Addr().String(), Handler: http.NotFoundHandler(), Idle: time.Minute}); err == nil {
 		t.Error("no error for a port in use")
 	}
 }
--- /dev/null
+++ b/internal/connection/identity/authority.go
@@ -0,0 +1,128 @@
+package identity
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Validity of certificates made here.
+const (
+	caValidity   = 10 * 365 * 24 * time.Hour
+	nodeValidity = 365 * 24 * time.Hour
+	clockSkew    = time.Hour
+)
+
+const serialBits = 127
+
+// Pair is a certificate and its key, both as PEM.
+type Pair struct {
+	Cert string
+	Key  string
+}
+
+// NewCA makes a certificate authority.
+func NewCA(name string) (Pair, error) {
+	template, err := newTemplate(pkix.Name{CommonName: name}, caValidity)
+	if err != nil {
+		return Pair{}, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	return sign(template, nil, nil)
+}
+
+// NewNode makes the certificate of a node, signed by ca. An agent's certificate
+// is good for dialling only.
+func NewNode(ca Pair, id Identity) (Pair, error) {
+	template, err := newTemplate(subject(id), nodeValidity)
+	if err != nil {
+		return Pair{}, err
+	}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	if id.Role == RoleEntry {
+		template.ExtKeyUsage = append(template.ExtKeyUsage, x509.ExtKeyUsageServerAuth)
+	}
+	return signBy(ca, template)
+}
+
+func subject(id Identity) pkix.Name {
+	return pkix.Name{
+		CommonName:         id.Name,
+		OrganizationalUnit: []string{id.Role},
+		Locality:           []string{id.DataCentre},
+	}
+}
+
+// NewServer makes the certificate of the caller port, signed by ca, for host
+// names and IP addresses.
+func NewServer(ca Pair, name string, hosts []string) (Pair, error) {
+	template, err := newTemplate(pkix.Name{CommonName: name}, nodeValidity)
+	if err != nil {
+		return Pair{}, err
+	}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
+	for _, host := range hosts {
+		if ip := net.ParseIP(host); ip != nil {
+			template.IPAddresses = append(template.IPAddresses, ip)
+			continue
+		}
+		template.DNSNames = append(template.DNSNames, host)
+	}
+	return signBy(ca, template)
+}
+
+func signBy(ca Pair, template *x509.Certificate) (Pair, error) {
+	parent, err := tls.X509KeyPair([]byte(ca.Cert), []byte(ca.Key))
+	if err != nil {
+		return Pair{}, eris.Wrap(err, "load certificate authority")
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	return sign(template, parent.Leaf, parent.PrivateKey)
+}
+
+func newTemplate(subject pkix.Name, validity time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, eris.Wrap(err, "make serial number")
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      subject,
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(validity),
+	}, nil
+}
+
+func sign(template, parent *x509.Certificate, parentKey any) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, eris.Wrap(err, "make key")
+	}
+	if parent == nil {
+		parent, parentKey = template, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, parentKey)
+	if err != nil {
+		return Pair{}, eris.Wrap(err, "sign certificate")
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, eris.Wrap(err, "encode key")
+	}
+	return Pair{
+		Cert: string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})),
+		Key:  string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER})),
+	}, nil
+}
--- /dev/null
+++ b/internal/connection/identity/keys_test.go
@@ -0,0 +1,205 @@
+package identity
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// node makes keys signed by ca that trust the authorities of trusted.
+func node(t *testing.T, ca Pair, trusted string, id Identity) (Files, Pair) {
+	t.Helper()
+	pair, err := NewNode(ca, id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Files{CA: trusted, Cert: pair.Cert, Key: pair.Key}, pair
+}
+
+func authority(t *testing.T) Pair {
+	t.Helper()
+	ca, err := NewCA("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ca
+}
+
+// shake does one handshake over loopback and returns the error of each side.
+func shake(client, server *tls.Config) (clientErr, serverErr error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err, err
+	}
+	defer func() { _ = listener.Close() }()
+	a, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		return err, err
+	}
+	defer func() { _ = a.Close() }()
+	b, err := listener.Accept()
+	if err != nil {
+		return err, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() {
+		done <- tls.Server(b, server).HandshakeContext(ctx)
+		_ = b.Close()
+	}()
+	conn := tls.Client(a, client)
+	clientErr = conn.HandshakeContext(ctx)
+	if clientErr != nil {
+		_ = a.Close()
+	} else {
+		// The server's alert, or its end without one.
+		if _, clientErr = conn.Read(make([]byte, 1)); errors.Is(clientErr, io.EOF) {
+			clientErr = nil
+		}
+	}
+	return clientErr, <-done
+}
+
+func load(t *testing.T, files Files, refused func(error)) *Keys {
+	t.Helper()
+	keys, err := Load(files, refused)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return keys
+}
+
+var (
+	testEntry = Identity{Name: "e1", Role: RoleEntry, DataCentre: "nbo1"}
+	testAgent = Identity{Name: "a1", Role: RoleAgent, DataCentre: "nbo1"}
+)
+
+func TestServerRefusesStrangers(t *testing.T) {
+	ca, other := authority(t), authority(t)
+	files, _ := node(t, ca, ca.Cert, testEntry)
+	foreign, _ := node(t, other, ca.Cert, testAgent)
+	noRole, _ := node(t, ca, ca.Cert, Identity{Name: "x", Role: "boss", DataCentre: "nbo1"})
+	agent, _ := node(t, ca, ca.Cert, testAgent)
+	expired := agent
+	expired.Cert, expired.Key = expiredAgent(t, ca)
+	web, err := NewServer(ca, "web", []string{"127.0.0.1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := Files{CA: ca.Cert, Cert: web.Cert, Key: web.Key}
+	for _, c := range []struct {
+		name  string
+		files Files
+		want  bool
+	}{
+		{"agent", agent, true},
+		{"wrong authority", foreign, false},
+		{"unknown role", noRole, false},
+		{"expired", expired, false},
+		{"certificate of the caller port", server, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var refused atomic.Int32
+			accept := load(t, files, func(error) { refused.Add(1) })
+			_, err := shake(load(t, c.files, nil).Client(), accept.Server())
+			if (err == nil) != c.want || (refused.Load() == 0) != c.want {
+				t.Errorf("let in: %t, refusals counted: %d, error: %v", err == nil, refused.Load(), err)
+			}
+		})
+	}
+}
+
+func TestServerRefusesMissingCertificate(t *testing.T) {
+	ca := authority(t)
+	files, _ := node(t, ca, ca.Cert, testEntry)
+	refused := 0
+	accept := load(t, files, func(error) { refused++ })
+	_, err := shake(&tls.Config{InsecureSkipVerify: true, NextProtos: []string{Protocol}}, accept.Server())
+	if err == nil || refused != 1 {
+		t.Errorf("error %v, %d refusals counted, want an error and 1", err, refused)
+	}
+}
+
+func TestAgentCannotActAsEntry(t *testing.T) {
+	ca := authority(t)
+	dialling, _ := node(t, ca, ca.Cert, testAgent)
+	// One certificate is an agent's as made here; the other is one that the
+	// authority wrongly made good for serving.
+	plain, _ := node(t, ca, ca.Cert, testAgent)
+	forServing := plain
+	template, err := newTemplate(subject(testAgent), nodeValidity)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
+	pair, err := signBy(ca, template)
+	if err != nil {
+		t.Fatal(err)
+	}
+	forServing.Cert, forServing.Key = pair.Cert, pair.Key
+	for name, files := range map[string]Files{"agent": plain, "agent for serving": forServing} {
+		refused := 0
+		client := load(t, dialling, func(error) { refused++ })
+		if err, _ := shake(client.Client(), load(t, files, nil).Server()); err == nil || refused != 1 {
+			t.Errorf("%s: error %v, %d refusals counted, want an error and 1", name, err, refused)
+		}
+	}
+}
+
+func TestKeysRotateWithOverlap(t *testing.T) {
+	oldCA, newCA := authority(t), authority(t)
+	both := oldCA.Cert + newCA.Cert
+	oldEntry, _ := node(t, oldCA, both, testEntry)
+	newEntry, _ := node(t, newCA, both, testEntry)
+	newOnly, _ := node(t, newCA, newCA.Cert, testEntry)
+	oldAgent, _ := node(t, oldCA, both, testAgent)
+	newAgent, _ := node(t, newCA, both, testAgent)
+	entry, agent := load(t, oldEntry, nil), load(t, oldAgent, nil)
+	server, client := entry.Server(), agent.Client()
+	shaken := func(step string, want bool) {
+		t.Helper()
+		if _, err := shake(client, server); (err == nil) != want {
+			t.Errorf("%s: let in: %t, want %t (%v)", step, err == nil, want, err)
+		}
+	}
+	shaken("both old", true)
+	if err := entry.Reload(newEntry); err != nil {
+		t.Fatal(err)
+	}
+	shaken("entry new", true)
+	if err := entry.Reload(newOnly); err != nil {
+		t.Fatal(err)
+	}
+	shaken("agent old, old authority gone", false)
+	if err := agent.Reload(newAgent); err != nil {
+		t.Fatal(err)
+	}
+	shaken("both new", true)
+	if err := entry.Reload(Files{CA: "no such file"}); err == nil {
+		t.Error("faulty keys were taken")
+	}
+	shaken("after a faulty reload", true)
+}
+
+// expiredAgent makes an agent's certificate that has expired.
+func expiredAgent(t *testing.T, ca Pair) (cert, key string) {
+	t.Helper()
+	template, err := newTemplate(subject(testAgent), nodeValidity)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	template.NotAfter = time.Now().Add(-time.Minute)
+	pair, err := signBy(ca, template)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pair.Cert, pair.Key
+}
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -38,6 +38,7 @@
 	incarnation uint64
 	info        *peerv1.TargetInfo
 	counters    *metrics.Counters
+	keys        *identity.Keys
 	transport   *quic.Transport
 	dialer      *link.Dialer
 	status      *http.Server
@@ -56,7 +57,9 @@
 
 // New returns an agent. It listens but does not dial yet.
 func New(s *settings.Settings, log zerolog.Logger) (*Agent, error) {
-	tlsConfig, err := identity.LoadTLS(s.TLS.CA, s.TLS.Cert, s.TLS.Key)
+	counters := metrics.New()
+	refused := counters.Counter("handshakes_refused")
+	keys, err := identity.Load(s.TLS.Files(), func(error) { refused.Inc(1) })
 	if err != nil {
 		return nil, err
 	}
@@ -69,17 +72,17 @@
 		_ = listener.Close()
 		return nil, err
 	}
-	counters := metrics.New()
 	a := &Agent{
 		settings:    s,
 		log:         log,
 		incarnation: rand.Uint64(),
 		info:        targetInfo(s),
 		counters:    counters,
+		keys:        keys,
 		transport:   transport,
 		dialer: &link.Dialer{
 			Transport: transport,
-			TLS:       tlsConfig,
+			TLS:       keys.Client(),
 			Stats:     link.NewStats(counters.Registry()),
 		},
 		attempts: attempts.New(s.Agent.Target.Slots),
@@ -120,6 +123,12 @@
 	}
 }
 
+// Reload takes the keys of new settings; open links go on. Other settings need
+// a restart.
+func (a *Agent) Reload(s *settings.Settings) error {
+	return a.keys.Reload(s.TLS.Files())
+}
+
 // Run serves until stop is closed, and then drains for at most the stop
 // timeout.
 func (a *Agent) Run(stop <-chan struct{}) {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -26,6 +26,8 @@
 // node is one role of the daemon.
 type node interface {
 	Run(stop <-chan struct{})
+	// Reload takes keys and callers of new settings without a stop.
+	Reload(*settings.Settings) error
 }
 
 // Main runs the daemon with its command-line arguments and returns its exit
@@ -48,10 +50,14 @@
 	if *check {
 		return exitOK
 	}
-	n, err := start(s, newLogger(s, stderr))
+	log := newLogger(s, stderr)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	n, err := start(s, log)
 	if err != nil {
 		return fail(stderr, "rosemarybayd: %v", err)
 	}
+	go reloadOnHangup(hangups, n, *path, log)
 	n.Run(stopSignal())
 	return exitOK
 }
@@ -88,3 +94,19 @@
 	}()
 	return stop
 }
+
+// reloadOnHangup reads the settings again at each SIGHUP. Faulty settings are
+// logged and leave the present ones in force.
+func reloadOnHangup(hangups <-chan os.Signal, n node, path string, log zerolog.Logger) {
+	for range hangups {
+		s, err := settings.Load(path)
+		if err == nil {
+			err = n.Reload(s)
+		}
+		if err != nil {
+			log.Error().Err(err).Msg("settings not reloaded")
+			continue
+		}
+		log.Info().Msg("settings reloaded")
+	}
+}
--- /dev/null
+++ b/internal/process/entry/access.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/caller"
+	"github.com/rosemarybay/rosemarybay/internal/connection/identity"
+	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+)
+
+// access holds what lets peers and callers in. It can be replaced while the
+// entry runs.
+type access struct {
+	keys       *identity.Keys
+	callerKeys *caller.Keys // nil without HTTPS
+	authorizer *authorizer
+}
+
+// newAccess loads the keys and callers of the settings.
+func newAccess(s *settings.Settings, counters *metrics.Counters) (*access, error) {
+	refused := counters.Counter("handshakes_refused")
+	keys, err := identity.Load(s.TLS.Files(), func(error) { refused.Inc(1) })
+	if err != nil {
+		return nil, err
+	}
+	a := &access{keys: keys}
+	if t := s.Entry.CallerTLS; t != nil {
+		a.callerKeys, err = caller.LoadKeys(t.Cert, t.Key)
+		if err != nil {
+			return nil, err
+		}
+	}
+	a.authorizer, err = newAuthorizer(s.Entry.Callers, counters.RefuseError)
+	return a, err
+}
+
+// Reload takes keys and callers of new settings; connections and requests in
+// progress go on. Other settings need a restart.
+func (e *Entry) Reload(s *settings.Settings) error {
+	present := e.settings.Entry
+	if s.Role != settings.RoleEntry || s.Entry.IsInsecure() != present.IsInsecure() || (s.Entry.CallerTLS == nil) != (present.CallerTLS == nil) {
+		return eris.New("role, and whether there are entry.callers and entry.caller_tls, change only by a restart")
+	}
+	if err := e.access.keys.Reload(s.TLS.Files()); err != nil {
+		return err
+	}
+	if t := s.Entry.CallerTLS; t != nil {
+		if err := e.access.callerKeys.Reload(t.Cert, t.Key); err != nil {
+			return err
+		}
+	}
+	return e.access.authorizer.reload(s.Entry.Callers)
+}
+
+// listenCallers starts the server of the caller port.
+func (e *Entry) listenCallers() (*caller.Server, error) {
+	s := e.settings.Entry
+	if s.IsInsecure() {
+		e.log.Warn().Str("address", s.CallerListen).
+			Msg("INSECURE: entry.callers is empty, so everyone on this machine is let in as every department and as operator")
+	}
+	return caller.Listen(caller.Options{
+		Address:        s.CallerListen,
+		Handler:        e.handler(),
+		Keys:           e.access.callerKeys,
+		Rate:           s.CallerRate,
+		Idle:           s.CallerIdle.Std(),
+		MaxConnections: s.CallerConnections,
+		Refused:        e.counters.Refuse,
+		Closed: func(cut caller.Cut) {
+			e.counters.Counter("caller_connections_cut_" + string(cut)).Inc(1)
+		},
+	})
+}
+
+// handlerOptions returns the options of all services.
+func (e *Entry) handlerOptions() connect.HandlerOption {
+	return connect.WithHandlerOptions(
+		connect.WithCompressMinBytes(compressMin),
+		connect.WithReadMaxBytes(caller.MaxBodyBytes),
+		connect.WithInterceptors(e.access.authorizer.interceptor()),
+	)
+}
--- a/internal/process/entry/configservice.go
+++ b/internal/process/entry/configservice.go
@@ -29,7 +29,7 @@
 }
 
 func (e *Entry) configService() (string, http.Handler) {
-	return apiv1connect.NewConfigServiceHandler(&configService{entry: e}, handlerOptions())
+	return apiv1connect.NewConfigServiceHandler(&configService{entry: e}, e.handlerOptions())
 }
 
 // Change implements the configuration service.
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -39,7 +39,7 @@
 	incarnation uint64
 	counters    *metrics.Counters
 	stats       *link.Stats
-	tls         *tls.Config
+	access      *access
 	transport   *quic.Transport
 	listener    *quic.Listener
 	server      *caller.Server
@@ -59,22 +59,22 @@
 
 // New returns an entry that listens but does not serve yet.
 func New(s *settings.Settings, log zerolog.Logger) (*Entry, error) {
-	tlsConfig, err := identity.LoadTLS(s.TLS.CA, s.TLS.Cert, s.TLS.Key)
+	counters := metrics.New()
+	access, err := newAccess(s, counters)
 	if err != nil {
 		return nil, err
 	}
-	transport, listener, err := listenPeers(s.Entry.PeerListen, tlsConfig)
+	transport, listener, err := listenPeers(s.Entry.PeerListen, access.keys.Server())
 	if err != nil {
 		return nil, err
 	}
-	counters := metrics.New()
 	e := &Entry{
 		settings:    s,
 		log:         log,
 		incarnation: rand.Uint64(),
 		counters:    counters,
 		stats:       link.NewStats(counters.Registry()),
-		tls:         tlsConfig,
+		access:      access,
 		transport:   transport,
 		listener:    listener,
 		store:       store.Dial(s.Entry.StoreURL, caller.LocalAddress(s.Entry.CallerListen)),
@@ -90,7 +90,7 @@
 		Config:     e.config,
 		Counters:   counters,
 	})
-	e.server, err = caller.Listen(s.Entry.CallerListen, e.handler())
+	e.server, err = e.listenCallers()
 	if err != nil {
 		_ = transport.Close()
 		return nil, err
@@ -176,9 +176,9 @@
 	}
 	hello := f.GetHello()
 	switch l.Remote().Role {
-	case "agent":
+	case identity.RoleAgent:
 		e.serveAgent(l, hello)
-	case "entry":
+	case identity.RoleEntry:
 		_ = l.Send(e.welcome())
 		l.ServeCalls(e.handleCall)
 	}
@@ -198,9 +198,9 @@
 	mux.Handle(e.jobService())
 	mux.Handle(e.configService())
 	mux.Handle(e.fleetService())
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /metrics", e.access.authorizer.operatorOnly(func(w http.ResponseWriter, _ *http.Request) {
 		_ = e.counters.WriteText(w)
-	})
+	}))
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !e.ready.Load() || e.draining.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/process/entry/fleetservice.go
+++ b/internal/process/entry/fleetservice.go
@@ -15,7 +15,7 @@
 }
 
 func (e *Entry) fleetService() (string, http.Handler) {
-	return apiv1connect.NewFleetServiceHandler(&fleetService{entry: e}, handlerOptions())
+	return apiv1connect.NewFleetServiceHandler(&fleetService{entry: e}, e.handlerOptions())
 }
 
 // GetStatus implements the fleet service.
--- a/internal/process/entry/jobservice.go
+++ b/internal/process/entry/jobservice.go
@@ -10,7 +10,6 @@
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/api/v1/apiv1connect"
-	"github.com/rosemarybay/rosemarybay/internal/connection/caller"
 	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
@@ -26,25 +25,17 @@
 	maxWait = time.Minute
 )
 
-func handlerOptions() connect.HandlerOption {
-	return connect.WithHandlerOptions(
-		connect.WithCompressMinBytes(compressMin),
-		connect.WithReadMaxBytes(caller.MaxBodyBytes),
-	)
-}
-
 type jobService struct {
 	entry *Entry
 }
 
 func (e *Entry) jobService() (string, http.Handler) {
-	return apiv1connect.NewJobServiceHandler(&jobService{entry: e}, handlerOptions())
+	return apiv1connect.NewJobServiceHandler(&jobService{entry: e}, e.handlerOptions())
 }
 
 // refuse counts an error and turns it into an RPC error.
 func (e *Entry) refuse(err *verdict.Error) error {
-	e.counters.Refuse(err.Reason)
-	return err.ToConnect()
+	return e.counters.RefuseError(err)
 }
 
 func (e *Entry) checkReady() *verdict.Error {
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -38,7 +38,7 @@
 		entry: e,
 		dialer: &link.Dialer{
 			Transport: e.transport,
-			TLS:       e.tls,
+			TLS:       e.access.keys.Client(),
 			Stats:     e.stats,
 			KeepAlive: peerKeepAlive,
 		},
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -48,6 +48,12 @@
 	}
 }
 
+// RefuseError counts a refusal and returns it as an RPC error.
+func (c *Counters) RefuseError(err *verdict.Error) error {
+	c.Refuse(err.Reason)
+	return err.ToConnect()
+}
+
 // Retry counts a further attempt.
 func (c *Counters) Retry(reason verdict.Reason) {
 	if counter, ok := c.retries[reason]; ok {
--- /dev/null
+++ b/internal/process/settings/callers.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+)
+
+// IsInsecure reports whether callers are let in without a token.
+func (e *Entry) IsInsecure() bool { return len(e.Callers) == 0 }
+
+func (e *Entry) validateCallers() error {
+	if e.CallerRate <= 0 || e.CallerIdle <= 0 || e.CallerConnections <= 0 {
+		return eris.New("entry.caller_rate, entry.caller_idle and entry.caller_connections must be positive")
+	}
+	if t := e.CallerTLS; t != nil && (t.Cert == "" || t.Key == "") {
+		return eris.New("entry.caller_tls needs cert and key")
+	}
+	if !isLoopback(e.CallerListen) && (e.IsInsecure() || e.CallerTLS == nil) {
+		return eris.Errorf("entry.caller_listen %q is not a loopback address: entry.callers and entry.caller_tls are needed", e.CallerListen)
+	}
+	seen := make(map[string]bool, len(e.Callers))
+	for i := range e.Callers {
+		c := &e.Callers[i]
+		if err := c.validate(); err != nil {
+			return eris.Wrapf(err, "entry.callers[%d]", i)
+		}
+		if seen[c.TokenSHA256] {
+			return eris.Errorf("entry.callers[%d] has the token of another", i)
+		}
+		seen[c.TokenSHA256] = true
+	}
+	return nil
+}
+
+func isLoopback(address string) bool {
+	addrPort, err := netip.ParseAddrPort(address)
+	return err == nil && addrPort.Addr().IsLoopback()
+}
+
+func (c *Caller) validate() error {
+	if _, err := c.TokenHash(); err != nil {
+		return err
+	}
+	if c.Operator == (c.Department != "") {
+		return eris.New("either department or operator is needed")
+	}
+	if c.Operator && c.Owner != "" {
+		return eris.New("an operator has no owner")
+	}
+	return nil
+}
+
+// TokenHash returns the SHA-256 of the token.
+func (c *Caller) TokenHash() ([sha256.Size]byte, error) {
+	var hash [sha256.Size]byte
+	b, err := hex.DecodeString(c.TokenSHA256)
+	if err != nil || len(b) != len(hash) {
+		return hash, eris.Errorf("token_sha256 is not %d hexadecimal digits", 2*len(hash))
+	}
+	return [sha256.Size]byte(b), nil
+}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/connection/identity"
 )
 
 // Role selects what the daemon does.
@@ -68,6 +69,11 @@
 	Key  string `json:"key"`
 }
 
+// Files returns the names of the node's keys.
+func (t TLS) Files() identity.Files {
+	return identity.Files{CA: t.CA, Cert: t.Cert, Key: t.Key}
+}
+
 // Entry holds the settings of the entry role.
 type Entry struct {
 	// CallerListen is the TCP address for callers and operators.
@@ -86,6 +92,39 @@
 	Permit Duration `json:"permit,omitempty"`
 	// QueueLimit is the largest number of tasks that wait for a slot.
 	QueueLimit int `json:"queue_limit,omitempty"`
+	// CallerTLS holds the certificate of CallerListen; without it callers speak
+	// plain HTTP.
+	CallerTLS *CallerTLS `json:"caller_tls,omitempty"`
+	// Callers are the callers and operators that are let in. Without any, all
+	// are let in as everyone, which only loopback addresses allow.
+	Callers []Caller `json:"callers,omitempty"`
+	// CallerRate is the largest number of requests a second of one connection.
+	CallerRate int `json:"caller_rate,omitempty"`
+	// CallerIdle is the time allowed for the next request of a connection to
+	// arrive whole.
+	CallerIdle Duration `json:"caller_idle,omitempty"`
+	// CallerConnections is the largest number of connections of callers.
+	CallerConnections int `json:"caller_connections,omitempty"`
+}
+
+// CallerTLS names the keys of the caller port: each field is PEM text or a path.
+type CallerTLS struct {
+	Cert string `json:"cert"`
+	Key  string `json:"key"`
+}
+
+// Caller is a caller or operator known by a bearer token.
+type Caller struct {
+	// TokenSHA256 is the SHA-256 of the token in hexadecimal.
+	TokenSHA256 string `json:"token_sha256"`
+	// Department is the only one the caller may act for.
+	Department string `json:"department,omitempty"`
+	// Owner is the only one the caller may act for; empty means all of the
+	// department.
+	Owner string `json:"owner,omitempty"`
+	// Operator lets the holder read the fleet's state and change the
+	// configuration. An operator has no department.
+	Operator bool `json:"operator,omitempty"`
 }
 
 // Agent holds the settings of the agent role.
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -18,6 +18,10 @@
 	defaultPermit         = 3 * time.Second
 	defaultQueueLimit     = 20000
 	defaultMaxConnections = 60
+
+	defaultCallerRate        = 2000 // requests a second
+	defaultCallerIdle        = 2 * time.Minute
+	defaultCallerConnections = 16384
 )
 
 // MaxSlots is the largest number of slots of a target.
@@ -32,6 +36,9 @@
 		setDefault(&e.TicketLifetime, Duration(defaultTicketLifetime))
 		setDefault(&e.Permit, Duration(defaultPermit))
 		setDefault(&e.QueueLimit, defaultQueueLimit)
+		setDefault(&e.CallerRate, defaultCallerRate)
+		setDefault(&e.CallerIdle, Duration(defaultCallerIdle))
+		setDefault(&e.CallerConnections, defaultCallerConnections)
 	}
 	if a := s.Agent; a != nil {
 		setDefault(&a.Target.MaxConnections, defaultMaxConnections)
@@ -95,7 +102,7 @@
 	if e.QueueLimit <= 0 {
 		return eris.New("entry.queue_limit must be positive")
 	}
-	return nil
+	return e.validateCallers()
 }
 
 func (s *Settings) validateAgent() error {
