--- /dev/null
+++ b/internal/command/change_test.go
@@ -0,0 +1,185 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/api/v1/apiv1connect"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+// fakeConfig is a configuration service whose answers a test chooses.
+type fakeConfig struct {
+	apiv1connect.UnimplementedConfigServiceHandler
+
+	mu        sync.Mutex
+	changes   []*apiv1.ChangeRequest
+	onChange  func(try int) error
+	onInForce func(try int) (*apiv1.InForce, error) // nil: unimplemented
+	looks     int
+}
+
+func (f *fakeConfig) GetObject(context.Context, *connect.Request[apiv1.GetObjectRequest]) (*connect.Response[apiv1.GetObjectResponse], error) {
+	return connect.NewResponse(&apiv1.GetObjectResponse{Object: &apiv1.Object{Revision: 5}}), nil
+}
+
+func (f *fakeConfig) Change(_ context.Context, r *connect.Request[apiv1.ChangeRequest]) (*connect.Response[apiv1.ChangeResponse], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changes = append(f.changes, r.Msg)
+	if f.onChange != nil {
+		if err := f.onChange(len(f.changes)); err != nil {
+			return nil, err
+		}
+	}
+	o := &apiv1.Object{Kind: r.Msg.GetKind(), Name: r.Msg.GetName(), Revision: 7, Out: r.Msg.GetSetOut().GetOut()}
+	return connect.NewResponse(&apiv1.ChangeResponse{Object: o, AcceptedRevision: 7}), nil
+}
+
+func (f *fakeConfig) GetInForce(ctx context.Context, r *connect.Request[apiv1.GetInForceRequest]) (*connect.Response[apiv1.GetInForceResponse], error) {
+	if f.onInForce == nil {
+		return f.UnimplementedConfigServiceHandler.GetInForce(ctx, r)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.looks++
+	state, err := f.onInForce(f.looks)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&apiv1.GetInForceResponse{InForce: state}), nil
+}
+
+// runWith runs the tool against a fake service.
+func runWith(ctx context.Context, t *testing.T, f *fakeConfig, args ...string) (status int, stdout, stderr string) {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(apiv1connect.NewConfigServiceHandler(f))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	var out, errs bytes.Buffer
+	args = append(args, "-address", server.URL, "-by", "tester")
+	status = Main(ctx, args, Streams{In: strings.NewReader(""), Out: &out, Err: &errs})
+	return status, out.String(), errs.String()
+}
+
+func wantOutput(t *testing.T, status int, stderr string, wantStatus int, want ...string) {
+	t.Helper()
+	if status != wantStatus {
+		t.Errorf("status %d, want %d", status, wantStatus)
+	}
+	for _, text := range want {
+		if !strings.Contains(stderr, text) {
+			t.Errorf("stderr lacks %q:\n%s", text, stderr)
+		}
+	}
+}
+
+var pendingState = &apiv1.InForce{PendingEntries: []string{"e2"}, Entries: 3}
+
+func TestOutWaitsUntilInForce(t *testing.T) {
+	f := &fakeConfig{onInForce: func(try int) (*apiv1.InForce, error) {
+		if try < 3 {
+			return pendingState, nil
+		}
+		return &apiv1.InForce{InForce: true, Entries: 3}, nil
+	}}
+	status, stdout, stderr := runWith(t.Context(), t, f, "datacentre", "out", "nbo1")
+	wantOutput(t, status, stderr, exitOK, "in force at revision 7")
+	if f.looks != 3 || !strings.Contains(stdout, "nbo1") {
+		t.Errorf("%d looks, want 3; stdout:\n%s", f.looks, stdout)
+	}
+	c := f.changes[0]
+	if c.GetBaseRevision() != 5 || c.GetAnyBase() || c.GetChangeId() == "" || c.GetBy() != "tester" {
+		t.Errorf("change %v", c)
+	}
+}
+
+func TestNoWaitReturnsWhenAccepted(t *testing.T) {
+	f := &fakeConfig{}
+	status, _, stderr := runWith(t.Context(), t, f, "target", "leave", "r1", "-no-wait", "-base", "4")
+	wantOutput(t, status, stderr, exitOK, "accepted at revision 7")
+	if f.looks != 0 || f.changes[0].GetBaseRevision() != 4 {
+		t.Errorf("%d looks, change %v", f.looks, f.changes[0])
+	}
+}
+
+func TestInForceUnknown(t *testing.T) {
+	const unknown = "accepted at revision 7; in force not known"
+	t.Run("not offered", func(t *testing.T) {
+		status, _, stderr := runWith(t.Context(), t, &fakeConfig{}, "department", "leave", "desk")
+		wantOutput(t, status, stderr, exitUnknown, unknown, "next:")
+	})
+	t.Run("interrupted", func(t *testing.T) {
+		ctx, interrupt := context.WithCancel(t.Context())
+		f := &fakeConfig{onInForce: func(try int) (*apiv1.InForce, error) {
+			if try == 2 {
+				interrupt()
+			}
+			return pendingState, nil
+		}}
+		status, _, stderr := runWith(ctx, t, f, "datacentre", "out", "nbo1")
+		wantOutput(t, status, stderr, exitUnknown, unknown, "interrupted", "1 of 3 entries: e2")
+	})
+	t.Run("timeout", func(t *testing.T) {
+		f := &fakeConfig{onInForce: func(int) (*apiv1.InForce, error) { return pendingState, nil }}
+		status, _, stderr := runWith(t.Context(), t, f, "datacentre", "out", "nbo1", "-timeout", "1s")
+		wantOutput(t, status, stderr, exitUnknown, unknown, "-timeout passed", "1 of 3 entries: e2")
+	})
+}
+
+func TestChangeWithUnknownOutcomeIsRepeatedUnderItsID(t *testing.T) {
+	lost := verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN, "answer lost").ToConnect()
+	f := &fakeConfig{onChange: func(try int) error {
+		if try < 3 {
+			return lost
+		}
+		return nil
+	}}
+	status, _, stderr := runWith(t.Context(), t, f, "datacentre", "in", "nbo1", "-no-wait")
+	wantOutput(t, status, stderr, exitOK, "accepted at revision 7")
+	if len(f.changes) != 3 || f.changes[0].GetChangeId() != f.changes[2].GetChangeId() {
+		t.Errorf("changes %v, want 3 of the same ID", f.changes)
+	}
+
+	f = &fakeConfig{onChange: func(int) error { return lost }}
+	status, _, stderr = runWith(t.Context(), t, f, "datacentre", "in", "nbo1", "-change-id", "c1")
+	wantOutput(t, status, stderr, exitUnknown, "change ID c1", "verdict: may_have_run", "reason: outcome_unknown", "-change-id")
+}
+
+func TestConflictIsRefused(t *testing.T) {
+	f := &fakeConfig{onChange: func(int) error {
+		return verdict.NotRunError(apiv1.Reason_REASON_CONFLICT, "object is at revision 6").ToConnect()
+	}}
+	status, _, stderr := runWith(t.Context(), t, f, "department", "quota", "desk", "8")
+	wantOutput(t, status, stderr, exitFailed, "verdict: not_run", "reason: conflict", "next: another change came first")
+	if len(f.changes) != 1 {
+		t.Errorf("%d changes sent, want 1", len(f.changes))
+	}
+}
+
+func TestUnreachableEntry(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	for _, c := range []struct {
+		args []string
+		want int
+	}{
+		{[]string{"status"}, exitFailed},
+		{[]string{"datacentre", "out", "nbo1"}, exitFailed},                // not read, so not sent
+		{[]string{"datacentre", "out", "nbo1", "-base", "0"}, exitUnknown}, // sent, answer unknown
+	} {
+		var out, errs bytes.Buffer
+		args := append(c.args, "-address", server.URL)
+		status := Main(t.Context(), args, Streams{Out: &out, Err: &errs})
+		wantOutput(t, status, errs.String(), c.want, "next:")
+	}
+}
--- /dev/null
+++ b/internal/connection/caller/limits_test.go
@@ -0,0 +1,179 @@
+package caller
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+// cuts counts cut connections by reason.
+type cuts struct {
+	mu     sync.Mutex
+	counts map[Cut]int
+}
+
+func (c *cuts) add(cut Cut) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = make(map[Cut]int)
+	}
+	c.counts[cut]++
+}
+
+// wait waits until n connections were cut for a reason.
+func (c *cuts) wait(t *testing.T, cut Cut, n int) {
+	t.Helper()
+	for range 500 {
+		c.mu.Lock()
+		count := c.counts[cut]
+		c.mu.Unlock()
+		if count >= n {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("cuts %v, want %d %s", c.counts, n, cut)
+}
+
+// waitClosed reads until the server closes the connection.
+func waitClosed(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("connection is still open")
+	}
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// A connection that sends no whole request in time is cut; one that waits for
+// a longer answer is not.
+func TestSlowConnectionsAreCut(t *testing.T) {
+	const idle = 500 * time.Millisecond
+	var counted cuts
+	address := listen(t, Options{Idle: idle, Closed: counted.add, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(4 * idle)
+		_, _ = io.WriteString(w, "whole")
+	})})
+	slow := []net.Conn{dial(t, address), dial(t, address), dial(t, address)}
+	_, _ = io.WriteString(slow[1], "POST / HT")
+	_, _ = io.WriteString(slow[2], "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc")
+	response, err := http.Get("http://" + address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	if string(body) != "whole" {
+		t.Errorf("answer %q, error %v", body, err)
+	}
+	for _, conn := range slow {
+		waitClosed(t, conn)
+	}
+	counted.wait(t, CutSlow, len(slow))
+}
+
+// Random bytes cut their connection, are counted, and leave others alone.
+func TestMalformedConnectionsAreCut(t *testing.T) {
+	var counted cuts
+	keys, client := https(t)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	for scheme, o := range map[string]Options{
+		"http":  {Closed: counted.add, Handler: handler},
+		"https": {Closed: counted.add, Handler: handler, Keys: keys},
+	} {
+		t.Run(scheme, func(t *testing.T) {
+			counted = cuts{}
+			address := listen(t, o)
+			random := rand.NewChaCha8([32]byte{1})
+			const connections = 20
+			for range connections {
+				conn := dial(t, address)
+				garbage := make([]byte, 4<<10)
+				_, _ = random.Read(garbage)
+				garbage[0] = 0 // no method of HTTP, no record of TLS
+				_, _ = conn.Write(garbage)
+				waitClosed(t, conn)
+			}
+			counted.wait(t, CutMalformed, connections)
+			response, err := client.Get(scheme + "://" + address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+		})
+	}
+}
+
+func TestRequestsAreRefusedTyped(t *testing.T) {
+	var mu sync.Mutex
+	var refused []verdict.Reason
+	address := listen(t, Options{Rate: 3, Handler: untypedErrors(), Refused: func(reason verdict.Reason) {
+		mu.Lock()
+		defer mu.Unlock()
+		refused = append(refused, reason)
+	}})
+	const oversized = MaxBodyBytes + 1
+	for _, c := range []struct {
+		path, body string
+		reason     verdict.Reason
+		verdict    verdict.Verdict
+	}{
+		{"/x/Submit", "{", apiv1.Reason_REASON_INVALID_ARGUMENT, verdict.MayHaveRun},
+		{"/x/Change", "{", apiv1.Reason_REASON_INVALID_ARGUMENT, verdict.NotRun},
+		{"/x/Submit", strings.Repeat(" ", oversized), apiv1.Reason_REASON_INVALID_ARGUMENT, verdict.MayHaveRun},
+		{"/x/Submit", "{", apiv1.Reason_REASON_RATE_LIMIT, verdict.MayHaveRun},
+	} {
+		got := post(t, address, c.path, c.body)
+		if !strings.Contains(got, verdict.Name(c.verdict)+": "+verdict.ReasonName(c.reason)) || !strings.Contains(got, "rosemarybay.v1.Failure") {
+			t.Errorf("%s: answer %s", c.path, got)
+		}
+		mu.Lock()
+		if n := len(refused); n == 0 || refused[n-1] != c.reason {
+			t.Errorf("%s: refusals counted: %v", c.path, refused)
+		}
+		mu.Unlock()
+	}
+}
+
+// untypedErrors answers as the RPC library does for a body it cannot decode.
+func untypedErrors() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = connect.NewErrorWriter().Write(w, r, connect.NewError(connect.CodeInvalidArgument, errors.New("unmarshal message")))
+	})
+}
+
+func post(t *testing.T, address, path, body string) string {
+	t.Helper()
+	response, err := http.Post(fmt.Sprintf("http://%s%s", address, path), "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var got bytes.Buffer
+	_, _ = got.ReadFrom(response.Body)
+	return got.String()
+}
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -2,22 +2,30 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/identity"
 )
 
 // listen starts a server on a free loopback port.
-func listen(t *testing.T, handler http.Handler) string {
+func listen(t *testing.T, o Options) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := l.Addr().String()
+	o.Address = l.Addr().String()
 	_ = l.Close()
-	s, err := Listen(Options{Address: address, Handler: handler, Idle: time.Minute})
+	if o.Idle == 0 {
+		o.Idle = time.Minute
+	}
+	s, err := Listen(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -26,29 +34,63 @@
 		defer cancel()
 		s.Close(ctx)
 	})
-	return address
+	return o.Address
+}
+
+// https returns keys of a server on loopback and a client that trusts them.
+func https(t *testing.T) (*Keys, *http.Client) {
+	t.Helper()
+	ca, err := identity.NewCA("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair, err := identity.NewServer(ca, "entry", []string{"127.0.0.1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys, err := LoadKeys(pair.Cert, pair.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM([]byte(ca.Cert))
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}
+	t.Cleanup(transport.CloseIdleConnections)
+	return keys, &http.Client{Transport: transport}
 }
 
 func TestHangupCancelsRequest(t *testing.T) {
+	t.Run("http", func(t *testing.T) { testHangup(t, "http://", nil, &http.Client{Transport: &http.Transport{}}) })
+	t.Run("https", func(t *testing.T) {
+		keys, client := https(t)
+		testHangup(t, "https://", keys, client)
+	})
+}
+
+func testHangup(t *testing.T, scheme string, keys *Keys, client *http.Client) {
 	began := make(chan struct{})
 	cancelled := make(chan struct{})
-	address := listen(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	address := listen(t, Options{Keys: keys, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		close(began)
 		<-r.Context().Done()
 		close(cancelled)
-	}))
+	})})
 	ctx, hangUp := context.WithCancel(context.Background())
 	defer hangUp()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, scheme+address, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	go func() {
-		if response, err := http.DefaultClient.Do(request); err == nil {
+		if response, err := client.Do(request); err == nil {
 			_ = response.Body.Close()
 		}
 	}()
-	<-began
+	select {
+	case <-began:
+	case <-time.After(10 * time.Second):
+		t.Fatal("request did not reach the handler")
+	}
 	hangUp()
 	select {
 	case <-cancelled:
@@ -67,3 +109,27 @@
 		t.Error("no error for a port in use")
 	}
 }
+
+func TestKeysReloadForLaterConnections(t *testing.T) {
+	keys, client := https(t)
+	address := listen(t, Options{Keys: keys, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
+	get := func(client *http.Client) error {
+		response, err := client.Get("https://" + address)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, response.Body) // keeps the connection open
+			_ = response.Body.Close()
+		}
+		return err
+	}
+	if err := get(client); err != nil {
+		t.Fatal(err)
+	}
+	otherKeys, otherClient := https(t)
+	keys.pair.Store(otherKeys.pair.Load())
+	if err := get(otherClient); err != nil {
+		t.Errorf("new connection after the reload: %v", err)
+	}
+	if err := get(client); err != nil {
+		t.Errorf("open connection after the reload: %v", err)
+	}
+}
