--- /dev/null
+++ b/cmd/rosemarybay/main_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"regexp"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/rosemarybay/rosemarybay/internal/bench/fleet"
+	"github.com/rosemarybay/rosemarybay/internal/process/daemon"
+)
+
+const (
+	startTimeout  = 60 * time.Second
+	awaitTimeout  = 20 * time.Second
+	awaitInterval = 50 * time.Millisecond
+)
+
+func TestMain(m *testing.M) {
+	// The nodes of the fleet are this binary, started again.
+	if len(os.Args) > 1 && os.Args[1] == fleet.NodeCommand {
+		os.Exit(daemon.Main(os.Args[2:], os.Stderr))
+	}
+	testscript.Main(m, map[string]func(){
+		"rosemarybay":  func() { os.Exit(run()) },
+		"rosemarybayd": func() { os.Exit(daemon.Main(os.Args[1:], os.Stderr)) },
+	})
+}
+
+// The scripts share one fleet and run at once: each uses departments, and a
+// data centre or target to take out, of its own.
+func TestScripts(t *testing.T) {
+	f := startFleet(t)
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("ROSEMARYBAY_ADDRESS", f.Entries[0].StatusURL)
+			env.Setenv("OTHER_ENTRY", f.Entries[1].StatusURL)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"await":   await,
+			"capture": capture,
+			"signal":  signalBackground,
+		},
+	})
+}
+
+func startFleet(t *testing.T) *fleet.Fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	spec := fleet.Spec{EntriesPerDataCentre: 1, DataCentres: []string{"nbo1", "nbo2", "nbo3"}, Direct: true}
+	for _, target := range []fleet.Target{
+		{Name: "r1", DataCentre: "nbo1"},
+		{Name: "r2", DataCentre: "nbo2"},
+		{Name: "r3", DataCentre: "nbo3"},
+		{Name: "r4", DataCentre: "nbo1"},
+	} {
+		target.Rack, target.Slots, target.Size = target.Name, 4, fleet.Size{CPUs: 30, MemoryMB: 130000}
+		spec.Targets = append(spec.Targets, target)
+	}
+	for _, name := range []string{"desk", "pages"} {
+		spec.Departments = append(spec.Departments, fleet.Department{Name: name})
+	}
+	f, err := fleet.Start(ctx, spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// await PATTERN COMMAND repeats a command until it succeeds and its output
+// matches; "! await" until it fails with an output that matches.
+func await(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: await PATTERN COMMAND")
+	}
+	pattern := regexp.MustCompile(`(?m)` + args[0])
+	deadline := time.Now().Add(awaitTimeout)
+	for {
+		err := ts.Exec(args[1], args[2:]...)
+		out := ts.ReadFile("stdout") + ts.ReadFile("stderr")
+		if (err != nil) == neg && pattern.MatchString(out) {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s did not come to match %q", args[1], args[0])
+		}
+		time.Sleep(awaitInterval)
+	}
+}
+
+// capture NAME FILE PATTERN sets a variable to the first group of a match in a
+// file, stdout or stderr.
+func capture(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: capture NAME FILE PATTERN")
+	}
+	match := regexp.MustCompile(`(?m)` + args[2]).FindStringSubmatch(ts.ReadFile(args[1]))
+	if len(match) < 2 {
+		ts.Fatalf("%s has no match of %q", args[1], args[2])
+	}
+	ts.Setenv(args[0], match[1])
+}
+
+// signalBackground NAME sends SIGHUP or SIGTERM to all background commands.
+func signalBackground(ts *testscript.TestScript, neg bool, args []string) {
+	signals := map[string]syscall.Signal{"HUP": syscall.SIGHUP, "TERM": syscall.SIGTERM}
+	if neg || len(args) != 1 || signals[args[0]] == 0 {
+		ts.Fatalf("usage: signal HUP|TERM")
+	}
+	for _, command := range ts.BackgroundCmds() {
+		ts.Check(sendSignal(command, signals[args[0]]))
+	}
+}
+
+func sendSignal(command *exec.Cmd, s syscall.Signal) error {
+	return command.Process.Signal(s)
+}
