--- a/internal/connection/link/call.go
+++ b/internal/connection/link/call.go
@@ -59,6 +59,7 @@
 	defer func() { _ = stream.Close() }()
 	f, size, err := ReadFrame(bufio.NewReader(stream))
 	if err != nil || f.GetCall() == nil {
+		l.stats.failed(err)
 		stream.CancelRead(quic.StreamErrorCode(codeProtocolError))
 		stream.CancelWrite(quic.StreamErrorCode(codeProtocolError))
 		return
--- a/internal/connection/link/frame.go
+++ b/internal/connection/link/frame.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"io"
 
 	"github.com/rotisserie/eris"
@@ -14,8 +15,8 @@
 // MaxFrameSize is the largest encoded frame in bytes.
 const MaxFrameSize = 4 << 20
 
-// ErrFrameTooLarge reports a frame above MaxFrameSize.
-var ErrFrameTooLarge = eris.New("frame exceeds 4 MiB")
+// ErrMalformed reports bytes that are not a frame.
+var ErrMalformed = eris.New("malformed frame")
 
 // AppendFrame appends the length and the encoding of f to b.
 func AppendFrame(b []byte, f *peerv1.Frame) []byte {
@@ -29,29 +30,39 @@
 }
 
 // ReadFrame reads one frame and returns it with its size on the wire in bytes.
-// A frame without a body is an error.
+// Bytes that are not a whole frame with a body are ErrMalformed.
 func ReadFrame(r *bufio.Reader) (*peerv1.Frame, int, error) {
 	size, err := binary.ReadUvarint(r)
-	if err != nil {
+	switch {
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, 0, eris.Wrap(ErrMalformed, "truncated length")
+	case err != nil:
 		return nil, 0, err
-	}
-	if size > MaxFrameSize {
-		return nil, 0, ErrFrameTooLarge
+	case size > MaxFrameSize:
+		return nil, 0, eris.Wrapf(ErrMalformed, "%d bytes exceed %d", size, MaxFrameSize)
 	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, 0, eris.Wrap(err, "read frame")
+		return nil, 0, readError(err)
 	}
 	f := &peerv1.Frame{}
 	if err := proto.Unmarshal(body, f); err != nil {
-		return nil, 0, eris.Wrap(err, "decode frame")
+		return nil, 0, eris.Wrap(ErrMalformed, err.Error())
 	}
 	if f.GetBody() == nil {
-		return nil, 0, eris.New("frame without body")
+		return nil, 0, eris.Wrap(ErrMalformed, "no body")
 	}
 	return f, int(size) + uvarintSize(size), nil
 }
 
+// readError returns ErrMalformed when the peer ended its stream inside a frame.
+func readError(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return eris.Wrap(ErrMalformed, "truncated")
+	}
+	return eris.Wrap(err, "read frame")
+}
+
 func uvarintSize(v uint64) int {
 	n := 1
 	for ; v >= 0x80; v >>= 7 {
--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -180,6 +180,7 @@
 func (l *Link) Receive() (*peerv1.Frame, error) {
 	f, size, err := ReadFrame(l.reader)
 	if err != nil {
+		l.stats.failed(err)
 		l.Close()
 		return nil, err
 	}
--- a/internal/connection/link/stats.go
+++ b/internal/connection/link/stats.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"errors"
+
 	gometrics "github.com/rcrowley/go-metrics"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
@@ -11,6 +13,7 @@
 type Stats struct {
 	workSent, workReceived       traffic
 	controlSent, controlReceived traffic
+	malformed                    gometrics.Counter
 }
 
 type traffic struct {
@@ -24,6 +27,7 @@
 		workReceived:    newTraffic(r, "link_work_received"),
 		controlSent:     newTraffic(r, "link_control_sent"),
 		controlReceived: newTraffic(r, "link_control_received"),
+		malformed:       gometrics.GetOrRegisterCounter("link_frames_malformed", r),
 	}
 }
 
@@ -55,6 +59,13 @@
 	s.controlReceived.add(size)
 }
 
+// failed counts the error of a read; the end of a stream is none of its peer's.
+func (s *Stats) failed(err error) {
+	if errors.Is(err, ErrMalformed) {
+		s.malformed.Inc(1)
+	}
+}
+
 func isWork(f *peerv1.Frame) bool {
 	switch f.GetBody().(type) {
 	case *peerv1.Frame_Start, *peerv1.Frame_Result, *peerv1.Frame_Call, *peerv1.Frame_Reply:
--- a/internal/process/entry/access.go
+++ b/internal/process/entry/access.go
@@ -57,11 +57,7 @@
 // listenCallers starts the server of the caller port.
 func (e *Entry) listenCallers() (*caller.Server, error) {
 	s := e.settings.Entry
-	if s.IsInsecure() {
-		e.log.Warn().Str("address", s.CallerListen).
-			Msg("INSECURE: entry.callers is empty, so everyone on this machine is let in as every department and as operator")
-	}
-	return caller.Listen(caller.Options{
+	server, err := caller.Listen(caller.Options{
 		Address:        s.CallerListen,
 		Handler:        e.handler(),
 		Keys:           e.access.callerKeys,
@@ -73,6 +69,11 @@
 			e.counters.Counter("caller_connections_cut_" + string(cut)).Inc(1)
 		},
 	})
+	if err == nil && s.IsInsecure() {
+		e.log.Warn().Str("address", s.CallerListen).
+			Msg("INSECURE: entry.callers is empty, so everyone on this machine is let in as every department and as operator")
+	}
+	return server, err
 }
 
 // handlerOptions returns the options of all services.
