--- a/internal/connection/caller/limits_test.go
+++ b/internal/connection/caller/limits_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,15 +99,15 @@
 
 // Random bytes cut their connection, are counted, and leave others alone.
 func TestMalformedConnectionsAreCut(t *testing.T) {
-	var counted cuts
 	keys, client := https(t)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
 	for scheme, o := range map[string]Options{
-		"http":  {Closed: counted.add, Handler: handler},
-		"https": {Closed: counted.add, Handler: handler, Keys: keys},
+		"http":  {Handler: handler},
+		"https": {Handler: handler, Keys: keys},
 	} {
 		t.Run(scheme, func(t *testing.T) {
-			counted = cuts{}
+			var counted cuts
+			o.Closed = counted.add
 			address := listen(t, o)
 			random := rand.NewChaCha8([32]byte{1})
 			const connections = 20
@@ -131,7 +132,7 @@
 func TestRequestsAreRefusedTyped(t *testing.T) {
 	var mu sync.Mutex
 	var refused []verdict.Reason
-	address := listen(t, Options{Rate: 3, Handler: untypedErrors(), Refused: func(reason verdict.Reason) {
+	address := listen(t, Options{Handler: untypedErrors(), Refused: func(reason verdict.Reason) {
 		mu.Lock()
 		defer mu.Unlock()
 		refused = append(refused, reason)
@@ -145,7 +146,6 @@
 		{"/x/Submit", "{", apiv1.Reason_REASON_INVALID_ARGUMENT, verdict.MayHaveRun},
 		{"/x/Change", "{", apiv1.Reason_REASON_INVALID_ARGUMENT, verdict.NotRun},
 		{"/x/Submit", strings.Repeat(" ", oversized), apiv1.Reason_REASON_INVALID_ARGUMENT, verdict.MayHaveRun},
-		{"/x/Submit", "{", apiv1.Reason_REASON_RATE_LIMIT, verdict.MayHaveRun},
 	} {
 		got := post(t, address, c.path, c.body)
 		if !strings.Contains(got, verdict.Name(c.verdict)+": "+verdict.ReasonName(c.reason)) || !strings.Contains(got, "rosemarybay.v1.Failure") {
@@ -159,6 +159,29 @@
 	}
 }
 
+// A connection above its rate is refused; another one is not.
+func TestRateOfOneConnection(t *testing.T) {
+	var refused atomic.Int32
+	address := listen(t, Options{Rate: 1, Handler: untypedErrors(), Refused: func(reason verdict.Reason) {
+		if reason == apiv1.Reason_REASON_RATE_LIMIT {
+			refused.Add(1)
+		}
+	}})
+	const tries = 100
+	for range tries {
+		if got := post(t, address, "/x/Submit", "{"); strings.Contains(got, "may_have_run: rate_limit") {
+			break
+		}
+	}
+	if refused.Load() != 1 {
+		t.Errorf("%d refusals counted, want 1", refused.Load())
+	}
+	http.DefaultClient.CloseIdleConnections()
+	if got := post(t, address, "/x/Submit", "{"); strings.Contains(got, "rate_limit") {
+		t.Errorf("first request of another connection: %s", got)
+	}
+}
+
 // untypedErrors answers as the RPC library does for a body it cannot decode.
 func untypedErrors() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"testing"
 	"time"
@@ -26,17 +25,17 @@
 	return tr
 }
 
-func node(t testing.TB, ca identity.Pair, role string) *tls.Config {
+func node(t testing.TB, ca identity.Pair, role string) *identity.Keys {
 	t.Helper()
 	p, err := identity.NewNode(ca, identity.Identity{Name: "n", Role: role, DataCentre: "nbo1"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	config, err := identity.LoadTLS(ca.Cert, p.Cert, p.Key)
+	keys, err := identity.Load(identity.Files{CA: ca.Cert, Cert: p.Cert, Key: p.Key}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return config
+	return keys
 }
 
 // pair returns the two ends of a link between an agent and an entry.
@@ -47,7 +46,7 @@
 		t.Fatal(err)
 	}
 	listening := transport(t)
-	listener, err := listening.Listen(node(t, ca, "entry"), Config())
+	listener, err := listening.Listen(node(t, ca, "entry").Server(), Config())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -63,7 +62,7 @@
 			accepted <- l
 		}
 	}()
-	dialer := &Dialer{Transport: transport(t), TLS: node(t, ca, "agent"), Stats: NewStats(gometrics.NewRegistry())}
+	dialer := &Dialer{Transport: transport(t), TLS: node(t, ca, "agent").Client(), Stats: NewStats(gometrics.NewRegistry())}
 	agent, err = dialer.Dial(ctx, listening.Conn.LocalAddr().String())
 	if err != nil {
 		t.Fatal(err)
