--- a/internal/process/entry/access.go
+++ b/internal/process/entry/access.go
@@ -81,6 +81,6 @@
 	return connect.WithHandlerOptions(
 		connect.WithCompressMinBytes(compressMin),
 		connect.WithReadMaxBytes(caller.MaxBodyBytes),
-		connect.WithInterceptors(e.access.authorizer.interceptor()),
+		connect.WithInterceptors(e.access.authorizer.interceptor(), e.observeJobs()),
 	)
 }
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -17,6 +17,8 @@
 	registry gometrics.Registry
 	refusals map[verdict.Reason]gometrics.Counter
 	retries  map[verdict.Reason]gometrics.Counter
+
+	latencies latencies
 }
 
 // New returns a registry with a refusal and a retry counter for each reason.
@@ -82,7 +84,7 @@
 // prefix of every metric in the Prometheus text.
 const prefix = "rosemarybay_"
 
-// WriteText writes the counters in the Prometheus text format.
+// WriteText writes the counters and latencies in the Prometheus text format.
 func (c *Counters) WriteText(w io.Writer) error {
 	for _, v := range c.Values() {
 		_, err := fmt.Fprintf(w, "# TYPE %s%s counter\n%s%s %d\n", prefix, v.Name, prefix, v.Name, v.Value)
@@ -90,5 +92,5 @@
 			return err
 		}
 	}
-	return nil
+	return c.latencies.writeText(w)
 }
