--- a/cmd/rosemarybay-bench/main.go
+++ b/cmd/rosemarybay-bench/main.go
@@ -26,6 +26,8 @@
 
   demo          run a few hundred ticket-desk jobs and print a table
   roundtrip     measure what the system adds to a call of an idle target
+  chaos [-jobs N] [-seed N]
+                run jobs while nodes are killed, paused, stopped and cut off
   replay FILE.. replay traces and check their outcomes
 `
 
@@ -48,6 +50,8 @@
 		return runDemo(ctx)
 	case "roundtrip":
 		return status(demo.RoundTrip(ctx, os.Stdout))
+	case "chaos":
+		return runChaos(ctx, args[1:])
 	case "replay":
 		return runReplay(ctx, args[1:])
 	default:
--- a/internal/process/entry/access.go
+++ b/internal/process/entry/access.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"sync"
+
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
@@ -16,6 +18,7 @@
 	keys       *identity.Keys
 	callerKeys *caller.Keys // nil without HTTPS
 	authorizer *authorizer
+	warn       sync.Once // of the insecure mode
 }
 
 // newAccess loads the keys and callers of the settings.
@@ -70,12 +73,16 @@
 		},
 	})
 	if err == nil && s.IsInsecure() {
-		e.log.Warn().Str("address", s.CallerListen).
-			Msg("INSECURE: entry.callers is empty, so everyone on this machine is let in as every department and as operator")
+		e.access.warn.Do(e.warnInsecure)
 	}
 	return server, err
 }
 
+func (e *Entry) warnInsecure() {
+	e.log.Warn().Str("address", e.settings.Entry.CallerListen).
+		Msg("INSECURE: entry.callers is empty, so everyone on this machine is let in as every department and as operator")
+}
+
 // handlerOptions returns the options of all services.
 func (e *Entry) handlerOptions() connect.HandlerOption {
 	return connect.WithHandlerOptions(
--- a/internal/process/settings/callers.go
+++ b/internal/process/settings/callers.go
@@ -8,6 +8,26 @@
 	"github.com/rotisserie/eris"
 )
 
+// CallerTLS names the keys of the caller port: each field is PEM text or a path.
+type CallerTLS struct {
+	Cert string `json:"cert"`
+	Key  string `json:"key"`
+}
+
+// Caller is a caller or operator known by a bearer token.
+type Caller struct {
+	// TokenSHA256 is the SHA-256 of the token in hexadecimal.
+	TokenSHA256 string `json:"token_sha256"`
+	// Department is the only one the caller may act for.
+	Department string `json:"department,omitempty"`
+	// Owner is the only one the caller may act for; empty means all of the
+	// department.
+	Owner string `json:"owner,omitempty"`
+	// Operator lets the holder read the fleet's state and change the
+	// configuration. An operator has no department.
+	Operator bool `json:"operator,omitempty"`
+}
+
 // IsInsecure reports whether callers are let in without a token.
 func (e *Entry) IsInsecure() bool { return len(e.Callers) == 0 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -92,6 +92,8 @@
 	Permit Duration `json:"permit,omitempty"`
 	// QueueLimit is the largest number of tasks that wait for a slot.
 	QueueLimit int `json:"queue_limit,omitempty"`
+	// AnswerMemoryMB bounds the memory of remembered answers.
+	AnswerMemoryMB int `json:"answer_memory_mb,omitempty"`
 	// CallerTLS holds the certificate of CallerListen; without it callers speak
 	// plain HTTP.
 	CallerTLS *CallerTLS `json:"caller_tls,omitempty"`
@@ -107,26 +109,6 @@
 	CallerConnections int `json:"caller_connections,omitempty"`
 }
 
-// CallerTLS names the keys of the caller port: each field is PEM text or a path.
-type CallerTLS struct {
-	Cert string `json:"cert"`
-	Key  string `json:"key"`
-}
-
-// Caller is a caller or operator known by a bearer token.
-type Caller struct {
-	// TokenSHA256 is the SHA-256 of the token in hexadecimal.
-	TokenSHA256 string `json:"token_sha256"`
-	// Department is the only one the caller may act for.
-	Department string `json:"department,omitempty"`
-	// Owner is the only one the caller may act for; empty means all of the
-	// department.
-	Owner string `json:"owner,omitempty"`
-	// Operator lets the holder read the fleet's state and change the
-	// configuration. An operator has no department.
-	Operator bool `json:"operator,omitempty"`
-}
-
 // Agent holds the settings of the agent role.
 type Agent struct {
 	// Entries are the peer addresses of some entries; the rest are learned.
