--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -43,7 +43,7 @@
 	incarnation uint64
 	counters    *metrics.Counters
 	stats       *link.Stats
-	tls         *tls.Config
+	access      *access
 	transport   *quic.Transport
 	listener    *quic.Listener
 	server      *caller.Server
@@ -73,15 +73,16 @@
 
 // New returns an entry that listens but does not serve yet.
 func New(s *settings.Settings, log zerolog.Logger) (*Entry, error) {
-	return newIncarnation(s, log, metrics.New())
-}
-
-func newIncarnation(s *settings.Settings, log zerolog.Logger, counters *metrics.Counters) (*Entry, error) {
-	tlsConfig, err := identity.LoadTLS(s.TLS.CA, s.TLS.Cert, s.TLS.Key)
+	counters := metrics.New()
+	access, err := newAccess(s, counters)
 	if err != nil {
 		return nil, err
 	}
-	transport, listener, err := listenPeers(s.Entry.PeerListen, tlsConfig)
+	return newIncarnation(s, log, counters, access)
+}
+
+func newIncarnation(s *settings.Settings, log zerolog.Logger, counters *metrics.Counters, access *access) (*Entry, error) {
+	transport, listener, err := listenPeers(s.Entry.PeerListen, access.keys.Server())
 	if err != nil {
 		return nil, err
 	}
@@ -91,7 +92,7 @@
 		incarnation: rand.Uint64(),
 		counters:    counters,
 		stats:       link.NewStats(counters.Registry()),
-		tls:         tlsConfig,
+		access:      access,
 		transport:   transport,
 		listener:    listener,
 		store:       store.Dial(s.Entry.StoreURL, caller.LocalAddress(s.Entry.CallerListen)),
@@ -112,7 +113,7 @@
 		Config:     e.config,
 		Counters:   counters,
 	})
-	e.server, err = caller.Listen(s.Entry.CallerListen, e.handler())
+	e.server, err = e.listenCallers()
 	if err != nil {
 		_ = transport.Close()
 		return nil, err
@@ -185,7 +186,7 @@
 // closed first.
 func (e *Entry) successor(stop <-chan struct{}) *Entry {
 	for {
-		next, err := newIncarnation(e.settings, e.log, e.counters)
+		next, err := newIncarnation(e.settings, e.log, e.counters, e.access)
 		if err == nil {
 			return next
 		}
@@ -235,9 +236,9 @@
 	}
 	hello := f.GetHello()
 	switch l.Remote().Role {
-	case "agent":
+	case identity.RoleAgent:
 		e.serveAgent(l, hello)
-	case "entry":
+	case identity.RoleEntry:
 		_ = l.Send(e.welcome())
 		l.ServeCalls(e.countCall(e.handleCall))
 	}
@@ -257,9 +258,9 @@
 	mux.Handle(e.jobService())
 	mux.Handle(e.configService())
 	mux.Handle(e.fleetService())
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /metrics", e.access.authorizer.operatorOnly(func(w http.ResponseWriter, _ *http.Request) {
 		_ = e.counters.WriteText(w)
-	})
+	}))
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !e.ready.Load() || e.draining.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -19,6 +19,10 @@
 	defaultQueueLimit     = 20000
 	defaultMaxConnections = 60
 	defaultAnswerMemoryMB = 256
+
+	defaultCallerRate        = 2000 // requests a second
+	defaultCallerIdle        = 2 * time.Minute
+	defaultCallerConnections = 16384
 )
 
 // MaxSlots is the largest number of slots of a target.
@@ -34,6 +38,9 @@
 		setDefault(&e.Permit, Duration(defaultPermit))
 		setDefault(&e.QueueLimit, defaultQueueLimit)
 		setDefault(&e.AnswerMemoryMB, defaultAnswerMemoryMB)
+		setDefault(&e.CallerRate, defaultCallerRate)
+		setDefault(&e.CallerIdle, Duration(defaultCallerIdle))
+		setDefault(&e.CallerConnections, defaultCallerConnections)
 	}
 	if a := s.Agent; a != nil {
 		setDefault(&a.Target.MaxConnections, defaultMaxConnections)
@@ -100,7 +107,7 @@
 	if e.QueueLimit <= 0 {
 		return eris.New("entry.queue_limit must be positive")
 	}
-	return nil
+	return e.validateCallers()
 }
 
 func (s *Settings) validateAgent() error {
