Give permits only while the entry itself is fresh

Cause: an entry that was ready gave every agent the full permit for ever, so a part cut off from the store went on starting tasks in a data centre that had been taken out.

Change: an entry is fresh for one permit period after a request that the store or, with the store silent, a majority of the entries answered; a permit is what is left of that period. Entries tell each other newer objects and rosters with the same call. While the outcome of a take-out is unknown the entry acts as if it had landed. An entry that starts in an outage takes configuration, roster and ticket key from its peers. A store older than what is known is refused and counted. A target that returns is filled over one second, and only after its agent has confirmed the return. Waiting tasks of a department that left end NotRun.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -166,6 +167,12 @@
 			}
 		}
 	}
+	for i, n := range f.Entries {
+		others := slices.Delete(slices.Clone(f.peers), i, i+1)
+		if err := n.setPeers(others); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/bench/fleet/node.go
+++ b/internal/bench/fleet/node.go
@@ -41,10 +41,6 @@
 }
 
 func newNode(s *settings.Settings, dir, statusURL string, sp *spawner) (*Node, error) {
-	data, err := json.Marshal(s)
-	if err != nil {
-		return nil, eris.Wrap(err, "encode settings")
-	}
 	n := &Node{
 		Name:       s.Name,
 		DataCentre: s.DataCentre,
@@ -54,7 +50,26 @@
 		settings:   filepath.Join(dir, s.Name+".json"),
 		logs:       filepath.Join(dir, s.Name+".log"),
 	}
-	return n, eris.Wrap(os.WriteFile(n.settings, data, filePerm), "write settings")
+	return n, n.writeSettings(s)
+}
+
+// writeSettings sets the settings of the next incarnation.
+func (n *Node) writeSettings(s *settings.Settings) error {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return eris.Wrap(err, "encode settings")
+	}
+	return eris.Wrap(os.WriteFile(n.settings, data, filePerm), "write settings")
+}
+
+// setPeers names the entries that an entry asks when the store is out.
+func (n *Node) setPeers(peers []string) error {
+	s, err := settings.Load(n.settings)
+	if err != nil {
+		return err
+	}
+	s.Entry.Peers = peers
+	return n.writeSettings(s)
 }
 
 // Start starts the process: a new incarnation of the node.
--- /dev/null
+++ b/internal/process/agent/config.go
@@ -0,0 +1,48 @@
+package agent
+
+import (
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/version/config"
+)
+
+// handleConfig applies an update. When it takes the target into service or out
+// of it, the entries are told at once, so that they place work here again only
+// after the agent would accept it.
+func (s *session) handleConfig(u *peerv1.ConfigUpdate) {
+	a := s.agent
+	before := a.isOut(a.config.Load())
+	rose, ok := a.config.Apply(u)
+	if !ok {
+		a.counters.Counter("config_gaps").Inc(1)
+	}
+	if rose && before != a.isOut(a.config.Load()) {
+		a.reportLoad()
+	}
+}
+
+func (a *Agent) isOut(s *config.Snapshot) bool {
+	return s.IsOut(apiv1.ObjectKind_OBJECT_KIND_DATA_CENTRE, a.info.GetDataCentre()) ||
+		s.IsOut(apiv1.ObjectKind_OBJECT_KIND_TARGET, a.info.GetName())
+}
+
+// reportLoad sends the target's load to all linked entries.
+func (a *Agent) reportLoad() {
+	a.mu.Lock()
+	sessions := make([]*session, 0, len(a.sessions))
+	for _, s := range a.sessions {
+		sessions = append(sessions, s)
+	}
+	a.mu.Unlock()
+	for _, s := range sessions {
+		_ = s.link.Send(&peerv1.Frame{Body: &peerv1.Frame_Load{Load: a.load()}})
+	}
+}
+
+// sendConfig answers an entry whose configuration or roster is behind.
+func (s *session) sendConfig(from uint64) {
+	update := s.agent.config.Load().Since(from)
+	_ = s.link.Send(&peerv1.Frame{Body: &peerv1.Frame_ConfigUpdate{ConfigUpdate: update}})
+	r := s.agent.roster.Load()
+	_ = s.link.Send(&peerv1.Frame{Body: &peerv1.Frame_Roster{Roster: r.Proto()}})
+}
--- a/internal/process/agent/session.go
+++ b/internal/process/agent/session.go
@@ -165,7 +165,9 @@
 	case *peerv1.Frame_Heartbeat:
 		s.handleHeartbeat(body.Heartbeat)
 	case *peerv1.Frame_ConfigUpdate:
-		s.agent.config.Apply(body.ConfigUpdate)
+		s.handleConfig(body.ConfigUpdate)
+	case *peerv1.Frame_GetConfig:
+		s.sendConfig(body.GetConfig.GetFromRevision())
 	case *peerv1.Frame_Roster:
 		s.handleRoster(body.Roster)
 	default:
@@ -193,7 +195,7 @@
 }
 
 func (s *session) handleRoster(r *peerv1.Roster) {
-	next := roster.New(r.GetRevision(), r.GetEntries())
+	next := roster.FromProto(r)
 	if s.agent.roster.Apply(next) {
 		s.agent.follow(s.ctx, next)
 	}
--- a/internal/process/dispatch/dispatcher.go
+++ b/internal/process/dispatch/dispatcher.go
@@ -37,6 +37,9 @@
 	QueueLimit int
 	Config     *config.View
 	Counters   *metrics.Counters
+	// IsFresh reports whether the configuration may be taken for the present
+	// one; no task is placed while it is not. Nil means always.
+	IsFresh func() bool
 }
 
 // Dispatcher places tasks on targets. It is safe for concurrent use.
@@ -61,6 +64,9 @@
 
 // New returns a dispatcher without targets.
 func New(opts Options) *Dispatcher {
+	if opts.IsFresh == nil {
+		opts.IsFresh = func() bool { return true }
+	}
 	return &Dispatcher{
 		opts:     opts,
 		budget:   retry.NewBudget(retryRatio, retryLimit),
@@ -141,6 +147,7 @@
 // Refresh places waiting tasks after a change of the configuration.
 func (d *Dispatcher) Refresh() {
 	d.mu.Lock()
+	d.applyConfig()
 	d.pump()
 	d.unlockAndComplete()
 }
--- a/internal/process/dispatch/outcome.go
+++ b/internal/process/dispatch/outcome.go
@@ -58,7 +58,7 @@
 		at.target.blockedUntil = time.Now().Add(staleBackoff)
 		time.AfterFunc(staleBackoff, d.Refresh)
 	}
-	if task.cancelled || failure.Reason == apiv1.Reason_REASON_FENCED {
+	if task.cancelled || failure.Reason == apiv1.Reason_REASON_FENCED || failure.Reason == apiv1.Reason_REASON_DEPARTMENT_LEFT {
 		d.finish(task, Outcome{Err: verdict.New(task.started, failure.Reason, "%s", failure.Message)})
 		return
 	}
--- a/internal/process/dispatch/place.go
+++ b/internal/process/dispatch/place.go
@@ -28,7 +28,7 @@
 
 // pump sends waiting tasks to available targets; the caller holds d.mu.
 func (d *Dispatcher) pump() {
-	if d.queue.len() == 0 {
+	if d.queue.len() == 0 || !d.opts.IsFresh() {
 		return
 	}
 	now := time.Now()
@@ -50,6 +50,9 @@
 // come first; within a data centre the one with the most free slots is taken,
 // ties at random.
 func (d *Dispatcher) choose(t *Task, snapshot *config.Snapshot, now time.Time) *target {
+	if snapshot.CheckDepartment(t.Department) != nil {
+		return nil
+	}
 	var best *target
 	var bestScore float64
 	for _, tg := range d.targets {
--- a/internal/process/dispatch/target.go
+++ b/internal/process/dispatch/target.go
@@ -28,6 +28,7 @@
 	draining     bool
 	revision     uint64
 	lostTimer    *time.Timer
+	service      service
 }
 
 func (t *target) send(f *peerv1.Frame) bool {
@@ -61,7 +62,7 @@
 
 // isAvailable reports whether the target may be sent a task now.
 func (t *target) isAvailable(now time.Time) bool {
-	return t.link != nil && !t.draining && !t.full && len(t.inFlight) < int(t.info.GetSlots()) && !now.Before(t.blockedUntil)
+	return t.link != nil && !t.draining && !t.full && len(t.inFlight) < t.rampLimit(now) && !now.Before(t.blockedUntil)
 }
 
 // Attach makes a target available over a link. When the agent is the one known
@@ -85,6 +86,7 @@
 	t.info, t.incarnation, t.link = info, incarnation, link
 	t.free, t.full = int(info.GetSlots()), false
 	t.draining = false
+	t.applyConfig(d.opts.Config.Load(), time.Now())
 	d.query(t)
 	d.pump()
 }
--- a/internal/process/entry/agentlink.go
+++ b/internal/process/entry/agentlink.go
@@ -25,10 +25,10 @@
 	}
 	a := &agentLink{entry: e, link: l, name: hello.GetName(), target: hello.GetTarget()}
 	_ = l.Send(e.welcome())
-	a.sendConfig(e.config.Load(), hello.GetConfigRevision())
-	a.sendRoster(e.roster.Load())
 	e.addAgent(a)
 	defer e.removeAgent(a)
+	a.catchUp(hello.GetConfigRevision())
+	a.sendRoster(e.roster.Load())
 	e.dispatcher.Attach(a.target, hello.GetIncarnation(), l)
 	defer e.dispatcher.Detach(a.target.GetName(), l)
 	for {
@@ -69,6 +69,10 @@
 		d.HandleLoad(name, body.Load)
 	case *peerv1.Frame_Heartbeat:
 		a.answer(body.Heartbeat)
+	case *peerv1.Frame_ConfigUpdate:
+		a.entry.applyConfig(body.ConfigUpdate)
+	case *peerv1.Frame_Roster:
+		a.entry.applyRoster(roster.FromProto(body.Roster))
 	case *peerv1.Frame_Goodbye:
 		d.Drain(name)
 	default:
@@ -86,6 +90,7 @@
 // answer replies to an agent's heartbeat with a permit.
 func (a *agentLink) answer(h *peerv1.Heartbeat) {
 	e := a.entry
+	a.catchUp(h.GetConfigRevision())
 	_ = a.link.Send(&peerv1.Frame{Body: &peerv1.Frame_Heartbeat{Heartbeat: &peerv1.Heartbeat{
 		ReplyTo:        h.GetSequence(),
 		ConfigRevision: e.config.Load().Revision(),
@@ -93,12 +98,15 @@
 	}}})
 }
 
-// permit returns how long an agent may start tasks on this entry's word.
-func (e *Entry) permit() time.Duration {
-	if !e.ready.Load() {
-		return 0
+// catchUp brings the side that is behind up to the other's configuration.
+func (a *agentLink) catchUp(revision uint64) {
+	snapshot := a.entry.config.Load()
+	a.sendConfig(snapshot, revision)
+	if revision > snapshot.Revision() {
+		_ = a.link.Send(&peerv1.Frame{Body: &peerv1.Frame_GetConfig{GetConfig: &peerv1.GetConfig{
+			FromRevision: snapshot.Revision(),
+		}}})
 	}
-	return e.settings.Entry.Permit.Std()
 }
 
 func (a *agentLink) sendConfig(s *config.Snapshot, from uint64) {
--- a/internal/process/entry/configservice.go
+++ b/internal/process/entry/configservice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
 	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+	"github.com/rosemarybay/rosemarybay/internal/version/config"
 )
 
 // errLostRace reports that another change came between the read and the write.
@@ -23,6 +25,10 @@
 // maxHistory is the number of past changes kept with an object.
 const maxHistory = 16
 
+// unknownWait is the time after which a write that was given up can no longer
+// take effect at the store.
+const unknownWait = 5 * time.Second
+
 type configService struct {
 	apiv1connect.UnimplementedConfigServiceHandler
 	entry *Entry
@@ -37,11 +43,29 @@
 	if err := validateChange(r.Msg); err != nil {
 		return nil, s.entry.refuse(err)
 	}
+	before := s.entry.config.Load().Revision()
 	o, err := s.entry.change(ctx, r.Msg)
 	if err != nil {
-		return nil, s.entry.refuse(err)
+		return nil, withPresent(s.entry.refuse(err), err, o)
+	}
+	s.entry.counters.Counter("config_changes").Inc(1)
+	return connect.NewResponse(&apiv1.ChangeResponse{
+		Object:           o,
+		AcceptedRevision: o.GetRevision(),
+		InForce:          s.entry.spread(ctx, o.GetRevision(), before),
+	}), nil
+}
+
+// withPresent adds the present object to the error of a conflict.
+func withPresent(err error, cause *verdict.Error, present *apiv1.Object) error {
+	var rpc *connect.Error
+	if present == nil || cause.Reason != apiv1.Reason_REASON_CONFLICT || !errors.As(err, &rpc) {
+		return err
+	}
+	if detail, detailErr := connect.NewErrorDetail(present); detailErr == nil {
+		rpc.AddDetail(detail)
 	}
-	return connect.NewResponse(&apiv1.ChangeResponse{Object: o, AcceptedRevision: o.GetRevision()}), nil
+	return rpc
 }
 
 func validateChange(m *apiv1.ChangeRequest) *verdict.Error {
@@ -62,30 +86,68 @@
 }
 
 // change applies a change by compare-and-swap. After a lost answer it reads the
-// object again and looks for its own change ID.
+// object again and looks for its own change ID. With a conflict it returns the
+// present object. A take-out counts as landed here until its outcome is known.
 func (e *Entry) change(ctx context.Context, m *apiv1.ChangeRequest) (*apiv1.Object, *verdict.Error) {
-	key := objectKey(m.GetKind(), m.GetName())
-	attempted := false
+	c := &changeCall{entry: e, key: objectKey(m.GetKind(), m.GetName()), request: m}
 	for {
-		o, err := e.tryChange(ctx, key, m, &attempted)
+		o, err := c.try(ctx)
 		if err == nil {
+			c.settle(o.GetRevision())
 			return o, nil
 		}
 		if err.Reason != apiv1.Reason_REASON_STORE_UNAVAILABLE {
-			return nil, err
+			c.settle(0)
+			return o, err
 		}
 		sleep(ctx, storeBackoff)
 		if ctx.Err() != nil {
-			if attempted {
+			if c.attempted {
 				err = verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN, "%s", err.Message)
 			}
+			go c.resolve()
 			return nil, err
 		}
 	}
 }
 
-func (e *Entry) tryChange(ctx context.Context, key string, m *apiv1.ChangeRequest, attempted *bool) (*apiv1.Object, *verdict.Error) {
-	present, err := e.store.Get(ctx, key)
+// changeCall is one change on its way to the store.
+type changeCall struct {
+	entry     *Entry
+	key       string
+	request   *apiv1.ChangeRequest
+	attempted bool // a write was sent
+	assumed   bool // AssumeOut was called
+}
+
+// try makes one read and one write.
+func (c *changeCall) try(ctx context.Context) (*apiv1.Object, *verdict.Error) {
+	m := c.request
+	o, err := c.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if hasChange(o, m.GetChangeId()) {
+		return o, nil
+	}
+	if !m.GetAnyBase() && m.GetBaseRevision() != o.GetRevision() {
+		return o, verdict.NotRunError(apiv1.Reason_REASON_CONFLICT, "object is at revision %d, the change is based on %d", o.GetRevision(), m.GetBaseRevision())
+	}
+	base := o.GetRevision()
+	if err := applyChange(o, m); err != nil {
+		return o, err
+	}
+	return c.write(ctx, o, base)
+}
+
+// read returns the stored object; one without a revision when there is none.
+func (c *changeCall) read(ctx context.Context) (*apiv1.Object, *verdict.Error) {
+	e, m := c.entry, c.request
+	if e.storeOld.Load() {
+		return nil, storeError(errStoreOld)
+	}
+	known := e.config.Load().Get(m.GetKind(), m.GetName()).GetRevision()
+	present, err := e.store.Get(ctx, c.key)
 	e.noteStore(err)
 	if err != nil {
 		return nil, storeError(err)
@@ -97,23 +159,23 @@
 		}
 		o.Revision = present.Revision
 	}
-	if hasChange(o, m.GetChangeId()) {
-		return o, nil
-	}
-	if !m.GetAnyBase() && m.GetBaseRevision() != o.GetRevision() {
-		return nil, verdict.NotRunError(apiv1.Reason_REASON_CONFLICT, "object is at revision %d, the change is based on %d", o.GetRevision(), m.GetBaseRevision())
-	}
-	base := o.GetRevision()
-	if err := applyChange(o, m); err != nil {
-		return nil, err
+	if !e.checkRevision(known, o.GetRevision()) {
+		return nil, storeError(errStoreOld)
 	}
+	return o, nil
+}
+
+// write stores o, changed from a base revision.
+func (c *changeCall) write(ctx context.Context, o *apiv1.Object, base uint64) (*apiv1.Object, *verdict.Error) {
 	data, err := proto.Marshal(o)
 	if err != nil {
 		return nil, verdict.NotRunError(apiv1.Reason_REASON_INVALID_ARGUMENT, "%v", err)
 	}
-	*attempted = true
-	result, err := e.store.CompareAndSwap(ctx, store.Change{Key: key, Data: data, Expected: base})
+	c.attempted = true
+	c.assume()
+	result, err := c.entry.store.CompareAndSwap(ctx, store.Change{Key: c.key, Data: data, Expected: base})
 	if err != nil {
+		c.entry.counters.Counter("config_outcomes_unknown").Inc(1)
 		return nil, storeError(err)
 	}
 	if !result.Swapped {
@@ -123,6 +185,52 @@
 	return o, nil
 }
 
+func (c *changeCall) objectKey() config.Key {
+	return config.Key{Kind: c.request.GetKind(), Name: c.request.GetName()}
+}
+
+// assume treats the object of a take-out as out.
+func (c *changeCall) assume() {
+	if c.assumed || !c.request.GetSetOut().GetOut() {
+		return
+	}
+	c.assumed = true
+	c.entry.config.AssumeOut(c.objectKey())
+}
+
+// settle ends the assumption once the configuration has reached a revision.
+func (c *changeCall) settle(revision uint64) {
+	if !c.assumed {
+		return
+	}
+	c.assumed = false
+	go func() {
+		if revision > 0 {
+			c.entry.config.WaitAbove(context.Background(), revision-1)
+		}
+		c.entry.config.Settle(c.objectKey())
+		c.entry.dispatcher.Refresh()
+	}()
+}
+
+// resolve reads the object of an abandoned take-out until the store tells its
+// outcome. It waits first, since the write may still be on its way.
+func (c *changeCall) resolve() {
+	if !c.assumed {
+		return
+	}
+	ctx := context.Background()
+	sleep(ctx, unknownWait)
+	for {
+		o, err := c.read(ctx)
+		if err == nil {
+			c.settle(o.GetRevision())
+			return
+		}
+		sleep(ctx, storeBackoff)
+	}
+}
+
 func storeError(err error) *verdict.Error {
 	return verdict.NotRunError(apiv1.Reason_REASON_STORE_UNAVAILABLE, "%v", err)
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 	"github.com/rosemarybay/rosemarybay/internal/version/roster"
 )
@@ -52,6 +53,10 @@
 	draining    atomic.Bool
 	reachable   atomic.Bool // the store answered last time
 	jobs        *jobs.Table // set before ready
+	freshness   *freshness
+	storeOld    atomic.Bool // the store is older than what is known
+	loggedFresh bool        // used by keepContact only
+	ticketKey   atomic.Pointer[ticket.Key]
 
 	mu     sync.Mutex
 	agents map[string]*agentLink // by agent name
@@ -81,6 +86,7 @@
 		config:      config.NewView(),
 		roster:      roster.NewView(),
 		agents:      make(map[string]*agentLink),
+		freshness:   newFreshness(s.Entry.Permit.Std(), time.Now()),
 	}
 	e.peers = newPeers(e)
 	e.dispatcher = dispatch.New(dispatch.Options{
@@ -89,6 +95,7 @@
 		QueueLimit: s.Entry.QueueLimit,
 		Config:     e.config,
 		Counters:   counters,
+		IsFresh:    e.isFresh,
 	})
 	e.server, err = caller.Listen(s.Entry.CallerListen, e.handler())
 	if err != nil {
--- a/internal/process/entry/follow.go
+++ b/internal/process/entry/follow.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,8 +13,6 @@
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
-	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
-	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
 	"github.com/rosemarybay/rosemarybay/internal/version/roster"
 )
 
@@ -28,22 +26,34 @@
 
 const (
 	storeBackoff  = 200 * time.Millisecond
-	watchWait     = 10 * time.Second
-	leaseRenewals = 3 // renewals in one lease time
+	watchGrace    = time.Second // added to the wait of a watch
+	leaseRenewals = 3           // renewals in one lease time
 )
 
 // follow registers the entry and keeps its configuration and roster up to date.
+// While the store does not answer at the start, the entry learns them from its
+// peers and agents.
 func (e *Entry) follow(ctx context.Context) {
+	go e.keepContact(ctx)
 	e.retry(ctx, e.loadTicketKey)
-	e.retry(ctx, e.register)
 	state := &storeState{entry: e, entries: make(map[string]*peerv1.RosterEntry)}
-	e.retry(ctx, state.list)
-	if ctx.Err() != nil {
-		return
+	go func() {
+		e.retry(ctx, e.register)
+		e.retry(ctx, state.list)
+		state.watch(ctx)
+	}()
+	e.retry(ctx, e.start)
+}
+
+// start makes the entry ready once its configuration is the present one.
+func (e *Entry) start(ctx context.Context) error {
+	e.learnFromPeers(ctx)
+	if e.freshness.remaining(time.Now()) == 0 {
+		return errNotFresh
 	}
 	e.ready.Store(true)
 	e.log.Info().Uint64("incarnation", e.incarnation).Msg("entry ready")
-	state.watch(ctx)
+	return nil
 }
 
 // retry calls f until it succeeds or ctx ends.
@@ -72,29 +82,6 @@
 	}
 }
 
-// loadTicketKey reads the signing key of tickets, or makes it.
-func (e *Entry) loadTicketKey(ctx context.Context) error {
-	value, err := e.store.Get(ctx, ticketKeyName)
-	if err != nil {
-		return err
-	}
-	if value == nil {
-		fresh := make([]byte, ticket.KeySize)
-		_, _ = rand.Read(fresh)
-		if _, err := e.store.CompareAndSwap(ctx, store.Change{Key: ticketKeyName, Data: fresh}); err != nil {
-			return err
-		}
-		return eris.New("ticket key was just made")
-	}
-	if len(value.Data) != ticket.KeySize {
-		return eris.Errorf("ticket key has %d bytes", len(value.Data))
-	}
-	key := ticket.Key(value.Data)
-	e.jobs = jobs.NewTable(e.incarnation, key, e.settings.Entry.TicketLifetime.Std(), e.dispatcher, e.counters)
-	go e.jobs.Expire(ctx.Done())
-	return nil
-}
-
 // register puts the entry into the roster under a lease and keeps the lease.
 func (e *Entry) register(ctx context.Context) error {
 	ttl := e.settings.Entry.Lease.Std()
@@ -154,45 +141,87 @@
 	entry    *Entry
 	revision uint64
 	entries  map[string]*peerv1.RosterEntry
+	lapsed   []lapsedEntry
+}
+
+// lapsedEntry is an entry whose lease lapsed at a time.
+type lapsedEntry struct {
+	entry *peerv1.RosterEntry
+	at    time.Time
 }
 
 func (s *storeState) list(ctx context.Context) error {
+	sent := time.Now()
+	known := max(s.revision, s.entry.config.Load().Revision())
 	listing, err := s.entry.store.List(ctx, keyPrefix)
 	if err != nil {
 		return err
 	}
-	clear(s.entries)
+	if !s.entry.checkRevision(known, listing.Revision) {
+		return errStoreOld
+	}
+	s.setEntries(listing.Values)
 	s.apply(listing.Values, listing.Revision)
+	s.entry.freshness.noteStore(sent)
 	return nil
 }
 
+// setEntries drops the entries that a complete listing does not name.
+func (s *storeState) setEntries(values []store.Value) {
+	present := make(map[string]struct{}, len(values))
+	for _, v := range values {
+		present[v.Key] = struct{}{}
+	}
+	for key := range s.entries {
+		if _, ok := present[key]; !ok {
+			s.removeEntry(key)
+		}
+	}
+}
+
 func (s *storeState) watch(ctx context.Context) {
 	for ctx.Err() == nil {
-		listing, err := s.entry.store.Watch(ctx, keyPrefix, s.revision, watchWait)
+		err := s.watchOnce(ctx)
 		s.entry.noteStore(err)
-		switch {
-		case err != nil:
-			sleep(ctx, storeBackoff)
-		case listing.Compacted:
-			s.entry.retry(ctx, s.list)
-		default:
-			s.apply(listing.Values, listing.Revision)
+		if err == nil {
+			continue
 		}
+		// A watch that never answers does not keep the changes away.
+		s.entry.counters.Counter("store_watch_failed").Inc(1)
+		sleep(ctx, storeBackoff)
+		s.entry.noteStore(s.list(ctx))
+	}
+}
+
+func (s *storeState) watchOnce(ctx context.Context) error {
+	wait := s.entry.freshness.watchWait()
+	limited, cancel := context.WithTimeout(ctx, wait+watchGrace)
+	defer cancel()
+	sent := time.Now()
+	listing, err := s.entry.store.Watch(limited, keyPrefix, s.revision, wait)
+	if err != nil {
+		return err
+	}
+	if !s.entry.checkRevision(s.revision, listing.Revision) {
+		return errStoreOld
+	}
+	if listing.Compacted {
+		return s.list(ctx)
 	}
+	s.apply(listing.Values, listing.Revision)
+	s.entry.freshness.noteStore(sent)
+	return nil
 }
 
 // apply takes changed values in order of their revisions.
 func (s *storeState) apply(values []store.Value, revision uint64) {
-	if revision <= s.revision && s.revision != 0 {
-		return
-	}
 	s.revision = revision
 	update := &peerv1.ConfigUpdate{FromRevision: s.entry.config.Load().Revision()}
 	rosterChanged := false
 	for _, v := range values {
 		switch {
 		case strings.HasPrefix(v.Key, configPrefix):
-			s.addObject(update, v)
+			s.entry.addObject(update, v)
 		case strings.HasPrefix(v.Key, entriesPrefix):
 			rosterChanged = true
 			s.applyEntry(v)
@@ -206,10 +235,10 @@
 	}
 }
 
-func (s *storeState) addObject(update *peerv1.ConfigUpdate, v store.Value) {
+func (e *Entry) addObject(update *peerv1.ConfigUpdate, v store.Value) {
 	o := &apiv1.Object{}
 	if err := proto.Unmarshal(v.Data, o); err != nil || v.Deleted {
-		s.entry.counters.Counter("config_undecodable").Inc(1)
+		e.counters.Counter("config_undecodable").Inc(1)
 		return
 	}
 	o.Revision = v.Revision
@@ -219,30 +248,61 @@
 
 func (s *storeState) applyEntry(v store.Value) {
 	if v.Deleted {
-		delete(s.entries, v.Key)
+		s.removeEntry(v.Key)
 		return
 	}
 	e := &peerv1.RosterEntry{}
 	if err := proto.Unmarshal(v.Data, e); err == nil {
 		s.entries[v.Key] = e
+		s.forgetLapsed(e.GetName())
+	}
+}
+
+// removeEntry drops an entry. Unless it stopped as planned it is remembered,
+// since it may still run, cut off from the store.
+func (s *storeState) removeEntry(key string) {
+	e := s.entries[key]
+	delete(s.entries, key)
+	if e != nil && !e.GetDraining() {
+		s.lapsed = append(s.lapsed, lapsedEntry{entry: e, at: time.Now()})
 	}
 }
 
+// forgetLapsed drops the lapsed entries that a new incarnation of their name
+// has replaced.
+func (s *storeState) forgetLapsed(name string) {
+	s.lapsed = slices.DeleteFunc(s.lapsed, func(l lapsedEntry) bool { return l.entry.GetName() == name })
+}
+
 func (s *storeState) publishRoster() {
 	entries := make([]*peerv1.RosterEntry, 0, len(s.entries))
 	for _, e := range s.entries {
 		entries = append(entries, e)
 	}
 	r := roster.New(s.revision, entries)
-	if s.entry.roster.Apply(r) {
-		s.entry.eachAgent(func(a *agentLink) { a.sendRoster(r) })
+	for _, l := range s.lapsed {
+		if time.Since(l.at) < storeOutageLimit {
+			r.Lapsed = append(r.Lapsed, l.entry)
+		}
+	}
+	s.entry.applyRoster(r)
+}
+
+// applyRoster takes a newer roster and passes it on to the agents.
+func (e *Entry) applyRoster(r *roster.Roster) {
+	if e.roster.Apply(r) {
+		e.eachAgent(func(a *agentLink) { a.sendRoster(r) })
 	}
 }
 
 // applyConfig puts an update in force here and passes it on to the agents.
 func (e *Entry) applyConfig(u *peerv1.ConfigUpdate) {
 	before := e.config.Load().Revision()
-	if rose, _ := e.config.Apply(u); !rose {
+	rose, ok := e.config.Apply(u)
+	if !ok {
+		e.counters.Counter("config_gaps").Inc(1)
+	}
+	if !rose {
 		return
 	}
 	snapshot := e.config.Load()
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -65,7 +65,7 @@
 	p.mu.Unlock()
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	if pl.isOpen() && pl.incarnation == to.GetIncarnation() {
+	if pl.isOpen() && isWanted(to, pl.incarnation) {
 		return pl.link, nil
 	}
 	if err := p.open(ctx, pl, to); err != nil {
@@ -102,14 +102,21 @@
 	if err != nil {
 		return err
 	}
-	if got := f.GetWelcome().GetIncarnation(); got != to.GetIncarnation() || l.Remote().Role != "entry" {
+	got := f.GetWelcome().GetIncarnation()
+	if !isWanted(to, got) || l.Remote().Role != "entry" {
 		l.Close()
 		return eris.Errorf("peer at %s is not the incarnation asked for", to.GetPeerAddress())
 	}
-	pl.link, pl.incarnation = l, to.GetIncarnation()
+	pl.link, pl.incarnation = l, got
 	return nil
 }
 
+// isWanted reports whether an incarnation is the one asked for; an address from
+// the settings names none.
+func isWanted(to *peerv1.RosterEntry, incarnation uint64) bool {
+	return to.GetIncarnation() == 0 || to.GetIncarnation() == incarnation
+}
+
 // handleCall answers the calls of other entries.
 func (e *Entry) handleCall(ctx context.Context, call *peerv1.Call) *peerv1.Reply {
 	var answer *apiv1.Answer
@@ -121,6 +128,13 @@
 		answer, err = e.getHere(ctx, r.GetJob)
 	case *peerv1.Call_CancelJob:
 		answer, err = e.cancelHere(ctx, r.CancelJob)
+	case *peerv1.Call_GetConfig:
+		update := e.config.Load().Since(r.GetConfig.GetFromRevision())
+		return &peerv1.Reply{Response: &peerv1.Reply_Config{Config: update}}
+	case *peerv1.Call_GetRevision:
+		return &peerv1.Reply{Response: &peerv1.Reply_Revision{Revision: e.revision(r.GetRevision)}}
+	case *peerv1.Call_GetTicketKey:
+		return e.replyTicketKey()
 	default:
 		err = verdict.NotRunError(apiv1.Reason_REASON_INVALID_ARGUMENT, "unknown call")
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -86,6 +86,9 @@
 	Permit Duration `json:"permit,omitempty"`
 	// QueueLimit is the largest number of tasks that wait for a slot.
 	QueueLimit int `json:"queue_limit,omitempty"`
+	// Peers are the peer addresses of some other entries, asked for the
+	// configuration when the store does not answer at the start.
+	Peers []string `json:"peers,omitempty"`
 }
 
 // Agent holds the settings of the agent role.
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -95,6 +95,11 @@
 	if e.QueueLimit <= 0 {
 		return eris.New("entry.queue_limit must be positive")
 	}
+	for _, address := range e.Peers {
+		if err := validateAddress("entry.peers", address); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -27,6 +27,8 @@
 	Slow
 	// LoseAnswers applies each write and fails its answer.
 	LoseAnswers
+	// SilentWatch answers no Watch; all other calls work.
+	SilentWatch
 )
 
 // SlowDelay is added to each call in mode Slow.
@@ -285,6 +287,10 @@
 	if _, err := s.begin(ctx, "Watch"); err != nil {
 		return nil, err
 	}
+	if s.isMode(SilentWatch) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	timer := time.NewTimer(time.Duration(r.Msg.GetWaitMs()) * time.Millisecond)
 	defer timer.Stop()
 	for {
@@ -301,7 +307,11 @@
 		case <-s.stop:
 			return nil, errDown
 		}
-		if s.isDown() {
+		if s.isMode(SilentWatch) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		if s.isMode(Down) {
 			return nil, errDown
 		}
 	}
@@ -323,8 +333,8 @@
 	return response, s.changed
 }
 
-func (s *Server) isDown() bool {
+func (s *Server) isMode(m Mode) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.mode == Down
+	return s.mode == m
 }
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -2,6 +2,7 @@
 package config
 
 import (
+	"maps"
 	"sort"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
@@ -24,6 +25,8 @@
 type Snapshot struct {
 	revision uint64
 	objects  map[Key]*apiv1.Object
+	// assumedOut counts the take-outs of unknown outcome.
+	assumedOut map[Key]int
 }
 
 // Empty returns the snapshot at revision 0.
@@ -60,17 +63,19 @@
 
 // With returns s with an update applied. An object with a lower revision than
 // the one known is ignored, so no object ever reverts. The update must start at
-// or below the revision of s; otherwise ok is false.
+// or below the revision of s; otherwise ok is false. A complete update is merged
+// whatever its revision, since a store that lost changes may have given s.
 func (s *Snapshot) With(u *peerv1.ConfigUpdate) (next *Snapshot, ok bool) {
 	if !u.GetSnapshot() && u.GetFromRevision() > s.revision {
 		return s, false
 	}
-	if u.GetRevision() <= s.revision {
+	if u.GetRevision() <= s.revision && !u.GetSnapshot() {
 		return s, true
 	}
-	next = &Snapshot{revision: u.GetRevision(), objects: make(map[Key]*apiv1.Object, len(s.objects)+1)}
-	for key, o := range s.objects {
-		next.objects[key] = o
+	next = &Snapshot{
+		revision:   max(u.GetRevision(), s.revision),
+		objects:    maps.Clone(s.objects),
+		assumedOut: s.assumedOut,
 	}
 	for _, o := range u.GetObjects() {
 		key := KeyOf(o)
@@ -92,13 +97,18 @@
 	return u
 }
 
+// IsOut reports whether an object is out of service or assumed to be.
+func (s *Snapshot) IsOut(kind apiv1.ObjectKind, name string) bool {
+	return s.Get(kind, name).GetOut() || s.assumedOut[Key{Kind: kind, Name: name}] > 0
+}
+
 // CheckDepartment returns why a department gets no work, or nil.
 func (s *Snapshot) CheckDepartment(department string) *verdict.Error {
 	o := s.Get(apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT, department)
 	if o == nil {
 		return verdict.NotRunError(apiv1.Reason_REASON_DEPARTMENT_UNKNOWN, "department %q is not configured", department)
 	}
-	if o.GetOut() {
+	if s.IsOut(apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT, department) {
 		return verdict.NotRunError(apiv1.Reason_REASON_DEPARTMENT_LEFT, "department %q has left", department)
 	}
 	return nil
@@ -106,10 +116,10 @@
 
 // CheckTarget returns why a target gets no work of a department, or nil.
 func (s *Snapshot) CheckTarget(department, dataCentre, target string) *verdict.Error {
-	if s.Get(apiv1.ObjectKind_OBJECT_KIND_DATA_CENTRE, dataCentre).GetOut() {
+	if s.IsOut(apiv1.ObjectKind_OBJECT_KIND_DATA_CENTRE, dataCentre) {
 		return verdict.NotRunError(apiv1.Reason_REASON_DATA_CENTRE_OUT, "data centre %q is out of service", dataCentre)
 	}
-	if s.Get(apiv1.ObjectKind_OBJECT_KIND_TARGET, target).GetOut() {
+	if s.IsOut(apiv1.ObjectKind_OBJECT_KIND_TARGET, target) {
 		return verdict.NotRunError(apiv1.Reason_REASON_TARGET_LEFT, "target %q has left", target)
 	}
 	d := s.Get(apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT, department)
--- a/internal/version/roster/roster.go
+++ b/internal/version/roster/roster.go
@@ -2,6 +2,7 @@
 package roster
 
 import (
+	"slices"
 	"sort"
 	"sync/atomic"
 
@@ -13,6 +14,8 @@
 type Roster struct {
 	Revision uint64
 	Entries  []*peerv1.RosterEntry
+	// Lapsed are entries that left without a planned stop and may still run.
+	Lapsed []*peerv1.RosterEntry
 }
 
 // New returns a roster of entries.
@@ -27,6 +30,19 @@
 	return &Roster{Revision: revision, Entries: entries}
 }
 
+// FromProto returns the roster of a wire form.
+func FromProto(r *peerv1.Roster) *Roster {
+	next := New(r.GetRevision(), r.GetEntries())
+	next.Lapsed = r.GetLapsed()
+	return next
+}
+
+// Voters returns the entries of which a majority decides: those present and
+// those that lapsed.
+func (r *Roster) Voters() []*peerv1.RosterEntry {
+	return slices.Concat(r.Entries, r.Lapsed)
+}
+
 // ByIncarnation returns the entry of an incarnation, or nil.
 func (r *Roster) ByIncarnation(incarnation uint64) *peerv1.RosterEntry {
 	for _, e := range r.Entries {
@@ -39,7 +55,7 @@
 
 // Proto returns the wire form of r.
 func (r *Roster) Proto() *peerv1.Roster {
-	return &peerv1.Roster{Entries: r.Entries, Revision: r.Revision}
+	return &peerv1.Roster{Entries: r.Entries, Revision: r.Revision, Lapsed: r.Lapsed}
 }
 
 // View holds the present roster of a process.
