--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -119,6 +119,9 @@
 
 // handleCall answers the calls of other entries.
 func (e *Entry) handleCall(ctx context.Context, call *peerv1.Call) *peerv1.Reply {
+	if err := e.checkReady(); err != nil {
+		return &peerv1.Reply{Failure: err.Failure()}
+	}
 	var answer *apiv1.Answer
 	var err *verdict.Error
 	switch r := call.GetRequest().(type) {
