Bench: rollout takes data centres out and back under load

It prints the time from accepted to the last start and from the return to the first, the work done of the capacity left, responses around a store outage and the store's calls a second, and fails when a target is missed.

--- a/cmd/rosemarybay-bench/main.go
+++ b/cmd/rosemarybay-bench/main.go
@@ -26,6 +26,7 @@
 
   demo          run a few hundred ticket-desk jobs and print a table
   roundtrip     measure what the system adds to a call of an idle target
+  rollout       take data centres out and back under load, and measure
   replay FILE.. replay traces and check their outcomes
 `
 
@@ -48,6 +49,8 @@
 		return runDemo(ctx)
 	case "roundtrip":
 		return status(demo.RoundTrip(ctx, os.Stdout))
+	case "rollout":
+		return runRollout(ctx, args[1:])
 	case "replay":
 		return runReplay(ctx, args[1:])
 	default:
--- a/internal/process/entry/follow.go
+++ b/internal/process/entry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -25,9 +26,11 @@
 )
 
 const (
-	storeBackoff  = 200 * time.Millisecond
-	watchGrace    = time.Second // added to the wait of a watch
-	leaseRenewals = 3           // renewals in one lease time
+	storeBackoff = 200 * time.Millisecond
+	// maxStoreBackoff bounds the calls of an entry while the store is down.
+	maxStoreBackoff = time.Second
+	watchGrace      = time.Second // added to the wait of a watch
+	leaseRenewals   = 3           // renewals in one lease time
 )
 
 // follow registers the entry and keeps its configuration and roster up to date.
@@ -180,16 +183,23 @@
 }
 
 func (s *storeState) watch(ctx context.Context) {
+	backoff := storeBackoff
 	for ctx.Err() == nil {
+		sent := time.Now()
 		err := s.watchOnce(ctx)
 		s.entry.noteStore(err)
 		if err == nil {
+			backoff = storeBackoff
 			continue
 		}
-		// A watch that never answers does not keep the changes away.
 		s.entry.counters.Counter("store_watch_failed").Inc(1)
-		sleep(ctx, storeBackoff)
-		s.entry.noteStore(s.list(ctx))
+		if time.Since(sent) > s.entry.freshness.watchWait() {
+			// A watch that never answers does not keep the changes away.
+			s.entry.noteStore(s.list(ctx))
+			continue
+		}
+		sleep(ctx, backoff/2+rand.N(backoff/2))
+		backoff = min(2*backoff, maxStoreBackoff)
 	}
 }
 
