--- a/internal/process/entry/contact.go
+++ b/internal/process/entry/contact.go
@@ -142,3 +142,19 @@
 	}
 	return reply
 }
+
+// handleConfigCall answers the calls that an entry answers before it is ready;
+// nil for all others.
+func (e *Entry) handleConfigCall(call *peerv1.Call) *peerv1.Reply {
+	switch r := call.GetRequest().(type) {
+	case *peerv1.Call_GetConfig:
+		update := e.config.Load().Since(r.GetConfig.GetFromRevision())
+		return &peerv1.Reply{Response: &peerv1.Reply_Config{Config: update}}
+	case *peerv1.Call_GetRevision:
+		return &peerv1.Reply{Response: &peerv1.Reply_Revision{Revision: e.revision(r.GetRevision)}}
+	case *peerv1.Call_GetTicketKey:
+		return e.replyTicketKey()
+	default:
+		return nil
+	}
+}
--- a/internal/process/entry/follow.go
+++ b/internal/process/entry/follow.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
@@ -22,15 +20,16 @@
 	keyPrefix     = "rosemarybay/"
 	configPrefix  = keyPrefix + "config/"
 	entriesPrefix = keyPrefix + "entries/"
+	adoptedPrefix = keyPrefix + "adopted/"
 	ticketKeyName = keyPrefix + "keys/ticket"
 )
 
 const (
-	storeBackoff = 200 * time.Millisecond
+	storeBackoff  = 200 * time.Millisecond
+	startInterval = 50 * time.Millisecond
 	// maxStoreBackoff bounds the calls of an entry while the store is down.
 	maxStoreBackoff = time.Second
 	watchGrace      = time.Second // added to the wait of a watch
-	leaseRenewals   = 3           // renewals in one lease time
 )
 
 // follow registers the entry and keeps its configuration and roster up to date.
@@ -45,18 +44,21 @@
 		e.retry(ctx, state.list)
 		state.watch(ctx)
 	}()
-	e.retry(ctx, e.start)
+	e.start(ctx)
 }
 
 // start makes the entry ready once its configuration is the present one.
-func (e *Entry) start(ctx context.Context) error {
+func (e *Entry) start(ctx context.Context) {
 	e.learnFromPeers(ctx)
-	if e.freshness.remaining(time.Now()) == 0 {
-		return errNotFresh
+	for e.freshness.remaining(time.Now()) == 0 {
+		sleep(ctx, startInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		e.learnFromPeers(ctx)
 	}
 	e.ready.Store(true)
 	e.log.Info().Uint64("incarnation", e.incarnation).Msg("entry ready")
-	return nil
 }
 
 // retry calls f until it succeeds or ctx ends.
@@ -85,60 +87,6 @@
 	}
 }
 
-// register puts the entry into the roster under a lease and keeps the lease.
-func (e *Entry) register(ctx context.Context) error {
-	ttl := e.settings.Entry.Lease.Std()
-	id, err := e.store.GrantLease(ctx, ttl)
-	if err != nil {
-		return err
-	}
-	key := fmt.Sprintf("%s%016x", entriesPrefix, e.incarnation)
-	data, err := proto.Marshal(&peerv1.RosterEntry{
-		Name:          e.settings.Name,
-		DataCentre:    e.settings.DataCentre,
-		Incarnation:   e.incarnation,
-		PeerAddress:   e.settings.Entry.PeerAdvertise,
-		CallerAddress: e.settings.Entry.CallerListen,
-	})
-	if err != nil {
-		return err
-	}
-	result, err := e.store.CompareAndSwap(ctx, store.Change{Key: key, Data: data, LeaseID: id})
-	if err != nil {
-		return err
-	}
-	if !result.Swapped && result.Present == nil {
-		return eris.New("registration was refused")
-	}
-	go e.keepLease(ctx, id)
-	return nil
-}
-
-func (e *Entry) keepLease(ctx context.Context, id uint64) {
-	interval := e.settings.Entry.Lease.Std() / leaseRenewals
-	for {
-		sleep(ctx, interval)
-		if ctx.Err() != nil {
-			e.revoke(id)
-			return
-		}
-		err := e.store.RenewLease(ctx, id)
-		if eris.Is(err, store.ErrLeaseLapsed) {
-			e.log.Warn().Msg("lease lapsed")
-			e.retry(ctx, e.register)
-			return
-		}
-		e.noteStore(err)
-	}
-}
-
-// revoke takes a stopping entry out of the roster.
-func (e *Entry) revoke(id uint64) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_ = e.store.RevokeLease(ctx, id)
-}
-
 // storeState follows the store's keys by one watch.
 type storeState struct {
 	entry    *Entry
@@ -232,6 +180,8 @@
 		switch {
 		case strings.HasPrefix(v.Key, configPrefix):
 			s.entry.addObject(update, v)
+		case strings.HasPrefix(v.Key, adoptedPrefix):
+			s.entry.adoptions.learn(v)
 		case strings.HasPrefix(v.Key, entriesPrefix):
 			rosterChanged = true
 			s.applyEntry(v)
--- a/internal/process/entry/learn.go
+++ b/internal/process/entry/learn.go
@@ -10,13 +10,8 @@
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 )
 
-var (
-	// errNotFresh reports that neither the store nor a majority of the entries
-	// has confirmed the configuration.
-	errNotFresh = eris.New("configuration is not confirmed")
-	// errStoreOld reports a store that is older than what is known.
-	errStoreOld = eris.New("store is older than the known configuration")
-)
+// errStoreOld reports a store that is older than what is known.
+var errStoreOld = eris.New("store is older than the known configuration")
 
 // startCallTimeout bounds the calls to the store for which peers can stand in.
 const startCallTimeout = 3 * time.Second
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -13,8 +13,12 @@
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
-// peerKeepAlive keeps the links between entries open.
-const peerKeepAlive = time.Second
+const (
+	// peerKeepAlive keeps the links between entries open.
+	peerKeepAlive = time.Second
+	// peerDialTimeout bounds the dial of an entry that may be gone.
+	peerDialTimeout = time.Second
+)
 
 // peers holds the links this entry dialled to other entries, by address.
 type peers struct {
@@ -38,7 +42,7 @@
 		entry: e,
 		dialer: &link.Dialer{
 			Transport: e.transport,
-			TLS:       e.tls,
+			TLS:       e.access.keys.Client(),
 			Stats:     e.stats,
 			KeepAlive: peerKeepAlive,
 		},
@@ -68,6 +72,12 @@
 	if pl.isOpen() && isWanted(to, pl.incarnation) {
 		return pl.link, nil
 	}
+	// Calls that waited for a dial in vain do not dial in turn.
+	if to.GetIncarnation() != 0 && !p.entry.isRegistered(to.GetIncarnation()) {
+		return nil, eris.Errorf("entry %s has left the roster", to.GetName())
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+	defer cancel()
 	if err := p.open(ctx, pl, to); err != nil {
 		return nil, err
 	}
@@ -119,30 +129,50 @@
 
 // handleCall answers the calls of other entries.
 func (e *Entry) handleCall(ctx context.Context, call *peerv1.Call) *peerv1.Reply {
+	if reply := e.handleConfigCall(call); reply != nil {
+		return reply
+	}
 	if err := e.checkReady(); err != nil {
+		err.Verdict = verdict.MayHaveRun
 		return &peerv1.Reply{Failure: err.Failure()}
 	}
-	var answer *apiv1.Answer
-	var err *verdict.Error
-	switch r := call.GetRequest().(type) {
-	case *peerv1.Call_Submit:
-		answer, err = e.submitHere(ctx, r.Submit)
-	case *peerv1.Call_GetJob:
-		answer, err = e.getHere(ctx, r.GetJob)
-	case *peerv1.Call_CancelJob:
-		answer, err = e.cancelHere(ctx, r.CancelJob)
-	case *peerv1.Call_GetConfig:
-		update := e.config.Load().Since(r.GetConfig.GetFromRevision())
-		return &peerv1.Reply{Response: &peerv1.Reply_Config{Config: update}}
-	case *peerv1.Call_GetRevision:
-		return &peerv1.Reply{Response: &peerv1.Reply_Revision{Revision: e.revision(r.GetRevision)}}
-	case *peerv1.Call_GetTicketKey:
-		return e.replyTicketKey()
-	default:
-		err = verdict.NotRunError(apiv1.Reason_REASON_INVALID_ARGUMENT, "unknown call")
+	if m := call.GetHandOver(); m != nil {
+		return e.takeOver(m)
 	}
+	answer, err := e.handleTicketCall(ctx, call)
 	if err != nil {
 		return &peerv1.Reply{Failure: err.Failure()}
 	}
 	return &peerv1.Reply{Response: &peerv1.Reply_Answer{Answer: answer}}
 }
+
+func (e *Entry) handleTicketCall(ctx context.Context, call *peerv1.Call) (*apiv1.Answer, *verdict.Error) {
+	m := ticketOf(call)
+	if m == nil {
+		return nil, verdict.NotRunError(apiv1.Reason_REASON_INVALID_ARGUMENT, "unknown call")
+	}
+	t, err := e.decodeLive(m)
+	if err != nil {
+		return nil, err
+	}
+	answer, err, ok := e.local(ctx, t.Home, call)
+	if ok {
+		return answer, err
+	}
+	if e.adoptions.adopter(t.Home) == e.incarnation {
+		// Named as the adopter, but nothing is held yet.
+		return e.adoptNamed(ctx, t.Home, call)
+	}
+	return nil, errHomeLost("ticket belongs to another incarnation")
+}
+
+func (e *Entry) adoptNamed(ctx context.Context, home uint64, call *peerv1.Call) (*apiv1.Answer, *verdict.Error) {
+	if err := e.adopt(ctx, home); err != nil {
+		return nil, errHomeLost("the entry that issued the ticket is lost: %v", err)
+	}
+	answer, err, ok := e.local(ctx, home, call)
+	if !ok {
+		return nil, errHomeLost("ticket belongs to another incarnation")
+	}
+	return answer, err
+}
--- a/internal/process/entry/ticketkey.go
+++ b/internal/process/entry/ticketkey.go
@@ -30,6 +30,7 @@
 	key := ticket.Key(data)
 	e.ticketKey.Store(&key)
 	e.jobs = jobs.NewTable(e.incarnation, key, e.settings.Entry.TicketLifetime.Std(), e.dispatcher, e.counters)
+	e.jobs.SetMemory(e.memory)
 	go e.jobs.Expire(ctx.Done())
 	return nil
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/connection/identity"
 )
 
 // Role selects what the daemon does.
@@ -68,6 +69,11 @@
 	Key  string `json:"key"`
 }
 
+// Files returns the names of the node's keys.
+func (t TLS) Files() identity.Files {
+	return identity.Files{CA: t.CA, Cert: t.Cert, Key: t.Key}
+}
+
 // Entry holds the settings of the entry role.
 type Entry struct {
 	// CallerListen is the TCP address for callers and operators.
@@ -86,6 +92,21 @@
 	Permit Duration `json:"permit,omitempty"`
 	// QueueLimit is the largest number of tasks that wait for a slot.
 	QueueLimit int `json:"queue_limit,omitempty"`
+	// AnswerMemoryMB bounds the memory of remembered answers.
+	AnswerMemoryMB int `json:"answer_memory_mb,omitempty"`
+	// CallerTLS holds the certificate of CallerListen; without it callers speak
+	// plain HTTP.
+	CallerTLS *CallerTLS `json:"caller_tls,omitempty"`
+	// Callers are the callers and operators that are let in. Without any, all
+	// are let in as everyone, which only loopback addresses allow.
+	Callers []Caller `json:"callers,omitempty"`
+	// CallerRate is the largest number of requests a second of one connection.
+	CallerRate int `json:"caller_rate,omitempty"`
+	// CallerIdle is the time allowed for the next request of a connection to
+	// arrive whole.
+	CallerIdle Duration `json:"caller_idle,omitempty"`
+	// CallerConnections is the largest number of connections of callers.
+	CallerConnections int `json:"caller_connections,omitempty"`
 	// Peers are the peer addresses of some other entries, asked for the
 	// configuration when the store does not answer at the start.
 	Peers []string `json:"peers,omitempty"`
