--- a/internal/bench/rollout/report.go
+++ b/internal/bench/rollout/report.go
@@ -130,7 +130,7 @@
 // reportOutage compares the responses before, in and after the outage.
 func (r *run) reportOutage(out io.Writer) bool {
 	from, to := r.outage[0], r.outage[1]
-	length := to.Sub(from)
+	length := r.options.window()
 	ok := true
 	for _, window := range []struct {
 		name     string
