--- a/internal/process/entry/configservice.go
+++ b/internal/process/entry/configservice.go
@@ -29,6 +29,10 @@
 // take effect at the store.
 const unknownWait = 5 * time.Second
 
+// changeLimit bounds the tries of one change, so that its caller gets a verdict
+// and can repeat it with the same change ID.
+const changeLimit = 10 * time.Second
+
 type configService struct {
 	apiv1connect.UnimplementedConfigServiceHandler
 	entry *Entry
@@ -89,6 +93,8 @@
 // object again and looks for its own change ID. With a conflict it returns the
 // present object. A take-out counts as landed here until its outcome is known.
 func (e *Entry) change(ctx context.Context, m *apiv1.ChangeRequest) (*apiv1.Object, *verdict.Error) {
+	ctx, cancel := context.WithTimeout(ctx, changeLimit)
+	defer cancel()
 	c := &changeCall{entry: e, key: objectKey(m.GetKind(), m.GetName()), request: m}
 	for {
 		o, err := c.try(ctx)
@@ -100,8 +106,11 @@
 			c.settle(0)
 			return o, err
 		}
-		sleep(ctx, storeBackoff)
-		if ctx.Err() != nil {
+		isOld := e.storeOld.Load()
+		if !isOld {
+			sleep(ctx, storeBackoff)
+		}
+		if isOld || ctx.Err() != nil {
 			if c.attempted {
 				err = verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN, "%s", err.Message)
 			}
