Refuse new work at an entry that is not fresh; ask the store at once after a pause

An entry that was paused waited for the end of its next watch to be fresh again, and callers of a part that was cut off waited for their deadlines. A watch of a store that takes 2 s an answer now has time to be answered.

--- a/internal/process/dispatch/outcome.go
+++ b/internal/process/dispatch/outcome.go
@@ -54,7 +54,7 @@
 	switch {
 	case failure.Reason == apiv1.Reason_REASON_TARGET_FULL:
 		at.target.full = at.target.free <= 0
-	case failure.Reason == apiv1.Reason_REASON_STALE_PERMIT:
+	case isElsewhere(failure.Reason):
 		at.target.blockedUntil = time.Now().Add(staleBackoff)
 		time.AfterFunc(staleBackoff, d.Refresh)
 	}
@@ -69,6 +69,17 @@
 	d.requeue(task, failure.Reason)
 }
 
+// isElsewhere reports whether an agent's refusal keeps further tasks from its
+// target for a while.
+func isElsewhere(reason verdict.Reason) bool {
+	switch reason {
+	case apiv1.Reason_REASON_STALE_PERMIT, apiv1.Reason_REASON_DATA_CENTRE_OUT, apiv1.Reason_REASON_TARGET_LEFT:
+		return true
+	default:
+		return false
+	}
+}
+
 // failed handles an attempt that ran or may have run.
 func (d *Dispatcher) failed(at *attempt, failure *verdict.Error) {
 	task := at.task
--- a/internal/process/entry/follow.go
+++ b/internal/process/entry/follow.go
@@ -29,7 +29,10 @@
 	startInterval = 50 * time.Millisecond
 	// maxStoreBackoff bounds the calls of an entry while the store is down.
 	maxStoreBackoff = time.Second
-	watchGrace      = time.Second // added to the wait of a watch
+	// watchGrace is added to the wait of a watch, for a store that is slow.
+	watchGrace = 2500 * time.Millisecond
+	// silentAfter tells a watch without an answer from one that was refused.
+	silentAfter = time.Second
 )
 
 // follow registers the entry and keeps its configuration and roster up to date.
@@ -141,7 +144,7 @@
 			continue
 		}
 		s.entry.counters.Counter("store_watch_failed").Inc(1)
-		if time.Since(sent) > s.entry.freshness.watchWait() {
+		if time.Since(sent) > silentAfter {
 			// A watch that never answers does not keep the changes away.
 			s.entry.noteStore(s.list(ctx))
 			continue
@@ -152,10 +155,10 @@
 }
 
 func (s *storeState) watchOnce(ctx context.Context) error {
-	wait := s.entry.freshness.watchWait()
+	sent := time.Now()
+	wait := s.entry.freshness.watchWait(sent)
 	limited, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
-	sent := time.Now()
 	listing, err := s.entry.store.Watch(limited, keyPrefix, s.revision, wait)
 	if err != nil {
 		return err
--- a/internal/process/entry/freshness.go
+++ b/internal/process/entry/freshness.go
@@ -3,6 +3,9 @@
 import (
 	"sync"
 	"time"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
 // storeOutageLimit is the longest time without the store for which contact with
@@ -84,8 +87,16 @@
 	return f.store.IsZero() || now.Sub(f.store) > f.period/storeSilence
 }
 
-// watchWait returns the wait of one watch call.
-func (f *freshness) watchWait() time.Duration { return f.period / watchesPerPeriod }
+// watchWait returns the wait of one watch call: none after a pause or an outage,
+// when an answer is wanted at once.
+func (f *freshness) watchWait(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.store) >= f.period {
+		return 0
+	}
+	return f.period / watchesPerPeriod
+}
 
 // contactInterval returns the time between rounds among the entries.
 func (f *freshness) contactInterval() time.Duration { return f.period / contactsPerPeriod }
@@ -101,3 +112,14 @@
 
 // isFresh reports whether tasks may be placed.
 func (e *Entry) isFresh() bool { return e.permit() > 0 }
+
+// checkDepartment returns why new work of a department is refused, or nil. An
+// entry that is not fresh refuses at once, so that callers try another one.
+func (e *Entry) checkDepartment(department string) *verdict.Error {
+	if !e.isFresh() {
+		err := verdict.NotRunError(apiv1.Reason_REASON_STALE_PERMIT, "neither the store nor most entries have confirmed the configuration")
+		err.RetryAfter = e.freshness.contactInterval()
+		return err
+	}
+	return e.config.Load().CheckDepartment(department)
+}
--- a/internal/process/entry/jobservice.go
+++ b/internal/process/entry/jobservice.go
@@ -71,7 +71,7 @@
 	if n := m.GetCount(); n == 0 || n > jobs.MaxTicketBatch {
 		return verdict.NotRunError(apiv1.Reason_REASON_INVALID_ARGUMENT, "count must be between 1 and %d", jobs.MaxTicketBatch)
 	}
-	return e.config.Load().CheckDepartment(m.GetDepartment())
+	return e.checkDepartment(m.GetDepartment())
 }
 
 // Submit implements the job service.
@@ -107,7 +107,7 @@
 		return nil, err
 	}
 	j, err := table.Submit(t, m, func() *verdict.Error {
-		return e.config.Load().CheckDepartment(m.GetDepartment())
+		return e.checkDepartment(m.GetDepartment())
 	})
 	if err != nil {
 		return nil, err
