--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -193,6 +193,9 @@
 	e.lease.mu.Lock()
 	change := store.Change{Key: e.lease.key, Data: data, Expected: e.lease.version, LeaseID: e.lease.id}
 	e.lease.mu.Unlock()
+	if change.Key == "" {
+		return // not registered yet
+	}
 	_, err = e.store.CompareAndSwap(ctx, change)
 	e.noteStore(err)
 }
