--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -132,8 +132,7 @@
 	if reply := e.handleConfigCall(call); reply != nil {
 		return reply
 	}
-	if err := e.checkReady(); err != nil {
-		err.Verdict = verdict.MayHaveRun
+	if err := e.checkRoute(); err != nil {
 		return &peerv1.Reply{Failure: err.Failure()}
 	}
 	if m := call.GetHandOver(); m != nil {
