Ask the store at once after a pause shorter than the freshness period

Cause: the trace of a home paused for 2 s failed once adoption and freshness came together: the watch sent after the pause waited 1 s, and with the pause that is the whole period of 3 s, so the entry refused a job as not_run 500 ms after it woke. Change: past half a period without the store the watch does not wait.

--- a/internal/process/entry/freshness.go
+++ b/internal/process/entry/freshness.go
@@ -92,7 +92,7 @@
 func (f *freshness) watchWait(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Sub(f.store) >= f.period {
+	if now.Sub(f.store) > f.period/storeSilence {
 		return 0
 	}
 	return f.period / watchesPerPeriod
