Operators' pages whose commands run in scripts

Cause: operators had no pages, and nothing kept commands on pages working. Change: pages for start, keys, upgrade, store outage and counters; a test finds each command of a shell block in the script of its page. The scripts start nodes with keys made by the tool, TLS and tokens, rotate keys by SIGHUP, and take the store down and up.

--- a/cmd/rosemarybay/main_test.go
+++ b/cmd/rosemarybay/main_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/netip"
 	"os"
-	"os/exec"
 	"regexp"
-	"syscall"
 	"testing"
 	"time"
 
@@ -41,12 +41,17 @@
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("ROSEMARYBAY_ADDRESS", f.Entries[0].StatusURL)
 			env.Setenv("OTHER_ENTRY", f.Entries[1].StatusURL)
+			env.Setenv("TARGET_URL", f.TargetURL("r1"))
+			// Nodes that a script starts listen on a loopback address of its own.
+			env.Setenv("HOST", netip.AddrFrom4([4]byte{127, 250, byte(rand.N(250)), byte(1 + rand.N(250))}).String())
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"await":   await,
 			"capture": capture,
 			"signal":  signalBackground,
+			"store":   storeCommand,
+			"expand":  expand,
 		},
 	})
 }
@@ -109,18 +114,3 @@
 	}
 	ts.Setenv(args[0], match[1])
 }
-
-// signalBackground NAME sends SIGHUP or SIGTERM to all background commands.
-func signalBackground(ts *testscript.TestScript, neg bool, args []string) {
-	signals := map[string]syscall.Signal{"HUP": syscall.SIGHUP, "TERM": syscall.SIGTERM}
-	if neg || len(args) != 1 || signals[args[0]] == 0 {
-		ts.Fatalf("usage: signal HUP|TERM")
-	}
-	for _, command := range ts.BackgroundCmds() {
-		ts.Check(sendSignal(command, signals[args[0]]))
-	}
-}
-
-func sendSignal(command *exec.Cmd, s syscall.Signal) error {
-	return command.Process.Signal(s)
-}
