--- a/internal/bench/fleet/access.go
+++ b/internal/bench/fleet/access.go
@@ -116,7 +116,7 @@
 // configuration of the first.
 func (f *Fleet) waitLinked(ctx context.Context) error {
 	for _, n := range f.Entries {
-		for !f.isLinked(ctx, n) {
+		for !f.IsLinked(ctx, n) {
 			if err := pause(ctx); err != nil {
 				return eris.Wrapf(err, "entry %s is not linked with all agents", n.Name)
 			}
@@ -125,7 +125,9 @@
 	return nil
 }
 
-func (f *Fleet) isLinked(ctx context.Context, n *Node) bool {
+// IsLinked reports whether an entry knows all entries and departments, and has a
+// link to each agent.
+func (f *Fleet) IsLinked(ctx context.Context, n *Node) bool {
 	status, err := f.Status(n).GetStatus(ctx, connect.NewRequest(&apiv1.GetStatusRequest{}))
 	if err != nil {
 		return false
