--- a/cmd/rosemarybay-bench/main.go
+++ b/cmd/rosemarybay-bench/main.go
@@ -26,6 +26,7 @@
 
   demo          run a few hundred ticket-desk jobs and print a table
   roundtrip     measure what the system adds to a call of an idle target
+  rollout       take data centres out and back under load, and measure
   chaos [-jobs N] [-seed N]
                 run jobs while nodes are killed, paused, stopped and cut off
   replay FILE.. replay traces and check their outcomes
@@ -50,6 +51,8 @@
 		return runDemo(ctx)
 	case "roundtrip":
 		return status(demo.RoundTrip(ctx, os.Stdout))
+	case "rollout":
+		return runRollout(ctx, args[1:])
 	case "chaos":
 		return runChaos(ctx, args[1:])
 	case "replay":
