--- a/internal/command/change.go
+++ b/internal/command/change.go
@@ -164,10 +164,17 @@
 }
 
 func pendingText(state *apiv1.InForce) string {
-	if len(state.GetPendingEntries()) == 0 {
-		return "older permits to run out"
+	var parts []string
+	if pending := state.GetPendingEntries(); len(pending) > 0 {
+		parts = append(parts, fmt.Sprintf("%d of %d entries: %s", len(pending), state.GetEntries(), strings.Join(pending, ", ")))
 	}
-	return fmt.Sprintf("%d of %d entries: %s", len(state.GetPendingEntries()), state.GetEntries(), strings.Join(state.GetPendingEntries(), ", "))
+	if remaining := time.Duration(state.GetRemainingMs()) * time.Millisecond; remaining > 0 {
+		parts = append(parts, fmt.Sprintf("permits given before, which last %s", remaining))
+	}
+	if len(parts) == 0 {
+		return "word of the entries"
+	}
+	return strings.Join(parts, "; ")
 }
 
 // clearLine returns to the start of a terminal's line and clears it.
--- a/internal/command/change_test.go
+++ b/internal/command/change_test.go
@@ -129,6 +129,12 @@
 		status, _, stderr := runWith(ctx, t, f, "datacentre", "out", "nbo1")
 		wantOutput(t, status, stderr, exitUnknown, unknown, "interrupted", "1 of 3 entries: e2")
 	})
+	t.Run("permits", func(t *testing.T) {
+		state := &apiv1.InForce{Entries: 3, RemainingMs: 1200}
+		f := &fakeConfig{onInForce: func(int) (*apiv1.InForce, error) { return state, nil }}
+		status, _, stderr := runWith(t.Context(), t, f, "target", "leave", "r1", "-timeout", "1s")
+		wantOutput(t, status, stderr, exitUnknown, unknown, "permits given before, which last 1.2s")
+	})
 	t.Run("timeout", func(t *testing.T) {
 		f := &fakeConfig{onInForce: func(int) (*apiv1.InForce, error) { return pendingState, nil }}
 		status, _, stderr := runWith(t.Context(), t, f, "datacentre", "out", "nbo1", "-timeout", "1s")
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"os/user"
+	"slices"
 	"time"
 )
 
@@ -98,6 +99,10 @@
 // Main runs the tool and returns its exit status: 0 done, 1 refused or failed,
 // 2 usage, 3 outcome unknown.
 func Main(ctx context.Context, args []string, streams Streams) int {
+	if len(args) > 0 && slices.Contains(helpWords, args[0]) {
+		printUsage(streams.Out)
+		return exitOK
+	}
 	sub, rest, ok := find(args)
 	if !ok {
 		printUsage(streams.Err)
@@ -136,6 +141,9 @@
 	}
 }
 
+// helpWords ask for the list of commands.
+var helpWords = []string{"help", "-h", "-help", "--help"}
+
 // find returns the subcommand that the leading words of args name.
 func find(args []string) (subcommand, []string, bool) {
 	for _, sub := range subcommands() {
