--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -29,6 +29,9 @@
 const (
 	expireInterval = 5 * time.Second
 	drainInterval  = 10 * time.Millisecond
+	// statusTimeout bounds a request for counters, and its answer.
+	statusTimeout     = 5 * time.Second
+	statusHeaderBytes = 8 << 10
 )
 
 // Agent is one agent incarnation.
@@ -92,7 +95,13 @@
 		sessions: make(map[uint64]*session),
 		dialers:  make(map[string]context.CancelFunc),
 	}
-	a.status = &http.Server{Handler: a.statusHandler(), ReadHeaderTimeout: time.Second}
+	a.status = &http.Server{
+		Handler:        a.statusHandler(),
+		ReadTimeout:    statusTimeout,
+		WriteTimeout:   statusTimeout,
+		IdleTimeout:    time.Minute,
+		MaxHeaderBytes: statusHeaderBytes,
+	}
 	go func() { _ = a.status.Serve(listener) }()
 	return a, nil
 }
--- a/internal/process/entry/fleetservice.go
+++ b/internal/process/entry/fleetservice.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/api/v1/apiv1connect"
 )
@@ -19,7 +20,7 @@
 }
 
 // GetStatus implements the fleet service.
-func (s *fleetService) GetStatus(context.Context, *connect.Request[apiv1.GetStatusRequest]) (*connect.Response[apiv1.GetStatusResponse], error) {
+func (s *fleetService) GetStatus(ctx context.Context, _ *connect.Request[apiv1.GetStatusRequest]) (*connect.Response[apiv1.GetStatusResponse], error) {
 	e := s.entry
 	if err := e.checkReady(); err != nil {
 		return nil, e.refuse(err)
@@ -31,17 +32,33 @@
 		JobsRunning:    uint32(e.jobs.Running()),
 		TasksQueued:    uint32(e.dispatcher.Queued()),
 	}
+	revisions := e.entryRevisions(ctx)
 	for _, r := range e.roster.Load().Entries {
 		status.Entries = append(status.Entries, &apiv1.EntryStatus{
-			Name:        r.GetName(),
-			DataCentre:  r.GetDataCentre(),
-			Incarnation: r.GetIncarnation(),
-			Address:     r.GetCallerAddress(),
+			Name:           r.GetName(),
+			DataCentre:     r.GetDataCentre(),
+			Incarnation:    r.GetIncarnation(),
+			Address:        r.GetCallerAddress(),
+			ConfigRevision: revisions[r.GetIncarnation()],
 		})
 	}
 	return connect.NewResponse(status), nil
 }
 
+// entryRevisions returns the configuration revision of each entry that answers,
+// by incarnation.
+func (e *Entry) entryRevisions(ctx context.Context) map[uint64]uint64 {
+	contacts := e.askEntries(ctx, &peerv1.GetRevision{
+		ConfigRevision: e.config.Load().Revision(),
+		RosterRevision: e.roster.Load().Revision,
+	})
+	revisions := make(map[uint64]uint64, len(contacts))
+	for _, c := range contacts {
+		revisions[c.entry.GetIncarnation()] = c.revision.GetConfigRevision()
+	}
+	return revisions
+}
+
 // GetCounters implements the fleet service.
 func (s *fleetService) GetCounters(context.Context, *connect.Request[apiv1.GetCountersRequest]) (*connect.Response[apiv1.GetCountersResponse], error) {
 	response := &apiv1.GetCountersResponse{}
