--- a/internal/process/entry/freshness_test.go
+++ b/internal/process/entry/freshness_test.go
@@ -313,14 +313,13 @@
 // An entry that was paused for less than a period asks the store at once, since
 // a whole watch would let its freshness lapse.
 func TestWatchAfterPauseDoesNotWait(t *testing.T) {
-	const period = 3 * time.Second
 	now := time.Now()
-	f := newFreshness(period, now)
+	f := newFreshness(testPeriod, now)
 	f.noteStore(now)
-	if wait := f.watchWait(now.Add(period / watchesPerPeriod)); wait == 0 {
+	if wait := f.watchWait(now.Add(testPeriod / watchesPerPeriod)); wait == 0 {
 		t.Error("no wait in the ordinary round of watches")
 	}
-	if wait := f.watchWait(now.Add(2 * period / 3)); wait != 0 {
+	if wait := f.watchWait(now.Add(2 * testPeriod / 3)); wait != 0 {
 		t.Errorf("wait of %v after a pause of two thirds of a period", wait)
 	}
 }
