--- /dev/null
+++ b/cmd/rosemarybay-bench/slopes.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io/fs"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/bench/slopes"
+)
+
+// defaultHeartbeat is the interval at which agents ask for permits.
+const defaultHeartbeat = 500 * time.Millisecond
+
+const resultPerm = 0o644
+
+// runSlopes measures slopes. With -out the result replaces the same units in
+// the file and keeps the others, so that a run can be taken in parts.
+func runSlopes(ctx context.Context, args []string) int {
+	flags := flag.NewFlagSet("slopes", flag.ContinueOnError)
+	asJSON := flags.Bool("json", false, "print JSON")
+	out := flags.String("out", "", "write JSON to `FILE`, merged with what it holds")
+	only := flags.String("only", "", "measure one of: "+strings.Join(slopes.Names(), ", "))
+	seed := flags.Int64("seed", 1, "seed of the loads")
+	heartbeat := flags.Duration("heartbeat", defaultHeartbeat, "interval of light agents' heartbeats")
+	if err := flags.Parse(args); err != nil || flags.NArg() > 0 {
+		return exitUsage
+	}
+	result, err := slopes.Run(ctx, slopes.Options{Only: *only, Seed: *seed, Heartbeat: *heartbeat})
+	if err != nil {
+		return status(err)
+	}
+	if *asJSON {
+		err = result.WriteJSON(os.Stdout)
+	} else {
+		err = result.WriteTable(os.Stdout)
+	}
+	if err == nil && *out != "" {
+		err = mergeSlopes(*out, result)
+	}
+	return status(err)
+}
+
+func mergeSlopes(path string, next *slopes.Result) error {
+	result := &slopes.Result{}
+	b, err := os.ReadFile(path)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+	case err != nil:
+		return err
+	default:
+		if err := json.Unmarshal(b, result); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	result.Merge(next)
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, resultPerm)
+	if err != nil {
+		return err
+	}
+	if err := result.WriteJSON(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
--- a/internal/bench/fleet/access.go
+++ b/internal/bench/fleet/access.go
@@ -15,6 +15,7 @@
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/api/v1/apiv1connect"
 	"github.com/rosemarybay/rosemarybay/client"
+	"github.com/rosemarybay/rosemarybay/internal/connection/identity"
 )
 
 // Operator is the name under which the bench changes the configuration.
@@ -208,3 +209,16 @@
 
 // TargetURL returns the address of a stand-in target.
 func (f *Fleet) TargetURL(name string) string { return f.targetURLs[name] }
+
+// Sign makes a certificate of the fleet's authority and returns it with the
+// authority's own.
+func (f *Fleet) Sign(id identity.Identity) (pair identity.Pair, ca string, err error) {
+	pair, err = identity.NewNode(f.ca, id)
+	return pair, f.ca.Cert, err
+}
+
+// PeerAddress returns the address of entry i for links.
+func (f *Fleet) PeerAddress(i int) string { return f.peers[i] }
+
+// StoreURL returns the address of the stand-in store.
+func (f *Fleet) StoreURL() string { return f.storeURL }
--- a/internal/bench/fleet/spec.go
+++ b/internal/bench/fleet/spec.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+)
 
 // Spec describes a fleet. Its JSON form is the first line of a trace.
 type Spec struct {
@@ -54,3 +58,8 @@
 	Name       string `json:"name"`
 	QuotaSlots int    `json:"quota_slots"`
 }
+
+// Proto returns the wire form of s.
+func (s Size) Proto() *apiv1.Size {
+	return &apiv1.Size{Cpus: s.CPUs, MemoryMb: uint32(s.MemoryMB), Accelerators: uint32(s.Accelerators)}
+}
--- /dev/null
+++ b/internal/bench/slopes/changes.go
@@ -0,0 +1,316 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/bench/fleet"
+	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+)
+
+const (
+	costEventProcessor = "processor, us"
+	costEventControl   = "control bytes, both ways"
+	costEventWire      = "wire bytes, both ways"
+	costEventDatagrams = "datagrams, both ways"
+	costEventCalls     = "store calls"
+	costNewcomer       = "snapshot bytes to a newcomer"
+	rosterPrefix       = "rosemarybay/entries/"
+	relayedChanges     = 50
+	rosterLinks        = 20
+	applyTime          = time.Second
+)
+
+// measureChanges measures a change at the entry that receives it, for each link
+// it is relayed on, and at an agent that applies it.
+func measureChanges(ctx context.Context, o Options) ([]Row, error) {
+	received := newSeries("change received", "entry")
+	applied := newSeries("change applied", "agent")
+	for _, n := range []int{50, 100, 200} {
+		if err := measureReceived(ctx, received, applied, n); err != nil {
+			return nil, err
+		}
+	}
+	relayed := newSeries("change relayed on a link", "entry")
+	for _, n := range []int{10, 50, 200} {
+		if err := measureRelayed(ctx, relayed, o, n); err != nil {
+			return nil, err
+		}
+	}
+	return append(append(received.rows(), relayed.rows()...), applied.rows()...), nil
+}
+
+// event is a reading of two processes and their counters.
+type event struct {
+	usage  usage
+	values map[string]int64
+}
+
+func readEvent(f *fleet.Fleet, n *fleet.Node) (event, error) {
+	u, err := readUsage(n.PID())
+	if err != nil {
+		return event{}, err
+	}
+	values, err := f.Scrape(n)
+	return event{usage: u, values: values}, err
+}
+
+func measureReceived(ctx context.Context, received, applied *series, n int) error {
+	f, err := startFleet(ctx, 1, 1)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	calls := sumCalls(f.Store)
+	entry, err := readEvent(f, f.Entries[0])
+	if err != nil {
+		return err
+	}
+	agent, err := readEvent(f, f.Agents[0])
+	if err != nil {
+		return err
+	}
+	if err := toggle(ctx, f, n); err != nil {
+		return err
+	}
+	if err := pause(ctx, applyTime); err != nil {
+		return err
+	}
+	if err := received.event(f, f.Entries[0], entry, n); err != nil {
+		return err
+	}
+	received.add(costEventCalls, float64(n), float64(sumCalls(f.Store)-calls))
+	return applied.event(f, f.Agents[0], agent, n)
+}
+
+// event adds what a node spent since a reading.
+func (s *series) event(f *fleet.Fleet, node *fleet.Node, before event, n int) error {
+	after, err := readEvent(f, node)
+	if err != nil {
+		return err
+	}
+	_, bytes := control(before.values, after.values)
+	s.add(costEventProcessor, float64(n), micros(after.usage.cpu-before.usage.cpu))
+	s.add(costEventControl, float64(n), bytes)
+	s.add(costMemory, float64(n), float64(after.usage.memory))
+	return nil
+}
+
+// toggle changes one object n times.
+func toggle(ctx context.Context, f *fleet.Fleet, n int) error {
+	config := f.Config(f.Entries[0])
+	for i := range n {
+		_, err := config.Change(ctx, connect.NewRequest(&apiv1.ChangeRequest{
+			ChangeId: fmt.Sprintf("toggle-%d", i),
+			By:       fleet.Operator,
+			Kind:     apiv1.ObjectKind_OBJECT_KIND_TARGET,
+			Name:     "no-such-target",
+			AnyBase:  true,
+			Change:   &apiv1.ChangeRequest_SetOut{SetOut: &apiv1.SetOut{Out: i%2 == 0}},
+		}))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureRelayed(ctx context.Context, s *series, o Options, links int) error {
+	f, g, err := startGroup(ctx, o, links)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	defer g.close()
+	before, err := readEvent(f, f.Entries[0])
+	if err != nil {
+		return err
+	}
+	bytes := g.conn.bytes.Load()
+	datagrams := g.conn.datagrams.Load()
+	if err := toggle(ctx, f, relayedChanges); err != nil {
+		return err
+	}
+	if err := pause(ctx, applyTime); err != nil {
+		return err
+	}
+	after, err := readEvent(f, f.Entries[0])
+	if err != nil {
+		return err
+	}
+	units := float64(links * relayedChanges)
+	_, controlBytes := control(before.values, after.values)
+	s.add(costEventProcessor, units, micros(after.usage.cpu-before.usage.cpu))
+	s.add(costEventControl, units, controlBytes)
+	s.add(costEventWire, units, float64(g.conn.bytes.Load()-bytes))
+	s.add(costEventDatagrams, units, float64(g.conn.datagrams.Load()-datagrams))
+	return nil
+}
+
+// startGroup starts one entry with n light agents. Their heartbeats are slow, so
+// that they add little to what is measured.
+func startGroup(ctx context.Context, o Options, n int) (*fleet.Fleet, *group, error) {
+	f, err := startFleet(ctx, 1, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	g, err := newGroup(f.PeerAddress(0), o.Heartbeat)
+	if err != nil {
+		f.Close()
+		return nil, nil, err
+	}
+	if err := g.open(ctx, f, "agent", n); err != nil {
+		g.close()
+		f.Close()
+		return nil, nil, err
+	}
+	return f, g, pause(ctx, settleTime)
+}
+
+// measureTeams measures configured groups of callers with a quota.
+func measureTeams(ctx context.Context, o Options) ([]Row, error) {
+	entry := newSeries("team with quota", "entry")
+	agent := newSeries("team with quota", "agent")
+	for _, n := range []int{100, 300, 1000} {
+		if err := measureTeamsAt(ctx, entry, agent, o, n); err != nil {
+			return nil, err
+		}
+	}
+	return append(entry.rows(), agent.rows()...), nil
+}
+
+func measureTeamsAt(ctx context.Context, entry, agent *series, o Options, n int) error {
+	f, err := startFleet(ctx, 1, 1)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	beforeEntry, err := readEvent(f, f.Entries[0])
+	if err != nil {
+		return err
+	}
+	beforeAgent, err := readEvent(f, f.Agents[0])
+	if err != nil {
+		return err
+	}
+	if err := createTeams(ctx, f, n); err != nil {
+		return err
+	}
+	if err := pause(ctx, applyTime); err != nil {
+		return err
+	}
+	if err := entry.event(f, f.Entries[0], beforeEntry, n); err != nil {
+		return err
+	}
+	if err := agent.event(f, f.Agents[0], beforeAgent, n); err != nil {
+		return err
+	}
+	g, err := newGroup(f.PeerAddress(0), o.Heartbeat)
+	if err != nil {
+		return err
+	}
+	defer g.close()
+	before, err := f.Scrape(f.Entries[0])
+	if err != nil {
+		return err
+	}
+	if err := g.open(ctx, f, "agent", 1); err != nil {
+		return err
+	}
+	if err := pause(ctx, applyTime); err != nil {
+		return err
+	}
+	after, err := f.Scrape(f.Entries[0])
+	_, bytes := control(before, after)
+	entry.add(costNewcomer, float64(n), bytes)
+	return err
+}
+
+func createTeams(ctx context.Context, f *fleet.Fleet, n int) error {
+	config := f.Config(f.Entries[0])
+	for i := range n {
+		r := &apiv1.ChangeRequest{
+			ChangeId: fmt.Sprintf("team-%d", i),
+			By:       fleet.Operator,
+			Kind:     apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT,
+			Name:     fmt.Sprintf("team-%d", i),
+			AnyBase:  true,
+			Change:   &apiv1.ChangeRequest_SetQuota{SetQuota: &apiv1.SetQuota{Slots: lightSlots}},
+		}
+		if _, err := config.Change(ctx, connect.NewRequest(r)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// measureRoster measures what one more member adds to each relayed roster.
+func measureRoster(ctx context.Context, o Options) ([]Row, error) {
+	s := newSeries("roster member", "entry")
+	for _, n := range []int{10, 50, 200} {
+		if err := measureRosterAt(ctx, s, o, n); err != nil {
+			return nil, err
+		}
+	}
+	return s.rows(), nil
+}
+
+func measureRosterAt(ctx context.Context, s *series, o Options, n int) error {
+	f, g, err := startGroup(ctx, o, rosterLinks)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	defer g.close()
+	client := store.Dial(f.StoreURL(), nil)
+	for i := range n {
+		if err := addMember(ctx, client, i); err != nil {
+			return err
+		}
+	}
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	before, err := readEvent(f, f.Entries[0])
+	if err != nil {
+		return err
+	}
+	if err := addMember(ctx, client, n); err != nil {
+		return err
+	}
+	if err := pause(ctx, applyTime); err != nil {
+		return err
+	}
+	after, err := readEvent(f, f.Entries[0])
+	if err != nil {
+		return err
+	}
+	_, bytes := control(before.values, after.values)
+	s.add("control bytes a change and link", float64(n), bytes/rosterLinks)
+	s.add(costMemory, float64(n), float64(after.usage.memory))
+	return nil
+}
+
+func addMember(ctx context.Context, client store.Store, i int) error {
+	data, err := proto.Marshal(&peerv1.RosterEntry{
+		Name:          fmt.Sprintf("dc%d-entry-%d", i%20, i),
+		DataCentre:    fmt.Sprintf("dc%d", i%20),
+		Incarnation:   uint64(i+1) << 32,
+		PeerAddress:   fmt.Sprintf("127.255.%d.%d:7000", i/250, i%250),
+		CallerAddress: fmt.Sprintf("127.255.%d.%d:7001", i/250, i%250),
+	})
+	if err != nil {
+		return err
+	}
+	_, err = client.CompareAndSwap(ctx, store.Change{Key: fmt.Sprintf("%sslopes-%d", rosterPrefix, i), Data: data})
+	return err
+}
