--- a/internal/bench/slopes/changes.go
+++ b/internal/bench/slopes/changes.go
@@ -238,16 +238,15 @@
 func createTeams(ctx context.Context, f *fleet.Fleet, n int) error {
 	config := f.Config(f.Entries[0])
 	for i := range n {
-		r := &apiv1.ChangeRequest{
-			ChangeId: fmt.Sprintf("team-%d", i),
-			By:       fleet.Operator,
-			Kind:     apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT,
-			Name:     fmt.Sprintf("team-%d", i),
-			AnyBase:  true,
-			Change:   &apiv1.ChangeRequest_SetQuota{SetQuota: &apiv1.SetQuota{Slots: lightSlots}},
-		}
-		if _, err := config.Change(ctx, connect.NewRequest(r)); err != nil {
-			return err
+		create := &apiv1.ChangeRequest{Change: &apiv1.ChangeRequest_Create{Create: &apiv1.Create{}}}
+		quota := &apiv1.ChangeRequest{Change: &apiv1.ChangeRequest_SetQuota{SetQuota: &apiv1.SetQuota{Slots: lightSlots}}}
+		for step, r := range []*apiv1.ChangeRequest{create, quota} {
+			r.ChangeId = fmt.Sprintf("team-%d-%d", i, step)
+			r.By, r.AnyBase = fleet.Operator, true
+			r.Kind, r.Name = apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT, fmt.Sprintf("team-%d", i)
+			if _, err := config.Change(ctx, connect.NewRequest(r)); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
