--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -24,11 +24,14 @@
 	// maxQueuedFrames bounds the frames that wait for a slow peer.
 	maxQueuedFrames   = 1 << 16
 	readBufferSize    = 32 << 10
-	idleTimeout       = 2 * time.Second
 	handshakeTimeout  = 3 * time.Second
 	maxStreamsPerPeer = 1024
 )
 
+// IdleTimeout is the time after which a link ends without a datagram from the
+// peer.
+const IdleTimeout = 2 * time.Second
+
 // Application error codes of a closed connection.
 const (
 	codeClosed quic.ApplicationErrorCode = iota
@@ -43,7 +46,7 @@
 func Config() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: handshakeTimeout,
-		MaxIdleTimeout:       idleTimeout,
+		MaxIdleTimeout:       IdleTimeout,
 		MaxIncomingStreams:   maxStreamsPerPeer,
 	}
 }
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -46,11 +46,13 @@
 	config      *config.View
 	roster      *roster.View
 	permit      permit
+	ctx         context.Context // ends with the process
 
 	mu       sync.Mutex
-	sessions map[uint64]*session // by entry incarnation
-	dialers  map[string]context.CancelFunc
-	waiters  []*session // refused since the target was full
+	sessions map[uint64]*session     // by entry incarnation
+	dialers  map[string]*entryDialer // by address
+	running  map[uint64]int          // attempts by entry incarnation
+	waiters  []*session              // refused since the target was full
 	draining bool
 }
 
@@ -87,7 +89,8 @@
 		config:   config.NewView(),
 		roster:   roster.NewView(),
 		sessions: make(map[uint64]*session),
-		dialers:  make(map[string]context.CancelFunc),
+		dialers:  make(map[string]*entryDialer),
+		running:  make(map[uint64]int),
 	}
 	a.status = &http.Server{Handler: a.statusHandler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = a.status.Serve(listener) }()
@@ -125,9 +128,8 @@
 func (a *Agent) Run(stop <-chan struct{}) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	for _, address := range a.settings.Agent.Entries {
-		a.dial(ctx, address)
-	}
+	a.ctx = ctx
+	a.updateLinks()
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/process/agent/session.go
+++ b/internal/process/agent/session.go
@@ -14,50 +14,48 @@
 	"github.com/rosemarybay/rosemarybay/internal/version/roster"
 )
 
-const (
-	// heartbeatInterval is the time between the permits an agent asks for.
-	heartbeatInterval = 500 * time.Millisecond
-	// urgentInterval is the same while the agent has no permit.
-	urgentInterval = 50 * time.Millisecond
-)
-
 // session is a link to one entry incarnation.
 type session struct {
 	agent *Agent
 	link  *link.Link
 	entry uint64
-	// ctx ends with the process's dialer, not with the link.
-	ctx context.Context
+	// address is the one that was dialled.
+	address string
 
 	mu       sync.Mutex
+	heardAt  time.Time // of the last frame
 	sequence uint64
 	sentAt   map[uint64]time.Time
 	replies  map[uint64]chan struct{}
 }
 
-// serve runs one link from its handshake to its end.
-func (a *Agent) serve(ctx context.Context, l *link.Link) {
+// serve runs one link from its handshake to its end. It reports whether the
+// entry took the link.
+func (a *Agent) serve(ctx context.Context, l *link.Link, address string) bool {
 	defer l.Close()
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
-	s, err := a.open(ctx, l)
+	s, err := a.open(l)
 	if err != nil {
-		return
+		return false
 	}
+	s.address = address
 	a.addSession(s)
+	a.updateLinks()
+	defer a.updateLinks()
 	defer a.removeSession(s)
 	go s.heartbeat()
 	for {
 		f, err := l.Receive()
 		if err != nil {
-			return
+			return true
 		}
 		s.handle(f)
 	}
 }
 
 // open exchanges Hello and Welcome.
-func (a *Agent) open(ctx context.Context, l *link.Link) (*session, error) {
+func (a *Agent) open(l *link.Link) (*session, error) {
 	if l.Remote().Role != "entry" {
 		return nil, eris.Errorf("peer %q is not an entry", l.Remote().Name)
 	}
@@ -83,7 +81,6 @@
 		agent:   a,
 		link:    l,
 		entry:   welcome.GetIncarnation(),
-		ctx:     ctx,
 		sentAt:  make(map[uint64]time.Time),
 		replies: make(map[uint64]chan struct{}),
 	}, nil
@@ -108,51 +105,8 @@
 	a.log.Info().Str("entry", s.link.Remote().Name).Uint64("incarnation", s.entry).Msg("link closed")
 }
 
-// heartbeat asks for a permit in each interval until the link ends.
-func (s *session) heartbeat() {
-	for {
-		s.sendHeartbeat(nil)
-		interval := heartbeatInterval
-		if !s.agent.permit.isValid(time.Now()) {
-			interval = urgentInterval
-		}
-		select {
-		case <-s.link.Done():
-			return
-		case <-time.After(interval):
-		}
-	}
-}
-
-// sendHeartbeat opens a round; reply, if not nil, is closed by its answer.
-func (s *session) sendHeartbeat(reply chan struct{}) {
-	s.mu.Lock()
-	s.sequence++
-	sequence := s.sequence
-	s.sentAt[sequence] = time.Now()
-	if reply != nil {
-		s.replies[sequence] = reply
-	}
-	s.mu.Unlock()
-	_ = s.link.Send(&peerv1.Frame{Body: &peerv1.Frame_Heartbeat{Heartbeat: &peerv1.Heartbeat{
-		Sequence:       sequence,
-		ConfigRevision: s.agent.config.Load().Revision(),
-	}}})
-}
-
-// confirm returns when the entry has taken all frames sent before, when the
-// link ends, or when ctx ends.
-func (s *session) confirm(ctx context.Context) {
-	reply := make(chan struct{})
-	s.sendHeartbeat(reply)
-	select {
-	case <-reply:
-	case <-s.link.Done():
-	case <-ctx.Done():
-	}
-}
-
 func (s *session) handle(f *peerv1.Frame) {
+	s.heard(time.Now())
 	switch body := f.GetBody().(type) {
 	case *peerv1.Frame_Start:
 		s.agent.start(s, body.Start)
@@ -173,29 +127,10 @@
 	}
 }
 
-func (s *session) handleHeartbeat(h *peerv1.Heartbeat) {
-	s.mu.Lock()
-	sentAt, ok := s.sentAt[h.GetReplyTo()]
-	delete(s.sentAt, h.GetReplyTo())
-	reply := s.replies[h.GetReplyTo()]
-	delete(s.replies, h.GetReplyTo())
-	s.mu.Unlock()
-	if !ok {
-		return
-	}
-	if reply != nil {
-		close(reply)
-	}
-	if s.agent.config.Load().Revision() < h.GetConfigRevision() {
-		return
-	}
-	s.agent.permit.extend(sentAt.Add(time.Duration(h.GetPermitMs()) * time.Millisecond))
-}
-
 func (s *session) handleRoster(r *peerv1.Roster) {
 	next := roster.New(r.GetRevision(), r.GetEntries())
 	if s.agent.roster.Apply(next) {
-		s.agent.follow(s.ctx, next)
+		s.agent.updateLinks()
 	}
 }
 
--- a/internal/process/agent/start.go
+++ b/internal/process/agent/start.go
@@ -18,7 +18,11 @@
 		s.refuse(start, err)
 		return
 	}
-	go a.run(ctx, cancel, start)
+	a.addRunning(s.entry, 1)
+	go func() {
+		defer a.addRunning(s.entry, -1)
+		a.run(ctx, cancel, start)
+	}()
 }
 
 // gate checks, in the instant of starting, that the task may start here.
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -95,6 +95,9 @@
 	// StatusListen is the TCP address for counters.
 	StatusListen string `json:"status_listen"`
 	Target       Target `json:"target"`
+	// Links is the number of entries the agent links with, those of its own data
+	// centre first; 0 for all.
+	Links int `json:"links,omitempty"`
 }
 
 // Target describes the back end beside an agent.
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -114,6 +114,9 @@
 	if err := validateAddress("agent.status_listen", a.StatusListen); err != nil {
 		return err
 	}
+	if a.Links < 0 {
+		return eris.New("agent.links must not be negative")
+	}
 	return a.Target.validate()
 }
 
