--- /dev/null
+++ b/internal/process/agent/dial_test.go
@@ -0,0 +1,333 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/connection/identity"
+	"github.com/rosemarybay/rosemarybay/internal/connection/link"
+	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+	"github.com/rosemarybay/rosemarybay/internal/version/roster"
+)
+
+const (
+	testDataCentre = "nbo1"
+	testPermit     = 3 * time.Second
+	testLimit      = 20 * time.Second
+	testInterval   = 5 * time.Millisecond
+)
+
+// fakeEntry welcomes an agent, grants permits and records what it is sent.
+type fakeEntry struct {
+	member    *peerv1.RosterEntry
+	transport *quic.Transport
+	listener  *quic.Listener
+
+	mu       sync.Mutex
+	link     *link.Link // of the linked agent
+	goodbyes int
+	rounds   int
+	results  []*peerv1.Result
+}
+
+func newFakeEntry(t *testing.T, ca identity.Pair, i int) *fakeEntry {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := fmt.Sprintf("entry-%d", i)
+	pair, err := identity.NewNode(ca, identity.Identity{Name: name, Role: "entry", DataCentre: testDataCentre})
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := identity.LoadTLS(ca.Cert, pair.Cert, pair.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &fakeEntry{transport: &quic.Transport{Conn: conn}, member: &peerv1.RosterEntry{
+		Name:        name,
+		DataCentre:  testDataCentre,
+		Incarnation: uint64(i + 1),
+		PeerAddress: conn.LocalAddr().String(),
+	}}
+	e.listener, err = e.transport.Listen(config, link.Config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.transport.Close(); _ = conn.Close() })
+	go e.accept()
+	return e
+}
+
+func (e *fakeEntry) accept() {
+	for {
+		conn, err := e.listener.Accept(context.Background())
+		if err != nil {
+			return
+		}
+		go e.serve(conn)
+	}
+}
+
+func (e *fakeEntry) serve(conn *quic.Conn) {
+	l, err := link.Accept(context.Background(), conn, link.NewStats(gometrics.NewRegistry()))
+	if err != nil {
+		return
+	}
+	welcome := &peerv1.Welcome{Name: e.member.GetName(), Incarnation: e.member.GetIncarnation()}
+	_ = l.Send(&peerv1.Frame{Body: &peerv1.Frame_Welcome{Welcome: welcome}})
+	e.setLink(l)
+	defer e.setLink(nil)
+	for {
+		f, err := l.Receive()
+		if err != nil {
+			return
+		}
+		e.handle(l, f)
+	}
+}
+
+func (e *fakeEntry) setLink(l *link.Link) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.link = l
+}
+
+func (e *fakeEntry) handle(l *link.Link, f *peerv1.Frame) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch body := f.GetBody().(type) {
+	case *peerv1.Frame_Heartbeat:
+		e.rounds++
+		_ = l.Send(&peerv1.Frame{Body: &peerv1.Frame_Heartbeat{Heartbeat: &peerv1.Heartbeat{
+			ReplyTo:  body.Heartbeat.GetSequence(),
+			PermitMs: uint32(testPermit.Milliseconds()),
+		}}})
+	case *peerv1.Frame_Goodbye:
+		e.goodbyes++
+	case *peerv1.Frame_Result:
+		e.results = append(e.results, body.Result)
+	}
+}
+
+func (e *fakeEntry) send(t *testing.T, f *peerv1.Frame) {
+	t.Helper()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.link == nil {
+		t.Fatalf("%s has no link", e.member.GetName())
+	}
+	_ = e.link.Send(f)
+}
+
+func (e *fakeEntry) read(f func() bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return f()
+}
+
+func (e *fakeEntry) isLinked() bool { return e.read(func() bool { return e.link != nil }) }
+
+// fixture is an agent with a number of links and three entries, of which its
+// settings name only the first.
+type fixture struct {
+	agent   *Agent
+	entries []*fakeEntry
+	target  chan struct{} // each task waits for one value
+}
+
+func newFixture(t *testing.T, links int) *fixture {
+	t.Helper()
+	ca, err := identity.NewCA("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &fixture{target: make(chan struct{})}
+	for i := range 3 {
+		x.entries = append(x.entries, newFakeEntry(t, ca, i))
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-x.target }))
+	t.Cleanup(server.Close)
+	pair, err := identity.NewNode(ca, identity.Identity{Name: "runner-agent", Role: "agent", DataCentre: testDataCentre})
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.agent, err = New(&settings.Settings{
+		Role:        settings.RoleAgent,
+		Name:        "runner-agent",
+		DataCentre:  testDataCentre,
+		TLS:         settings.TLS{CA: ca.Cert, Cert: pair.Cert, Key: pair.Key},
+		StopTimeout: settings.Duration(testLimit),
+		Agent: &settings.Agent{
+			Entries:      []string{x.entries[0].member.GetPeerAddress()},
+			StatusListen: "127.0.0.1:0",
+			Links:        links,
+			Target:       settings.Target{Name: "runner", URL: server.URL, Slots: 2, MaxConnections: 2, CPUs: 1, MemoryMB: 1},
+		},
+	}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() { x.agent.Run(stop); close(stopped) }()
+	t.Cleanup(func() { close(stop); <-stopped })
+	return x
+}
+
+// announce sends a roster through an entry.
+func (x *fixture) announce(t *testing.T, via *fakeEntry, revision uint64, members ...*fakeEntry) {
+	t.Helper()
+	r := roster.New(revision, membersOf(members))
+	via.send(t, &peerv1.Frame{Body: &peerv1.Frame_Roster{Roster: r.Proto()}})
+}
+
+func membersOf(entries []*fakeEntry) []*peerv1.RosterEntry {
+	var list []*peerv1.RosterEntry
+	for _, e := range entries {
+		list = append(list, e.member)
+	}
+	return list
+}
+
+// preferred returns the entries in the order of the agent's choice.
+func (x *fixture) preferred() []*fakeEntry {
+	r := roster.New(1, membersOf(x.entries))
+	var ordered []*fakeEntry
+	for _, m := range r.Subset("runner-agent", testDataCentre, len(x.entries)) {
+		i := slices.IndexFunc(x.entries, func(e *fakeEntry) bool { return e.member == m })
+		ordered = append(ordered, x.entries[i])
+	}
+	return ordered
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testLimit); time.Now().Before(deadline); time.Sleep(testInterval) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("%s did not happen within %s", what, testLimit)
+}
+
+func TestLinksOutliveTheEntryThatNamedThem(t *testing.T) {
+	x := newFixture(t, 0)
+	first, second, third := x.entries[0], x.entries[1], x.entries[2]
+	eventually(t, "first link", first.isLinked)
+	x.announce(t, first, 1, first, second)
+	eventually(t, "second link", second.isLinked)
+	x.announce(t, second, 2, first, second, third)
+	eventually(t, "third link", third.isLinked)
+	// The second entry, which named the third, leaves the roster.
+	x.announce(t, first, 3, first, third)
+	eventually(t, "end of the second link", func() bool { return !second.isLinked() })
+	third.mu.Lock()
+	link := third.link
+	third.mu.Unlock()
+	link.Close()
+	eventually(t, "new link to the third", func() bool {
+		return third.read(func() bool { return third.link != nil && third.link != link })
+	})
+}
+
+func TestSubsetReplacesTheEntriesOfTheSettings(t *testing.T) {
+	x := newFixture(t, 1)
+	eventually(t, "first link", x.entries[0].isLinked)
+	x.announce(t, x.entries[0], 1, x.entries...)
+	order := x.preferred()
+	eventually(t, "link to the chosen entry only", func() bool {
+		return order[0].isLinked() && !order[1].isLinked() && !order[2].isLinked()
+	})
+	// The chosen entry is lost: the next one takes the agent.
+	x.announce(t, order[0], 2, order[1], order[2])
+	_ = order[0].transport.Close()
+	eventually(t, "link to the next entry only", func() bool { return order[1].isLinked() && !order[2].isLinked() })
+}
+
+func TestLinkThatIsNoLongerChosenIsDrained(t *testing.T) {
+	x := newFixture(t, 1)
+	eventually(t, "first link", x.entries[0].isLinked)
+	order := x.preferred()
+	x.announce(t, x.entries[0], 1, order[1], order[2])
+	old, chosen := order[1], order[0]
+	eventually(t, "link to the old entry", old.isLinked)
+	eventually(t, "permit", func() bool { return x.agent.permit.isValid(time.Now()) })
+	id := &peerv1.AttemptID{Incarnation: old.member.GetIncarnation(), Sequence: 1}
+	old.send(t, &peerv1.Frame{Body: &peerv1.Frame_ConfigUpdate{ConfigUpdate: &peerv1.ConfigUpdate{
+		Revision: 1,
+		Snapshot: true,
+		Objects:  []*apiv1.Object{{Kind: apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT, Name: "desk", Revision: 1}},
+	}}})
+	old.send(t, &peerv1.Frame{Body: &peerv1.Frame_Start{Start: &peerv1.Start{
+		Id:         id,
+		Department: "desk",
+		Owner:      "owner",
+		Task:       &apiv1.Task{},
+		Sender:     old.member.GetIncarnation(),
+		ExpiresMs:  uint32(testLimit.Milliseconds()),
+		DeadlineMs: uint32(testLimit.Milliseconds()),
+	}}})
+	eventually(t, "start of the task", func() bool { return x.agent.attempts.Busy() == 1 })
+	x.announce(t, old, 2, x.entries...)
+	eventually(t, "link to the chosen entry", chosen.isLinked)
+	eventually(t, "goodbye to the old entry", func() bool { return old.read(func() bool { return old.goodbyes > 0 }) })
+	if !old.isLinked() {
+		t.Fatal("the link ended while a task of its entry ran")
+	}
+	x.target <- struct{}{}
+	eventually(t, "end of the old link", func() bool { return !old.isLinked() })
+	if !old.read(func() bool { return len(old.results) == 1 && old.results[0].GetFailure() == nil }) {
+		t.Fatalf("the old entry got the results %v", old.results)
+	}
+}
+
+func TestHeartbeatIntervalFollowsThePermit(t *testing.T) {
+	for permit, want := range map[time.Duration]time.Duration{
+		0:                      minInterval,
+		time.Second:            time.Second / roundsInPermit,
+		3 * time.Second:        time.Second,
+		time.Minute:            link.IdleTimeout / roundsInIdle,
+		200 * time.Millisecond: minInterval,
+	} {
+		if got := heartbeatInterval(permit); got != want {
+			t.Errorf("interval of a permit of %s is %s, want %s", permit, got, want)
+		}
+	}
+}
+
+func TestLinkWithTrafficNeedsNoHeartbeatWhileThePermitIsFresh(t *testing.T) {
+	now := time.Now()
+	a := &Agent{}
+	a.permit.extend(now, testPermit)
+	s := &session{agent: a}
+	for _, c := range []struct {
+		what     string
+		at       time.Duration
+		heardAgo time.Duration
+		want     bool
+	}{
+		{"busy, fresh permit", 500 * time.Millisecond, time.Millisecond, false},
+		{"idle, fresh permit", 500 * time.Millisecond, time.Second, true},
+		{"busy, permit due", time.Second, time.Millisecond, true},
+		{"busy, permit lapsed", 4 * time.Second, time.Millisecond, true},
+	} {
+		s.heardAt = now.Add(c.at - c.heardAgo)
+		if got := s.needsHeartbeat(now.Add(c.at)); got != c.want {
+			t.Errorf("%s: needs a heartbeat is %t", c.what, got)
+		}
+	}
+}
