Pace the handshakes of an entry

Cause: a signature each, so a third of all agents returning at once takes the processor from dispatch. Change: a token bucket before the signature; refused dialers come back by their jittered backoff; counter handshakes_paced.

--- /dev/null
+++ b/internal/connection/link/pace_test.go
@@ -0,0 +1,84 @@
+package link
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"pgregory.net/rapid"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/identity"
+)
+
+// TestPacerAdmitsNoMoreThanItsRate draws instants and counts the admitted.
+func TestPacerAdmitsNoMoreThanItsRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.IntRange(1, 500).Draw(t, "rate")
+		began := time.Unix(0, 0)
+		now := began
+		p := newPacer(rate, now)
+		admitted := 0
+		for _, gap := range rapid.SliceOf(rapid.IntRange(0, 200)).Draw(t, "gaps") {
+			now = now.Add(time.Duration(gap) * time.Millisecond)
+			if p.take(now) {
+				admitted++
+			}
+		}
+		bound := float64(rate) * (1 + now.Sub(began).Seconds())
+		if float64(admitted) > bound+1e-6 {
+			t.Fatalf("%d admitted in %s at %d a second", admitted, now.Sub(began), rate)
+		}
+	})
+}
+
+func TestPacerRecovers(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := newPacer(2, now)
+	if !p.take(now) || !p.take(now) || p.take(now) {
+		t.Fatal("a burst of two and no more was expected")
+	}
+	if !p.take(now.Add(time.Second / 2)) {
+		t.Fatal("no handshake admitted after half a second")
+	}
+}
+
+func TestPacedListenerRefusesAndCounts(t *testing.T) {
+	ca, err := identity.NewCA("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := gometrics.NewCounter()
+	listening := transport(t)
+	listener, err := listening.Listen(Paced(node(t, ca, "entry"), 1, refused), Config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	dialer := &Dialer{Transport: transport(t), TLS: node(t, ca, "agent"), Stats: NewStats(gometrics.NewRegistry())}
+	dial := func() error {
+		l, err := dialer.Dial(ctx, listening.Conn.LocalAddr().String())
+		if err == nil {
+			t.Cleanup(l.Close)
+		}
+		return err
+	}
+	// The bucket holds one token and fills at one a second.
+	failures := 0
+	for range 3 {
+		if dial() != nil {
+			failures++
+		}
+	}
+	if failures == 0 || refused.Count() != int64(failures) {
+		t.Fatalf("%d dials failed and %d were counted", failures, refused.Count())
+	}
+	for dial() != nil {
+		if ctx.Err() != nil {
+			t.Fatal("no handshake was admitted later")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	_ = listener.Close()
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -63,11 +63,12 @@
 	if err != nil {
 		return nil, err
 	}
-	transport, listener, err := listenPeers(s.Entry.PeerListen, tlsConfig)
+	counters := metrics.New()
+	paced := link.Paced(tlsConfig, s.Entry.HandshakeRate, counters.Counter("handshakes_paced"))
+	transport, listener, err := listenPeers(s.Entry.PeerListen, paced)
 	if err != nil {
 		return nil, err
 	}
-	counters := metrics.New()
 	e := &Entry{
 		settings:    s,
 		log:         log,
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -86,6 +86,9 @@
 	Permit Duration `json:"permit,omitempty"`
 	// QueueLimit is the largest number of tasks that wait for a slot.
 	QueueLimit int `json:"queue_limit,omitempty"`
+	// HandshakeRate is the number of links opened in a second; more are refused
+	// and come back after a backoff.
+	HandshakeRate int `json:"handshake_rate,omitempty"`
 }
 
 // Agent holds the settings of the agent role.
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -18,6 +18,7 @@
 	defaultPermit         = 3 * time.Second
 	defaultQueueLimit     = 20000
 	defaultMaxConnections = 60
+	defaultHandshakeRate  = 250
 )
 
 // MaxSlots is the largest number of slots of a target.
@@ -32,6 +33,7 @@
 		setDefault(&e.TicketLifetime, Duration(defaultTicketLifetime))
 		setDefault(&e.Permit, Duration(defaultPermit))
 		setDefault(&e.QueueLimit, defaultQueueLimit)
+		setDefault(&e.HandshakeRate, defaultHandshakeRate)
 	}
 	if a := s.Agent; a != nil {
 		setDefault(&a.Target.MaxConnections, defaultMaxConnections)
@@ -92,6 +94,9 @@
 	if e.Lease <= 0 || e.TicketLifetime <= 0 || e.Permit <= 0 {
 		return eris.New("entry.lease, entry.ticket_lifetime and entry.permit must be positive")
 	}
+	if e.HandshakeRate <= 0 {
+		return eris.New("entry.handshake_rate must be positive")
+	}
 	if e.QueueLimit <= 0 {
 		return eris.New("entry.queue_limit must be positive")
 	}
