--- a/cmd/rosemarybay-bench/main.go
+++ b/cmd/rosemarybay-bench/main.go
@@ -27,6 +27,7 @@
   demo          run a few hundred ticket-desk jobs and print a table
   roundtrip     measure what the system adds to a call of an idle target
   replay FILE.. replay traces and check their outcomes
+  restart       restart a third of an entry's agents at once under load
   slopes        measure what one more link, task, change and so on costs
 `
 
@@ -51,6 +52,8 @@
 		return status(demo.RoundTrip(ctx, os.Stdout))
 	case "replay":
 		return runReplay(ctx, args[1:])
+	case "restart":
+		return runRestart(ctx, args[1:])
 	case "slopes":
 		return runSlopes(ctx, args[1:])
 	default:
