--- a/cmd/rosemarybay-bench/slopes.go
+++ b/cmd/rosemarybay-bench/slopes.go
@@ -55,10 +55,11 @@
 	asJSON := flags.Bool("json", false, "print JSON")
 	agents := flags.Int("agents", defaultRestartAgents, "number of light agents")
 	heartbeat := flags.Duration("heartbeat", defaultHeartbeat, "interval of light agents' heartbeats")
+	rate := flags.Int("handshake-rate", 0, "handshakes a second at the entry; 0 keeps its default")
 	if err := flags.Parse(args); err != nil || flags.NArg() > 0 {
 		return exitUsage
 	}
-	result, err := slopes.MeasureRestart(ctx, *agents, slopes.Options{Heartbeat: *heartbeat})
+	result, err := slopes.MeasureRestart(ctx, *agents, slopes.Options{Heartbeat: *heartbeat, HandshakeRate: *rate})
 	if err != nil {
 		return status(err)
 	}
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -189,6 +189,7 @@
 		PeerAdvertise: advertise.String(),
 		StoreURL:      f.storeURL,
 		Lease:         settings.Duration(f.Spec.Tune.Lease),
+		HandshakeRate: f.Spec.Tune.HandshakeRate,
 		QueueLimit:    f.Spec.Tune.QueueLimit,
 	}
 	n, err := newNode(s, f.dir, "http://"+callers, f.spawner)
@@ -231,6 +232,7 @@
 	status := netip.AddrPortFrom(host, statusPort).String()
 	s.Agent = &settings.Agent{
 		Entries:      f.peers,
+		Links:        f.Spec.Tune.Links,
 		StatusListen: status,
 		Target: settings.Target{
 			Name:         t.Name,
--- a/internal/bench/fleet/spec.go
+++ b/internal/bench/fleet/spec.go
@@ -34,6 +34,10 @@
 	Lease       time.Duration
 	StopTimeout time.Duration
 	QueueLimit  int
+	// HandshakeRate is that of entries.
+	HandshakeRate int
+	// Links is the number of entries an agent links with.
+	Links int
 }
 
 // Target describes a target and its worker.
--- a/internal/bench/slopes/changes.go
+++ b/internal/bench/slopes/changes.go
@@ -62,7 +62,7 @@
 }
 
 func measureReceived(ctx context.Context, received, applied *series, n int) error {
-	f, err := startFleet(ctx, 1, 1)
+	f, err := startFleet(ctx, 1, 1, fleet.Tune{})
 	if err != nil {
 		return err
 	}
@@ -159,7 +159,7 @@
 // startGroup starts one entry with n light agents. Their heartbeats are slow, so
 // that they add little to what is measured.
 func startGroup(ctx context.Context, o Options, n int) (*fleet.Fleet, *group, error) {
-	f, err := startFleet(ctx, 1, 0)
+	f, err := startFleet(ctx, 1, 0, fleet.Tune{HandshakeRate: o.HandshakeRate})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -189,7 +189,7 @@
 }
 
 func measureTeamsAt(ctx context.Context, entry, agent *series, o Options, n int) error {
-	f, err := startFleet(ctx, 1, 1)
+	f, err := startFleet(ctx, 1, 1, fleet.Tune{})
 	if err != nil {
 		return err
 	}
--- a/internal/bench/slopes/links.go
+++ b/internal/bench/slopes/links.go
@@ -50,7 +50,7 @@
 }
 
 func measureIdleAt(ctx context.Context, s *series, peerRole string, heartbeat time.Duration, n int) error {
-	f, err := startFleet(ctx, 1, 0)
+	f, err := startFleet(ctx, 1, 0, fleet.Tune{})
 	if err != nil {
 		return err
 	}
--- a/internal/bench/slopes/slopes.go
+++ b/internal/bench/slopes/slopes.go
@@ -31,6 +31,8 @@
 	Seed int64
 	// Heartbeat is the interval at which light agents ask for permits.
 	Heartbeat time.Duration
+	// HandshakeRate is the entry's setting; 0 keeps its default.
+	HandshakeRate int
 }
 
 // Row is one fitted slope.
@@ -171,13 +173,14 @@
 
 // startFleet starts a fleet of entries and agents in one data centre, without
 // relays.
-func startFleet(ctx context.Context, entries, agents int) (*fleet.Fleet, error) {
+func startFleet(ctx context.Context, entries, agents int, tune fleet.Tune) (*fleet.Fleet, error) {
 	spec := fleet.Spec{
 		Trace:                "slopes",
 		EntriesPerDataCentre: entries,
 		DataCentres:          []string{dataCentre},
 		Departments:          []fleet.Department{{Name: department}},
 		Direct:               true,
+		Tune:                 tune,
 	}
 	for i := range agents {
 		spec.Targets = append(spec.Targets, fleet.Target{
--- a/internal/bench/slopes/watches.go
+++ b/internal/bench/slopes/watches.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/rosemarybay/rosemarybay/internal/bench/fleet"
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
 	standinstore "github.com/rosemarybay/rosemarybay/internal/standin/store"
 )
@@ -45,7 +46,7 @@
 }
 
 func measureStoreCalls(ctx context.Context, s *series, n int) error {
-	f, err := startFleet(ctx, n, 0)
+	f, err := startFleet(ctx, n, 0, fleet.Tune{})
 	if err != nil {
 		return err
 	}
