--- a/cmd/rosemarybay-bench/main.go
+++ b/cmd/rosemarybay-bench/main.go
@@ -26,7 +26,11 @@
 
   demo          run a few hundred ticket-desk jobs and print a table
   roundtrip     measure what the system adds to a call of an idle target
+  rollout       take data centres out and back under load, and measure
+  chaos [-jobs N] [-seed N]
+                run jobs while nodes are killed, paused, stopped and cut off
   replay FILE.. replay traces and check their outcomes
+  budget        measure the control cost of an idle fleet
   restart       restart a third of an entry's agents at once under load
   slopes        measure what one more link, task, change and so on costs
 `
@@ -50,8 +54,14 @@
 		return runDemo(ctx)
 	case "roundtrip":
 		return status(demo.RoundTrip(ctx, os.Stdout))
+	case "rollout":
+		return runRollout(ctx, args[1:])
+	case "chaos":
+		return runChaos(ctx, args[1:])
 	case "replay":
 		return runReplay(ctx, args[1:])
+	case "budget":
+		return runBudget(ctx, args[1:])
 	case "restart":
 		return runRestart(ctx, args[1:])
 	case "slopes":
--- a/cmd/rosemarybay-bench/slopes.go
+++ b/cmd/rosemarybay-bench/slopes.go
@@ -69,6 +69,28 @@
 	return status(result.Write(os.Stdout))
 }
 
+// defaultBudgetTargets is the number of targets of today's fleets.
+const defaultBudgetTargets = 10
+
+// runBudget measures the control cost of an idle fleet of real processes.
+func runBudget(ctx context.Context, args []string) int {
+	flags := flag.NewFlagSet("budget", flag.ContinueOnError)
+	asJSON := flags.Bool("json", false, "print JSON")
+	targets := flags.Int("targets", defaultBudgetTargets, "number of targets")
+	links := flags.Int("links", 0, "entries an agent links with; 0 for all")
+	if err := flags.Parse(args); err != nil || flags.NArg() > 0 {
+		return exitUsage
+	}
+	spends, err := slopes.MeasureBudget(ctx, *targets, *links)
+	if err != nil {
+		return status(err)
+	}
+	if *asJSON {
+		return status(json.NewEncoder(os.Stdout).Encode(spends))
+	}
+	return status(slopes.WriteSpend(os.Stdout, spends))
+}
+
 func mergeSlopes(path string, next *slopes.Result) error {
 	result := &slopes.Result{}
 	b, err := os.ReadFile(path)
--- a/internal/bench/slopes/light.go
+++ b/internal/bench/slopes/light.go
@@ -112,10 +112,11 @@
 		if err != nil {
 			return nil, err
 		}
-		configs[i], err = identity.LoadTLS(ca, pair.Cert, pair.Key)
+		keys, err := identity.Load(identity.Files{CA: ca, Cert: pair.Cert, Key: pair.Key}, nil)
 		if err != nil {
 			return nil, err
 		}
+		configs[i] = keys.Client()
 	}
 	return configs, nil
 }
--- a/internal/process/agent/session.go
+++ b/internal/process/agent/session.go
@@ -110,8 +110,8 @@
 	switch body := f.GetBody().(type) {
 	case *peerv1.Frame_Start:
 		s.agent.start(s, body.Start)
-	case *peerv1.Frame_ResultAck:
-		s.agent.attempts.Acknowledge(body.ResultAck.GetIds())
+	case *peerv1.Frame_Fence:
+		s.fence(body.Fence)
 	case *peerv1.Frame_Cancel:
 		s.stop(body.Cancel.GetIds(), true)
 	case *peerv1.Frame_Query:
@@ -119,7 +119,9 @@
 	case *peerv1.Frame_Heartbeat:
 		s.handleHeartbeat(body.Heartbeat)
 	case *peerv1.Frame_ConfigUpdate:
-		s.agent.config.Apply(body.ConfigUpdate)
+		s.handleConfig(body.ConfigUpdate)
+	case *peerv1.Frame_GetConfig:
+		s.sendConfig(body.GetConfig.GetFromRevision())
 	case *peerv1.Frame_Roster:
 		s.handleRoster(body.Roster)
 	default:
@@ -128,7 +130,7 @@
 }
 
 func (s *session) handleRoster(r *peerv1.Roster) {
-	next := roster.New(r.GetRevision(), r.GetEntries())
+	next := roster.FromProto(r)
 	if s.agent.roster.Apply(next) {
 		s.agent.updateLinks()
 	}
--- a/internal/process/entry/agentlink.go
+++ b/internal/process/entry/agentlink.go
@@ -15,6 +15,8 @@
 	link   *link.Link
 	name   string
 	target *peerv1.TargetInfo
+	// incarnation is that of the agent.
+	incarnation uint64
 }
 
 // serveAgent runs an agent's link from its Hello to its end.
@@ -23,14 +25,16 @@
 		e.counters.Counter("links_refused").Inc(1)
 		return
 	}
-	a := &agentLink{entry: e, link: l, name: hello.GetName(), target: hello.GetTarget()}
+	a := &agentLink{entry: e, link: l, name: hello.GetName(), target: hello.GetTarget(), incarnation: hello.GetIncarnation()}
 	_ = l.Send(e.welcome())
-	a.sendConfig(e.config.Load(), hello.GetConfigRevision())
-	a.sendRoster(e.roster.Load())
 	e.addAgent(a)
 	defer e.removeAgent(a)
-	e.dispatcher.Attach(a.target, hello.GetIncarnation(), l)
-	defer e.dispatcher.Detach(a.target.GetName(), l)
+	a.catchUp(hello.GetConfigRevision())
+	a.sendRoster(e.roster.Load())
+	a.sendFences()
+	sender := &leasedSender{entry: e, link: l}
+	e.dispatcher.Attach(a.target, hello.GetIncarnation(), sender)
+	defer e.dispatcher.Detach(a.target.GetName(), sender)
 	for {
 		f, err := l.Receive()
 		if err != nil {
@@ -53,6 +57,9 @@
 	if e.agents[a.name] == a {
 		delete(e.agents, a.name)
 	}
+	for _, held := range e.adoptions.all() {
+		held.heard(a.name)
+	}
 	e.log.Info().Str("agent", a.name).Msg("agent link closed")
 }
 
@@ -61,14 +68,21 @@
 	name := a.target.GetName()
 	switch body := f.GetBody().(type) {
 	case *peerv1.Frame_Result:
+		a.noteRecord(body.Result)
+		a.entry.noteFenced(body.Result)
 		d.HandleResult(name, body.Result)
-		a.acknowledge(body.Result)
+	case *peerv1.Frame_FenceAck:
+		a.handleFenceAck(body.FenceAck)
 	case *peerv1.Frame_AttemptStates:
 		d.HandleStates(name, body.AttemptStates.GetStates())
 	case *peerv1.Frame_Load:
 		d.HandleLoad(name, body.Load)
 	case *peerv1.Frame_Heartbeat:
 		a.answer(body.Heartbeat)
+	case *peerv1.Frame_ConfigUpdate:
+		a.entry.applyConfig(body.ConfigUpdate)
+	case *peerv1.Frame_Roster:
+		a.entry.applyRoster(roster.FromProto(body.Roster))
 	case *peerv1.Frame_Goodbye:
 		d.Drain(name)
 	default:
@@ -76,16 +90,25 @@
 	}
 }
 
-// acknowledge releases a result at the agent.
-func (a *agentLink) acknowledge(r *peerv1.Result) {
-	_ = a.link.Send(&peerv1.Frame{Body: &peerv1.Frame_ResultAck{
-		ResultAck: &peerv1.ResultAck{Ids: []*peerv1.AttemptID{r.GetId()}},
-	}})
+// leasedSender sends starts only while the entry holds its lease.
+type leasedSender struct {
+	entry *Entry
+	link  *link.Link
+}
+
+// Send implements dispatch.Sender.
+func (s *leasedSender) Send(f *peerv1.Frame) error {
+	if f.GetStart() != nil && !s.entry.lease.isHeld(time.Now()) {
+		go s.entry.retire("start without a lease")
+		return link.ErrClosed
+	}
+	return s.link.Send(f)
 }
 
 // answer replies to an agent's heartbeat with a permit.
 func (a *agentLink) answer(h *peerv1.Heartbeat) {
 	e := a.entry
+	a.catchUp(h.GetConfigRevision())
 	_ = a.link.Send(&peerv1.Frame{Body: &peerv1.Frame_Heartbeat{Heartbeat: &peerv1.Heartbeat{
 		ReplyTo:        h.GetSequence(),
 		ConfigRevision: e.config.Load().Revision(),
@@ -93,12 +116,15 @@
 	}}})
 }
 
-// permit returns how long an agent may start tasks on this entry's word.
-func (e *Entry) permit() time.Duration {
-	if !e.ready.Load() {
-		return 0
+// catchUp brings the side that is behind up to the other's configuration.
+func (a *agentLink) catchUp(revision uint64) {
+	snapshot := a.entry.config.Load()
+	a.sendConfig(snapshot, revision)
+	if revision > snapshot.Revision() {
+		_ = a.link.Send(&peerv1.Frame{Body: &peerv1.Frame_GetConfig{GetConfig: &peerv1.GetConfig{
+			FromRevision: snapshot.Revision(),
+		}}})
 	}
-	return e.settings.Entry.Permit.Std()
 }
 
 func (a *agentLink) sendConfig(s *config.Snapshot, from uint64) {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -26,11 +26,16 @@
 	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 	"github.com/rosemarybay/rosemarybay/internal/version/roster"
 )
 
-const drainInterval = 10 * time.Millisecond
+const (
+	drainInterval = 10 * time.Millisecond
+	// retireTimeout bounds the last answers of a lost incarnation.
+	retireTimeout = time.Second
+)
 
 // Entry is one entry incarnation.
 type Entry struct {
@@ -39,7 +44,7 @@
 	incarnation uint64
 	counters    *metrics.Counters
 	stats       *link.Stats
-	tls         *tls.Config
+	access      *access
 	transport   *quic.Transport
 	listener    *quic.Listener
 	server      *caller.Server
@@ -52,19 +57,37 @@
 	draining    atomic.Bool
 	reachable   atomic.Bool // the store answered last time
 	jobs        *jobs.Table // set before ready
+	freshness   *freshness
+	storeOld    atomic.Bool // the store is older than what is known
+	loggedFresh bool        // used by keepContact only
+	ticketKey   atomic.Pointer[ticket.Key]
+	memory      *jobs.Memory
+	lease       *lease
+	adoptions   *adoptions
+	calls       atomic.Int64 // calls of callers and peers in progress
+	retired     chan struct{}
+	retireOnce  sync.Once
+	// handedOver is closed once the tickets have an heir, or none was found.
+	handedOver chan struct{}
 
 	mu     sync.Mutex
 	agents map[string]*agentLink // by agent name
+	// inherited holds the answers of hand-overs in progress, by home.
+	inherited map[uint64][]*peerv1.RememberedAnswer
 }
 
 // New returns an entry that listens but does not serve yet.
 func New(s *settings.Settings, log zerolog.Logger) (*Entry, error) {
-	tlsConfig, err := identity.LoadTLS(s.TLS.CA, s.TLS.Cert, s.TLS.Key)
+	counters := metrics.New()
+	access, err := newAccess(s, counters)
 	if err != nil {
 		return nil, err
 	}
-	counters := metrics.New()
-	paced := link.Paced(tlsConfig, s.Entry.HandshakeRate, counters.Counter("handshakes_paced"))
+	return newIncarnation(s, log, counters, access)
+}
+
+func newIncarnation(s *settings.Settings, log zerolog.Logger, counters *metrics.Counters, access *access) (*Entry, error) {
+	paced := link.Paced(access.keys.Server(), s.Entry.HandshakeRate, counters.Counter("handshakes_paced"))
 	transport, listener, err := listenPeers(s.Entry.PeerListen, paced)
 	if err != nil {
 		return nil, err
@@ -75,13 +98,19 @@
 		incarnation: rand.Uint64(),
 		counters:    counters,
 		stats:       link.NewStats(counters.Registry()),
-		tls:         tlsConfig,
+		access:      access,
 		transport:   transport,
 		listener:    listener,
 		store:       store.Dial(s.Entry.StoreURL, caller.LocalAddress(s.Entry.CallerListen)),
 		config:      config.NewView(),
 		roster:      roster.NewView(),
 		agents:      make(map[string]*agentLink),
+		freshness:   newFreshness(s.Entry.Permit.Std(), time.Now()),
+		memory:      jobs.NewMemory(int64(s.Entry.AnswerMemoryMB) << 20),
+		lease:       newLease(s.Entry.Lease.Std()),
+		adoptions:   newAdoptions(),
+		retired:     make(chan struct{}),
+		handedOver:  make(chan struct{}),
 	}
 	e.peers = newPeers(e)
 	e.dispatcher = dispatch.New(dispatch.Options{
@@ -90,8 +119,9 @@
 		QueueLimit: s.Entry.QueueLimit,
 		Config:     e.config,
 		Counters:   counters,
+		IsFresh:    e.isFresh,
 	})
-	e.server, err = caller.Listen(s.Entry.CallerListen, e.handler())
+	e.server, err = e.listenCallers()
 	if err != nil {
 		_ = transport.Close()
 		return nil, err
@@ -118,27 +148,63 @@
 }
 
 // Run serves until stop is closed, and then drains for at most the stop
-// timeout.
+// timeout. An incarnation that loses its lease is followed by a new one.
 func (e *Entry) Run(stop <-chan struct{}) {
+	for e.runIncarnation(stop) {
+		next := e.successor(stop)
+		if next == nil {
+			return
+		}
+		e = next
+	}
+}
+
+// runIncarnation reports whether the incarnation ended by the loss of its lease.
+func (e *Entry) runIncarnation(stop <-chan struct{}) bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.accept(ctx)
+	go e.watchPulse(ctx)
 	go e.follow(ctx)
-	<-stop
-	e.drain()
-	cancel()
-	e.close()
+	go e.sweepAdoptions(ctx)
+	select {
+	case <-e.retired:
+		cancel()
+		e.shut()
+		return true
+	case <-stop:
+		e.drain(ctx)
+		cancel()
+		e.close()
+		return false
+	}
 }
 
-// drain finishes the jobs in progress.
-func (e *Entry) drain() {
-	e.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.StopTimeout.Std())
+// shut closes a lost incarnation after its last answers.
+func (e *Entry) shut() {
+	ctx, cancel := context.WithTimeout(context.Background(), retireTimeout)
 	defer cancel()
-	for e.ready.Load() && e.jobs.Running() > 0 && ctx.Err() == nil {
-		time.Sleep(drainInterval)
-	}
+	e.draining.Store(true)
+	e.waitIdle(ctx)
 	e.server.Close(ctx)
+	e.close()
+}
+
+// successor returns a new incarnation at the same addresses, or nil when stop is
+// closed first.
+func (e *Entry) successor(stop <-chan struct{}) *Entry {
+	for {
+		next, err := newIncarnation(e.settings, e.log, e.counters, e.access)
+		if err == nil {
+			return next
+		}
+		e.log.Error().Err(err).Msg("new incarnation cannot listen")
+		select {
+		case <-stop:
+			return nil
+		case <-time.After(storeBackoff):
+		}
+	}
 }
 
 func (e *Entry) close() {
@@ -150,6 +216,7 @@
 		a.link.Close()
 	}
 	_ = e.transport.Close()
+	_ = e.transport.Conn.Close()
 }
 
 // accept serves the links of agents and other entries until the listener ends.
@@ -177,11 +244,11 @@
 	}
 	hello := f.GetHello()
 	switch l.Remote().Role {
-	case "agent":
+	case identity.RoleAgent:
 		e.serveAgent(l, hello)
-	case "entry":
+	case identity.RoleEntry:
 		_ = l.Send(e.welcome())
-		l.ServeCalls(e.handleCall)
+		l.ServeCalls(e.countCall(e.handleCall))
 	}
 }
 
@@ -199,13 +266,25 @@
 	mux.Handle(e.jobService())
 	mux.Handle(e.configService())
 	mux.Handle(e.fleetService())
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /metrics", e.access.authorizer.operatorOnly(func(w http.ResponseWriter, _ *http.Request) {
 		_ = e.counters.WriteText(w)
-	})
+	}))
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !e.ready.Load() || e.draining.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.calls.Add(1)
+		defer e.calls.Add(-1)
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (e *Entry) countCall(next link.Handler) link.Handler {
+	return func(ctx context.Context, call *peerv1.Call) *peerv1.Reply {
+		e.calls.Add(1)
+		defer e.calls.Add(-1)
+		return next(ctx, call)
+	}
 }
--- /dev/null
+++ b/internal/process/jobs/records.go
@@ -0,0 +1,107 @@
+package jobs
+
+import (
+	"sync"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	"github.com/rosemarybay/rosemarybay/internal/process/dispatch"
+)
+
+// Records holds what agents keep of the attempts of a lost home. It is safe for
+// concurrent use.
+type Records struct {
+	mu    sync.Mutex
+	home  uint64
+	tasks map[recordKey]dispatch.Kept
+	// agents holds the incarnation of the agent of each target.
+	agents map[string]uint64
+}
+
+type recordKey struct {
+	sequence uint64
+	task     uint32
+}
+
+func (k recordKey) attemptID(home uint64, attempt uint32) *peerv1.AttemptID {
+	return &peerv1.AttemptID{Incarnation: home, Sequence: k.sequence, Task: k.task, Attempt: attempt}
+}
+
+// NewRecords returns an empty set for a lost home.
+func NewRecords(home uint64) *Records {
+	return &Records{
+		home:   home,
+		tasks:  make(map[recordKey]dispatch.Kept),
+		agents: make(map[string]uint64),
+	}
+}
+
+// NoteAgent takes the incarnation of a target's agent. What ran at an earlier one
+// is lost.
+func (r *Records) NoteAgent(target string, incarnation uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.agents[target]
+	r.agents[target] = incarnation
+	if !ok || known == incarnation {
+		return
+	}
+	for key, k := range r.tasks {
+		if k.Target == target && k.Result == nil {
+			k.Result = lostAttempt(key.attemptID(r.home, k.Attempt))
+			r.tasks[key] = k
+		}
+	}
+}
+
+// Add takes an agent's word on one attempt at a target. Of several attempts of a
+// task the one that says most is kept: a success, then one that runs, then a
+// failure. A tombstone says nothing, since another attempt may have started.
+func (r *Records) Add(target string, k *peerv1.KeptAttempt) {
+	id := k.GetState().GetId()
+	phase := k.GetState().GetPhase()
+	if phase != peerv1.AttemptPhase_ATTEMPT_PHASE_RUNNING && phase != peerv1.AttemptPhase_ATTEMPT_PHASE_DONE {
+		return
+	}
+	key := recordKey{sequence: id.GetSequence(), task: id.GetTask()}
+	next := dispatch.Kept{Target: target, Attempt: id.GetAttempt(), Result: k.GetResult()}
+	if phase == peerv1.AttemptPhase_ATTEMPT_PHASE_DONE && next.Result == nil {
+		next.Result = lostResult(id)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, ok := r.tasks[key]; !ok || isBetter(next, known) {
+		r.tasks[key] = next
+	}
+}
+
+func isBetter(next, known dispatch.Kept) bool {
+	if next.Target == known.Target && next.Attempt == known.Attempt {
+		return known.Result == nil
+	}
+	return rank(next) > rank(known)
+}
+
+func rank(k dispatch.Kept) int {
+	switch {
+	case k.Result == nil:
+		return 1
+	case k.Result.GetFailure() == nil:
+		return 2
+	default:
+		return 0
+	}
+}
+
+// Find returns the attempt of a task, or the zero value.
+func (r *Records) Find(sequence uint64, task uint32) dispatch.Kept {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tasks[recordKey{sequence: sequence, task: task}]
+}
+
+// Len returns the number of tasks with an attempt.
+func (r *Records) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.tasks)
+}
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -13,12 +13,17 @@
 const (
 	defaultLogLevel       = "info"
 	defaultStopTimeout    = 30 * time.Second
-	defaultLease          = 10 * time.Second
+	defaultLease          = 4 * time.Second
 	defaultTicketLifetime = 10 * time.Minute
 	defaultPermit         = 3 * time.Second
 	defaultQueueLimit     = 20000
 	defaultMaxConnections = 60
 	defaultHandshakeRate  = 250
+	defaultAnswerMemoryMB = 256
+
+	defaultCallerRate        = 2000 // requests a second
+	defaultCallerIdle        = 2 * time.Minute
+	defaultCallerConnections = 16384
 )
 
 // MaxSlots is the largest number of slots of a target.
@@ -34,6 +39,10 @@
 		setDefault(&e.Permit, Duration(defaultPermit))
 		setDefault(&e.QueueLimit, defaultQueueLimit)
 		setDefault(&e.HandshakeRate, defaultHandshakeRate)
+		setDefault(&e.AnswerMemoryMB, defaultAnswerMemoryMB)
+		setDefault(&e.CallerRate, defaultCallerRate)
+		setDefault(&e.CallerIdle, Duration(defaultCallerIdle))
+		setDefault(&e.CallerConnections, defaultCallerConnections)
 	}
 	if a := s.Agent; a != nil {
 		setDefault(&a.Target.MaxConnections, defaultMaxConnections)
@@ -97,10 +106,18 @@
 	if e.HandshakeRate <= 0 {
 		return eris.New("entry.handshake_rate must be positive")
 	}
+	if e.AnswerMemoryMB <= 0 {
+		return eris.New("entry.answer_memory_mb must be positive")
+	}
 	if e.QueueLimit <= 0 {
 		return eris.New("entry.queue_limit must be positive")
 	}
-	return nil
+	for _, address := range e.Peers {
+		if err := validateAddress("entry.peers", address); err != nil {
+			return err
+		}
+	}
+	return e.validateCallers()
 }
 
 func (s *Settings) validateAgent() error {
