--- a/internal/connection/link/pace_test.go
+++ b/internal/connection/link/pace_test.go
@@ -35,7 +35,8 @@
 func TestPacerRecovers(t *testing.T) {
 	now := time.Unix(0, 0)
 	p := newPacer(20, now)
-	if !p.take(now) || !p.take(now) || p.take(now) {
+	first, second, third := p.take(now), p.take(now), p.take(now)
+	if !first || !second || third {
 		t.Fatal("a burst of two and no more was expected")
 	}
 	if !p.take(now.Add(time.Second / 20)) {
