Measure the fleet under an open-loop load

The demonstration has too few jobs at one rate to judge decisions by. The load command offers a share of all slots by a Poisson process, steady or in bursts, with an optional fault of one target, and prints response over ideal beside that of one queue that knows every free slot. What demo and load share moved to package workload.

--- /dev/null
+++ b/cmd/rosemarybay-bench/load.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/bench/load"
+	"github.com/rosemarybay/rosemarybay/internal/bench/workload"
+	standintarget "github.com/rosemarybay/rosemarybay/internal/standin/target"
+)
+
+// Defaults of the load command.
+const (
+	defaultLoad        = 0.8
+	defaultFor         = 20 * time.Second
+	defaultWarm        = 2 * time.Second
+	defaultFaultFactor = 10
+)
+
+// loadCommand is the parsed command line of load.
+type loadCommand struct {
+	options load.Options
+	json    bool
+	compare string
+}
+
+func parseLoad(args []string) (*loadCommand, bool) {
+	c := &loadCommand{}
+	o := &c.options
+	flags := flag.NewFlagSet("load", flag.ContinueOnError)
+	profile := flags.String("profile", workload.Fundi.Name, "fleet and jobs of `USER`: fundi or cekici")
+	fault := flags.String("fault", "", "`MODE` of one target: fail_all, slow or hang")
+	flags.Float64Var(&o.Load, "load", defaultLoad, "offered work as a `SHARE` of all slots")
+	flags.DurationVar(&o.For, "for", defaultFor, "time in which jobs arrive")
+	flags.DurationVar(&o.Warm, "warm", defaultWarm, "time at the start that is not measured")
+	flags.Int64Var(&o.Seed, "seed", 1, "seed of arrivals and run times")
+	flags.BoolVar(&o.Bursts, "bursts", false, "let jobs arrive in bursts")
+	flags.BoolVar(&o.Repeatable, "repeatable", false, "mark all tasks as repeatable")
+	flags.Float64Var(&o.FaultFactor, "fault-factor", defaultFaultFactor, "how many times slower a slow target is")
+	flags.BoolVar(&c.json, "json", false, "print the report as JSON")
+	flags.StringVar(&c.compare, "compare", "", "print ratios to the JSON report in `FILE`")
+	if flags.Parse(args) != nil || flags.NArg() > 0 {
+		return nil, false
+	}
+	switch *profile {
+	case workload.Fundi.Name:
+		o.Profile = workload.Fundi
+	case workload.Cekici.Name:
+		o.Profile = workload.Cekici
+	default:
+		return nil, false
+	}
+	o.Fault = standintarget.Mode(*fault)
+	switch o.Fault {
+	case standintarget.OK, standintarget.FailAll, standintarget.Slow, standintarget.Hang:
+	default:
+		return nil, false
+	}
+	return c, o.Load > 0 && o.Warm >= 0 && o.For > o.Warm && o.FaultFactor > 0
+}
+
+func runLoad(ctx context.Context, args []string) int {
+	c, ok := parseLoad(args)
+	if !ok {
+		_, _ = fmt.Fprint(os.Stderr, usage)
+		return exitUsage
+	}
+	var earlier *load.Report
+	if c.compare != "" {
+		var err error
+		if earlier, err = load.ReadReport(c.compare); err != nil {
+			return status(err)
+		}
+	}
+	report, err := load.Run(ctx, c.options)
+	if err != nil {
+		return status(err)
+	}
+	if c.json {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return status(encoder.Encode(report))
+	}
+	report.WriteText(os.Stdout, earlier)
+	return exitOK
+}
--- a/cmd/rosemarybay-bench/main.go
+++ b/cmd/rosemarybay-bench/main.go
@@ -26,6 +26,7 @@
 
   demo          run a few hundred ticket-desk jobs and print a table
   roundtrip     measure what the system adds to a call of an idle target
+  load [FLAGS]  drive a fleet with jobs at a rate; -h lists the flags
   replay FILE.. replay traces and check their outcomes
 `
 
@@ -48,6 +49,8 @@
 		return runDemo(ctx)
 	case "roundtrip":
 		return status(demo.RoundTrip(ctx, os.Stdout))
+	case "load":
+		return runLoad(ctx, args[1:])
 	case "replay":
 		return runReplay(ctx, args[1:])
 	default:
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -3,24 +3,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/client"
 	"github.com/rosemarybay/rosemarybay/internal/bench/fleet"
-	standintarget "github.com/rosemarybay/rosemarybay/internal/standin/target"
+	"github.com/rosemarybay/rosemarybay/internal/bench/workload"
 )
 
 // The ticket desk of the demonstration.
 const (
-	department  = "ticket-desk"
 	jobCount    = 300
 	minTasks    = 6
 	maxTasks    = 14
@@ -31,35 +27,8 @@
 	seed        = 1
 )
 
-// ratioScale turns a ratio into a histogram value.
-const (
-	ratioScale  = 1000
-	maxRatio    = 1000 * ratioScale
-	significant = 3
-)
-
-// Spec returns the fleet of today's size: three data centres with two entries
-// each, and ten targets of eight slots.
-func Spec() fleet.Spec {
-	spec := fleet.Spec{
-		Trace:                "demo",
-		Seed:                 seed,
-		EntriesPerDataCentre: 2,
-		DataCentres:          []string{"nbo1", "nbo2", "nbo3"},
-		Departments:          []fleet.Department{{Name: department}},
-		Distances:            fleet.Distances{DataCentres: 500 * time.Microsecond, Callers: 3 * time.Millisecond},
-	}
-	for i := range 10 {
-		spec.Targets = append(spec.Targets, fleet.Target{
-			Name:       fmt.Sprintf("runner-%d", i+1),
-			DataCentre: spec.DataCentres[i%len(spec.DataCentres)],
-			Rack:       fmt.Sprintf("rack-%d", i/3+1),
-			Slots:      8,
-			Size:       fleet.Size{CPUs: 30, MemoryMB: 130_000},
-		})
-	}
-	return spec
-}
+// Spec returns the fleet of the demonstration.
+func Spec() fleet.Spec { return workload.Fundi.Spec("demo", seed) }
 
 // run is one demonstration.
 type run struct {
@@ -69,7 +38,7 @@
 	complete int
 	failed   int
 	wrong    int
-	ratios   *hdrhistogram.Histogram
+	ratios   *workload.Ratios
 	errors   map[string]int
 }
 
@@ -82,7 +51,7 @@
 	defer f.Close()
 	r := &run{
 		fleet:  f,
-		ratios: hdrhistogram.New(1, maxRatio, significant),
+		ratios: workload.NewRatios(),
 		errors: make(map[string]int),
 	}
 	_, _ = fmt.Fprintf(out, "fleet of %d entries and %d targets is up; %d jobs follow\n", len(f.Entries), len(f.Agents), jobCount)
@@ -94,7 +63,7 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	clients := make([]*client.Client, len(r.fleet.Entries))
 	for i, n := range r.fleet.Entries {
-		clients[i] = r.fleet.Client(department, "volunteer", n)
+		clients[i] = r.fleet.Client(workload.Fundi.Department, "volunteer", n)
 	}
 	var waits sync.WaitGroup
 	for i := range jobCount {
@@ -113,7 +82,7 @@
 	j := client.Job{Label: fmt.Sprintf("ticket-%d", number), Deadline: jobDeadline}
 	var longest time.Duration
 	for i, d := range runs {
-		j.Tasks = append(j.Tasks, newTask(taskName(number, i), d))
+		j.Tasks = append(j.Tasks, newTask(workload.TaskName(number, i), d))
 		longest = max(longest, d.Truncate(time.Millisecond))
 	}
 	ticket, err := c.Ticket(ctx)
@@ -128,19 +97,11 @@
 		return
 	}
 	ideal := longest + 2*r.fleet.Spec.Distances.Callers
-	r.succeed(number, len(runs), answer, float64(time.Since(began))/float64(ideal))
+	r.succeed(number, len(runs), answer, time.Since(began), ideal)
 }
 
-func taskName(job, task int) string { return fmt.Sprintf("%d/%d", job, task) }
-
 func newTask(name string, d time.Duration) *apiv1.Task {
-	payload, _ := json.Marshal(standintarget.Payload{Task: name, RunMS: int(d.Milliseconds())})
-	return &apiv1.Task{
-		Kind:    "ticket",
-		Size:    &apiv1.Size{Cpus: 1, MemoryMb: 512},
-		RunMs:   uint32(d.Milliseconds()),
-		Payload: payload,
-	}
+	return workload.NewTask(name, "ticket", d, false)
 }
 
 func (r *run) fail(err error) {
@@ -150,20 +111,13 @@
 	r.errors[err.Error()]++
 }
 
-func (r *run) succeed(number, tasks int, answer *apiv1.Answer, ratio float64) {
+func (r *run) succeed(number, tasks int, answer *apiv1.Answer, response, ideal time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.complete++
-	_ = r.ratios.RecordValue(int64(ratio * ratioScale))
-	if len(answer.GetResults()) != tasks {
+	r.ratios.Record(response, ideal)
+	if !workload.IsWhole(number, tasks, answer) {
 		r.wrong++
-		return
-	}
-	for i, result := range answer.GetResults() {
-		if string(result.GetOutput()) != taskName(number, i) {
-			r.wrong++
-			return
-		}
 	}
 }
 
@@ -191,8 +145,8 @@
 		{"answers partial or of another job", fmt.Sprint(r.wrong)},
 		{"tasks started", fmt.Sprint(len(starts))},
 		{"tasks started twice", fmt.Sprint(twice)},
-		{"response over ideal p50", quantile(r.ratios, 50)},
-		{"response over ideal p99", quantile(r.ratios, 99)},
+		{"response over ideal p50", fmt.Sprintf("%.3f", r.ratios.Quantile(50))},
+		{"response over ideal p99", fmt.Sprintf("%.3f", r.ratios.Quantile(99))},
 		{"work messages a task", fmt.Sprintf("%.2f", work/tasks)},
 		{"control messages a task", fmt.Sprintf("%.2f", control/tasks)},
 		{"starts refused a task", fmt.Sprintf("%.3f", refused/tasks)},
@@ -205,11 +159,7 @@
 	return r.complete == jobCount && r.wrong == 0 && twice == 0
 }
 
-func quantile(h *hdrhistogram.Histogram, q float64) string {
-	return fmt.Sprintf("%.3f", float64(h.ValueAtQuantile(q))/ratioScale)
-}
-
 // oneTask returns the tasks of a job whose only task ends at once.
 func oneTask(number int) []*apiv1.Task {
-	return []*apiv1.Task{newTask(taskName(number, 0), 0)}
+	return []*apiv1.Task{newTask(workload.TaskName(number, 0), 0)}
 }
--- a/internal/bench/demo/roundtrip.go
+++ b/internal/bench/demo/roundtrip.go
@@ -13,12 +13,14 @@
 
 	"github.com/rosemarybay/rosemarybay/client"
 	"github.com/rosemarybay/rosemarybay/internal/bench/fleet"
+	"github.com/rosemarybay/rosemarybay/internal/bench/workload"
 	standintarget "github.com/rosemarybay/rosemarybay/internal/standin/target"
 )
 
 const (
 	roundTrips    = 2000
 	roundTripWarm = 200
+	significant   = 3
 	maxRoundTrip  = int64(time.Second / time.Microsecond)
 )
 
@@ -37,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	c := f.Client(department, "volunteer", f.Entries[0])
+	c := f.Client(workload.Fundi.Department, "volunteer", f.Entries[0])
 	system, err := measure(ctx, func(i int) error {
 		ticket, err := c.Ticket(ctx)
 		if err != nil {
--- /dev/null
+++ b/internal/bench/load/fault.go
@@ -0,0 +1,70 @@
+package load
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	standintarget "github.com/rosemarybay/rosemarybay/internal/standin/target"
+)
+
+const ejectionPoll = 50 * time.Millisecond
+
+// startFault sets the fault of the first target at the end of the warm-up. The
+// function returned ends the watch and returns after how many milliseconds
+// every entry had ejected the target, or 0 when some had not.
+func (r *run) startFault(ctx context.Context) func() int64 {
+	if r.options.Fault == standintarget.OK {
+		return func() int64 { return 0 }
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan int64, 1)
+	go func() { done <- r.watchFault(ctx) }()
+	return func() int64 {
+		cancel()
+		return <-done
+	}
+}
+
+func (r *run) watchFault(ctx context.Context) int64 {
+	name := r.fleet.Spec.Targets[0].Name
+	if !sleep(ctx, r.options.Warm) {
+		return 0
+	}
+	r.fleet.Target(name).SetFault(r.options.Fault, r.options.FaultFactor)
+	began := time.Now()
+	ejected := make(map[string]bool)
+	for sleep(ctx, ejectionPoll) {
+		for _, n := range r.fleet.Entries {
+			status, err := r.fleet.Status(n).GetStatus(ctx, connect.NewRequest(&apiv1.GetStatusRequest{}))
+			if err == nil && isEjected(status.Msg, name) {
+				ejected[n.Name] = true
+			}
+		}
+		if len(ejected) == len(r.fleet.Entries) {
+			return time.Since(began).Milliseconds()
+		}
+	}
+	return 0
+}
+
+func isEjected(status *apiv1.GetStatusResponse, name string) bool {
+	for _, t := range status.GetTargets() {
+		if t.GetName() == name {
+			return t.GetEjected()
+		}
+	}
+	return false
+}
+
+// sleep waits and reports whether ctx is still open.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/bench/load/usage.go
@@ -0,0 +1,71 @@
+package load
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/bench/fleet"
+	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+)
+
+// usage is what the nodes of one role have used.
+type usage struct {
+	nodes int
+	cpu   time.Duration
+	// resident is the memory in use, in KiB.
+	resident int64
+}
+
+// clockTick is the unit of processor time in /proc.
+const clockTick = 10 * time.Millisecond
+
+// Fields of /proc/PID/stat after the command's name.
+const (
+	fieldUserTime   = 11
+	fieldSystemTime = 12
+)
+
+// readUsage returns the usage by role.
+func readUsage(f *fleet.Fleet) map[settings.Role]usage {
+	byRole := make(map[settings.Role]usage)
+	for _, n := range f.Nodes() {
+		u := byRole[n.Role]
+		u.nodes++
+		u.cpu += processorTime(n.PID())
+		u.resident += residentKiB(n.PID())
+		byRole[n.Role] = u
+	}
+	return byRole
+}
+
+func processorTime(pid int) time.Duration {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) <= fieldSystemTime {
+		return 0
+	}
+	user, _ := strconv.ParseInt(fields[fieldUserTime], 10, 64)
+	system, _ := strconv.ParseInt(fields[fieldSystemTime], 10, 64)
+	return time.Duration(user+system) * clockTick
+}
+
+func residentKiB(pid int) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(data)) {
+		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kib, _ := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
+			return kib
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/bench/workload/workload.go
@@ -0,0 +1,138 @@
+// Package workload holds what the measurements of the bench share: the fleets of
+// today's size, the tasks of stand-in targets and the ratio of response to ideal.
+package workload
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/bench/fleet"
+	standintarget "github.com/rosemarybay/rosemarybay/internal/standin/target"
+)
+
+// Profile describes the fleet of one user.
+type Profile struct {
+	Name        string
+	DataCentres []string
+	Department  string
+	Distances   fleet.Distances
+	// MinTasks and MaxTasks bound the tasks of a job.
+	MinTasks, MaxTasks int
+}
+
+// Fundi is the ticket desk in Nairobi.
+var Fundi = Profile{
+	Name:        "fundi",
+	DataCentres: []string{"nbo1", "nbo2", "nbo3"},
+	Department:  "ticket-desk",
+	Distances:   fleet.Distances{DataCentres: 500 * time.Microsecond, Callers: 3 * time.Millisecond},
+	MinTasks:    3,
+	MaxTasks:    6,
+}
+
+// Cekici is the fitting desk in Marmara.
+var Cekici = Profile{
+	Name:        "cekici",
+	DataCentres: []string{"bur1", "bur2", "bur3"},
+	Department:  "fitting-desk",
+	Distances:   fleet.Distances{DataCentres: time.Millisecond, Callers: time.Millisecond},
+	MinTasks:    3,
+	MaxTasks:    3,
+}
+
+// Size of today's fleets.
+const (
+	entriesPerDataCentre = 2
+	targetCount          = 10
+	slotsPerTarget       = 8
+	workersPerRack       = 3
+	workerCPUs           = 30
+	workerMemoryMB       = 130_000
+)
+
+// Slots is the number of slots of a fleet of today's size.
+const Slots = targetCount * slotsPerTarget
+
+// Spec returns the fleet of a profile: three data centres with two entries
+// each, and ten targets of eight slots.
+func (p Profile) Spec(name string, seed int64) fleet.Spec {
+	spec := fleet.Spec{
+		Trace:                name,
+		Seed:                 seed,
+		EntriesPerDataCentre: entriesPerDataCentre,
+		DataCentres:          p.DataCentres,
+		Departments:          []fleet.Department{{Name: p.Department}},
+		Distances:            p.Distances,
+	}
+	for i := range targetCount {
+		spec.Targets = append(spec.Targets, fleet.Target{
+			Name:       fmt.Sprintf("runner-%d", i+1),
+			DataCentre: p.DataCentres[i%len(p.DataCentres)],
+			Rack:       fmt.Sprintf("rack-%d", i/workersPerRack+1),
+			Slots:      slotsPerTarget,
+			Size:       fleet.Size{CPUs: workerCPUs, MemoryMB: workerMemoryMB},
+		})
+	}
+	return spec
+}
+
+// TaskName returns the name under which a stand-in target records a task.
+func TaskName(job, task int) string { return fmt.Sprintf("%d/%d", job, task) }
+
+// NewTask returns a task that takes d on a stand-in target.
+func NewTask(name, kind string, d time.Duration, repeatable bool) *apiv1.Task {
+	payload, _ := json.Marshal(standintarget.Payload{Task: name, RunMS: int(d.Milliseconds())})
+	return &apiv1.Task{
+		Kind:       kind,
+		Size:       &apiv1.Size{Cpus: 1, MemoryMb: 512},
+		RunMs:      uint32(d.Milliseconds()),
+		Payload:    payload,
+		Repeatable: repeatable,
+	}
+}
+
+// IsWhole reports whether an answer holds each result of a job and no other.
+func IsWhole(job, tasks int, answer *apiv1.Answer) bool {
+	if len(answer.GetResults()) != tasks {
+		return false
+	}
+	for i, result := range answer.GetResults() {
+		if string(result.GetOutput()) != TaskName(job, i) {
+			return false
+		}
+	}
+	return true
+}
+
+// ratioScale turns a ratio into a histogram value.
+const (
+	ratioScale  = 1000
+	maxRatio    = 1000 * ratioScale
+	significant = 3
+)
+
+// Ratios is a histogram of response over ideal. It is not safe for concurrent
+// use.
+type Ratios struct {
+	histogram *hdrhistogram.Histogram
+}
+
+// NewRatios returns an empty histogram.
+func NewRatios() *Ratios {
+	return &Ratios{histogram: hdrhistogram.New(1, maxRatio, significant)}
+}
+
+// Record adds the ratio of a response to its ideal.
+func (r *Ratios) Record(response, ideal time.Duration) {
+	ratio := float64(response) / float64(ideal)
+	_ = r.histogram.RecordValue(min(maxRatio, int64(ratio*ratioScale)))
+}
+
+// Quantile returns the ratio at a quantile in percent.
+func (r *Ratios) Quantile(percent float64) float64 {
+	return float64(r.histogram.ValueAtQuantile(percent)) / ratioScale
+}
