Lend the slots of targets through one broker

Cause: each entry placed tasks on its own view of free slots, which another entry had often used by then.

Change: each agent names one entry as the broker of its target: the lowest incarnation among its links. Entries ask the broker for slots and start tasks on what it lends. Disagreement or a lost broker costs refusals and no more, since the agent still refuses a start without a free slot; entries then place directly. The broker serves departments in turn, keeps quotas, and ejects targets on the counts in the agents' reports. Jobs whose wait would pass half of their deadline are refused with a time to come back.

--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -57,7 +57,8 @@
 	failed   int
 	refused  int
 	wrong    int
-	// goodWork is the run time of the tasks of complete jobs.
+	// goodWork is the run time of the tasks of jobs that were completed in the
+	// measured time, whenever they arrived.
 	goodWork time.Duration
 	reasons  map[string]int
 }
@@ -161,12 +162,14 @@
 	if !workload.IsWhole(number, len(a.runs), answer) {
 		r.wrong++
 	}
+	if at := time.Since(r.began); at >= r.options.Warm && at < r.options.For {
+		for _, d := range a.runs {
+			r.goodWork += d
+		}
+	}
 	if a.at < r.options.Warm {
 		return
 	}
 	r.complete++
-	for _, d := range a.runs {
-		r.goodWork += d
-	}
 	r.ratios.Record(response, a.longest+r.options.callerTrip())
 }
--- a/internal/bench/load/report.go
+++ b/internal/bench/load/report.go
@@ -45,7 +45,8 @@
 	Complete float64   `json:"complete"`
 	Failed   float64   `json:"failed"`
 	Refused  float64   `json:"refused"`
-	// Goodput is the run time of complete jobs as a share of all slots.
+	// Goodput is the run time of the jobs completed in the measured time as a
+	// share of all slots.
 	Goodput float64 `json:"goodput"`
 	// Messages counts all frames between the system's processes for each task.
 	Messages float64 `json:"messages_a_task"`
@@ -91,7 +92,7 @@
 		Refused:  float64(r.refused) / float64(jobs),
 		Goodput:  r.goodWork.Seconds() / (measured.Seconds() * workload.Slots),
 		Messages: (delta("link_work_sent_frames") + delta("link_control_sent_frames")) / tasks,
-		Wasted:   (2*delta("retried_target_full") + delta("results_late") + delta("grants_returned")) / tasks,
+		Wasted:   (2*delta("retried_target_full") + delta("results_late") + 2*delta("slots_returned")) / tasks,
 		Attempts: float64(attempts) / tasks,
 		Wrong:    r.wrong,
 		Twice:    twice,
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -46,6 +47,8 @@
 	config      *config.View
 	roster      *roster.View
 	permit      permit
+	tally       tally
+	broker      atomic.Uint64 // incarnation of the entry that lends the slots
 
 	mu       sync.Mutex
 	sessions map[uint64]*session // by entry incarnation
--- a/internal/process/agent/session.go
+++ b/internal/process/agent/session.go
@@ -46,6 +46,7 @@
 	}
 	a.addSession(s)
 	defer a.removeSession(s)
+	s.report()
 	go s.heartbeat()
 	for {
 		f, err := l.Receive()
@@ -90,6 +91,7 @@
 }
 
 func (a *Agent) addSession(s *session) {
+	defer a.chooseBroker()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if old := a.sessions[s.entry]; old != nil {
@@ -100,6 +102,7 @@
 }
 
 func (a *Agent) removeSession(s *session) {
+	defer a.chooseBroker()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.sessions[s.entry] == s {
@@ -196,6 +199,7 @@
 	next := roster.New(r.GetRevision(), r.GetEntries())
 	if s.agent.roster.Apply(next) {
 		s.agent.follow(s.ctx, next)
+		s.agent.chooseBroker()
 	}
 }
 
@@ -222,4 +226,5 @@
 		Failure: err.Failure(),
 		Load:    a.load(),
 	}}})
+	a.reportToBroker(s.entry)
 }
--- a/internal/process/agent/start.go
+++ b/internal/process/agent/start.go
@@ -13,11 +13,16 @@
 func (a *Agent) start(s *session, start *peerv1.Start) {
 	ctx, cancel := context.WithCancel(context.Background())
 	gate := func() *verdict.Error { return a.gate(start) }
-	if err := a.attempts.Begin(start, gate, cancel); err != nil {
+	err := a.attempts.Begin(start, gate, cancel)
+	if start.GetGranted() {
+		a.tally.granted()
+	}
+	if err != nil {
 		cancel()
 		s.refuse(start, err)
 		return
 	}
+	a.tally.begin(time.Now())
 	go a.run(ctx, cancel, start)
 }
 
@@ -58,7 +63,9 @@
 		result.Failure = err.Failure()
 	}
 	a.attempts.Finish(result)
+	a.tally.end(time.Now(), err != nil && err.Reason != apiv1.Reason_REASON_CANCELLED)
 	a.deliver(start.GetSender(), result)
+	a.reportToBroker(start.GetSender())
 	a.wakeWaiter()
 }
 
--- a/internal/process/dispatch/dispatcher.go
+++ b/internal/process/dispatch/dispatcher.go
@@ -9,8 +9,8 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
-	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/process/slots"
 	"github.com/rosemarybay/rosemarybay/internal/request/retry"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
@@ -25,6 +25,9 @@
 	// staleBackoff keeps a target idle after it refused for a stale permit.
 	staleBackoff = 100 * time.Millisecond
 
+	// ejectionMemory is how long a broker's word on an ejected target counts.
+	ejectionMemory = 1500 * time.Millisecond
+
 	retryRatio = 0.1
 	retryLimit = 100
 )
@@ -37,6 +40,12 @@
 	QueueLimit int
 	Config     *config.View
 	Counters   *metrics.Counters
+	// Slots reaches the brokers of targets; Broker lends the slots of those
+	// that name this entry.
+	Slots  Slots
+	Broker *slots.Broker
+	// Entries returns the number of entries of the fleet.
+	Entries func() int
 }
 
 // Dispatcher places tasks on targets. It is safe for concurrent use.
@@ -47,9 +56,19 @@
 	late    gometrics.Counter
 	// repeated counts the attempts that follow one that may have run.
 	repeated gometrics.Counter
-
-	mu        sync.Mutex
-	targets   map[string]*target
+	// returned counts lent slots given back unused.
+	returned gometrics.Counter
+	// silences counts the requests that a broker did not answer.
+	silences gometrics.Counter
+
+	mu      sync.Mutex
+	targets map[string]*target
+	brokers brokers
+	// blocked holds the targets that get no work for a moment.
+	blocked map[*target]struct{}
+	// inUse counts the attempts in flight by department.
+	inUse     map[string]int
+	pace      pace
 	queue     queue
 	completed []completion
 }
@@ -67,14 +86,21 @@
 		started:  opts.Counters.Counter("attempts_sent"),
 		late:     opts.Counters.Counter("results_late"),
 		repeated: opts.Counters.Counter("attempts_repeated"),
+		returned: opts.Counters.Counter("slots_returned"),
+		silences: opts.Counters.Counter("brokers_silent"),
 		targets:  make(map[string]*target),
+		brokers:  newBrokers(),
+		blocked:  make(map[*target]struct{}),
+		inUse:    make(map[string]int),
+		pace:     pace{departments: make(map[string]*average)},
 	}
 }
 
 // Submit queues the tasks of one job: all of them, or none and an error NotRun.
 func (d *Dispatcher) Submit(tasks []*Task) *verdict.Error {
 	d.mu.Lock()
-	if err := d.admit(tasks); err != nil {
+	now := time.Now()
+	if err := d.admit(tasks, now); err != nil {
 		d.mu.Unlock()
 		d.opts.Counters.Refuse(err.Reason)
 		return err
@@ -82,26 +108,13 @@
 	for _, t := range tasks {
 		t.started = verdict.NotRun
 		t.phase = phaseQueued
-		d.queue.pushBack(t)
+		d.queue.pushBack(t, now)
 	}
 	d.pump()
 	d.unlockAndComplete()
 	return nil
 }
 
-func (d *Dispatcher) admit(tasks []*Task) *verdict.Error {
-	if d.queue.len()+len(tasks) > d.opts.QueueLimit {
-		return verdict.NotRunError(apiv1.Reason_REASON_OVERLOAD, "%d tasks are waiting", d.queue.len())
-	}
-	snapshot := d.opts.Config.Load()
-	for _, t := range tasks {
-		if !d.isPossible(t, snapshot) {
-			return verdict.NotRunError(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, "no target could ever run task %d", t.Index)
-		}
-	}
-	return nil
-}
-
 // Cancel ends tasks: those that wait end at once, and those that were sent when
 // their agents have answered or cancelGrace has passed.
 func (d *Dispatcher) Cancel(tasks []*Task, reason verdict.Reason) {
@@ -140,6 +153,7 @@
 
 // Refresh places waiting tasks after a change of the configuration.
 func (d *Dispatcher) Refresh() {
+	d.opts.Broker.Refresh()
 	d.mu.Lock()
 	d.pump()
 	d.unlockAndComplete()
--- a/internal/process/dispatch/outcome.go
+++ b/internal/process/dispatch/outcome.go
@@ -24,7 +24,7 @@
 		d.late.Inc(1)
 		return
 	}
-	delete(t.inFlight, at.key)
+	d.ended(at)
 	d.endAttempt(at, r)
 	d.pump()
 }
@@ -51,12 +51,10 @@
 // refused handles an attempt that has not run and never will.
 func (d *Dispatcher) refused(at *attempt, failure *verdict.Error) {
 	task := at.task
-	switch {
-	case failure.Reason == apiv1.Reason_REASON_TARGET_FULL:
+	if failure.Reason == apiv1.Reason_REASON_TARGET_FULL {
 		at.target.full = at.target.free <= 0
-	case failure.Reason == apiv1.Reason_REASON_STALE_PERMIT:
-		at.target.blockedUntil = time.Now().Add(staleBackoff)
-		time.AfterFunc(staleBackoff, d.Refresh)
+	} else {
+		d.block(at.target, time.Now())
 	}
 	if task.cancelled || failure.Reason == apiv1.Reason_REASON_FENCED {
 		d.finish(task, Outcome{Err: verdict.New(task.started, failure.Reason, "%s", failure.Message)})
@@ -102,7 +100,7 @@
 		if !ok || s.GetPhase() != peerv1.AttemptPhase_ATTEMPT_PHASE_TOMBSTONE {
 			continue
 		}
-		delete(t.inFlight, at.key)
+		d.ended(at)
 		if at.task.current == at {
 			d.refused(at, verdict.NotRunError(apiv1.Reason_REASON_TOMBSTONED, "attempt was stopped before its start"))
 		}
@@ -124,6 +122,9 @@
 	if load == nil {
 		return
 	}
+	d.brokers.change(t.broker, load.GetBroker())
+	t.broker = load.GetBroker()
+	d.opts.Broker.Report(t.info.GetName(), load, t.broker == d.opts.Sender)
 	t.free = int(load.GetFree())
 	t.revision = max(t.revision, load.GetConfigRevision())
 	if t.free > 0 {
@@ -133,8 +134,8 @@
 
 // loseAttempts ends all attempts at a target that cannot be asked any more.
 func (d *Dispatcher) loseAttempts(t *target, reason verdict.Reason) {
-	for key, at := range t.inFlight {
-		delete(t.inFlight, key)
+	for _, at := range t.inFlight {
+		d.ended(at)
 		if at.task.current == at {
 			d.failed(at, verdict.New(verdict.MayHaveRun, reason, "agent of target %q is gone", t.info.GetName()))
 		}
--- a/internal/process/dispatch/place.go
+++ b/internal/process/dispatch/place.go
@@ -5,13 +5,10 @@
 	"time"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 )
 
-// maxSkipped bounds the waiting tasks that one pump passes over because no
-// target is available for them.
-const maxSkipped = 64
-
 // isPossible reports whether any known target could ever run the task. With no
 // target known the question is open, and the task waits.
 func (d *Dispatcher) isPossible(t *Task, snapshot *config.Snapshot) bool {
@@ -26,24 +23,29 @@
 	return false
 }
 
-// pump sends waiting tasks to available targets; the caller holds d.mu.
-func (d *Dispatcher) pump() {
-	if d.queue.len() == 0 {
-		return
-	}
-	now := time.Now()
-	snapshot := d.opts.Config.Load()
-	skipped := 0
-	d.queue.each(func(t *Task) bool {
+// placeDirectly sends the tasks of a line without a broker, on this entry's own
+// estimate of free slots. An agent without one refuses.
+func (d *Dispatcher) placeDirectly(l *line, snapshot *config.Snapshot, now time.Time) {
+	for t := l.first(); t != nil && d.isWithinQuota(l.class.department, snapshot); t = l.first() {
 		tg := d.choose(t, snapshot, now)
 		if tg == nil {
-			skipped++
-			return skipped < maxSkipped
+			return
 		}
 		d.queue.remove(t)
-		d.start(t, tg, now)
+		if !d.start(t, tg, 0, now) {
+			return
+		}
+	}
+}
+
+// isWithinQuota reports whether a department may use one more slot through this
+// entry: without a broker each entry holds an equal share of the quota.
+func (d *Dispatcher) isWithinQuota(department string, snapshot *config.Snapshot) bool {
+	quota := int(snapshot.Get(apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT, department).GetQuotaSlots())
+	if quota == 0 {
 		return true
-	})
+	}
+	return d.inUse[department] < max(1, quota/max(1, d.opts.Entries()))
 }
 
 // choose returns the target for a task, or nil. Targets in the own data centre
@@ -53,7 +55,7 @@
 	var best *target
 	var bestScore float64
 	for _, tg := range d.targets {
-		if !tg.isAvailable(now) || !tg.fits(t, snapshot) {
+		if !tg.isAvailable(now) || now.Before(tg.ejectedUntil) || !tg.fits(t, snapshot) {
 			continue
 		}
 		if snapshot.CheckTarget(t.Department, tg.info.GetDataCentre(), tg.info.GetName()) != nil {
@@ -80,8 +82,10 @@
 	return score + tieBreak*rand.Float64()
 }
 
-// start sends one attempt; the caller holds d.mu.
-func (d *Dispatcher) start(t *Task, tg *target, now time.Time) {
+// start sends one attempt; broker is the entry that lent the slot, 0 for none.
+// When the link takes no frame the task waits again and false is returned. The
+// caller holds d.mu.
+func (d *Dispatcher) start(t *Task, tg *target, broker uint64, now time.Time) bool {
 	t.attempts++
 	at := &attempt{
 		key:    attemptKey{id: t.ID, task: t.Index, attempt: t.attempts},
@@ -89,27 +93,45 @@
 		target: tg,
 		sentAt: now,
 	}
-	frame := &peerv1.Frame{Body: &peerv1.Frame_Start{Start: &peerv1.Start{
-		Id:         at.key.proto(),
-		Department: t.Department,
-		Owner:      t.Owner,
-		Task:       t.Spec,
-		DeadlineMs: milliseconds(t.Deadline.Sub(now)),
-		Tasks:      t.JobTasks,
-		Sender:     d.opts.Sender,
-		ExpiresMs:  milliseconds(t.Expires.Sub(now)),
-	}}}
-	if !tg.send(frame) {
+	if !tg.send(startFrame(at, d.opts.Sender, broker != 0)) {
 		// The link is closing and wrote nothing; Detach follows.
-		tg.blockedUntil = now.Add(staleBackoff)
+		d.block(tg, now)
 		d.queue.pushFront(t)
-		return
+		return false
+	}
+	if broker != 0 && d.hasQuota(t.Department, d.opts.Config.Load()) {
+		at.broker = broker
 	}
+	d.inUse[t.Department]++
 	d.started.Inc(1)
+	d.pace.add(t.Department, now)
 	tg.free--
 	tg.inFlight[at.key] = at
 	t.phase = phaseSent
 	t.current = at
+	return true
+}
+
+func startFrame(at *attempt, sender uint64, granted bool) *peerv1.Frame {
+	t := at.task
+	return &peerv1.Frame{Body: &peerv1.Frame_Start{Start: &peerv1.Start{
+		Id:         at.key.proto(),
+		Department: t.Department,
+		Owner:      t.Owner,
+		Task:       t.Spec,
+		DeadlineMs: milliseconds(t.Deadline.Sub(at.sentAt)),
+		Tasks:      t.JobTasks,
+		Sender:     sender,
+		ExpiresMs:  milliseconds(t.Expires.Sub(at.sentAt)),
+		Granted:    granted,
+	}}}
+}
+
+// block keeps a target without work for staleBackoff.
+func (d *Dispatcher) block(tg *target, now time.Time) {
+	tg.blockedUntil = now.Add(staleBackoff)
+	d.blocked[tg] = struct{}{}
+	time.AfterFunc(staleBackoff, d.Refresh)
 }
 
 func milliseconds(d time.Duration) uint32 {
--- a/internal/process/dispatch/target.go
+++ b/internal/process/dispatch/target.go
@@ -5,6 +5,7 @@
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/process/slots"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 )
 
@@ -25,6 +26,9 @@
 	// full is set by a refusal until the agent reports a free slot.
 	full         bool
 	blockedUntil time.Time
+	// broker is the entry that lends the target's slots; 0 when unknown.
+	broker       uint64
+	ejectedUntil time.Time
 	draining     bool
 	revision     uint64
 	lostTimer    *time.Timer
@@ -36,29 +40,13 @@
 
 // fits reports whether the target could ever run the task.
 func (t *target) fits(task *Task, snapshot *config.Snapshot) bool {
-	need, have := task.Spec.GetSize(), t.info.GetSize()
-	if need.GetCpus() > have.GetCpus() || need.GetMemoryMb() > have.GetMemoryMb() || need.GetAccelerators() > have.GetAccelerators() {
-		return false
-	}
-	if !serves(t.info.GetDepartments(), task.Department) {
+	if !slots.Fits(t.info, task.Department, task.Spec.GetSize()) {
 		return false
 	}
 	err := snapshot.CheckTarget(task.Department, t.info.GetDataCentre(), t.info.GetName())
 	return err == nil || err.Reason != apiv1.Reason_REASON_NO_ELIGIBLE_TARGET
 }
 
-func serves(departments []string, department string) bool {
-	if len(departments) == 0 {
-		return true
-	}
-	for _, d := range departments {
-		if d == department {
-			return true
-		}
-	}
-	return false
-}
-
 // isAvailable reports whether the target may be sent a task now.
 func (t *target) isAvailable(now time.Time) bool {
 	return t.link != nil && !t.draining && !t.full && len(t.inFlight) < int(t.info.GetSlots()) && !now.Before(t.blockedUntil)
@@ -85,6 +73,7 @@
 	t.info, t.incarnation, t.link = info, incarnation, link
 	t.free, t.full = int(info.GetSlots()), false
 	t.draining = false
+	d.opts.Broker.Attach(info)
 	d.query(t)
 	d.pump()
 }
@@ -110,10 +99,19 @@
 	if t == nil || t.link != link {
 		return
 	}
+	d.drop(t)
 	t.link = nil
 	t.lostTimer = time.AfterFunc(recoveryWindow, func() { d.lose(name) })
 }
 
+// drop ends the lending of a target's slots.
+func (d *Dispatcher) drop(t *target) {
+	d.opts.Broker.Detach(t.info.GetName())
+	d.brokers.change(t.broker, 0)
+	t.broker = 0
+	delete(d.blocked, t)
+}
+
 func (d *Dispatcher) lose(name string) {
 	d.mu.Lock()
 	defer d.unlockAndComplete()
@@ -130,7 +128,9 @@
 func (d *Dispatcher) TargetStatus() []*apiv1.TargetStatus {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	list := make([]*apiv1.TargetStatus, 0, len(d.targets))
+	d.noteEjected(d.opts.Broker.Status(), now)
 	for name, t := range d.targets {
 		list = append(list, &apiv1.TargetStatus{
 			Name:           name,
@@ -139,6 +139,7 @@
 			Slots:          t.info.GetSlots(),
 			Busy:           t.info.GetSlots() - uint32(max(0, min(t.free, int(t.info.GetSlots())))),
 			Connected:      t.link != nil,
+			Ejected:        now.Before(t.ejectedUntil),
 			ConfigRevision: t.revision,
 		})
 	}
@@ -151,5 +152,6 @@
 	defer d.mu.Unlock()
 	if t := d.targets[name]; t != nil {
 		t.draining = true
+		d.drop(t)
 	}
 }
--- a/internal/process/dispatch/task.go
+++ b/internal/process/dispatch/task.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"container/list"
 	"time"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
@@ -29,6 +30,9 @@
 	// started is the strongest verdict of all ended attempts.
 	started   verdict.Verdict
 	cancelled bool
+	// element is the task's place in the queue while it waits there.
+	element      *list.Element
+	waitingSince time.Time
 }
 
 type phase int
@@ -76,4 +80,7 @@
 	task   *Task
 	target *target
 	sentAt time.Time
+	// broker is the entry to tell when a task of a department with a quota
+	// ends; 0 for none.
+	broker uint64
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+	"github.com/rosemarybay/rosemarybay/internal/process/slots"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 	"github.com/rosemarybay/rosemarybay/internal/version/roster"
 )
@@ -47,6 +48,7 @@
 	config      *config.View
 	roster      *roster.View
 	dispatcher  *dispatch.Dispatcher
+	broker      *slots.Broker
 	peers       *peers
 	ready       atomic.Bool
 	draining    atomic.Bool
@@ -83,12 +85,16 @@
 		agents:      make(map[string]*agentLink),
 	}
 	e.peers = newPeers(e)
+	e.broker = slots.New(e.config, counters)
 	e.dispatcher = dispatch.New(dispatch.Options{
 		Sender:     e.incarnation,
 		DataCentre: s.DataCentre,
 		QueueLimit: s.Entry.QueueLimit,
 		Config:     e.config,
 		Counters:   counters,
+		Slots:      &slotBrokers{entry: e},
+		Broker:     e.broker,
+		Entries:    func() int { return len(e.roster.Load().Entries) },
 	})
 	e.server, err = caller.Listen(s.Entry.CallerListen, e.handler())
 	if err != nil {
@@ -123,6 +129,7 @@
 	defer cancel()
 	go e.accept(ctx)
 	go e.follow(ctx)
+	go e.broker.Run(ctx.Done())
 	<-stop
 	e.drain()
 	cancel()
--- a/internal/process/entry/follow.go
+++ b/internal/process/entry/follow.go
@@ -236,6 +236,7 @@
 	r := roster.New(s.revision, entries)
 	if s.entry.roster.Apply(r) {
 		s.entry.eachAgent(func(a *agentLink) { a.sendRoster(r) })
+		s.entry.broker.Keep(entries)
 	}
 }
 
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -124,6 +124,12 @@
 		answer, err = e.getHere(ctx, r.GetJob)
 	case *peerv1.Call_CancelJob:
 		answer, err = e.cancelHere(ctx, r.CancelJob)
+	case *peerv1.Call_AcquireSlots:
+		got := e.broker.Acquire(ctx, r.AcquireSlots)
+		return &peerv1.Reply{Response: &peerv1.Reply_AcquiredSlots{AcquiredSlots: got}}
+	case *peerv1.Call_ReturnSlots:
+		e.broker.Return(r.ReturnSlots)
+		return &peerv1.Reply{Response: &peerv1.Reply_ReturnedSlots{ReturnedSlots: &peerv1.ReturnedSlots{}}}
 	default:
 		err = verdict.NotRunError(apiv1.Reason_REASON_INVALID_ARGUMENT, "unknown call")
 	}
--- /dev/null
+++ b/internal/process/entry/slots.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+)
+
+const (
+	returnTimeout = time.Second
+	returnTries   = 3
+)
+
+// slotBrokers reaches the brokers of targets: this entry or others.
+type slotBrokers struct {
+	entry *Entry
+}
+
+// Acquire implements dispatch.Slots.
+func (s *slotBrokers) Acquire(ctx context.Context, broker uint64, wish *peerv1.AcquireSlots) (*peerv1.AcquiredSlots, error) {
+	e := s.entry
+	if broker == e.incarnation {
+		return e.broker.Acquire(ctx, wish), nil
+	}
+	reply, err := s.call(ctx, broker, &peerv1.Call{Request: &peerv1.Call_AcquireSlots{AcquireSlots: wish}})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetAcquiredSlots(), nil
+}
+
+// TryAcquire implements dispatch.Slots.
+func (s *slotBrokers) TryAcquire(broker uint64, wish *peerv1.AcquireSlots) *peerv1.AcquiredSlots {
+	if broker != s.entry.incarnation {
+		return nil
+	}
+	return s.entry.broker.TryAcquire(wish)
+}
+
+// Return implements dispatch.Slots. What cannot be delivered is found missing
+// by the broker itself.
+func (s *slotBrokers) Return(broker uint64, m *peerv1.ReturnSlots) {
+	if broker == s.entry.incarnation {
+		s.entry.broker.Return(m)
+		return
+	}
+	go func() {
+		call := &peerv1.Call{Request: &peerv1.Call_ReturnSlots{ReturnSlots: m}}
+		ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
+		defer cancel()
+		for range returnTries {
+			if _, err := s.call(ctx, broker, call); err == nil || ctx.Err() != nil {
+				return
+			}
+		}
+	}()
+}
+
+func (s *slotBrokers) call(ctx context.Context, broker uint64, call *peerv1.Call) (*peerv1.Reply, error) {
+	to := s.entry.roster.Load().ByIncarnation(broker)
+	if to == nil {
+		return nil, eris.New("broker is not in the roster")
+	}
+	return s.entry.peers.call(ctx, to, call)
+}
