--- a/cmd/rosemarybay-bench/main.go
+++ b/cmd/rosemarybay-bench/main.go
@@ -27,6 +27,8 @@
   demo          run a few hundred ticket-desk jobs and print a table
   roundtrip     measure what the system adds to a call of an idle target
   load [FLAGS]  drive a fleet with jobs at a rate; -h lists the flags
+  chaos [-jobs N] [-seed N]
+                run jobs while nodes are killed, paused, stopped and cut off
   replay FILE.. replay traces and check their outcomes
 `
 
@@ -51,6 +53,8 @@
 		return status(demo.RoundTrip(ctx, os.Stdout))
 	case "load":
 		return runLoad(ctx, args[1:])
+	case "chaos":
+		return runChaos(ctx, args[1:])
 	case "replay":
 		return runReplay(ctx, args[1:])
 	default:
--- a/internal/process/agent/start.go
+++ b/internal/process/agent/start.go
@@ -48,7 +48,7 @@
 }
 
 // run runs an attempt on the target and sends its result to the entry that
-// asked for it. Without a link the result is kept for a Query.
+// answers for its job. The result is kept for a Query or a Fence.
 func (a *Agent) run(ctx context.Context, cancel context.CancelFunc, start *peerv1.Start) {
 	defer cancel()
 	began := time.Now()
@@ -64,8 +64,9 @@
 	}
 	a.attempts.Finish(result)
 	a.tally.end(time.Now(), err != nil && err.Reason != apiv1.Reason_REASON_CANCELLED)
-	a.deliver(start.GetSender(), result)
-	a.reportToBroker(start.GetSender())
+	owner := a.attempts.Owner(start.GetId().GetIncarnation())
+	a.deliver(owner, result)
+	a.reportToBroker(owner)
 	a.wakeWaiter()
 }
 
--- a/internal/process/dispatch/outcome.go
+++ b/internal/process/dispatch/outcome.go
@@ -56,6 +56,10 @@
 	} else {
 		d.block(at.target, time.Now())
 	}
+	if failure.Reason == apiv1.Reason_REASON_FENCED {
+		// The adopter may start the task.
+		task.started = verdict.Worst(task.started, verdict.MayHaveRun)
+	}
 	if task.cancelled || failure.Reason == apiv1.Reason_REASON_FENCED {
 		d.finish(task, Outcome{Err: verdict.New(task.started, failure.Reason, "%s", failure.Message)})
 		return
--- a/internal/process/entry/slots.go
+++ b/internal/process/entry/slots.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
 const (
@@ -64,5 +65,12 @@
 	if to == nil {
 		return nil, eris.New("broker is not in the roster")
 	}
-	return s.entry.peers.call(ctx, to, call)
+	reply, err := s.entry.peers.call(ctx, to, call)
+	if err != nil {
+		return nil, err
+	}
+	if f := verdict.FromFailure(reply.GetFailure()); f != nil {
+		return nil, f
+	}
+	return reply, nil
 }
