Eject failing and slow targets, bound retries, repeat stragglers

Cause: a target that failed at once had free slots at once and drew work; its tasks failed for good.

Change: agents report ended and failed attempts and busy time; the broker judges each target against its peers, at once after a failure. The retry budget starts small, retries wait with jitter. Repeatable tasks at an ejected target, or far past the usual run time of their kind, get one second attempt. Attempts that were stopped no longer count as ended.

--- a/internal/process/agent/slots.go
+++ b/internal/process/agent/slots.go
@@ -7,6 +7,8 @@
 	"time"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
 // tally counts what a broker needs to know of the slots of this agent.
@@ -40,14 +42,18 @@
 	t.running++
 }
 
-// end counts an attempt that has ended.
-func (t *tally) end(now time.Time, failed bool) {
+// end counts an attempt that has ended. One that was stopped says nothing about
+// the target and counts only as busy time.
+func (t *tally) end(now time.Time, err *verdict.Error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.advance(now)
 	t.running--
+	if err != nil && err.Reason == apiv1.Reason_REASON_CANCELLED {
+		return
+	}
 	t.ended++
-	if failed {
+	if err != nil {
 		t.failed++
 	}
 }
--- a/internal/process/agent/start.go
+++ b/internal/process/agent/start.go
@@ -63,7 +63,7 @@
 		result.Failure = err.Failure()
 	}
 	a.attempts.Finish(result)
-	a.tally.end(time.Now(), err != nil && err.Reason != apiv1.Reason_REASON_CANCELLED)
+	a.tally.end(time.Now(), err)
 	owner := a.attempts.Owner(start.GetId().GetIncarnation())
 	a.deliver(owner, result)
 	a.reportToBroker(owner)
--- a/internal/process/dispatch/acquire.go
+++ b/internal/process/dispatch/acquire.go
@@ -117,8 +117,9 @@
 		}
 		wish := d.wish(l, need, count, now)
 		if got := d.opts.Slots.TryAcquire(broker, wish); len(got.GetSlots()) > 0 {
-			d.use(l, broker, got, now)
-			continue
+			if d.use(l, broker, got, now) > 0 {
+				continue
+			}
 		}
 		l.asking++
 		l.wanted += need
@@ -147,6 +148,14 @@
 		Repeatable: l.class.repeatable,
 		InUse:      uint32(d.inUse[l.class.department]),
 	}
+	for e := l.tasks.Front(); e != nil; e = e.Next() {
+		// Second attempts wait in front of all others.
+		at := e.Value.(*Task).current
+		if at == nil {
+			break
+		}
+		w.ExcludedTargets = append(w.ExcludedTargets, at.target.info.GetName())
+	}
 	for t := range d.blocked {
 		if now.Before(t.blockedUntil) {
 			w.ExcludedTargets = append(w.ExcludedTargets, t.info.GetName())
@@ -178,15 +187,18 @@
 	d.queue.prune(l)
 }
 
-// use starts waiting tasks on lent slots and returns those without a task.
-func (d *Dispatcher) use(l *line, broker uint64, got *peerv1.AcquiredSlots, now time.Time) {
+// use starts waiting tasks on lent slots and gives back those without a task.
+// It returns the number of tasks started.
+func (d *Dispatcher) use(l *line, broker uint64, got *peerv1.AcquiredSlots, now time.Time) int {
 	d.noteEjected(got.GetEjectedTargets(), now)
 	snapshot := d.opts.Config.Load()
 	back := &peerv1.ReturnSlots{Entry: d.opts.Sender}
+	used := 0
 	for _, g := range got.GetSlots() {
 		left := g.GetSlots()
 		for left > 0 && d.useOne(l, broker, g.GetTarget(), snapshot, now) {
 			left--
+			used++
 		}
 		if left > 0 {
 			back.Slots = append(back.Slots, &peerv1.GrantedSlots{Target: g.GetTarget(), Slots: left})
@@ -194,7 +206,7 @@
 		}
 	}
 	if len(back.Slots) == 0 {
-		return
+		return used
 	}
 	if d.hasQuota(l.class.department, snapshot) {
 		n := uint32(0)
@@ -204,6 +216,7 @@
 		back.Ended = []*peerv1.EndedTasks{{Department: l.class.department, Tasks: n}}
 	}
 	d.opts.Slots.Return(broker, back)
+	return used
 }
 
 // useOne starts the first task of a line on a lent slot. It reports false when
@@ -216,7 +229,7 @@
 	if snapshot.CheckTarget(l.class.department, tg.info.GetDataCentre(), name) != nil {
 		return false
 	}
-	t := l.first()
+	t := l.firstFor(tg)
 	if t == nil {
 		return false
 	}
--- a/internal/process/dispatch/dispatcher.go
+++ b/internal/process/dispatch/dispatcher.go
@@ -28,8 +28,10 @@
 	// ejectionMemory is how long a broker's word on an ejected target counts.
 	ejectionMemory = 1500 * time.Millisecond
 
-	retryRatio = 0.1
-	retryLimit = 100
+	// Retry budget: retries earned by a success, at the start, and at most.
+	retryRatio   = 0.1
+	retryInitial = 5
+	retryLimit   = 20
 )
 
 // Options configure a Dispatcher.
@@ -69,6 +71,7 @@
 	// inUse counts the attempts in flight by department.
 	inUse     map[string]int
 	pace      pace
+	runTimes  runTimes
 	queue     queue
 	completed []completion
 }
@@ -82,7 +85,7 @@
 func New(opts Options) *Dispatcher {
 	return &Dispatcher{
 		opts:     opts,
-		budget:   retry.NewBudget(retryRatio, retryLimit),
+		budget:   retry.NewBudget(retryRatio, retryInitial, retryLimit),
 		started:  opts.Counters.Counter("attempts_sent"),
 		late:     opts.Counters.Counter("results_late"),
 		repeated: opts.Counters.Counter("attempts_repeated"),
@@ -92,6 +95,7 @@
 		brokers:  newBrokers(),
 		blocked:  make(map[*target]struct{}),
 		inUse:    make(map[string]int),
+		runTimes: runTimes{kinds: make(map[string]*runTimeHistogram)},
 		pace:     pace{departments: make(map[string]*average)},
 	}
 }
@@ -127,8 +131,10 @@
 			d.queue.remove(t)
 			d.finish(t, Outcome{Err: verdict.New(t.started, reason, "cancelled before its start")})
 		case phaseSent:
-			at := t.current
-			byTarget[at.target] = append(byTarget[at.target], at.key.proto())
+			d.queue.remove(t)
+			for _, at := range t.live() {
+				byTarget[at.target] = append(byTarget[at.target], at.key.proto())
+			}
 		}
 	}
 	for tg, ids := range byTarget {
@@ -164,8 +170,9 @@
 	if t.phase == phaseFinished {
 		return
 	}
+	d.queue.remove(t)
 	t.phase = phaseFinished
-	t.current = nil
+	t.current, t.second = nil, nil
 	d.completed = append(d.completed, completion{task: t, outcome: o})
 }
 
--- a/internal/process/dispatch/outcome.go
+++ b/internal/process/dispatch/outcome.go
@@ -5,6 +5,7 @@
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/request/retry"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
@@ -32,7 +33,7 @@
 // endAttempt decides what follows an attempt's result; the caller holds d.mu.
 func (d *Dispatcher) endAttempt(at *attempt, r *peerv1.Result) {
 	task := at.task
-	if task.current != at {
+	if !task.isLive(at) {
 		d.late.Inc(1)
 		return
 	}
@@ -40,6 +41,9 @@
 	switch {
 	case failure == nil:
 		d.budget.Success()
+		d.runTimes.add(task.Spec.GetKind(), time.Duration(r.GetRunUs())*time.Microsecond)
+		task.release(at)
+		d.stopOthers(task)
 		d.finish(task, Outcome{Output: r.GetOutput()})
 	case failure.Verdict == verdict.NotRun:
 		d.refused(at, failure)
@@ -60,6 +64,10 @@
 		// The adopter may start the task.
 		task.started = verdict.Worst(task.started, verdict.MayHaveRun)
 	}
+	if task.release(at) {
+		d.opts.Counters.Retry(failure.Reason)
+		return
+	}
 	if task.cancelled || failure.Reason == apiv1.Reason_REASON_FENCED {
 		d.finish(task, Outcome{Err: verdict.New(task.started, failure.Reason, "%s", failure.Message)})
 		return
@@ -71,6 +79,9 @@
 func (d *Dispatcher) failed(at *attempt, failure *verdict.Error) {
 	task := at.task
 	task.started = verdict.Worst(task.started, failure.Verdict)
+	if task.release(at) {
+		return
+	}
 	if task.cancelled || !task.Spec.GetRepeatable() {
 		d.finish(task, Outcome{Err: failure})
 		return
@@ -80,14 +91,26 @@
 		d.finish(task, Outcome{Err: failure})
 		return
 	}
-	d.repeated.Inc(1)
-	d.requeue(task, failure.Reason)
+	d.requeueLater(task, failure.Reason)
+}
+
+// requeueLater lets a task wait again after a backoff.
+func (d *Dispatcher) requeueLater(task *Task, reason verdict.Reason) {
+	d.opts.Counters.Retry(reason)
+	task.phase = phaseQueued
+	time.AfterFunc(retry.Backoff(int(task.attempts)), func() {
+		d.mu.Lock()
+		defer d.unlockAndComplete()
+		if task.phase == phaseQueued && !task.cancelled {
+			d.queue.pushFront(task)
+			d.pump()
+		}
+	})
 }
 
 func (d *Dispatcher) requeue(task *Task, reason verdict.Reason) {
 	d.opts.Counters.Retry(reason)
 	task.phase = phaseQueued
-	task.current = nil
 	d.queue.pushFront(task)
 }
 
@@ -105,7 +128,7 @@
 			continue
 		}
 		d.ended(at)
-		if at.task.current == at {
+		if at.task.isLive(at) {
 			d.refused(at, verdict.NotRunError(apiv1.Reason_REASON_TOMBSTONED, "attempt was stopped before its start"))
 		}
 	}
@@ -140,7 +163,7 @@
 func (d *Dispatcher) loseAttempts(t *target, reason verdict.Reason) {
 	for _, at := range t.inFlight {
 		d.ended(at)
-		if at.task.current == at {
+		if at.task.isLive(at) {
 			d.failed(at, verdict.New(verdict.MayHaveRun, reason, "agent of target %q is gone", t.info.GetName()))
 		}
 	}
--- a/internal/process/dispatch/place.go
+++ b/internal/process/dispatch/place.go
@@ -6,6 +6,7 @@
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 )
 
@@ -55,6 +56,9 @@
 	var best *target
 	var bestScore float64
 	for _, tg := range d.targets {
+		if t.current != nil && t.current.target == tg {
+			continue
+		}
 		if !tg.isAvailable(now) || now.Before(tg.ejectedUntil) || !tg.fits(t, snapshot) {
 			continue
 		}
@@ -107,8 +111,15 @@
 	d.pace.add(t.Department, now)
 	tg.free--
 	tg.inFlight[at.key] = at
+	if t.started != verdict.NotRun || t.current != nil {
+		d.repeated.Inc(1)
+	}
 	t.phase = phaseSent
-	t.current = at
+	if t.current == nil {
+		t.current = at
+	} else {
+		t.second = at
+	}
 	return true
 }
 
--- a/internal/process/dispatch/task.go
+++ b/internal/process/dispatch/task.go
@@ -27,6 +27,10 @@
 	phase    phase
 	attempts uint32
 	current  *attempt
+	// second is the attempt that runs beside current, if any.
+	second *attempt
+	// isRepeated is set once a second attempt was asked for.
+	isRepeated bool
 	// started is the strongest verdict of all ended attempts.
 	started   verdict.Verdict
 	cancelled bool
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -165,6 +165,7 @@
 	go e.watchPulse(ctx)
 	go e.follow(ctx)
 	go e.broker.Run(ctx.Done())
+	go e.dispatcher.Run(ctx.Done())
 	go e.sweepAdoptions(ctx)
 	select {
 	case <-e.retired:
--- a/internal/process/slots/broker.go
+++ b/internal/process/slots/broker.go
@@ -136,8 +136,13 @@
 	}
 	a.mine = mine
 	a.free = int(load.GetFree())
+	failed := a.last != nil && load.GetFailed() > a.last.GetFailed()
 	a.health.observe(a.last, load)
 	a.last, a.lastAt = load, b.now()
+	if failed && a.health.phase == healthy && a.mine {
+		all, count := b.totals(a.lastAt)
+		b.judgeOne(a, all, count, a.lastAt)
+	}
 	b.place(a)
 	b.serve()
 }
--- a/internal/process/slots/outlier.go
+++ b/internal/process/slots/outlier.go
@@ -14,19 +14,22 @@
 	// judgeInterval is the time between two judgements of all targets.
 	judgeInterval = 200 * time.Millisecond
 	// halfLife is the time after which evidence counts half.
-	halfLife = time.Second
+	halfLife = 500 * time.Millisecond
 	// maxEjectedShare bounds the targets ejected at once; one always may be.
 	maxEjectedShare = 0.2
 	// minFailures is the least number of failures, decayed, to eject on.
 	minFailures = 3
+	// minPeerEnds is the least number of attempts that ended at the peers, to
+	// compare with.
+	minPeerEnds = 10
 	// failureMargin is how far a target's share of failures must lie above that
 	// of its peers.
 	failureMargin = 0.4
 	// minExpected is the least number of ends that peers would have had in the
 	// same busy time, to eject a slow target on.
-	minExpected = 12
+	minExpected = 10
 	// slowShare is the share of that number below which a target is too slow.
-	slowShare = 0.2
+	slowShare = 0.15
 	// recoveredShare is the same for a target that was probed to come back.
 	recoveredShare = 0.5
 )
@@ -55,20 +58,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	factor := math.Exp2(-judgeInterval.Seconds() / halfLife.Seconds())
-	var all health
-	count := 0
 	for _, a := range b.targets {
-		if !a.up || !a.mine {
-			continue
-		}
 		a.health.decay(factor)
-		if a.health.phase == healthy {
-			all.add(a.evidence(now))
-		}
-		count++
 	}
+	all, count := b.totals(now)
 	for _, a := range b.targets {
-		if a.up && a.mine {
+		if a.mine {
 			b.judgeOne(a, all, count, now)
 			b.place(a)
 		}
@@ -77,6 +72,21 @@
 	b.serve()
 }
 
+// totals returns the evidence on all healthy targets together, and the number
+// of targets whose slots this broker lends.
+func (b *Broker) totals(now time.Time) (all health, count int) {
+	for _, a := range b.targets {
+		if !a.mine {
+			continue
+		}
+		count++
+		if a.health.phase == healthy {
+			all.add(a.evidence(now))
+		}
+	}
+	return all, count
+}
+
 func (h *health) add(e health) {
 	h.ended += e.ended
 	h.failed += e.failed
@@ -144,7 +154,7 @@
 // isFailing reports whether a target fails more of what it starts than its
 // peers do.
 func (h health) isFailing(peers health) bool {
-	return h.failed >= minFailures && h.failureShare() > peers.failureShare()+failureMargin
+	return h.failed >= minFailures && peers.ended >= minPeerEnds && h.failureShare() > peers.failureShare()+failureMargin
 }
 
 // isSlow reports whether a target ends far fewer attempts than its peers do in
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -13,10 +13,10 @@
 	limit  float64
 }
 
-// NewBudget returns a full budget: each success earns ratio of a retry, and at
-// most limit retries are saved up.
-func NewBudget(ratio, limit float64) *Budget {
-	return &Budget{tokens: limit, ratio: ratio, limit: limit}
+// NewBudget returns a budget of initial retries: each success earns ratio of a
+// retry, and at most limit retries are saved up.
+func NewBudget(ratio, initial, limit float64) *Budget {
+	return &Budget{tokens: initial, ratio: ratio, limit: limit}
 }
 
 // Success earns a share of a retry.
