Give retries after a lost process a budget of their own

Cause: with the smaller budget for failing tasks, the traces outcome-home-killed and outcome-home-and-agent-lost failed: the tasks of a lost home found the budget empty. Both traces hold now (go test ./internal/bench/replay).

--- a/internal/process/dispatch/dispatcher.go
+++ b/internal/process/dispatch/dispatcher.go
@@ -32,6 +32,9 @@
 	retryRatio   = 0.1
 	retryInitial = 5
 	retryLimit   = 20
+	// lossLimit is the number of retries after the loss of an agent or a home
+	// that may be made at once: as many tasks as are lost with one process.
+	lossLimit = 100
 )
 
 // Options configure a Dispatcher.
@@ -52,8 +55,11 @@
 
 // Dispatcher places tasks on targets. It is safe for concurrent use.
 type Dispatcher struct {
-	opts    Options
-	budget  *retry.Budget
+	opts   Options
+	budget *retry.Budget
+	// losses is the budget after the loss of a process, which cannot multiply
+	// load as failing tasks do.
+	losses  *retry.Budget
 	started gometrics.Counter
 	late    gometrics.Counter
 	// repeated counts the attempts that follow one that may have run.
@@ -86,6 +92,7 @@
 	return &Dispatcher{
 		opts:     opts,
 		budget:   retry.NewBudget(retryRatio, retryInitial, retryLimit),
+		losses:   retry.NewBudget(retryRatio, lossLimit, lossLimit),
 		started:  opts.Counters.Counter("attempts_sent"),
 		late:     opts.Counters.Counter("results_late"),
 		repeated: opts.Counters.Counter("attempts_repeated"),
--- a/internal/process/dispatch/outcome.go
+++ b/internal/process/dispatch/outcome.go
@@ -41,6 +41,7 @@
 	switch {
 	case failure == nil:
 		d.budget.Success()
+		d.losses.Success()
 		d.runTimes.add(task.Spec.GetKind(), time.Duration(r.GetRunUs())*time.Microsecond)
 		task.release(at)
 		d.stopOthers(task)
@@ -86,7 +87,7 @@
 		d.finish(task, Outcome{Err: failure})
 		return
 	}
-	if !d.budget.Take() {
+	if !d.budgetFor(failure.Reason).Take() {
 		d.opts.Counters.Refuse(apiv1.Reason_REASON_RETRY_BUDGET)
 		d.finish(task, Outcome{Err: failure})
 		return
@@ -94,6 +95,16 @@
 	d.requeueLater(task, failure.Reason)
 }
 
+// budgetFor returns the budget that a retry after a failure is taken from.
+func (d *Dispatcher) budgetFor(reason verdict.Reason) *retry.Budget {
+	switch reason {
+	case apiv1.Reason_REASON_AGENT_LOST, apiv1.Reason_REASON_LINK_LOST, apiv1.Reason_REASON_HOME_LOST:
+		return d.losses
+	default:
+		return d.budget
+	}
+}
+
 // requeueLater lets a task wait again after a backoff.
 func (d *Dispatcher) requeueLater(task *Task, reason verdict.Reason) {
 	d.opts.Counters.Retry(reason)
