--- a/internal/process/dispatch/acquire.go
+++ b/internal/process/dispatch/acquire.go
@@ -90,7 +90,7 @@
 
 // pump finds slots for waiting tasks; the caller holds d.mu.
 func (d *Dispatcher) pump() {
-	if d.queue.len() == 0 {
+	if d.queue.len() == 0 || !d.opts.IsFresh() {
 		return
 	}
 	now := time.Now()
@@ -229,6 +229,10 @@
 	if snapshot.CheckTarget(l.class.department, tg.info.GetDataCentre(), name) != nil {
 		return false
 	}
+	if len(tg.inFlight) >= tg.rampLimit(now) {
+		d.block(tg, now)
+		return false
+	}
 	t := l.firstFor(tg)
 	if t == nil {
 		return false
--- a/internal/process/dispatch/admission.go
+++ b/internal/process/dispatch/admission.go
@@ -52,7 +52,7 @@
 func (d *Dispatcher) checkWait(t *Task, now time.Time) *verdict.Error {
 	wait := d.expectedWait(t.Department, now)
 	bound := time.Duration(maxWaitShare * float64(t.Deadline.Sub(now)))
-	if wait <= bound {
+	if wait == 0 || wait <= bound {
 		return nil
 	}
 	err := verdict.NotRunError(apiv1.Reason_REASON_OVERLOAD, "a start is expected in %d ms, too late for the deadline", wait.Milliseconds())
--- a/internal/process/dispatch/dispatcher.go
+++ b/internal/process/dispatch/dispatcher.go
@@ -46,11 +46,14 @@
 	Config     *config.View
 	Counters   *metrics.Counters
 	// Slots reaches the brokers of targets; Broker lends the slots of those
-	// that name this entry.
+	// that name this entry; nil stands for a new one.
 	Slots  Slots
 	Broker *slots.Broker
-	// Entries returns the number of entries of the fleet.
+	// Entries returns the number of entries of the fleet; nil stands for one.
 	Entries func() int
+	// IsFresh reports whether the configuration may be taken for the present
+	// one; no task is placed while it is not. Nil means always.
+	IsFresh func() bool
 }
 
 // Dispatcher places tasks on targets. It is safe for concurrent use.
@@ -89,6 +92,15 @@
 
 // New returns a dispatcher without targets.
 func New(opts Options) *Dispatcher {
+	if opts.IsFresh == nil {
+		opts.IsFresh = func() bool { return true }
+	}
+	if opts.Broker == nil {
+		opts.Broker = slots.New(opts.Config, opts.Counters)
+	}
+	if opts.Entries == nil {
+		opts.Entries = func() int { return 1 }
+	}
 	return &Dispatcher{
 		opts:     opts,
 		budget:   retry.NewBudget(retryRatio, retryInitial, retryLimit),
@@ -168,6 +180,7 @@
 func (d *Dispatcher) Refresh() {
 	d.opts.Broker.Refresh()
 	d.mu.Lock()
+	d.applyConfig()
 	d.pump()
 	d.unlockAndComplete()
 }
--- a/internal/process/dispatch/outcome.go
+++ b/internal/process/dispatch/outcome.go
@@ -58,7 +58,7 @@
 	task := at.task
 	if failure.Reason == apiv1.Reason_REASON_TARGET_FULL {
 		at.target.full = at.target.free <= 0
-	} else {
+	} else if isElsewhere(failure.Reason) {
 		d.block(at.target, time.Now())
 	}
 	if failure.Reason == apiv1.Reason_REASON_FENCED {
@@ -69,13 +69,25 @@
 		d.opts.Counters.Retry(failure.Reason)
 		return
 	}
-	if task.cancelled || failure.Reason == apiv1.Reason_REASON_FENCED {
+	if task.cancelled || failure.Reason == apiv1.Reason_REASON_FENCED || failure.Reason == apiv1.Reason_REASON_DEPARTMENT_LEFT {
 		d.finish(task, Outcome{Err: verdict.New(task.started, failure.Reason, "%s", failure.Message)})
 		return
 	}
 	d.requeue(task, failure.Reason)
 }
 
+// isElsewhere reports whether an agent's refusal keeps further tasks from its
+// target for a while.
+func isElsewhere(reason verdict.Reason) bool {
+	switch reason {
+	case apiv1.Reason_REASON_STALE_PERMIT, apiv1.Reason_REASON_DATA_CENTRE_OUT, apiv1.Reason_REASON_TARGET_LEFT,
+		apiv1.Reason_REASON_STOPPING, apiv1.Reason_REASON_TARGET_FAILED:
+		return true
+	default:
+		return false
+	}
+}
+
 // failed handles an attempt that ran or may have run.
 func (d *Dispatcher) failed(at *attempt, failure *verdict.Error) {
 	task := at.task
--- a/internal/process/dispatch/place.go
+++ b/internal/process/dispatch/place.go
@@ -53,6 +53,9 @@
 // come first; within a data centre the one with the most free slots is taken,
 // ties at random.
 func (d *Dispatcher) choose(t *Task, snapshot *config.Snapshot, now time.Time) *target {
+	if snapshot.CheckDepartment(t.Department) != nil {
+		return nil
+	}
 	var best *target
 	var bestScore float64
 	for _, tg := range d.targets {
--- a/internal/process/dispatch/queue.go
+++ b/internal/process/dispatch/queue.go
@@ -107,3 +107,14 @@
 		delete(q.lines, l.class)
 	}
 }
+
+// each calls f for all waiting tasks. f may remove the task it is given.
+func (q *queue) each(f func(*Task)) {
+	for _, l := range q.lines {
+		for e := l.tasks.Front(); e != nil; {
+			next := e.Next()
+			f(e.Value.(*Task))
+			e = next
+		}
+	}
+}
--- a/internal/process/dispatch/target.go
+++ b/internal/process/dispatch/target.go
@@ -32,6 +32,7 @@
 	draining     bool
 	revision     uint64
 	lostTimer    *time.Timer
+	service      service
 }
 
 func (t *target) send(f *peerv1.Frame) bool {
@@ -49,7 +50,7 @@
 
 // isAvailable reports whether the target may be sent a task now.
 func (t *target) isAvailable(now time.Time) bool {
-	return t.link != nil && !t.draining && !t.full && len(t.inFlight) < int(t.info.GetSlots()) && !now.Before(t.blockedUntil)
+	return t.link != nil && !t.draining && !t.full && len(t.inFlight) < t.rampLimit(now) && !now.Before(t.blockedUntil)
 }
 
 // Attach makes a target available over a link. When the agent is the one known
@@ -74,6 +75,7 @@
 	t.free, t.full = int(info.GetSlots()), false
 	t.draining = false
 	d.opts.Broker.Attach(info)
+	t.applyConfig(d.opts.Config.Load(), time.Now())
 	d.query(t)
 	d.pump()
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
 	"github.com/rosemarybay/rosemarybay/internal/process/slots"
+	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 	"github.com/rosemarybay/rosemarybay/internal/version/roster"
 )
@@ -58,6 +59,10 @@
 	draining    atomic.Bool
 	reachable   atomic.Bool // the store answered last time
 	jobs        *jobs.Table // set before ready
+	freshness   *freshness
+	storeOld    atomic.Bool // the store is older than what is known
+	loggedFresh bool        // used by keepContact only
+	ticketKey   atomic.Pointer[ticket.Key]
 	memory      *jobs.Memory
 	lease       *lease
 	adoptions   *adoptions
@@ -101,6 +106,7 @@
 		config:      config.NewView(),
 		roster:      roster.NewView(),
 		agents:      make(map[string]*agentLink),
+		freshness:   newFreshness(s.Entry.Permit.Std(), time.Now()),
 		memory:      jobs.NewMemory(int64(s.Entry.AnswerMemoryMB) << 20),
 		lease:       newLease(s.Entry.Lease.Std()),
 		adoptions:   newAdoptions(),
@@ -118,6 +124,7 @@
 		Slots:      &slotBrokers{entry: e},
 		Broker:     e.broker,
 		Entries:    func() int { return len(e.roster.Load().Entries) },
+		IsFresh:    e.isFresh,
 	})
 	e.server, err = e.listenCallers()
 	if err != nil {
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -69,11 +69,11 @@
 	p.mu.Unlock()
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	if pl.isOpen() && pl.incarnation == to.GetIncarnation() {
+	if pl.isOpen() && isWanted(to, pl.incarnation) {
 		return pl.link, nil
 	}
 	// Calls that waited for a dial in vain do not dial in turn.
-	if !p.entry.isRegistered(to.GetIncarnation()) {
+	if to.GetIncarnation() != 0 && !p.entry.isRegistered(to.GetIncarnation()) {
 		return nil, eris.Errorf("entry %s has left the roster", to.GetName())
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
@@ -112,18 +112,27 @@
 	if err != nil {
 		return err
 	}
-	if got := f.GetWelcome().GetIncarnation(); got != to.GetIncarnation() || l.Remote().Role != "entry" {
+	got := f.GetWelcome().GetIncarnation()
+	if !isWanted(to, got) || l.Remote().Role != "entry" {
 		l.Close()
 		return eris.Errorf("peer at %s is not the incarnation asked for", to.GetPeerAddress())
 	}
-	pl.link, pl.incarnation = l, to.GetIncarnation()
+	pl.link, pl.incarnation = l, got
 	return nil
 }
 
+// isWanted reports whether an incarnation is the one asked for; an address from
+// the settings names none.
+func isWanted(to *peerv1.RosterEntry, incarnation uint64) bool {
+	return to.GetIncarnation() == 0 || to.GetIncarnation() == incarnation
+}
+
 // handleCall answers the calls of other entries.
 func (e *Entry) handleCall(ctx context.Context, call *peerv1.Call) *peerv1.Reply {
-	if err := e.checkReady(); err != nil {
-		err.Verdict = verdict.MayHaveRun
+	if reply := e.handleConfigCall(call); reply != nil {
+		return reply
+	}
+	if err := e.checkRoute(); err != nil {
 		return &peerv1.Reply{Failure: err.Failure()}
 	}
 	switch r := call.GetRequest().(type) {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -107,6 +107,9 @@
 	CallerIdle Duration `json:"caller_idle,omitempty"`
 	// CallerConnections is the largest number of connections of callers.
 	CallerConnections int `json:"caller_connections,omitempty"`
+	// Peers are the peer addresses of some other entries, asked for the
+	// configuration when the store does not answer at the start.
+	Peers []string `json:"peers,omitempty"`
 }
 
 // Agent holds the settings of the agent role.
