--- a/internal/process/dispatch/service.go
+++ b/internal/process/dispatch/service.go
@@ -72,12 +72,15 @@
 // dropDeparted ends the waiting tasks of departments that have left; the caller
 // holds d.mu. What was sent runs to its end.
 func (d *Dispatcher) dropDeparted(s *config.Snapshot) {
-	d.queue.each(func(t *Task) bool {
-		if s.Get(apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT, t.Department).GetOut() {
-			d.queue.remove(t)
-			d.opts.Counters.Refuse(apiv1.Reason_REASON_DEPARTMENT_LEFT)
-			d.finish(t, Outcome{Err: verdict.New(t.started, apiv1.Reason_REASON_DEPARTMENT_LEFT, "department %q has left", t.Department)})
+	d.queue.each(func(t *Task) {
+		if !s.Get(apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT, t.Department).GetOut() {
+			return
 		}
-		return true
+		d.queue.remove(t)
+		if t.current != nil {
+			return
+		}
+		d.opts.Counters.Refuse(apiv1.Reason_REASON_DEPARTMENT_LEFT)
+		d.finish(t, Outcome{Err: verdict.New(t.started, apiv1.Reason_REASON_DEPARTMENT_LEFT, "department %q has left", t.Department)})
 	})
 }
