--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+	"github.com/rosemarybay/rosemarybay/internal/process/slots"
 	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 	"github.com/rosemarybay/rosemarybay/internal/version/roster"
@@ -52,6 +53,7 @@
 	config      *config.View
 	roster      *roster.View
 	dispatcher  *dispatch.Dispatcher
+	broker      *slots.Broker
 	peers       *peers
 	ready       atomic.Bool
 	draining    atomic.Bool
@@ -87,7 +89,8 @@
 }
 
 func newIncarnation(s *settings.Settings, log zerolog.Logger, counters *metrics.Counters, access *access) (*Entry, error) {
-	transport, listener, err := listenPeers(s.Entry.PeerListen, access.keys.Server())
+	paced := link.Paced(access.keys.Server(), s.Entry.HandshakeRate, counters.Counter("handshakes_paced"))
+	transport, listener, err := listenPeers(s.Entry.PeerListen, paced)
 	if err != nil {
 		return nil, err
 	}
@@ -112,12 +115,16 @@
 		handedOver:  make(chan struct{}),
 	}
 	e.peers = newPeers(e)
+	e.broker = slots.New(e.config, counters)
 	e.dispatcher = dispatch.New(dispatch.Options{
 		Sender:     e.incarnation,
 		DataCentre: s.DataCentre,
 		QueueLimit: s.Entry.QueueLimit,
 		Config:     e.config,
 		Counters:   counters,
+		Slots:      &slotBrokers{entry: e},
+		Broker:     e.broker,
+		Entries:    func() int { return len(e.roster.Load().Entries) },
 		IsFresh:    e.isFresh,
 	})
 	e.server, err = e.listenCallers()
@@ -165,6 +172,8 @@
 	go e.accept(ctx)
 	go e.watchPulse(ctx)
 	go e.follow(ctx)
+	go e.broker.Run(ctx.Done())
+	go e.dispatcher.Run(ctx.Done())
 	go e.sweepAdoptions(ctx)
 	select {
 	case <-e.retired:
--- a/internal/process/entry/follow.go
+++ b/internal/process/entry/follow.go
@@ -255,6 +255,7 @@
 func (e *Entry) applyRoster(r *roster.Roster) {
 	if e.roster.Apply(r) {
 		e.eachAgent(func(a *agentLink) { a.sendRoster(r) })
+		e.broker.Keep(r.Entries)
 	}
 }
 
--- a/internal/process/jobs/world_test.go
+++ b/internal/process/jobs/world_test.go
@@ -107,6 +107,20 @@
 	awaited  map[string]bool
 }
 
+// testDepartment is the department of all jobs.
+const testDepartment = "desk"
+
+// configured returns a configuration that knows the department.
+func configured() *config.View {
+	v := config.NewView()
+	v.Apply(&peerv1.ConfigUpdate{Revision: 1, Objects: []*apiv1.Object{{
+		Kind:     apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT,
+		Name:     testDepartment,
+		Revision: 1,
+	}}})
+	return v
+}
+
 func newWorld() *world {
 	w := &world{starts: make(map[string]int), awaited: make(map[string]bool)}
 	for i := range w.entries {
@@ -116,7 +130,7 @@
 			Sender:     incarnation,
 			DataCentre: "nbo1",
 			QueueLimit: 1000,
-			Config:     config.NewView(),
+			Config:     configured(),
 			Counters:   counters,
 		})
 		w.entries[i] = &testEntry{
@@ -257,12 +271,12 @@
 }
 
 func (w *world) submit(t *rapid.T) {
-	j := &testJob{request: &apiv1.SubmitRequest{DeadlineMs: uint32(MaxDeadline.Milliseconds())}}
+	j := &testJob{request: &apiv1.SubmitRequest{Department: testDepartment, DeadlineMs: uint32(MaxDeadline.Milliseconds())}}
 	for range rapid.IntRange(1, 3).Draw(t, "tasks") {
 		j.request.Tasks = append(j.request.Tasks, &apiv1.Task{Repeatable: rapid.Bool().Draw(t, "repeatable")})
 	}
 	home := w.entries[0].table
-	j.ticket, _ = home.Decode(home.Issue("desk", "mama", 1)[0], "desk", "mama")
+	j.ticket, _ = home.Decode(home.Issue(testDepartment, "mama", 1)[0], testDepartment, "mama")
 	w.jobs = append(w.jobs, j)
 	w.submitTo(t, j, home)
 }
