--- a/internal/process/jobs/memory.go
+++ b/internal/process/jobs/memory.go
@@ -6,8 +6,11 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// jobBytes is the memory of a remembered job without its answer.
-const jobBytes = 512
+// Memory of a remembered job besides the encoded size of its answer, in bytes.
+const (
+	jobBytes    = 1000
+	resultBytes = 140
+)
 
 // Memory bounds the answers that the tables of an entry remember. It is safe
 // for concurrent use.
@@ -27,7 +30,9 @@
 func (m *Memory) Used() int64 { return m.used.Load() }
 
 // size returns the memory of a job with its answer in bytes.
-func (j *Job) size() int64 { return jobBytes + int64(proto.Size(j.answer)) }
+func (j *Job) size() int64 {
+	return int64(jobBytes + resultBytes*len(j.answer.GetResults()) + proto.Size(j.answer))
+}
 
 // SetMemory makes the table share a bound; it is called before the first job.
 func (t *Table) SetMemory(m *Memory) { t.memory = m }
