--- a/internal/process/jobs/memory_test.go
+++ b/internal/process/jobs/memory_test.go
@@ -37,7 +37,7 @@
 	for range tasks {
 		r.Tasks = append(r.Tasks, &apiv1.Task{})
 	}
-	tk, err := table.Decode(table.Issue(department, "mama", 1)[0], department, "mama")
+	tk, err := table.Decode(table.Issue(testDepartment, "mama", 1)[0], testDepartment, "mama")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -91,7 +91,7 @@
 	if err != nil || string(j.Answer().GetResults()[1].GetOutput()) != "done" {
 		t.Errorf("got %v, %v, want the remembered answer", j, err)
 	}
-	other, _ := home.Decode(home.Issue(department, "mama", 1)[0], department, "mama")
+	other, _ := home.Decode(home.Issue(testDepartment, "mama", 1)[0], testDepartment, "mama")
 	if _, err := heir.Get(other); err == nil || err.Verdict != verdict.NotRun {
 		t.Errorf("got %v for a ticket that was never submitted, want not run", err)
 	}
--- a/internal/process/jobs/world_test.go
+++ b/internal/process/jobs/world_test.go
@@ -16,10 +16,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 )
 
-const (
-	testSlots  = 16
-	department = "desk"
-)
+const testSlots = 16
 
 // testLink carries frames between an entry and an agent, in order, until it is
 // cut.
@@ -124,17 +121,6 @@
 	return v
 }
 
-// newConfig returns a view in which the department of the jobs is in service.
-func newConfig() *config.View {
-	v := config.NewView()
-	v.Apply(&peerv1.ConfigUpdate{
-		Revision: 1,
-		Snapshot: true,
-		Objects:  []*apiv1.Object{{Kind: apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT, Name: department, Revision: 1}},
-	})
-	return v
-}
-
 func newWorld() *world {
 	w := &world{starts: make(map[string]int), awaited: make(map[string]bool)}
 	for i := range w.entries {
