--- a/internal/process/dispatch/admission.go
+++ b/internal/process/dispatch/admission.go
@@ -16,6 +16,8 @@
 	minRetryAfter = 50 * time.Millisecond
 	// paceWindow is the time over which starts are averaged.
 	paceWindow = time.Second
+	// minPaceAge is the least time over which a rate is known.
+	minPaceAge = 250 * time.Millisecond
 )
 
 // admit checks the tasks of one job. Its errors are NotRun.
@@ -97,13 +99,18 @@
 }
 
 // rate returns the starts a second of a department, or 0 while they have been
-// watched for less than paceWindow.
+// watched for less than minPaceAge.
 func (p *pace) rate(department string, now time.Time) float64 {
 	a, ok := p.departments[department]
-	if !ok || now.Sub(a.since) < paceWindow {
+	if !ok {
+		return 0
+	}
+	age := now.Sub(a.since)
+	if age < minPaceAge {
 		return 0
 	}
-	return a.value(now)
+	// What came before the first start is not known; it counts as the rest.
+	return a.value(now) / (1 - math.Exp(-age.Seconds()/paceWindow.Seconds()))
 }
 
 func (a *average) value(now time.Time) float64 {
