--- a/internal/process/agent/start.go
+++ b/internal/process/agent/start.go
@@ -23,7 +23,11 @@
 		return
 	}
 	a.tally.begin(time.Now())
-	go a.run(ctx, cancel, start)
+	a.addRunning(s.entry, 1)
+	go func() {
+		defer a.addRunning(s.entry, -1)
+		a.run(ctx, cancel, start)
+	}()
 }
 
 // gate checks, in the instant of starting, that the task may start here.
