Lend slots only to entries that are linked with the target

Cause: agents may link with a part of the entries; a broker lent slots of a target to entries that could not reach it, which gave them back. Change: the agent names its links to the broker when they change.

--- a/internal/process/agent/slots.go
+++ b/internal/process/agent/slots.go
@@ -83,8 +83,9 @@
 	return l
 }
 
-// chooseBroker names the entry that lends the slots of this target and tells
-// all entries of a change. Agents that are linked with the same entries name
+// chooseBroker names the entry that lends the slots of this target, after a
+// change of the links or of the roster. It tells all entries of another broker,
+// and the broker of the links. Agents that are linked with the same entries name
 // the same one. Entries that are about to stop come last.
 func (a *Agent) chooseBroker() {
 	a.mu.Lock()
@@ -94,13 +95,16 @@
 			broker = id
 		}
 	}
+	linked := slices.Collect(maps.Keys(a.sessions))
 	sessions := slices.Collect(maps.Values(a.sessions))
 	a.mu.Unlock()
-	if a.broker.Swap(broker) == broker {
-		return
-	}
+	isNew := a.broker.Swap(broker) != broker
+	load := a.load()
+	load.LinkedEntries = linked
 	for _, s := range sessions {
-		s.report()
+		if isNew || s.entry == broker {
+			_ = s.link.Send(&peerv1.Frame{Body: &peerv1.Frame_Load{Load: load}})
+		}
 	}
 }
 
--- a/internal/process/slots/account.go
+++ b/internal/process/slots/account.go
@@ -24,6 +24,8 @@
 	last   *peerv1.Load
 	lastAt time.Time
 	health health
+	// linked are the entries that the agent is linked with; nil means all.
+	linked []uint64
 
 	zone     *zone
 	level    int
@@ -38,6 +40,11 @@
 	return a.health.limit(max(0, a.free-a.granted))
 }
 
+// isLinked reports whether an entry can send a start to the target.
+func (a *account) isLinked(entry uint64) bool {
+	return a.linked == nil || slices.Contains(a.linked, entry)
+}
+
 // claim takes n granted slots as used or given back.
 func (a *account) claim(n int) {
 	n = min(n, a.granted)
--- a/internal/process/slots/broker.go
+++ b/internal/process/slots/broker.go
@@ -136,6 +136,9 @@
 	}
 	a.mine = mine
 	a.free = int(load.GetFree())
+	if linked := load.GetLinkedEntries(); len(linked) > 0 {
+		a.linked = linked
+	}
 	failed := a.last != nil && load.GetFailed() > a.last.GetFailed()
 	a.health.observe(a.last, load)
 	a.last, a.lastAt = load, b.now()
--- a/internal/process/slots/broker_test.go
+++ b/internal/process/slots/broker_test.go
@@ -114,6 +114,22 @@
 	}
 }
 
+// Slots of a target are lent only to entries that are linked with its agent.
+func TestOnlyLinkedEntriesGetSlots(t *testing.T) {
+	b := newBroker(newClock(), nil)
+	attach(b, "r1", "nbo1", "a", testSlots)
+	b.Report("r1", &peerv1.Load{Free: testSlots, LinkedEntries: []uint64{2, 3}}, true)
+	b.Report("r1", &peerv1.Load{Free: testSlots}, true)
+	if got := lent(b.TryAcquire(wish("desk", 1))); len(got) != 0 {
+		t.Errorf("lent %v to an entry without a link", got)
+	}
+	linked := wish("desk", 1)
+	linked.Entry = 2
+	if got := lent(b.TryAcquire(linked)); got["r1"] != 1 {
+		t.Errorf("lent %v, want a slot", got)
+	}
+}
+
 // A department that floods the broker takes no more than its turn.
 func TestDepartmentsTakeTurns(t *testing.T) {
 	b := newBroker(newClock(), nil)
--- a/internal/process/slots/serve.go
+++ b/internal/process/slots/serve.go
@@ -118,6 +118,9 @@
 	if !Fits(a.info, r.wish.GetDepartment(), r.wish.GetSize()) {
 		return false
 	}
+	if !a.isLinked(r.wish.GetEntry()) {
+		return false
+	}
 	if slices.Contains(r.wish.GetExcludedTargets(), a.info.GetName()) {
 		return false
 	}
