--- a/internal/process/slots/broker.go
+++ b/internal/process/slots/broker.go
@@ -242,7 +242,7 @@
 		return
 	}
 	if !known || now.Sub(u.grantedAt) > reconcileAge {
-		d.usage(wish.GetEntry()).slots = int(wish.GetInUse())
+		d.setUsage(wish.GetEntry(), int(wish.GetInUse()))
 	}
 }
 
@@ -257,8 +257,9 @@
 		}
 	}
 	for _, e := range m.GetEnded() {
-		if u := b.department(e.GetDepartment()).inUse[m.GetEntry()]; u != nil {
-			u.slots = max(0, u.slots-int(e.GetTasks()))
+		d := b.department(e.GetDepartment())
+		if u := d.inUse[m.GetEntry()]; u != nil {
+			d.setUsage(m.GetEntry(), max(0, u.slots-int(e.GetTasks())))
 		}
 	}
 	b.serve()
@@ -275,7 +276,7 @@
 	for _, d := range b.departments {
 		for entry := range d.inUse {
 			if _, ok := present[entry]; !ok {
-				delete(d.inUse, entry)
+				d.forgetUsage(entry)
 			}
 		}
 	}
--- a/internal/process/slots/request.go
+++ b/internal/process/slots/request.go
@@ -47,6 +47,8 @@
 	inRing   bool
 	// inUse counts the slots in use by entry, for departments with a quota.
 	inUse map[uint64]*usage
+	// total is the sum over inUse.
+	total int
 }
 
 type usage struct {
@@ -65,12 +67,19 @@
 	}
 }
 
-func (d *department) used() int {
-	n := 0
-	for _, u := range d.inUse {
-		n += u.slots
+// setUsage sets the slots in use through an entry.
+func (d *department) setUsage(entry uint64, slots int) {
+	u := d.usage(entry)
+	d.total += slots - u.slots
+	u.slots = slots
+}
+
+// forgetUsage drops an entry that is gone.
+func (d *department) forgetUsage(entry uint64) {
+	if u, ok := d.inUse[entry]; ok {
+		d.total -= u.slots
+		delete(d.inUse, entry)
 	}
-	return n
 }
 
 func (d *department) usage(entry uint64) *usage {
--- a/internal/process/slots/serve.go
+++ b/internal/process/slots/serve.go
@@ -64,7 +64,7 @@
 		return nil
 	}
 	quota := b.quota(d.name)
-	if quota > 0 && d.used() >= quota {
+	if quota > 0 && d.total >= quota {
 		return nil
 	}
 	for _, r := range d.requests[:min(len(d.requests), maxScan)] {
@@ -86,7 +86,7 @@
 	b.granted.Inc(1)
 	if limited {
 		u := d.usage(r.wish.GetEntry())
-		u.slots++
+		d.setUsage(r.wish.GetEntry(), u.slots+1)
 		u.grantedAt = b.now()
 	}
 }
