--- a/internal/process/dispatch/acquire.go
+++ b/internal/process/dispatch/acquire.go
@@ -12,6 +12,8 @@
 const (
 	// maxAsking bounds the requests for slots in flight for one class.
 	maxAsking = 8
+	// maxAskingAll bounds them for all classes, below the streams of a link.
+	maxAskingAll = 512
 	// brokerWait is how long a broker may hold a request without a free slot.
 	brokerWait = 200 * time.Millisecond
 	// brokerTurn is the same while there are other brokers to ask.
@@ -107,14 +109,14 @@
 // reports false when no broker can be asked.
 func (d *Dispatcher) ask(l *line, now time.Time) bool {
 	for {
+		need := l.tasks.Len() - l.wanted
+		if need <= 0 || l.asking >= maxAsking || d.asking >= maxAskingAll {
+			return true
+		}
 		broker, count := d.brokers.choose(l.turn, now)
 		if broker == 0 {
 			return false
 		}
-		need := l.tasks.Len() - l.wanted
-		if need <= 0 || l.asking >= maxAsking {
-			return true
-		}
 		wish := d.wish(l, need, count, now)
 		if got := d.opts.Slots.TryAcquire(broker, wish); len(got.GetSlots()) > 0 {
 			if d.use(l, broker, got, now) > 0 {
@@ -122,6 +124,7 @@
 			}
 		}
 		l.asking++
+		d.asking++
 		l.wanted += need
 		go d.acquire(l, broker, wish)
 		return true
@@ -176,6 +179,7 @@
 	defer d.unlockAndComplete()
 	now := time.Now()
 	l.asking--
+	d.asking--
 	l.wanted -= int(wish.GetTasks())
 	l.turn++
 	if err != nil {
--- a/internal/process/dispatch/dispatcher.go
+++ b/internal/process/dispatch/dispatcher.go
@@ -75,6 +75,8 @@
 	mu      sync.Mutex
 	targets map[string]*target
 	brokers brokers
+	// asking is the number of requests for slots in flight.
+	asking int
 	// blocked holds the targets that get no work for a moment.
 	blocked map[*target]struct{}
 	// inUse counts the attempts in flight by department.
