--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -29,6 +30,9 @@
 const (
 	expireInterval = 5 * time.Second
 	drainInterval  = 10 * time.Millisecond
+	// statusTimeout bounds a request for counters, and its answer.
+	statusTimeout     = 5 * time.Second
+	statusHeaderBytes = 8 << 10
 )
 
 // Agent is one agent incarnation.
@@ -48,6 +52,8 @@
 	roster      *roster.View
 	permit      permit
 	ctx         context.Context // ends with the process
+	tally       tally
+	broker      atomic.Uint64 // incarnation of the entry that lends the slots
 
 	mu       sync.Mutex
 	sessions map[uint64]*session     // by entry incarnation
@@ -95,7 +101,13 @@
 		dialers:  make(map[string]*entryDialer),
 		running:  make(map[uint64]int),
 	}
-	a.status = &http.Server{Handler: a.statusHandler(), ReadHeaderTimeout: time.Second}
+	a.status = &http.Server{
+		Handler:        a.statusHandler(),
+		ReadTimeout:    statusTimeout,
+		WriteTimeout:   statusTimeout,
+		IdleTimeout:    time.Minute,
+		MaxHeaderBytes: statusHeaderBytes,
+	}
 	go func() { _ = a.status.Serve(listener) }()
 	return a, nil
 }
--- a/internal/process/dispatch/dispatcher.go
+++ b/internal/process/dispatch/dispatcher.go
@@ -9,8 +9,8 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
-	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/process/slots"
 	"github.com/rosemarybay/rosemarybay/internal/request/retry"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
@@ -25,8 +25,16 @@
 	// staleBackoff keeps a target idle after it refused for a stale permit.
 	staleBackoff = 100 * time.Millisecond
 
-	retryRatio = 0.1
-	retryLimit = 100
+	// ejectionMemory is how long a broker's word on an ejected target counts.
+	ejectionMemory = 1500 * time.Millisecond
+
+	// Retry budget: retries earned by a success, at the start, and at most.
+	retryRatio   = 0.1
+	retryInitial = 5
+	retryLimit   = 20
+	// lossLimit is the number of retries after the loss of an agent or a home
+	// that may be made at once: as many tasks as are lost with one process.
+	lossLimit = 100
 )
 
 // Options configure a Dispatcher.
@@ -37,6 +45,12 @@
 	QueueLimit int
 	Config     *config.View
 	Counters   *metrics.Counters
+	// Slots reaches the brokers of targets; Broker lends the slots of those
+	// that name this entry; nil stands for a new one.
+	Slots  Slots
+	Broker *slots.Broker
+	// Entries returns the number of entries of the fleet; nil stands for one.
+	Entries func() int
 	// IsFresh reports whether the configuration may be taken for the present
 	// one; no task is placed while it is not. Nil means always.
 	IsFresh func() bool
@@ -44,15 +58,29 @@
 
 // Dispatcher places tasks on targets. It is safe for concurrent use.
 type Dispatcher struct {
-	opts    Options
-	budget  *retry.Budget
+	opts   Options
+	budget *retry.Budget
+	// losses is the budget after the loss of a process, which cannot multiply
+	// load as failing tasks do.
+	losses  *retry.Budget
 	started gometrics.Counter
 	late    gometrics.Counter
 	// repeated counts the attempts that follow one that may have run.
 	repeated gometrics.Counter
-
-	mu        sync.Mutex
-	targets   map[string]*target
+	// returned counts lent slots given back unused.
+	returned gometrics.Counter
+	// silences counts the requests that a broker did not answer.
+	silences gometrics.Counter
+
+	mu      sync.Mutex
+	targets map[string]*target
+	brokers brokers
+	// blocked holds the targets that get no work for a moment.
+	blocked map[*target]struct{}
+	// inUse counts the attempts in flight by department.
+	inUse     map[string]int
+	pace      pace
+	runTimes  runTimes
 	queue     queue
 	completed []completion
 }
@@ -67,20 +95,35 @@
 	if opts.IsFresh == nil {
 		opts.IsFresh = func() bool { return true }
 	}
+	if opts.Broker == nil {
+		opts.Broker = slots.New(opts.Config, opts.Counters)
+	}
+	if opts.Entries == nil {
+		opts.Entries = func() int { return 1 }
+	}
 	return &Dispatcher{
 		opts:     opts,
-		budget:   retry.NewBudget(retryRatio, retryLimit),
+		budget:   retry.NewBudget(retryRatio, retryInitial, retryLimit),
+		losses:   retry.NewBudget(retryRatio, lossLimit, lossLimit),
 		started:  opts.Counters.Counter("attempts_sent"),
 		late:     opts.Counters.Counter("results_late"),
 		repeated: opts.Counters.Counter("attempts_repeated"),
+		returned: opts.Counters.Counter("slots_returned"),
+		silences: opts.Counters.Counter("brokers_silent"),
 		targets:  make(map[string]*target),
+		brokers:  newBrokers(),
+		blocked:  make(map[*target]struct{}),
+		inUse:    make(map[string]int),
+		runTimes: runTimes{kinds: make(map[string]*runTimeHistogram)},
+		pace:     pace{departments: make(map[string]*average)},
 	}
 }
 
 // Submit queues the tasks of one job: all of them, or none and an error NotRun.
 func (d *Dispatcher) Submit(tasks []*Task) *verdict.Error {
 	d.mu.Lock()
-	if err := d.admit(tasks); err != nil {
+	now := time.Now()
+	if err := d.admit(tasks, now); err != nil {
 		d.mu.Unlock()
 		d.opts.Counters.Refuse(err.Reason)
 		return err
@@ -88,26 +131,13 @@
 	for _, t := range tasks {
 		t.started = verdict.NotRun
 		t.phase = phaseQueued
-		d.queue.pushBack(t)
+		d.queue.pushBack(t, now)
 	}
 	d.pump()
 	d.unlockAndComplete()
 	return nil
 }
 
-func (d *Dispatcher) admit(tasks []*Task) *verdict.Error {
-	if d.queue.len()+len(tasks) > d.opts.QueueLimit {
-		return verdict.NotRunError(apiv1.Reason_REASON_OVERLOAD, "%d tasks are waiting", d.queue.len())
-	}
-	snapshot := d.opts.Config.Load()
-	for _, t := range tasks {
-		if !d.isPossible(t, snapshot) {
-			return verdict.NotRunError(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, "no target could ever run task %d", t.Index)
-		}
-	}
-	return nil
-}
-
 // Cancel ends tasks: those that wait end at once, and those that were sent when
 // their agents have answered or cancelGrace has passed.
 func (d *Dispatcher) Cancel(tasks []*Task, reason verdict.Reason) {
@@ -120,8 +150,10 @@
 			d.queue.remove(t)
 			d.finish(t, Outcome{Err: verdict.New(t.started, reason, "cancelled before its start")})
 		case phaseSent:
-			at := t.current
-			byTarget[at.target] = append(byTarget[at.target], at.key.proto())
+			d.queue.remove(t)
+			for _, at := range t.live() {
+				byTarget[at.target] = append(byTarget[at.target], at.key.proto())
+			}
 		}
 	}
 	for tg, ids := range byTarget {
@@ -146,6 +178,7 @@
 
 // Refresh places waiting tasks after a change of the configuration.
 func (d *Dispatcher) Refresh() {
+	d.opts.Broker.Refresh()
 	d.mu.Lock()
 	d.applyConfig()
 	d.pump()
@@ -157,8 +190,9 @@
 	if t.phase == phaseFinished {
 		return
 	}
+	d.queue.remove(t)
 	t.phase = phaseFinished
-	t.current = nil
+	t.current, t.second = nil, nil
 	d.completed = append(d.completed, completion{task: t, outcome: o})
 }
 
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -135,8 +135,15 @@
 	if err := e.checkRoute(); err != nil {
 		return &peerv1.Reply{Failure: err.Failure()}
 	}
-	if m := call.GetHandOver(); m != nil {
-		return e.takeOver(m)
+	switch r := call.GetRequest().(type) {
+	case *peerv1.Call_HandOver:
+		return e.takeOver(r.HandOver)
+	case *peerv1.Call_AcquireSlots:
+		got := e.broker.Acquire(ctx, r.AcquireSlots)
+		return &peerv1.Reply{Response: &peerv1.Reply_AcquiredSlots{AcquiredSlots: got}}
+	case *peerv1.Call_ReturnSlots:
+		e.broker.Return(r.ReturnSlots)
+		return &peerv1.Reply{Response: &peerv1.Reply_ReturnedSlots{ReturnedSlots: &peerv1.ReturnedSlots{}}}
 	}
 	answer, err := e.handleTicketCall(ctx, call)
 	if err != nil {
