--- a/cmd/rosemarybay-bench/slopes.go
+++ b/cmd/rosemarybay-bench/slopes.go
@@ -28,9 +28,13 @@
 	only := flags.String("only", "", "measure one of: "+strings.Join(slopes.Names(), ", "))
 	seed := flags.Int64("seed", 1, "seed of the loads")
 	heartbeat := flags.Duration("heartbeat", defaultHeartbeat, "interval of light agents' heartbeats")
+	table := flags.String("table", "", "measure nothing; print the page's table of `FILE`, written by -out")
 	if err := flags.Parse(args); err != nil || flags.NArg() > 0 {
 		return exitUsage
 	}
+	if *table != "" {
+		return status(printTable(*table))
+	}
 	result, err := slopes.Run(ctx, slopes.Options{Only: *only, Seed: *seed, Heartbeat: *heartbeat})
 	if err != nil {
 		return status(err)
@@ -91,17 +95,33 @@
 	return status(slopes.WriteSpend(os.Stdout, spends))
 }
 
-func mergeSlopes(path string, next *slopes.Result) error {
-	result := &slopes.Result{}
+func printTable(path string) error {
+	result, err := readSlopes(path)
+	if err != nil {
+		return err
+	}
+	return result.WriteMarkdown(os.Stdout)
+}
+
+func readSlopes(path string) (*slopes.Result, error) {
 	b, err := os.ReadFile(path)
-	switch {
-	case errors.Is(err, fs.ErrNotExist):
-	case err != nil:
+	if err != nil {
+		return nil, err
+	}
+	result := &slopes.Result{}
+	if err := json.Unmarshal(b, result); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return result, nil
+}
+
+func mergeSlopes(path string, next *slopes.Result) error {
+	result, err := readSlopes(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		result, err = &slopes.Result{}, nil
+	}
+	if err != nil {
 		return err
-	default:
-		if err := json.Unmarshal(b, result); err != nil {
-			return fmt.Errorf("%s: %w", path, err)
-		}
 	}
 	result.Merge(next)
 	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, resultPerm)
--- a/internal/bench/slopes/light.go
+++ b/internal/bench/slopes/light.go
@@ -40,7 +40,7 @@
 	address   string
 	stats     *link.Stats
 	heartbeat time.Duration
-	answered  atomic.Int64 // tasks answered
+	revision  atomic.Uint64 // of the configuration last received
 
 	mu      sync.Mutex
 	configs []*tls.Config
@@ -196,15 +196,17 @@
 		if err != nil {
 			return
 		}
+		if u := f.GetConfigUpdate(); u != nil {
+			g.revision.Store(u.GetRevision())
+		}
 		start := f.GetStart()
 		if start == nil {
 			continue
 		}
-		g.answered.Add(1)
 		_ = l.Send(&peerv1.Frame{Body: &peerv1.Frame_Result{Result: &peerv1.Result{
 			Id:     start.GetId(),
 			Output: start.GetTask().GetPayload(),
-			Load:   &peerv1.Load{Free: lightSlots},
+			Load:   &peerv1.Load{Free: lightSlots, ConfigRevision: g.revision.Load()},
 		}}})
 	}
 }
@@ -215,7 +217,10 @@
 	ticker := time.NewTicker(g.heartbeat)
 	defer ticker.Stop()
 	for sequence := uint64(1); ; sequence++ {
-		_ = l.Send(&peerv1.Frame{Body: &peerv1.Frame_Heartbeat{Heartbeat: &peerv1.Heartbeat{Sequence: sequence}}})
+		_ = l.Send(&peerv1.Frame{Body: &peerv1.Frame_Heartbeat{Heartbeat: &peerv1.Heartbeat{
+			Sequence:       sequence,
+			ConfigRevision: g.revision.Load(),
+		}}})
 		select {
 		case <-l.Done():
 			return
--- a/internal/bench/slopes/links.go
+++ b/internal/bench/slopes/links.go
@@ -27,6 +27,9 @@
 	idleWindow = 5 * time.Second
 )
 
+// unpaced is a handshake rate that refuses none, so that only signatures count.
+const unpaced = 1_000_000
+
 func linkSizes() []int { return []int{100, 300, 1000} }
 
 // measureLinks measures links without a target, kept open as between entries.
@@ -50,7 +53,7 @@
 }
 
 func measureIdleAt(ctx context.Context, s *series, peerRole string, heartbeat time.Duration, n int) error {
-	f, err := startFleet(ctx, 1, 0, fleet.Tune{})
+	f, err := startFleet(ctx, 1, 0, fleet.Tune{HandshakeRate: unpaced})
 	if err != nil {
 		return err
 	}
