--- a/internal/bench/slopes/links.go
+++ b/internal/bench/slopes/links.go
@@ -24,9 +24,14 @@
 // Windows of an idle measurement.
 const (
 	settleTime = 2 * time.Second
-	idleWindow = 5 * time.Second
+	// probeTime is the time in which new links try larger datagrams.
+	probeTime  = 12 * time.Second
+	idleWindow = 4 * time.Second
 )
 
+// unpaced is a handshake rate that refuses none, so that only signatures count.
+const unpaced = 1_000_000
+
 func linkSizes() []int { return []int{100, 300, 1000} }
 
 // measureLinks measures links without a target, kept open as between entries.
@@ -50,7 +55,7 @@
 }
 
 func measureIdleAt(ctx context.Context, s *series, peerRole string, heartbeat time.Duration, n int) error {
-	f, err := startFleet(ctx, 1, 0, fleet.Tune{})
+	f, err := startFleet(ctx, 1, 0, fleet.Tune{HandshakeRate: unpaced})
 	if err != nil {
 		return err
 	}
@@ -78,7 +83,7 @@
 	units := float64(n)
 	s.add(costHandshake, units, micros(opened.cpu-before.cpu))
 	s.add(costOpening, units, micros(opened.at.Sub(before.at)))
-	if err := pause(ctx, settleTime); err != nil {
+	if err := pause(ctx, probeTime); err != nil {
 		return err
 	}
 	if err := s.window(ctx, f, g, units); err != nil {
