--- a/cmd/rosemarybayd/main_test.go
+++ b/cmd/rosemarybayd/main_test.go
@@ -21,8 +21,16 @@
 	testscript.Run(t, testscript.Params{Dir: "testdata/script", Setup: writeKeys})
 }
 
+// examples are the settings of the operators' pages.
+const examples = "../../docs/operators/examples"
+
 // writeKeys puts ca.pem, node.pem and node.key into the script's directory.
 func writeKeys(env *testscript.Env) error {
+	path, err := filepath.Abs(examples)
+	if err != nil {
+		return err
+	}
+	env.Setenv("EXAMPLES", path)
 	ca, err := identity.NewCA("test")
 	if err != nil {
 		return err
--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -147,18 +147,22 @@
 func objectRows(objects []*apiv1.Object) [][]string {
 	rows := [][]string{{"KIND", "NAME", "REVISION", "STATE", "DATA CENTRES", "TARGETS", "QUOTA", "CHANGED BY"}}
 	for _, o := range objects {
-		state := "in"
-		if o.GetOut() {
-			state = "out"
-		}
 		rows = append(rows, []string{
-			kindName(o.GetKind()), o.GetName(), fmt.Sprint(o.GetRevision()), state,
+			kindName(o.GetKind()), o.GetName(), fmt.Sprint(o.GetRevision()), stateName(o),
 			listText(o.GetDataCentres()), listText(o.GetTargets()), quotaText(o.GetQuotaSlots()), lastChangeBy(o),
 		})
 	}
 	return rows
 }
 
+// stateName says whether an object is in service.
+func stateName(o *apiv1.Object) string {
+	if o.GetOut() {
+		return "out"
+	}
+	return "in"
+}
+
 func listText(names []string) string {
 	if len(names) == 0 {
 		return "all"
--- a/internal/command/failure.go
+++ b/internal/command/failure.go
@@ -51,6 +51,10 @@
 	}
 	e := fromError(err)
 	_, _ = fmt.Fprintf(w, "verdict: %s\nreason: %s\n%s\n", verdict.Name(e.Verdict), verdict.ReasonName(e.Reason), e.Message)
+	if o := presentObject(err); o != nil {
+		_, _ = fmt.Fprintf(w, "present: %s %s is %s at revision %d, changed by %s\n",
+			kindName(o.GetKind()), o.GetName(), stateName(o), o.GetRevision(), lastChangeBy(o))
+	}
 	if e.RetryAfter > 0 {
 		_, _ = fmt.Fprintf(w, "try again in %s\n", e.RetryAfter)
 	}
@@ -70,6 +74,24 @@
 	return verdict.FromError(err)
 }
 
+// presentObject returns the object that a conflict error carries, or nil.
+func presentObject(err error) *apiv1.Object {
+	var ce *connect.Error
+	if !errors.As(err, &ce) {
+		return nil
+	}
+	for _, detail := range ce.Details() {
+		value, err := detail.Value()
+		if err != nil {
+			continue
+		}
+		if o, ok := value.(*apiv1.Object); ok {
+			return o
+		}
+	}
+	return nil
+}
+
 // isUnknown reports whether an error leaves open what happened.
 func isUnknown(e *verdict.Error) bool {
 	return e.Reason == apiv1.Reason_REASON_OUTCOME_UNKNOWN
