--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -87,7 +87,8 @@
 }
 
 func newIncarnation(s *settings.Settings, log zerolog.Logger, counters *metrics.Counters, access *access) (*Entry, error) {
-	transport, listener, err := listenPeers(s.Entry.PeerListen, access.keys.Server())
+	paced := link.Paced(access.keys.Server(), s.Entry.HandshakeRate, counters.Counter("handshakes_paced"))
+	transport, listener, err := listenPeers(s.Entry.PeerListen, paced)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -18,6 +18,7 @@
 	defaultPermit         = 3 * time.Second
 	defaultQueueLimit     = 20000
 	defaultMaxConnections = 60
+	defaultHandshakeRate  = 250
 	defaultAnswerMemoryMB = 256
 
 	defaultCallerRate        = 2000 // requests a second
@@ -37,6 +38,7 @@
 		setDefault(&e.TicketLifetime, Duration(defaultTicketLifetime))
 		setDefault(&e.Permit, Duration(defaultPermit))
 		setDefault(&e.QueueLimit, defaultQueueLimit)
+		setDefault(&e.HandshakeRate, defaultHandshakeRate)
 		setDefault(&e.AnswerMemoryMB, defaultAnswerMemoryMB)
 		setDefault(&e.CallerRate, defaultCallerRate)
 		setDefault(&e.CallerIdle, Duration(defaultCallerIdle))
@@ -101,6 +103,9 @@
 	if e.Lease <= 0 || e.TicketLifetime <= 0 || e.Permit <= 0 {
 		return eris.New("entry.lease, entry.ticket_lifetime and entry.permit must be positive")
 	}
+	if e.HandshakeRate <= 0 {
+		return eris.New("entry.handshake_rate must be positive")
+	}
 	if e.AnswerMemoryMB <= 0 {
 		return eris.New("entry.answer_memory_mb must be positive")
 	}
@@ -131,6 +136,9 @@
 	if err := validateAddress("agent.status_listen", a.StatusListen); err != nil {
 		return err
 	}
+	if a.Links < 0 {
+		return eris.New("agent.links must not be negative")
+	}
 	return a.Target.validate()
 }
 
