In force needs a majority of each recent set of entries

Cause: a part that is cut off counts majorities of its own, older roster. With enough new entries elsewhere a change was reported in force although no entry of that part knew it.

Conclusion: TestEachPastRosterNeedsItsMajority holds.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -58,6 +58,7 @@
 	reachable   atomic.Bool // the store answered last time
 	jobs        *jobs.Table // set before ready
 	freshness   *freshness
+	voters      *voterHistory
 	storeOld    atomic.Bool // the store is older than what is known
 	loggedFresh bool        // used by keepContact only
 	ticketKey   atomic.Pointer[ticket.Key]
@@ -105,6 +106,7 @@
 		roster:      roster.NewView(),
 		agents:      make(map[string]*agentLink),
 		freshness:   newFreshness(s.Entry.Permit.Std(), time.Now()),
+		voters:      newVoterHistory(s.Entry.Permit.Std()),
 		memory:      jobs.NewMemory(int64(s.Entry.AnswerMemoryMB) << 20),
 		lease:       newLease(s.Entry.Lease.Std()),
 		adoptions:   newAdoptions(),
--- a/internal/process/entry/follow.go
+++ b/internal/process/entry/follow.go
@@ -210,6 +210,7 @@
 }
 
 func (s *storeState) applyEntry(v store.Value) {
+	defer func() { s.entry.voters.record(s.entries, time.Now()) }()
 	if v.Deleted {
 		s.removeEntry(v.Key)
 		return
@@ -226,7 +227,11 @@
 func (s *storeState) removeEntry(key string) {
 	e := s.entries[key]
 	delete(s.entries, key)
-	if e != nil && !e.GetDraining() {
+	switch {
+	case e == nil:
+	case e.GetDraining():
+		s.entry.voters.stop(e.GetName(), time.Now())
+	default:
 		s.lapsed = append(s.lapsed, lapsedEntry{entry: e, at: time.Now()})
 	}
 }
--- a/internal/process/entry/freshness_test.go
+++ b/internal/process/entry/freshness_test.go
@@ -13,6 +13,8 @@
 
 const testPeriod = 3 * time.Second
 
+var testNames = []string{"e0", "e1", "e2", "e3", "e4"}
+
 func TestFreshnessCountsFromTheRequest(t *testing.T) {
 	begun := time.Now()
 	f := newFreshness(testPeriod, begun)
@@ -39,8 +41,8 @@
 func TestJudgeInForce(t *testing.T) {
 	held := func(ms ...int) []contact {
 		var contacts []contact
-		for _, v := range ms {
-			c := contact{entry: &peerv1.RosterEntry{Name: "e"}, revision: &peerv1.Revision{}}
+		for i, v := range ms {
+			c := contact{entry: &peerv1.RosterEntry{Name: testNames[i]}, revision: &peerv1.Revision{}}
 			if v >= 0 {
 				u := uint32(v)
 				c.revision.HeldMs = &u
@@ -62,13 +64,47 @@
 		{"majority long enough", held(3000, 3000, 3000, -1), true, 1, 0},
 		{"the last one is late", held(9000, 9000, 9000, 5), true, 0, 0},
 	} {
-		got := judgeInForce(test.contacts, testPeriod)
+		names := testNames[:len(test.contacts)]
+		got := judgeInForce(test.contacts, [][]string{names}, testPeriod)
 		if got.GetInForce() != test.inForce || len(got.GetPendingEntries()) != test.pending || got.GetRemainingMs() != test.remaining {
 			t.Errorf("%s: %v", test.name, got)
 		}
 	}
 }
 
+// A part cut off with an older roster counts its majority there, so growth of
+// the roster alone does not put a change in force.
+func TestEachPastRosterNeedsItsMajority(t *testing.T) {
+	now := time.Now()
+	h := newVoterHistory(testPeriod)
+	entries := make(map[string]*peerv1.RosterEntry)
+	for _, name := range testNames[:3] {
+		entries[name] = &peerv1.RosterEntry{Name: name}
+	}
+	h.record(entries, now)
+	held := uint32(testPeriod.Milliseconds())
+	contacts := []contact{{entry: entries["e2"], revision: &peerv1.Revision{HeldMs: &held}}}
+	for _, name := range []string{"e3", "e4", "e5"} {
+		entries[name] = &peerv1.RosterEntry{Name: name}
+		contacts = append(contacts, contact{entry: entries[name], revision: &peerv1.Revision{HeldMs: &held}})
+		h.record(entries, now)
+	}
+	if judgeInForce(contacts, h.all(now), testPeriod).GetInForce() {
+		t.Error("in force without a majority of the first roster")
+	}
+	delete(entries, "e0")
+	delete(entries, "e1")
+	h.stop("e0", now)
+	h.stop("e1", now)
+	h.record(entries, now)
+	if judgeInForce(contacts, h.all(now), testPeriod).GetInForce() {
+		t.Error("in force while an answer of a stopped entry may still count")
+	}
+	if !judgeInForce(contacts, h.all(now.Add(testPeriod)), testPeriod).GetInForce() {
+		t.Error("entries that stopped as planned still count")
+	}
+}
+
 // model is a fleet in which time goes on by ticks: the store, entries with
 // their freshness and view, and agents that count their permits from when they
 // asked. Messages take a random time and may be lost.
@@ -226,8 +262,8 @@
 // askInForce is what a coordinator among the entries would report.
 func (m *model) askInForce(revision uint64) {
 	contacts := make([]contact, 0, len(m.entries))
-	for _, e := range m.entries {
-		c := contact{entry: &peerv1.RosterEntry{}}
+	for i, e := range m.entries {
+		c := contact{entry: &peerv1.RosterEntry{Name: testNames[i]}}
 		since, ok := e.heldSince[revision]
 		if ok && !m.isPaused(e) && !e.cutPeers {
 			ms := uint32(m.now.Sub(since).Milliseconds())
@@ -235,7 +271,7 @@
 		}
 		contacts = append(contacts, c)
 	}
-	if _, known := m.inForceAt[revision]; !known && judgeInForce(contacts, testPeriod).GetInForce() {
+	if _, known := m.inForceAt[revision]; !known && judgeInForce(contacts, [][]string{testNames}, testPeriod).GetInForce() {
 		m.inForceAt[revision] = m.now
 	}
 }
--- a/internal/process/entry/inforce.go
+++ b/internal/process/entry/inforce.go
@@ -23,7 +23,9 @@
 // inForce reports where a revision is in force: at a majority of the entries
 // for at least one freshness period. After that period every permit given
 // before has run out, and no entry can be fresh without the revision: the store
-// tells it, and any majority it asks contains an entry that knows it.
+// tells it, and any majority it asks contains an entry that knows it. Since a
+// part that is cut off may have an older roster, each set of entries of the
+// recent past needs its majority.
 func (e *Entry) inForce(ctx context.Context, revision uint64, update *peerv1.ConfigUpdate) *apiv1.InForce {
 	contacts := e.askEntries(ctx, &peerv1.GetRevision{
 		ConfigRevision: e.config.Load().Revision(),
@@ -31,31 +33,53 @@
 		HeldRevision:   revision,
 		Update:         update,
 	})
-	return judgeInForce(contacts, e.freshness.period)
+	return judgeInForce(contacts, e.voters.all(time.Now()), e.freshness.period)
 }
 
-func judgeInForce(contacts []contact, period time.Duration) *apiv1.InForce {
+func judgeInForce(contacts []contact, sets [][]string, period time.Duration) *apiv1.InForce {
 	state := &apiv1.InForce{Entries: uint32(len(contacts))}
-	var held []time.Duration
+	held := make(map[string]time.Duration)
 	for _, c := range contacts {
 		if c.revision == nil || c.revision.HeldMs == nil {
 			state.PendingEntries = append(state.PendingEntries, c.entry.GetName())
 			continue
 		}
-		held = append(held, time.Duration(c.revision.GetHeldMs())*time.Millisecond)
+		held[c.entry.GetName()] = time.Duration(c.revision.GetHeldMs()) * time.Millisecond
 	}
-	if !isMajority(len(held), len(contacts)) {
+	shortest := period
+	for _, names := range sets {
+		since, ok := heldByMajority(names, held)
+		if !ok {
+			return state
+		}
+		shortest = min(shortest, since)
+	}
+	if len(sets) == 0 {
 		return state
 	}
-	slices.Sort(held)
-	slices.Reverse(held)
-	// The majority is complete since its last member knows the revision.
-	remaining := max(0, period-held[len(contacts)/2])
+	remaining := period - shortest
 	state.RemainingMs = uint32((remaining + time.Millisecond - 1) / time.Millisecond)
 	state.InForce = remaining == 0
 	return state
 }
 
+// heldByMajority returns for how long a majority of names has been complete, and
+// whether there is one.
+func heldByMajority(names []string, held map[string]time.Duration) (time.Duration, bool) {
+	var times []time.Duration
+	for _, name := range names {
+		if d, ok := held[name]; ok {
+			times = append(times, d)
+		}
+	}
+	if !isMajority(len(times), len(names)) {
+		return 0, false
+	}
+	slices.Sort(times)
+	slices.Reverse(times)
+	return times[len(names)/2], true
+}
+
 // spread brings an accepted change to the entries without waiting for their
 // watches, and reports where it is in force.
 func (e *Entry) spread(ctx context.Context, revision, before uint64) *apiv1.InForce {
