--- a/internal/process/entry/contact.go
+++ b/internal/process/entry/contact.go
@@ -140,6 +140,9 @@
 	if r.Revision > request.GetRosterRevision() {
 		reply.Roster = r.Proto()
 	}
+	if request.GetPastVoters() {
+		reply.PastVoters = e.voters.proto(time.Now())
+	}
 	return reply
 }
 
--- a/internal/process/entry/freshness_test.go
+++ b/internal/process/entry/freshness_test.go
@@ -92,6 +92,12 @@
 	if judgeInForce(contacts, h.all(now), testPeriod).GetInForce() {
 		t.Error("in force without a majority of the first roster")
 	}
+	started := newVoterHistory(testPeriod)
+	started.learn(h.proto(now), now)
+	started.record(entries, now)
+	if judgeInForce(contacts, started.all(now), testPeriod).GetInForce() {
+		t.Error("an entry that has just started does not know the first roster")
+	}
 	delete(entries, "e0")
 	delete(entries, "e1")
 	h.stop("e0", now)
--- a/internal/process/entry/learn.go
+++ b/internal/process/entry/learn.go
@@ -51,10 +51,11 @@
 // learnFromPeers takes the configuration and roster of the peers in the
 // settings, where they are newer.
 func (e *Entry) learnFromPeers(ctx context.Context) {
-	call := &peerv1.Call{Request: &peerv1.Call_GetRevision{GetRevision: &peerv1.GetRevision{}}}
+	call := &peerv1.Call{Request: &peerv1.Call_GetRevision{GetRevision: &peerv1.GetRevision{PastVoters: true}}}
 	for _, reply := range e.askPeers(ctx, call) {
 		if r := reply.GetRevision(); r != nil {
 			e.learn(r)
+			e.voters.learn(r.GetPastVoters(), time.Now())
 		}
 	}
 }
--- a/internal/process/entry/voters.go
+++ b/internal/process/entry/voters.go
@@ -62,12 +62,12 @@
 	})
 }
 
-// all returns the sets of which a majority must know a revision. An entry that
-// stopped as planned is left out once nobody can be fresh by its word.
-func (h *voterHistory) all(now time.Time) [][]string {
+// present returns the sets with the time since each was in the roster. An entry
+// that stopped as planned is left out once nobody can be fresh by its word.
+func (h *voterHistory) present(now time.Time) []voterSet {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var sets [][]string
+	var sets []voterSet
 	for _, s := range h.sets {
 		var names []string
 		for _, name := range s.names {
@@ -76,8 +76,41 @@
 			}
 		}
 		if len(names) > 0 {
-			sets = append(sets, names)
+			sets = append(sets, voterSet{names: names, until: s.until})
 		}
 	}
 	return sets
 }
+
+// all returns the names of the sets of which a majority must know a revision.
+func (h *voterHistory) all(now time.Time) [][]string {
+	var names [][]string
+	for _, s := range h.present(now) {
+		names = append(names, s.names)
+	}
+	return names
+}
+
+// proto returns the wire form of the sets.
+func (h *voterHistory) proto(now time.Time) []*peerv1.VoterSet {
+	var sets []*peerv1.VoterSet
+	for _, s := range h.present(now) {
+		sets = append(sets, &peerv1.VoterSet{Names: s.names, AgeMs: uint32(now.Sub(s.until).Milliseconds())})
+	}
+	return sets
+}
+
+// learn adds the sets that another entry remembers before the own ones.
+func (h *voterHistory) learn(sets []*peerv1.VoterSet, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var past []voterSet
+	for _, s := range sets {
+		isKnown := func(own voterSet) bool { return slices.Equal(own.names, s.GetNames()) }
+		if !slices.ContainsFunc(h.sets, isKnown) && !slices.ContainsFunc(past, isKnown) {
+			age := time.Duration(s.GetAgeMs()) * time.Millisecond
+			past = append(past, voterSet{names: s.GetNames(), until: now.Add(-age)})
+		}
+	}
+	h.sets = append(past, h.sets...)
+}
