--- a/internal/bench/rollout/report.go
+++ b/internal/bench/rollout/report.go
@@ -33,7 +33,7 @@
 }
 
 func (r *run) reportRounds(out io.Writer, starts []standintarget.Start) bool {
-	var accepted, askedStarts, lastStarts, firstStarts, afterInForce []time.Duration
+	var accepted, askedStarts, askedReturns, lastStarts, firstStarts, afterInForce []time.Duration
 	notInForce := 0
 	for _, t := range r.rounds {
 		last, first := startsAround(t, starts)
@@ -41,6 +41,7 @@
 		askedStarts = append(askedStarts, last.Sub(t.asked))
 		lastStarts = append(lastStarts, max(0, last.Sub(t.out)))
 		if !first.IsZero() {
+			askedReturns = append(askedReturns, first.Sub(t.askedIn))
 			firstStarts = append(firstStarts, max(0, first.Sub(t.in)))
 		}
 		switch {
@@ -54,7 +55,8 @@
 	lineDurations(out, "asked to accepted", accepted)
 	lineDurations(out, "asked to last start", askedStarts)
 	lineDurations(out, "accepted to last start", lastStarts)
-	lineDurations(out, "return to first start", firstStarts)
+	lineDurations(out, "return asked to first start", askedReturns)
+	lineDurations(out, "return accepted to first start", firstStarts)
 	line(out, "rounds without a start after return", fmt.Sprint(len(r.rounds)-len(firstStarts)))
 	ok := r.options.Fault != None || slices.Max(lastStarts) <= maxLastStart
 	if r.options.Fault != None {
--- a/internal/bench/rollout/rollout.go
+++ b/internal/bench/rollout/rollout.go
@@ -36,7 +36,8 @@
 	Rounds int
 	Seed   int64
 	Fault  Fault
-	// Hold is how long a data centre stays out, and then in, in each round.
+	// Hold is how long a data centre stays out, and then in, in each round; with
+	// neither rounds nor an outage, the length of the run.
 	Hold time.Duration
 	// Outage is the length of a store outage under load, after the rounds.
 	Outage time.Duration
@@ -135,6 +136,9 @@
 	if r.options.Outage > 0 {
 		r.playOutage(ctx)
 	}
+	if r.options.Rounds == 0 && r.options.Outage == 0 {
+		sleep(ctx, r.options.Hold)
+	}
 	r.calls, r.played = r.fleet.Store.Calls(), time.Since(r.began)
 	return ctx.Err()
 }
