New work waits up to a second at an entry that is not fresh

Change: submissions and tickets wait up to 1 s for freshness; waiting tasks are placed in the instant when it is back.

--- a/internal/process/entry/contact.go
+++ b/internal/process/entry/contact.go
@@ -22,13 +22,10 @@
 // keepContact asks the other entries while the store does not answer.
 func (e *Entry) keepContact(ctx context.Context) {
 	for ctx.Err() == nil {
-		wasFresh := e.isFresh()
 		if e.freshness.isStoreSilent(time.Now()) {
 			e.askMajority(ctx)
 		}
-		if isFresh := e.isFresh(); isFresh != wasFresh || isFresh != e.loggedFresh {
-			e.noteFresh(isFresh)
-		}
+		e.noteFresh(e.isFresh())
 		sleep(ctx, e.freshness.contactInterval())
 	}
 }
@@ -36,13 +33,12 @@
 // noteFresh logs each change between fresh and not fresh. Only keepContact
 // calls it.
 func (e *Entry) noteFresh(fresh bool) {
-	if e.loggedFresh != fresh {
-		e.loggedFresh = fresh
-		e.log.Info().Bool("fresh", fresh).Uint64("revision", e.config.Load().Revision()).Msg("configuration")
+	if e.loggedFresh == fresh {
+		return
 	}
-	if fresh {
-		e.dispatcher.Refresh()
-	} else {
+	e.loggedFresh = fresh
+	e.log.Info().Bool("fresh", fresh).Uint64("revision", e.config.Load().Revision()).Msg("configuration")
+	if !fresh {
 		e.counters.Counter("freshness_lapsed").Inc(1)
 	}
 }
@@ -70,7 +66,7 @@
 		}
 	}
 	if isMajority(answered, len(contacts)) && e.roster.Load().Revision == before.Revision {
-		e.freshness.noteMajority(sent)
+		e.confirm(func(f *freshness) { f.noteMajority(sent) })
 		e.counters.Counter("contact_majorities").Inc(1)
 	}
 }
--- a/internal/process/entry/follow.go
+++ b/internal/process/entry/follow.go
@@ -116,7 +116,7 @@
 	}
 	s.setEntries(listing.Values)
 	s.apply(listing.Values, listing.Revision)
-	s.entry.freshness.noteStore(sent)
+	s.entry.confirm(func(f *freshness) { f.noteStore(sent) })
 	return nil
 }
 
@@ -170,7 +170,7 @@
 		return s.list(ctx)
 	}
 	s.apply(listing.Values, listing.Revision)
-	s.entry.freshness.noteStore(sent)
+	s.entry.confirm(func(f *freshness) { f.noteStore(sent) })
 	return nil
 }
 
--- a/internal/process/entry/freshness.go
+++ b/internal/process/entry/freshness.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -25,6 +26,12 @@
 	storeSilence = 2
 )
 
+const (
+	// freshGrace is how long new work waits at an entry that is not fresh.
+	freshGrace = time.Second
+	freshPoll  = 5 * time.Millisecond
+)
+
 // freshness knows until when the configuration of an entry may be taken for the
 // present one. Each contact counts from when its request was sent, by the
 // monotonic clock, so a pause never lengthens it.
@@ -113,8 +120,28 @@
 // isFresh reports whether tasks may be placed.
 func (e *Entry) isFresh() bool { return e.permit() > 0 }
 
+// confirm notes a contact, and places the waiting tasks of an entry that is fresh
+// again.
+func (e *Entry) confirm(note func(*freshness)) {
+	wasFresh := e.isFresh()
+	note(e.freshness)
+	if !wasFresh {
+		e.dispatcher.Refresh()
+	}
+}
+
+// awaitFresh waits a short time while the entry is not fresh, as after a pause of
+// its process.
+func (e *Entry) awaitFresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, freshGrace)
+	defer cancel()
+	for !e.isFresh() && ctx.Err() == nil {
+		sleep(ctx, freshPoll)
+	}
+}
+
 // checkDepartment returns why new work of a department is refused, or nil. An
-// entry that is not fresh refuses at once, so that callers try another one.
+// entry that is not fresh refuses it, so that callers try another one.
 func (e *Entry) checkDepartment(department string) *verdict.Error {
 	if !e.isFresh() {
 		err := verdict.NotRunError(apiv1.Reason_REASON_STALE_PERMIT, "neither the store nor most entries have confirmed the configuration")
--- a/internal/process/entry/jobservice.go
+++ b/internal/process/entry/jobservice.go
@@ -57,8 +57,9 @@
 }
 
 // IssueTickets implements the job service.
-func (s *jobService) IssueTickets(_ context.Context, r *connect.Request[apiv1.IssueTicketsRequest]) (*connect.Response[apiv1.IssueTicketsResponse], error) {
+func (s *jobService) IssueTickets(ctx context.Context, r *connect.Request[apiv1.IssueTicketsRequest]) (*connect.Response[apiv1.IssueTicketsResponse], error) {
 	e, m := s.entry, r.Msg
+	e.awaitFresh(ctx)
 	if err := e.checkIssue(m); err != nil {
 		return nil, e.refuse(err)
 	}
@@ -116,6 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.awaitFresh(ctx)
 	j, err := table.Submit(t, m, func() *verdict.Error {
 		return e.checkDepartment(m.GetDepartment())
 	})
--- a/internal/process/entry/learn.go
+++ b/internal/process/entry/learn.go
@@ -44,7 +44,7 @@
 		e.addObject(update, v)
 	}
 	e.applyConfig(update)
-	e.freshness.noteStore(sent)
+	e.confirm(func(f *freshness) { f.noteStore(sent) })
 	return nil
 }
 
