--- a/cmd/rosemarybay-bench/main.go
+++ b/cmd/rosemarybay-bench/main.go
@@ -30,6 +30,9 @@
   chaos [-jobs N] [-seed N]
                 run jobs while nodes are killed, paused, stopped and cut off
   replay FILE.. replay traces and check their outcomes
+  budget        measure the control cost of an idle fleet
+  restart       restart a third of an entry's agents at once under load
+  slopes        measure what one more link, task, change and so on costs
 `
 
 func main() {
@@ -57,6 +60,12 @@
 		return runChaos(ctx, args[1:])
 	case "replay":
 		return runReplay(ctx, args[1:])
+	case "budget":
+		return runBudget(ctx, args[1:])
+	case "restart":
+		return runRestart(ctx, args[1:])
+	case "slopes":
+		return runSlopes(ctx, args[1:])
 	default:
 		_, _ = fmt.Fprint(os.Stderr, usage)
 		return exitUsage
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -110,6 +110,9 @@
 	// Peers are the peer addresses of some other entries, asked for the
 	// configuration when the store does not answer at the start.
 	Peers []string `json:"peers,omitempty"`
+	// HandshakeRate is the number of links opened in a second; more are refused
+	// and come back after a backoff.
+	HandshakeRate int `json:"handshake_rate,omitempty"`
 }
 
 // Agent holds the settings of the agent role.
@@ -119,6 +122,9 @@
 	// StatusListen is the TCP address for counters.
 	StatusListen string `json:"status_listen"`
 	Target       Target `json:"target"`
+	// Links is the number of entries the agent links with, those of its own data
+	// centre first; 0 for all.
+	Links int `json:"links,omitempty"`
 }
 
 // Target describes the back end beside an agent.
