--- a/internal/bench/rollout/rollout.go
+++ b/internal/bench/rollout/rollout.go
@@ -51,6 +51,8 @@
 	changeTimeout = 20 * time.Second
 	// faultHold is added to the time a data centre is out with a fault.
 	faultHold = 4500 * time.Millisecond
+	// pauseTime is longer than a permit and shorter than an entry's lease.
+	pauseTime = 3500 * time.Millisecond
 	// faultLead is the time between a fault and the change.
 	faultLead = 200 * time.Millisecond
 	// pollInterval is the time between questions whether a change is in force.
@@ -200,7 +202,7 @@
 		f.Store.SetMode(standinstore.LoseAnswers)
 		return setUp
 	case EntryPaused:
-		go f.Node(dc + "-entry-1").Pause(faultLead + faultHold)
+		go f.Node(dc + "-entry-1").Pause(pauseTime)
 	case Partition:
 		others := []string{fleet.StoreNode}
 		for _, other := range f.Spec.DataCentres {
