A repeated change returns the revision at which it was accepted

Cause: after a later change of the object the repeat returned that one's revision. Each record names its base, which is the revision of the one before.

Conclusion: TestRacingOperators repeats a change after a later one.

--- a/internal/bench/rollout/faults_test.go
+++ b/internal/bench/rollout/faults_test.go
@@ -166,6 +166,10 @@
 	if o := presentObject(err); o.GetRevision() != response.GetAcceptedRevision() || o.GetHistory()[0].GetBy() != "operator" {
 		t.Errorf("present object of the conflict: %v", o)
 	}
+	later := outRequest("later", false)
+	if _, err := f.change(1, later); err != nil {
+		t.Fatal(err)
+	}
 	again, err := f.change(2, first)
 	if err != nil || again.GetAcceptedRevision() != response.GetAcceptedRevision() {
 		t.Errorf("repeated change: %v %v", again, err)
--- a/internal/process/entry/configservice.go
+++ b/internal/process/entry/configservice.go
@@ -53,13 +53,26 @@
 		return nil, withPresent(s.entry.refuse(err), err, o)
 	}
 	s.entry.counters.Counter("config_changes").Inc(1)
+	accepted := acceptedRevision(o, r.Msg.GetChangeId())
 	return connect.NewResponse(&apiv1.ChangeResponse{
 		Object:           o,
-		AcceptedRevision: o.GetRevision(),
-		InForce:          s.entry.spread(ctx, o.GetRevision(), before),
+		AcceptedRevision: accepted,
+		InForce:          s.entry.spread(ctx, accepted, before),
 	}), nil
 }
 
+// acceptedRevision returns the revision at which a change was stored. A later
+// change names it as its base.
+func acceptedRevision(o *apiv1.Object, changeID string) uint64 {
+	history := o.GetHistory()
+	for i, record := range history {
+		if record.GetChangeId() == changeID && i+1 < len(history) {
+			return history[i+1].GetBaseRevision()
+		}
+	}
+	return o.GetRevision()
+}
+
 // withPresent adds the present object to the error of a conflict.
 func withPresent(err error, cause *verdict.Error, present *apiv1.Object) error {
 	var rpc *connect.Error
