--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -51,6 +52,8 @@
 	roster      *roster.View
 	permit      permit
 	ctx         context.Context // ends with the process
+	tally       tally
+	broker      atomic.Uint64 // incarnation of the entry that lends the slots
 
 	mu       sync.Mutex
 	sessions map[uint64]*session     // by entry incarnation
--- a/internal/process/agent/session.go
+++ b/internal/process/agent/session.go
@@ -44,6 +44,7 @@
 	a.updateLinks()
 	defer a.updateLinks()
 	defer a.removeSession(s)
+	s.report()
 	go s.heartbeat()
 	for {
 		f, err := l.Receive()
@@ -87,6 +88,7 @@
 }
 
 func (a *Agent) addSession(s *session) {
+	defer a.chooseBroker()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if old := a.sessions[s.entry]; old != nil {
@@ -97,6 +99,7 @@
 }
 
 func (a *Agent) removeSession(s *session) {
+	defer a.chooseBroker()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.sessions[s.entry] == s {
@@ -133,6 +136,7 @@
 	next := roster.FromProto(r)
 	if s.agent.roster.Apply(next) {
 		s.agent.updateLinks()
+		s.agent.chooseBroker()
 	}
 }
 
@@ -159,4 +163,5 @@
 		Failure: err.Failure(),
 		Load:    a.load(),
 	}}})
+	a.reportToBroker(s.entry)
 }
