Fill a returned target within 250 ms, and gate lent slots by freshness

Change: the ramp takes 250 ms in steps of 50 ms, and a target at its step waits for the next one. A slot lent to an entry that is no longer fresh goes back.

--- a/internal/bench/rollout/report.go
+++ b/internal/bench/rollout/report.go
@@ -89,36 +89,44 @@
 // capacity left at each time, and with a baseline in which each entry uses only
 // its own data centre.
 func (r *run) reportWork(out io.Writer, starts []standintarget.Start) bool {
-	var capacity, baseline, done time.Duration
 	slots := make(map[string]int)
 	for _, t := range r.fleet.Spec.Targets {
 		slots[t.DataCentre] += t.Slots
 	}
+	var away, in work
 	total := r.load.slots()
 	for _, t := range r.rounds {
 		left := total - slots[t.dataCentre]
-		capacity += time.Duration(left)*t.in.Sub(t.out) + time.Duration(total)*t.end.Sub(t.in)
+		away.capacity += time.Duration(left) * t.in.Sub(t.out)
+		in.capacity += time.Duration(total) * t.end.Sub(t.in)
 		for _, s := range starts {
 			began, ended := s.At, s.At.Add(r.load.runs[s.Task])
-			done += overlap(began, ended, t.in, t.end)
+			in.done += overlap(began, ended, t.in, t.end)
 			if s.DataCentre != t.dataCentre {
-				done += overlap(began, ended, t.out, t.in)
+				away.done += overlap(began, ended, t.out, t.in)
 			}
 		}
 	}
-	share := float64(done) / float64(capacity)
-	line(out, "work done of capacity left", fmt.Sprintf("%.3f", share))
+	all := work{done: away.done + in.done, capacity: away.capacity + in.capacity}
+	line(out, "work done of capacity left", fmt.Sprintf("%.3f", all.share()))
+	line(out, "  while a data centre is out", fmt.Sprintf("%.3f", away.share()))
+	line(out, "  after its return", fmt.Sprintf("%.3f", in.share()))
 	if r.load.share > 0 {
-		for _, t := range r.rounds {
-			own := float64(total-slots[t.dataCentre]) * r.load.share
-			baseline += time.Duration(own*float64(t.in.Sub(t.out)) + float64(total)*r.load.share*float64(t.end.Sub(t.in)))
-		}
-		line(out, "work done of plain baseline (computed)", fmt.Sprintf("%.3f", float64(done)/float64(baseline)))
+		// The baseline has no spill: an entry uses only its own data centre.
+		baseline := r.load.share * float64(all.capacity)
+		line(out, "work done of plain baseline (computed)", fmt.Sprintf("%.3f", float64(all.done)/baseline))
 		return true
 	}
-	return share >= minWorkShare
+	return all.share() >= minWorkShare
+}
+
+// work is slot time, done and there.
+type work struct {
+	done, capacity time.Duration
 }
 
+func (w work) share() float64 { return float64(w.done) / float64(w.capacity) }
+
 func overlap(a, b, from, to time.Time) time.Duration {
 	if a.Before(from) {
 		a = from
--- a/internal/process/dispatch/acquire.go
+++ b/internal/process/dispatch/acquire.go
@@ -226,11 +226,14 @@
 	if tg == nil || tg.link == nil || tg.draining || now.Before(tg.blockedUntil) {
 		return false
 	}
+	if !d.opts.IsFresh() || snapshot.CheckDepartment(l.class.department) != nil {
+		return false
+	}
 	if snapshot.CheckTarget(l.class.department, tg.info.GetDataCentre(), name) != nil {
 		return false
 	}
 	if len(tg.inFlight) >= tg.rampLimit(now) {
-		d.block(tg, now)
+		d.blockFor(tg, now, rampTime/rampSteps)
 		return false
 	}
 	t := l.firstFor(tg)
--- a/internal/process/dispatch/place.go
+++ b/internal/process/dispatch/place.go
@@ -143,9 +143,13 @@
 
 // block keeps a target without work for staleBackoff.
 func (d *Dispatcher) block(tg *target, now time.Time) {
-	tg.blockedUntil = now.Add(staleBackoff)
+	d.blockFor(tg, now, staleBackoff)
+}
+
+func (d *Dispatcher) blockFor(tg *target, now time.Time, wait time.Duration) {
+	tg.blockedUntil = now.Add(wait)
 	d.blocked[tg] = struct{}{}
-	time.AfterFunc(staleBackoff, d.Refresh)
+	time.AfterFunc(wait, d.Refresh)
 }
 
 func milliseconds(d time.Duration) uint32 {
--- a/internal/process/dispatch/service.go
+++ b/internal/process/dispatch/service.go
@@ -10,8 +10,8 @@
 
 // A target that returns to service is filled in steps over rampTime.
 const (
-	rampTime  = time.Second
-	rampSteps = 10
+	rampTime  = 250 * time.Millisecond
+	rampSteps = 5
 )
 
 // service is a target's state in the operators' configuration.
