--- /dev/null
+++ b/internal/process/entry/change.go
@@ -0,0 +1,234 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+	"github.com/rosemarybay/rosemarybay/internal/version/config"
+)
+
+// errLostRace reports that another change came between the read and the write.
+var errLostRace = eris.New("another change came first")
+
+// maxHistory is the number of past changes kept with an object.
+const maxHistory = 16
+
+// unknownWait is the time after which a write that was given up can no longer
+// take effect at the store.
+const unknownWait = 5 * time.Second
+
+// changeLimit bounds the tries of one change, so that its caller gets a verdict
+// and can repeat it with the same change ID.
+const changeLimit = 10 * time.Second
+
+// change applies a change by compare-and-swap. After a lost answer it reads the
+// object again and looks for its own change ID. With a conflict it returns the
+// present object. A take-out counts as landed here until its outcome is known.
+func (e *Entry) change(ctx context.Context, m *apiv1.ChangeRequest) (*apiv1.Object, *verdict.Error) {
+	ctx, cancel := context.WithTimeout(ctx, changeLimit)
+	defer cancel()
+	c := &changeCall{entry: e, key: objectKey(m.GetKind(), m.GetName()), request: m}
+	for {
+		o, err := c.try(ctx)
+		if err == nil {
+			c.settle(o.GetRevision())
+			return o, nil
+		}
+		if err.Reason != apiv1.Reason_REASON_STORE_UNAVAILABLE {
+			c.settle(0)
+			return o, err
+		}
+		isOld := e.storeOld.Load()
+		if !isOld {
+			sleep(ctx, storeBackoff)
+		}
+		if isOld || ctx.Err() != nil {
+			if c.attempted {
+				err = verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN, "%s", err.Message)
+			}
+			go c.resolve()
+			return nil, err
+		}
+	}
+}
+
+// changeCall is one change on its way to the store.
+type changeCall struct {
+	entry     *Entry
+	key       string
+	request   *apiv1.ChangeRequest
+	attempted bool // a write was sent
+	assumed   bool // AssumeOut was called
+}
+
+// try makes one read and one write.
+func (c *changeCall) try(ctx context.Context) (*apiv1.Object, *verdict.Error) {
+	m := c.request
+	o, err := c.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if hasChange(o, m.GetChangeId()) {
+		return o, nil
+	}
+	if !m.GetAnyBase() && m.GetBaseRevision() != o.GetRevision() {
+		return o, verdict.NotRunError(apiv1.Reason_REASON_CONFLICT, "object is at revision %d, the change is based on %d", o.GetRevision(), m.GetBaseRevision())
+	}
+	base := o.GetRevision()
+	if err := applyChange(o, m); err != nil {
+		return o, err
+	}
+	return c.write(ctx, o, base)
+}
+
+// read returns the stored object; one without a revision when there is none.
+func (c *changeCall) read(ctx context.Context) (*apiv1.Object, *verdict.Error) {
+	e, m := c.entry, c.request
+	if e.storeOld.Load() {
+		return nil, storeError(errStoreOld)
+	}
+	known := e.config.Load().Get(m.GetKind(), m.GetName()).GetRevision()
+	present, err := e.store.Get(ctx, c.key)
+	e.noteStore(err)
+	if err != nil {
+		return nil, storeError(err)
+	}
+	o := &apiv1.Object{Kind: m.GetKind(), Name: m.GetName()}
+	if present != nil {
+		if err := proto.Unmarshal(present.Data, o); err != nil {
+			return nil, verdict.NotRunError(apiv1.Reason_REASON_INTERNAL, "stored object cannot be decoded")
+		}
+		o.Revision = present.Revision
+	}
+	if !e.checkRevision(known, o.GetRevision()) {
+		return nil, storeError(errStoreOld)
+	}
+	return o, nil
+}
+
+// write stores o, changed from a base revision.
+func (c *changeCall) write(ctx context.Context, o *apiv1.Object, base uint64) (*apiv1.Object, *verdict.Error) {
+	data, err := proto.Marshal(o)
+	if err != nil {
+		return nil, verdict.NotRunError(apiv1.Reason_REASON_INVALID_ARGUMENT, "%v", err)
+	}
+	c.attempted = true
+	c.assume()
+	result, err := c.entry.store.CompareAndSwap(ctx, store.Change{Key: c.key, Data: data, Expected: base})
+	if err != nil {
+		c.entry.counters.Counter("config_outcomes_unknown").Inc(1)
+		return nil, storeError(err)
+	}
+	if !result.Swapped {
+		return nil, storeError(errLostRace)
+	}
+	o.Revision = result.Revision
+	return o, nil
+}
+
+func (c *changeCall) objectKey() config.Key {
+	return config.Key{Kind: c.request.GetKind(), Name: c.request.GetName()}
+}
+
+// assume treats the object of a take-out as out.
+func (c *changeCall) assume() {
+	if c.assumed || !c.request.GetSetOut().GetOut() {
+		return
+	}
+	c.assumed = true
+	c.entry.config.AssumeOut(c.objectKey())
+}
+
+// settle ends the assumption once the configuration has reached a revision.
+func (c *changeCall) settle(revision uint64) {
+	if !c.assumed {
+		return
+	}
+	c.assumed = false
+	go func() {
+		if revision > 0 {
+			c.entry.config.WaitAbove(context.Background(), revision-1)
+		}
+		c.entry.config.Settle(c.objectKey())
+		c.entry.dispatcher.Refresh()
+	}()
+}
+
+// resolve reads the object of an abandoned take-out until the store tells its
+// outcome. It waits first, since the write may still be on its way.
+func (c *changeCall) resolve() {
+	if !c.assumed {
+		return
+	}
+	ctx := context.Background()
+	sleep(ctx, unknownWait)
+	for {
+		o, err := c.read(ctx)
+		if err == nil {
+			c.settle(o.GetRevision())
+			return
+		}
+		sleep(ctx, storeBackoff)
+	}
+}
+
+func storeError(err error) *verdict.Error {
+	return verdict.NotRunError(apiv1.Reason_REASON_STORE_UNAVAILABLE, "%v", err)
+}
+
+func hasChange(o *apiv1.Object, changeID string) bool {
+	for _, record := range o.GetHistory() {
+		if record.GetChangeId() == changeID {
+			return true
+		}
+	}
+	return false
+}
+
+// applyChange changes o and appends the change to its history.
+func applyChange(o *apiv1.Object, m *apiv1.ChangeRequest) *verdict.Error {
+	exists := o.GetRevision() > 0
+	isDepartment := o.GetKind() == apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT
+	summary := ""
+	switch c := m.GetChange().(type) {
+	case *apiv1.ChangeRequest_SetOut:
+		o.Out = c.SetOut.GetOut()
+		summary = "in"
+		if o.GetOut() {
+			summary = "out"
+		}
+	case *apiv1.ChangeRequest_Allow:
+		o.DataCentres, o.Targets = c.Allow.GetDataCentres(), c.Allow.GetTargets()
+		summary = "allow"
+	case *apiv1.ChangeRequest_SetQuota:
+		o.QuotaSlots = c.SetQuota.GetSlots()
+		summary = "quota"
+	case *apiv1.ChangeRequest_Create:
+		if exists {
+			return verdict.NotRunError(apiv1.Reason_REASON_CONFLICT, "%q exists", o.GetName())
+		}
+		o.Department = c.Create.GetDepartment()
+		exists = true
+		summary = "create"
+	}
+	if isDepartment && !exists {
+		return verdict.NotRunError(apiv1.Reason_REASON_CONFIG_UNKNOWN, "department %q does not exist", o.GetName())
+	}
+	o.History = append(o.History, &apiv1.ChangeRecord{
+		ChangeId:     m.GetChangeId(),
+		By:           m.GetBy(),
+		AtUnixMs:     time.Now().UnixMilli(),
+		Summary:      summary,
+		BaseRevision: o.GetRevision(),
+	})
+	if extra := len(o.GetHistory()) - maxHistory; extra > 0 {
+		o.History = o.GetHistory()[extra:]
+	}
+	return nil
+}
