--- a/internal/process/jobs/world_test.go
+++ b/internal/process/jobs/world_test.go
@@ -124,17 +124,6 @@
 	return v
 }
 
-// newConfig returns a view in which the department of the jobs is in service.
-func newConfig() *config.View {
-	v := config.NewView()
-	v.Apply(&peerv1.ConfigUpdate{
-		Revision: 1,
-		Snapshot: true,
-		Objects:  []*apiv1.Object{{Kind: apiv1.ObjectKind_OBJECT_KIND_DEPARTMENT, Name: department, Revision: 1}},
-	})
-	return v
-}
-
 func newWorld() *world {
 	w := &world{starts: make(map[string]int), awaited: make(map[string]bool)}
 	for i := range w.entries {
