--- a/internal/bench/replay/replay.go
+++ b/internal/bench/replay/replay.go
@@ -42,7 +42,10 @@
 		out:    progress,
 	}
 	p.play(ctx)
-	return p.check(), ctx.Err()
+	if err := ctx.Err(); err != nil {
+		return nil, err // a run cut short has no outcomes to check
+	}
+	return p.check(), nil
 }
 
 // player plays one trace.
