Let the tasks of short jobs go first, within bounds

Change: tasks are due a quarter of their job's longest declared run time after their arrival, declared times above 1 s counting as 1 s, and the one due first goes first, at the entry and at the broker.

--- a/internal/process/dispatch/acquire.go
+++ b/internal/process/dispatch/acquire.go
@@ -146,7 +146,7 @@
 			Accelerators: l.class.accelerators,
 		},
 		Tasks:      uint32(tasks),
-		WaitedMs:   milliseconds(now.Sub(l.first().waitingSince)),
+		WaitedMs:   milliseconds(now.Sub(l.first().due) + maxSlack),
 		WaitMs:     milliseconds(wait),
 		Repeatable: l.class.repeatable,
 		InUse:      uint32(d.inUse[l.class.department]),
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -329,3 +329,28 @@
 		t.Error("the start claims a slot that nobody lent")
 	}
 }
+
+// Tasks of short jobs go first, but a job that has waited for longer than the
+// slack is not passed by any.
+func TestShortJobsGoFirstWithinBounds(t *testing.T) {
+	k := newDesk(1)
+	k.submit(t, k.task(false), k.task(false))
+	long, short := k.task(false), k.task(false)
+	long.Spec.RunMs, short.Spec.RunMs = 60_000, 50
+	k.submit(t, long)
+	k.submit(t, short)
+	k.mu.Lock()
+	l := k.queue.line(classOf(long))
+	if l.first() != short {
+		t.Error("the short job does not go first")
+	}
+	late := k.task(false)
+	k.queue.push(late, long.due.Add(time.Millisecond))
+	if l.tasks.Back().Value.(*Task) != late {
+		t.Error("a job that is due later passed one that is due")
+	}
+	k.mu.Unlock()
+	if long.due.Sub(short.due) > maxSlack+time.Second {
+		t.Errorf("a declared run time puts a job back by %s", long.due.Sub(short.due))
+	}
+}
--- a/internal/process/dispatch/dispatcher.go
+++ b/internal/process/dispatch/dispatcher.go
@@ -130,10 +130,11 @@
 		d.opts.Counters.Refuse(err.Reason)
 		return err
 	}
+	due := now.Add(slack(tasks))
 	for _, t := range tasks {
 		t.started = verdict.NotRun
 		t.phase = phaseQueued
-		d.queue.pushBack(t, now)
+		d.queue.push(t, due)
 	}
 	d.pump()
 	d.unlockAndComplete()
--- a/internal/process/dispatch/queue.go
+++ b/internal/process/dispatch/queue.go
@@ -26,7 +26,27 @@
 	}
 }
 
-// line holds the waiting tasks of one class, first in first out.
+const (
+	// slackShare is the share of the longest declared run time of a job by which
+	// its tasks are due after their arrival: a wait weighs less against a long
+	// run than against a short one.
+	slackShare = 0.25
+	// maxHint bounds the declared run times that are believed, and with them
+	// what a wrong one can do.
+	maxHint  = time.Second
+	maxSlack = time.Duration(slackShare * float64(maxHint))
+)
+
+// slack returns how long after its arrival a job is due.
+func slack(tasks []*Task) time.Duration {
+	var longest time.Duration
+	for _, t := range tasks {
+		longest = max(longest, time.Duration(t.Spec.GetRunMs())*time.Millisecond)
+	}
+	return time.Duration(slackShare * float64(min(longest, maxHint)))
+}
+
+// line holds the waiting tasks of one class in the order in which they are due.
 type line struct {
 	class class
 	tasks list.List
@@ -68,14 +88,23 @@
 	return l
 }
 
-func (q *queue) pushBack(t *Task, now time.Time) {
+// push adds a new task.
+func (q *queue) push(t *Task, due time.Time) {
 	l := q.line(classOf(t))
-	t.waitingSince = now
-	t.element = l.tasks.PushBack(t)
+	t.due = due
+	e := l.tasks.Back()
+	for e != nil && e.Value.(*Task).due.After(due) {
+		e = e.Prev()
+	}
+	if e == nil {
+		t.element = l.tasks.PushFront(t)
+	} else {
+		t.element = l.tasks.InsertAfter(t, e)
+	}
 	q.added(t)
 }
 
-// pushFront returns a task that waited before; it keeps its place by age.
+// pushFront adds a task that was placed before; it goes first.
 func (q *queue) pushFront(t *Task) {
 	l := q.line(classOf(t))
 	t.element = l.tasks.PushFront(t)
--- a/internal/process/dispatch/task.go
+++ b/internal/process/dispatch/task.go
@@ -35,8 +35,9 @@
 	started   verdict.Verdict
 	cancelled bool
 	// element is the task's place in the queue while it waits there.
-	element      *list.Element
-	waitingSince time.Time
+	element *list.Element
+	// due orders waiting tasks: the one that is due first goes first.
+	due time.Time
 }
 
 type phase int
