--- a/internal/process/jobs/world_test.go
+++ b/internal/process/jobs/world_test.go
@@ -16,10 +16,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 )
 
-const (
-	testSlots  = 16
-	department = "desk"
-)
+const testSlots = 16
 
 // testLink carries frames between an entry and an agent, in order, until it is
 // cut.
