--- a/internal/bench/rollout/rollout.go
+++ b/internal/bench/rollout/rollout.go
@@ -36,7 +36,8 @@
 	Rounds int
 	Seed   int64
 	Fault  Fault
-	// Hold is how long a data centre stays out, and then in, in each round.
+	// Hold is how long a data centre stays out, and then in, in each round; with
+	// neither rounds nor an outage, the length of the run.
 	Hold time.Duration
 	// Outage is the length of a store outage under load, after the rounds.
 	Outage time.Duration
@@ -50,6 +51,8 @@
 	changeTimeout = 20 * time.Second
 	// faultHold is added to the time a data centre is out with a fault.
 	faultHold = 4500 * time.Millisecond
+	// pauseTime is longer than a permit and shorter than an entry's lease.
+	pauseTime = 3500 * time.Millisecond
 	// faultLead is the time between a fault and the change.
 	faultLead = 200 * time.Millisecond
 	// pollInterval is the time between questions whether a change is in force.
@@ -135,6 +138,9 @@
 	if r.options.Outage > 0 {
 		r.playOutage(ctx)
 	}
+	if r.options.Rounds == 0 && r.options.Outage == 0 {
+		sleep(ctx, r.options.Hold)
+	}
 	r.calls, r.played = r.fleet.Store.Calls(), time.Since(r.began)
 	return ctx.Err()
 }
@@ -196,7 +202,7 @@
 		f.Store.SetMode(standinstore.LoseAnswers)
 		return setUp
 	case EntryPaused:
-		go f.Node(dc + "-entry-1").Pause(faultLead + faultHold)
+		go f.Node(dc + "-entry-1").Pause(pauseTime)
 	case Partition:
 		others := []string{fleet.StoreNode}
 		for _, other := range f.Spec.DataCentres {
--- a/internal/process/agent/start.go
+++ b/internal/process/agent/start.go
@@ -13,11 +13,16 @@
 func (a *Agent) start(s *session, start *peerv1.Start) {
 	ctx, cancel := context.WithCancel(context.Background())
 	gate := func() *verdict.Error { return a.gate(start) }
-	if err := a.attempts.Begin(start, gate, cancel); err != nil {
+	err := a.attempts.Begin(start, gate, cancel)
+	if start.GetGranted() {
+		a.tally.granted()
+	}
+	if err != nil {
 		cancel()
 		s.refuse(start, err)
 		return
 	}
+	a.tally.begin(time.Now())
 	a.addRunning(s.entry, 1)
 	go func() {
 		defer a.addRunning(s.entry, -1)
@@ -62,7 +67,10 @@
 		result.Failure = err.Failure()
 	}
 	a.attempts.Finish(result)
-	a.deliver(a.attempts.Owner(start.GetId().GetIncarnation()), result)
+	a.tally.end(time.Now(), err)
+	owner := a.attempts.Owner(start.GetId().GetIncarnation())
+	a.deliver(owner, result)
+	a.reportToBroker(owner)
 	a.wakeWaiter()
 }
 
--- a/internal/process/dispatch/outcome.go
+++ b/internal/process/dispatch/outcome.go
@@ -5,6 +5,7 @@
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/request/retry"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
@@ -24,7 +25,7 @@
 		d.late.Inc(1)
 		return
 	}
-	delete(t.inFlight, at.key)
+	d.ended(at)
 	d.endAttempt(at, r)
 	d.pump()
 }
@@ -32,7 +33,7 @@
 // endAttempt decides what follows an attempt's result; the caller holds d.mu.
 func (d *Dispatcher) endAttempt(at *attempt, r *peerv1.Result) {
 	task := at.task
-	if task.current != at {
+	if !task.isLive(at) {
 		d.late.Inc(1)
 		return
 	}
@@ -40,6 +41,10 @@
 	switch {
 	case failure == nil:
 		d.budget.Success()
+		d.losses.Success()
+		d.runTimes.add(task.Spec.GetKind(), time.Duration(r.GetRunUs())*time.Microsecond)
+		task.release(at)
+		d.stopOthers(task)
 		d.finish(task, Outcome{Output: r.GetOutput()})
 	case failure.Verdict == verdict.NotRun:
 		d.refused(at, failure)
@@ -51,17 +56,19 @@
 // refused handles an attempt that has not run and never will.
 func (d *Dispatcher) refused(at *attempt, failure *verdict.Error) {
 	task := at.task
-	switch {
-	case failure.Reason == apiv1.Reason_REASON_TARGET_FULL:
+	if failure.Reason == apiv1.Reason_REASON_TARGET_FULL {
 		at.target.full = at.target.free <= 0
-	case isElsewhere(failure.Reason):
-		at.target.blockedUntil = time.Now().Add(staleBackoff)
-		time.AfterFunc(staleBackoff, d.Refresh)
+	} else if isElsewhere(failure.Reason) {
+		d.block(at.target, time.Now())
 	}
 	if failure.Reason == apiv1.Reason_REASON_FENCED {
 		// The adopter may start the task.
 		task.started = verdict.Worst(task.started, verdict.MayHaveRun)
 	}
+	if task.release(at) {
+		d.opts.Counters.Retry(failure.Reason)
+		return
+	}
 	if task.cancelled || failure.Reason == apiv1.Reason_REASON_FENCED || failure.Reason == apiv1.Reason_REASON_DEPARTMENT_LEFT {
 		d.finish(task, Outcome{Err: verdict.New(task.started, failure.Reason, "%s", failure.Message)})
 		return
@@ -73,7 +80,8 @@
 // target for a while.
 func isElsewhere(reason verdict.Reason) bool {
 	switch reason {
-	case apiv1.Reason_REASON_STALE_PERMIT, apiv1.Reason_REASON_DATA_CENTRE_OUT, apiv1.Reason_REASON_TARGET_LEFT:
+	case apiv1.Reason_REASON_STALE_PERMIT, apiv1.Reason_REASON_DATA_CENTRE_OUT, apiv1.Reason_REASON_TARGET_LEFT,
+		apiv1.Reason_REASON_STOPPING, apiv1.Reason_REASON_TARGET_FAILED:
 		return true
 	default:
 		return false
@@ -84,23 +92,48 @@
 func (d *Dispatcher) failed(at *attempt, failure *verdict.Error) {
 	task := at.task
 	task.started = verdict.Worst(task.started, failure.Verdict)
+	if task.release(at) {
+		return
+	}
 	if task.cancelled || !task.Spec.GetRepeatable() {
 		d.finish(task, Outcome{Err: failure})
 		return
 	}
-	if !d.budget.Take() {
+	if !d.budgetFor(failure.Reason).Take() {
 		d.opts.Counters.Refuse(apiv1.Reason_REASON_RETRY_BUDGET)
 		d.finish(task, Outcome{Err: failure})
 		return
 	}
-	d.repeated.Inc(1)
-	d.requeue(task, failure.Reason)
+	d.requeueLater(task, failure.Reason)
+}
+
+// budgetFor returns the budget that a retry after a failure is taken from.
+func (d *Dispatcher) budgetFor(reason verdict.Reason) *retry.Budget {
+	switch reason {
+	case apiv1.Reason_REASON_AGENT_LOST, apiv1.Reason_REASON_LINK_LOST, apiv1.Reason_REASON_HOME_LOST:
+		return d.losses
+	default:
+		return d.budget
+	}
+}
+
+// requeueLater lets a task wait again after a backoff.
+func (d *Dispatcher) requeueLater(task *Task, reason verdict.Reason) {
+	d.opts.Counters.Retry(reason)
+	task.phase = phaseQueued
+	time.AfterFunc(retry.Backoff(int(task.attempts)), func() {
+		d.mu.Lock()
+		defer d.unlockAndComplete()
+		if task.phase == phaseQueued && !task.cancelled {
+			d.queue.pushFront(task)
+			d.pump()
+		}
+	})
 }
 
 func (d *Dispatcher) requeue(task *Task, reason verdict.Reason) {
 	d.opts.Counters.Retry(reason)
 	task.phase = phaseQueued
-	task.current = nil
 	d.queue.pushFront(task)
 }
 
@@ -117,8 +150,8 @@
 		if !ok || s.GetPhase() != peerv1.AttemptPhase_ATTEMPT_PHASE_TOMBSTONE {
 			continue
 		}
-		delete(t.inFlight, at.key)
-		if at.task.current == at {
+		d.ended(at)
+		if at.task.isLive(at) {
 			d.refused(at, verdict.NotRunError(apiv1.Reason_REASON_TOMBSTONED, "attempt was stopped before its start"))
 		}
 	}
@@ -139,6 +172,9 @@
 	if load == nil {
 		return
 	}
+	d.brokers.change(t.broker, load.GetBroker())
+	t.broker = load.GetBroker()
+	d.opts.Broker.Report(t.info.GetName(), load, t.broker == d.opts.Sender)
 	t.free = int(load.GetFree())
 	t.revision = max(t.revision, load.GetConfigRevision())
 	if t.free > 0 {
@@ -148,9 +184,9 @@
 
 // loseAttempts ends all attempts at a target that cannot be asked any more.
 func (d *Dispatcher) loseAttempts(t *target, reason verdict.Reason) {
-	for key, at := range t.inFlight {
-		delete(t.inFlight, key)
-		if at.task.current == at {
+	for _, at := range t.inFlight {
+		d.ended(at)
+		if at.task.isLive(at) {
 			d.failed(at, verdict.New(verdict.MayHaveRun, reason, "agent of target %q is gone", t.info.GetName()))
 		}
 	}
--- a/internal/process/dispatch/resume.go
+++ b/internal/process/dispatch/resume.go
@@ -58,8 +58,9 @@
 		d.endAttempt(at, k.Result)
 	case k.Attempt != 0 && tg.inFlight != nil:
 		tg.inFlight[at.key] = at
+		d.inUse[t.Department]++
 	case k.Attempt == 0 && t.Spec.GetRepeatable():
-		d.repeated.Inc(1)
+		t.release(at)
 		d.requeue(t, apiv1.Reason_REASON_HOME_LOST)
 	default:
 		d.failed(at, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_HOME_LOST, "no agent keeps an attempt of task %d", t.Index))
--- a/internal/process/dispatch/task.go
+++ b/internal/process/dispatch/task.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"container/list"
 	"time"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
@@ -26,9 +27,17 @@
 	phase    phase
 	attempts uint32
 	current  *attempt
+	// second is the attempt that runs beside current, if any.
+	second *attempt
+	// isRepeated is set once a second attempt was asked for.
+	isRepeated bool
 	// started is the strongest verdict of all ended attempts.
 	started   verdict.Verdict
 	cancelled bool
+	// element is the task's place in the queue while it waits there.
+	element *list.Element
+	// due orders waiting tasks: the one that is due first goes first.
+	due time.Time
 }
 
 type phase int
@@ -76,4 +85,7 @@
 	task   *Task
 	target *target
 	sentAt time.Time
+	// broker is the entry to tell when a task of a department with a quota
+	// ends; 0 for none.
+	broker uint64
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+	"github.com/rosemarybay/rosemarybay/internal/process/slots"
 	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 	"github.com/rosemarybay/rosemarybay/internal/version/roster"
@@ -52,12 +53,14 @@
 	config      *config.View
 	roster      *roster.View
 	dispatcher  *dispatch.Dispatcher
+	broker      *slots.Broker
 	peers       *peers
 	ready       atomic.Bool
 	draining    atomic.Bool
 	reachable   atomic.Bool // the store answered last time
 	jobs        *jobs.Table // set before ready
 	freshness   *freshness
+	voters      *voterHistory
 	storeOld    atomic.Bool // the store is older than what is known
 	loggedFresh bool        // used by keepContact only
 	ticketKey   atomic.Pointer[ticket.Key]
@@ -106,6 +109,7 @@
 		roster:      roster.NewView(),
 		agents:      make(map[string]*agentLink),
 		freshness:   newFreshness(s.Entry.Permit.Std(), time.Now()),
+		voters:      newVoterHistory(s.Entry.Permit.Std()),
 		memory:      jobs.NewMemory(int64(s.Entry.AnswerMemoryMB) << 20),
 		lease:       newLease(s.Entry.Lease.Std()),
 		adoptions:   newAdoptions(),
@@ -113,12 +117,16 @@
 		handedOver:  make(chan struct{}),
 	}
 	e.peers = newPeers(e)
+	e.broker = slots.New(e.config, counters)
 	e.dispatcher = dispatch.New(dispatch.Options{
 		Sender:     e.incarnation,
 		DataCentre: s.DataCentre,
 		QueueLimit: s.Entry.QueueLimit,
 		Config:     e.config,
 		Counters:   counters,
+		Slots:      &slotBrokers{entry: e},
+		Broker:     e.broker,
+		Entries:    func() int { return len(e.roster.Load().Entries) },
 		IsFresh:    e.isFresh,
 	})
 	e.server, err = e.listenCallers()
@@ -166,6 +174,8 @@
 	go e.accept(ctx)
 	go e.watchPulse(ctx)
 	go e.follow(ctx)
+	go e.broker.Run(ctx.Done())
+	go e.dispatcher.Run(ctx.Done())
 	go e.sweepAdoptions(ctx)
 	select {
 	case <-e.retired:
--- a/internal/process/entry/follow.go
+++ b/internal/process/entry/follow.go
@@ -116,7 +116,7 @@
 	}
 	s.setEntries(listing.Values)
 	s.apply(listing.Values, listing.Revision)
-	s.entry.freshness.noteStore(sent)
+	s.entry.confirm(func(f *freshness) { f.noteStore(sent) })
 	return nil
 }
 
@@ -170,7 +170,7 @@
 		return s.list(ctx)
 	}
 	s.apply(listing.Values, listing.Revision)
-	s.entry.freshness.noteStore(sent)
+	s.entry.confirm(func(f *freshness) { f.noteStore(sent) })
 	return nil
 }
 
@@ -210,6 +210,7 @@
 }
 
 func (s *storeState) applyEntry(v store.Value) {
+	defer func() { s.entry.voters.record(s.entries, time.Now()) }()
 	if v.Deleted {
 		s.removeEntry(v.Key)
 		return
@@ -226,7 +227,11 @@
 func (s *storeState) removeEntry(key string) {
 	e := s.entries[key]
 	delete(s.entries, key)
-	if e != nil && !e.GetDraining() {
+	switch {
+	case e == nil:
+	case e.GetDraining():
+		s.entry.voters.stop(e.GetName(), time.Now())
+	default:
 		s.lapsed = append(s.lapsed, lapsedEntry{entry: e, at: time.Now()})
 	}
 }
@@ -255,6 +260,7 @@
 func (e *Entry) applyRoster(r *roster.Roster) {
 	if e.roster.Apply(r) {
 		e.eachAgent(func(a *agentLink) { a.sendRoster(r) })
+		e.broker.Keep(r.Entries)
 	}
 }
 
