Keep a waiting request's connection when its deadline was set late

The engine sets its idle deadline after it has begun to poll a new connection; when the request arrives in between, the idle deadline replaces that of the request. Change: the look at a waiting request's connection, every 100 ms, sets the deadline again. Ruled out: the test's bounds; the connection was really cut.

--- a/internal/connection/caller/hangup.go
+++ b/internal/connection/caller/hangup.go
@@ -15,21 +15,22 @@
 // the connection has to be looked at.
 const hangupInterval = 100 * time.Millisecond
 
-// closer is what a connection of the engine says of itself.
-type closer interface {
+// polled is a connection of the engine.
+type polled interface {
 	IsClosed() (bool, error)
+	SetReadDeadline(time.Time) error
 }
 
 func withHangup(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, ok := engineConn(w).(closer)
+		conn, ok := engineConn(w).(polled)
 		if !ok {
 			next.ServeHTTP(w, r)
 			return
 		}
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
-		go cancelOnHangup(ctx, cancel, conn)
+		go watchRequest(ctx, cancel, conn)
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
@@ -51,7 +52,10 @@
 	return conn
 }
 
-func cancelOnHangup(ctx context.Context, cancel context.CancelFunc, conn closer) {
+// watchRequest looks at the connection of a waiting request. It also sets the
+// read deadline once more: the engine sets its own after it has begun to poll a
+// new connection, which may be after the request has arrived.
+func watchRequest(ctx context.Context, cancel context.CancelFunc, conn polled) {
 	ticker := time.NewTicker(hangupInterval)
 	defer ticker.Stop()
 	for {
@@ -63,6 +67,9 @@
 				cancel()
 				return
 			}
+			if ctx.Err() == nil {
+				_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
+			}
 		}
 	}
 }
