End the streams of calls, and bound what is sent without a lent slot

Cause: a caller never ended its side of a call's stream, so each call counted for ever against the peer's limit of 1024 streams; past it a link between two entries carried no more calls, brokers and contacts went silent, and entries placed directly, many tasks to each free slot. Change: the caller ends its side, the server gives up what it did not read; without a lent slot at most one task is sent beyond the free slots reported.

--- a/internal/bench/rollout/report.go
+++ b/internal/bench/rollout/report.go
@@ -191,7 +191,7 @@
 		line(out, "  "+message, fmt.Sprint(failed[message]))
 	}
 	counters := r.fleet.Counters()
-	for _, name := range []string{"attempts_sent", "retried_data_centre_out", "retried_stale_permit", "retried_target_full", "contact_majorities", "freshness_lapsed"} {
+	for _, name := range []string{"attempts_sent", "retried_data_centre_out", "retried_stale_permit", "retried_target_full", "brokers_silent", "contact_majorities", "freshness_lapsed"} {
 		line(out, name, fmt.Sprint(counters[name]))
 	}
 	// In a partition the outcome of what was sent to the part cut off is unknown.
--- a/internal/connection/link/call.go
+++ b/internal/connection/link/call.go
@@ -26,6 +26,10 @@
 	if err := l.writeOne(stream, &peerv1.Frame{Body: &peerv1.Frame_Call{Call: call}}); err != nil {
 		return nil, err
 	}
+	// Without its end the stream would count against the peer's limit for ever.
+	if err := stream.Close(); err != nil {
+		return nil, eris.Wrap(err, "end call")
+	}
 	f, size, err := ReadFrame(bufio.NewReader(stream))
 	if err != nil {
 		return nil, eris.Wrap(err, "read reply")
@@ -56,6 +60,7 @@
 }
 
 func (l *Link) serveCall(stream *quic.Stream, handler Handler) {
+	defer stream.CancelRead(0)
 	defer func() { _ = stream.Close() }()
 	f, size, err := ReadFrame(bufio.NewReader(stream))
 	if err != nil || f.GetCall() == nil {
--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -154,3 +154,17 @@
 		receive(b, agent, i+2)
 	}
 }
+
+// Each call gives its stream back, so that a link carries any number of them.
+func TestCallsDoNotUseUpStreams(t *testing.T) {
+	agent, entry := pair(t)
+	go entry.ServeCalls(func(context.Context, *peerv1.Call) *peerv1.Reply { return &peerv1.Reply{} })
+	for i := range 3 * maxStreamsPerPeer {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, err := agent.Call(ctx, &peerv1.Call{Request: &peerv1.Call_GetRevision{GetRevision: &peerv1.GetRevision{}}})
+		cancel()
+		if err != nil {
+			t.Fatalf("call %d: %v", i, err)
+		}
+	}
+}
--- a/internal/process/dispatch/target.go
+++ b/internal/process/dispatch/target.go
@@ -48,9 +48,17 @@
 	return err == nil || err.Reason != apiv1.Reason_REASON_NO_ELIGIBLE_TARGET
 }
 
-// isAvailable reports whether the target may be sent a task now.
+// isAvailable reports whether the target may be sent a task now without a lent
+// slot. Beyond the free slots reported, one task is sent at a time: its result
+// brings the next report, and a refusal that of the next free slot.
 func (t *target) isAvailable(now time.Time) bool {
-	return t.link != nil && !t.draining && !t.full && len(t.inFlight) < t.rampLimit(now) && !now.Before(t.blockedUntil)
+	if t.link == nil || t.draining || t.full || now.Before(t.blockedUntil) {
+		return false
+	}
+	if t.free <= 0 && len(t.inFlight) > 0 {
+		return false
+	}
+	return len(t.inFlight) < t.rampLimit(now)
 }
 
 // Attach makes a target available over a link. When the agent is the one known
