--- a/internal/connection/link/call.go
+++ b/internal/connection/link/call.go
@@ -27,9 +27,8 @@
 		return nil, err
 	}
 	// Without its end the stream would count against the peer's limit for ever.
-	if err := stream.Close(); err != nil {
-		return nil, eris.Wrap(err, "end call")
-	}
+	// An error means that the peer has answered and ended it already.
+	_ = stream.Close()
 	f, size, err := ReadFrame(bufio.NewReader(stream))
 	if err != nil {
 		return nil, eris.Wrap(err, "read reply")
