--- a/internal/process/daemon/hostile_test.go
+++ b/internal/process/daemon/hostile_test.go
@@ -285,3 +285,27 @@
 		p.await("a half-open connection is cut", func() bool { return p.counter("caller_connections_cut_slow") > 0 })
 	})
 }
+
+// A wrong submission is not_run when its ticket is new, and may_have_run when
+// the ticket's job may have run already.
+func TestWrongResubmissionMayHaveRun(t *testing.T) {
+	p := startPair(t)
+	c := p.client("desk")
+	ticket, err := c.Ticket(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	wrong := func() *verdict.Error {
+		_, err := c.Resubmit(t.Context(), ticket, client.Job{Deadline: time.Second})
+		return verdict.FromError(err)
+	}
+	if e := wrong(); e == nil || e.Verdict != verdict.NotRun {
+		t.Errorf("before the job ran: %v, want not_run", e)
+	}
+	if _, err := c.Resubmit(t.Context(), ticket, client.Job{Deadline: 5 * time.Second, Tasks: twoTasks}); err != nil {
+		t.Fatal(err)
+	}
+	if e := wrong(); e == nil || e.Verdict != verdict.MayHaveRun {
+		t.Errorf("after the job ran: %v, want may_have_run", e)
+	}
+}
--- a/internal/process/entry/jobservice.go
+++ b/internal/process/entry/jobservice.go
@@ -99,6 +99,7 @@
 		return nil, err
 	}
 	if err := jobs.Validate(m); err != nil {
+		err.Verdict = e.verdictOfTicket(m)
 		return nil, err
 	}
 	t, err := e.decodeLive(m)
@@ -111,6 +112,22 @@
 	return e.route(ctx, t, &peerv1.Call{Request: &peerv1.Call_Submit{Submit: m}})
 }
 
+// verdictOfTicket returns the verdict of an invalid submission: NotRun, unless
+// its ticket is valid and may have been submitted before.
+func (e *Entry) verdictOfTicket(m ticketed) verdict.Verdict {
+	t, err := e.jobs.Decode(m.GetTicket(), m.GetDepartment(), m.GetOwner())
+	if err != nil {
+		return verdict.NotRun
+	}
+	if t.Home != e.incarnation {
+		return verdict.MayHaveRun
+	}
+	if _, err := e.jobs.Get(t); err != nil {
+		return err.Verdict
+	}
+	return verdict.MayHaveRun
+}
+
 // submitHere handles a submission of a ticket that this entry answers for.
 func (e *Entry) submitHere(ctx context.Context, table *jobs.Table, m *apiv1.SubmitRequest) (*apiv1.Answer, *verdict.Error) {
 	t, err := table.Decode(m.GetTicket(), m.GetDepartment(), m.GetOwner())
