--- a/internal/bench/chaos/report.go
+++ b/internal/bench/chaos/report.go
@@ -177,7 +177,7 @@
 	f.row("home killed meanwhile, not submitted again", hitOnce)
 	f.row("home killed before the first submission", stranded)
 	f.row("repeatable tasks started again", f.repeated)
-	for _, name := range []string{"attempts_repeated", "homes_adopted", "homes_inherited", "incarnations_lost", "adoptions_lost", "results_late"} {
+	for _, name := range []string{"attempts_repeated", "homes_adopted", "homes_taken_over", "incarnations_lost", "adoptions_lost", "results_late"} {
 		f.row(name+" (of nodes that still run or were asked)", counters[name])
 	}
 	for _, p := range []promise{f.twice, f.notRun, f.partial, f.owner} {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -70,13 +70,13 @@
 	calls       atomic.Int64 // calls of callers and peers in progress
 	retired     chan struct{}
 	retireOnce  sync.Once
-	// handedOver is closed once the tickets have an heir, or none was found.
+	// handedOver is closed once the tickets have a successor, or none was found.
 	handedOver chan struct{}
 
 	mu     sync.Mutex
 	agents map[string]*agentLink // by agent name
-	// inherited holds the answers of hand-overs in progress, by home.
-	inherited map[uint64][]*peerv1.RememberedAnswer
+	// handedOverParts holds the answers of hand-overs in progress, by home.
+	handedOverParts map[uint64][]*peerv1.RememberedAnswer
 }
 
 // New returns an entry that listens but does not serve yet.
--- a/internal/process/entry/handover.go
+++ b/internal/process/entry/handover.go
@@ -60,29 +60,29 @@
 	}
 }
 
-// handOver names an heir of this entry's tickets in the store and sends it the
+// handOver names a successor of this entry's tickets in the store and sends it the
 // remembered answers. When it fails, the tickets are adopted like those of a
 // lost entry.
 func (e *Entry) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
-	heir := e.chooseHeir()
-	if heir == nil {
+	successor := e.chooseSuccessor()
+	if successor == nil {
 		return
 	}
-	if err := e.nameHeir(ctx, heir.GetIncarnation()); err != nil {
-		e.log.Warn().Err(err).Msg("no heir of the tickets")
+	if err := e.nameSuccessor(ctx, successor.GetIncarnation()); err != nil {
+		e.log.Warn().Err(err).Msg("no successor of the tickets")
 		return
 	}
-	if err := e.sendAnswers(ctx, heir); err != nil {
+	if err := e.sendAnswers(ctx, successor); err != nil {
 		e.log.Warn().Err(err).Msg("answers were not handed over")
 		return
 	}
-	e.log.Info().Str("heir", heir.GetName()).Msg("tickets handed over")
+	e.log.Info().Str("successor", successor.GetName()).Msg("tickets handed over")
 }
 
-// chooseHeir returns another entry, of the own data centre if there is one.
-func (e *Entry) chooseHeir() *peerv1.RosterEntry {
+// chooseSuccessor returns another entry, of the own data centre if there is one.
+func (e *Entry) chooseSuccessor() *peerv1.RosterEntry {
 	var near, far []*peerv1.RosterEntry
 	for _, r := range e.roster.Load().Entries {
 		switch {
@@ -102,8 +102,8 @@
 	return near[rand.IntN(len(near))]
 }
 
-func (e *Entry) nameHeir(ctx context.Context, heir uint64) error {
-	m := &peerv1.Adoption{Incarnation: e.incarnation, Adopter: heir, Generation: 1}
+func (e *Entry) nameSuccessor(ctx context.Context, successor uint64) error {
+	m := &peerv1.Adoption{Incarnation: e.incarnation, Adopter: successor, Generation: 1}
 	data, err := proto.Marshal(m)
 	if err != nil {
 		return eris.Wrap(err, "encode adoption")
@@ -120,11 +120,11 @@
 	return nil
 }
 
-func (e *Entry) sendAnswers(ctx context.Context, heir *peerv1.RosterEntry) error {
+func (e *Entry) sendAnswers(ctx context.Context, successor *peerv1.RosterEntry) error {
 	part, size := &peerv1.HandOver{Incarnation: e.incarnation}, 0
 	for _, a := range e.jobs.Answers() {
 		if size += proto.Size(a); size > maxHandOverBytes {
-			if err := e.sendPart(ctx, heir, part); err != nil {
+			if err := e.sendPart(ctx, successor, part); err != nil {
 				return err
 			}
 			part, size = &peerv1.HandOver{Incarnation: e.incarnation}, proto.Size(a)
@@ -132,16 +132,16 @@
 		part.Answers = append(part.Answers, a)
 	}
 	part.Complete = true
-	return e.sendPart(ctx, heir, part)
+	return e.sendPart(ctx, successor, part)
 }
 
-func (e *Entry) sendPart(ctx context.Context, heir *peerv1.RosterEntry, part *peerv1.HandOver) error {
-	reply, err := e.peers.call(ctx, heir, &peerv1.Call{Request: &peerv1.Call_HandOver{HandOver: part}})
+func (e *Entry) sendPart(ctx context.Context, successor *peerv1.RosterEntry, part *peerv1.HandOver) error {
+	reply, err := e.peers.call(ctx, successor, &peerv1.Call{Request: &peerv1.Call_HandOver{HandOver: part}})
 	if err != nil {
 		return err
 	}
 	if reply.GetHandOver() == nil {
-		return eris.New("heir refused the answers")
+		return eris.New("successor refused the answers")
 	}
 	return nil
 }
@@ -151,36 +151,36 @@
 	if e.draining.Load() {
 		return &peerv1.Reply{Failure: errHomeLost("entry is stopping").Failure()}
 	}
-	answers := e.inheritance(m)
+	answers := e.collectAnswers(m)
 	if m.GetComplete() {
-		e.inherit(m.GetIncarnation(), answers)
+		e.adoptHandedOver(m.GetIncarnation(), answers)
 	}
 	return &peerv1.Reply{Response: &peerv1.Reply_HandOver{HandOver: &peerv1.HandOverAck{}}}
 }
 
-// inheritance adds a part to those received before and returns them all.
-func (e *Entry) inheritance(m *peerv1.HandOver) []*peerv1.RememberedAnswer {
+// collectAnswers adds a part to those received before and returns them all.
+func (e *Entry) collectAnswers(m *peerv1.HandOver) []*peerv1.RememberedAnswer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.inherited == nil {
-		e.inherited = make(map[uint64][]*peerv1.RememberedAnswer)
+	if e.handedOverParts == nil {
+		e.handedOverParts = make(map[uint64][]*peerv1.RememberedAnswer)
 	}
 	home := m.GetIncarnation()
-	e.inherited[home] = append(e.inherited[home], m.GetAnswers()...)
-	all := e.inherited[home]
+	e.handedOverParts[home] = append(e.handedOverParts[home], m.GetAnswers()...)
+	all := e.handedOverParts[home]
 	if m.GetComplete() {
-		delete(e.inherited, home)
+		delete(e.handedOverParts, home)
 	}
 	return all
 }
 
-func (e *Entry) inherit(home uint64, answers []*peerv1.RememberedAnswer) {
+func (e *Entry) adoptHandedOver(home uint64, answers []*peerv1.RememberedAnswer) {
 	if e.adoptions.get(home) != nil {
 		return
 	}
 	a := e.newAdoption(home, jobs.Adopted{Generation: 1, Records: jobs.NewRecords(home), HandedOver: true})
 	a.table.Restore(answers)
-	e.counters.Counter("homes_inherited").Inc(1)
+	e.counters.Counter("homes_taken_over").Inc(1)
 	e.log.Info().Uint64("incarnation", home).Int("answers", len(answers)).Msg("tickets taken over")
 	e.startAdoption(a, false)
 }
--- a/internal/process/entry/route.go
+++ b/internal/process/entry/route.go
@@ -67,7 +67,7 @@
 }
 
 // own answers a call for a ticket issued here. While the entry stops, a new
-// submission waits for the heir of its ticket.
+// submission waits for the successor of its ticket.
 func (e *Entry) own(ctx context.Context, call *peerv1.Call) (*apiv1.Answer, *verdict.Error, bool) {
 	if !e.lease.isHeld(time.Now()) {
 		return nil, errHomeLost("the entry lost its lease"), true
@@ -83,13 +83,13 @@
 	case <-ctx.Done():
 		return nil, err, true
 	}
-	heir := e.roster.Load().ByIncarnation(e.adoptions.adopter(e.incarnation))
-	if heir == nil {
+	successor := e.roster.Load().ByIncarnation(e.adoptions.adopter(e.incarnation))
+	if successor == nil {
 		return nil, err, true
 	}
-	reply, callErr := e.peers.call(ctx, heir, call)
+	reply, callErr := e.peers.call(ctx, successor, call)
 	if callErr != nil {
-		return nil, errHomeLost("heir of the ticket did not answer: %v", callErr), true
+		return nil, errHomeLost("successor of the ticket did not answer: %v", callErr), true
 	}
 	return reply.GetAnswer(), verdict.FromFailure(reply.GetFailure()), true
 }
--- a/internal/process/jobs/adopted.go
+++ b/internal/process/jobs/adopted.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// Answers returns the remembered answers of the table, for its heir.
+// Answers returns the remembered answers of the table, for its successor.
 func (t *Table) Answers() []*peerv1.RememberedAnswer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/process/jobs/memory_test.go
+++ b/internal/process/jobs/memory_test.go
@@ -85,14 +85,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	heir := newInstant(nil).NewAdopted(1, Adopted{Generation: 1, Records: NewRecords(1), HandedOver: true})
-	heir.Restore(home.Answers())
-	j, err := heir.Submit(tk, &apiv1.SubmitRequest{Tasks: []*apiv1.Task{{}, {}}}, admitAll)
+	successor := newInstant(nil).NewAdopted(1, Adopted{Generation: 1, Records: NewRecords(1), HandedOver: true})
+	successor.Restore(home.Answers())
+	j, err := successor.Submit(tk, &apiv1.SubmitRequest{Tasks: []*apiv1.Task{{}, {}}}, admitAll)
 	if err != nil || string(j.Answer().GetResults()[1].GetOutput()) != "done" {
 		t.Errorf("got %v, %v, want the remembered answer", j, err)
 	}
 	other, _ := home.Decode(home.Issue(testDepartment, "mama", 1)[0], testDepartment, "mama")
-	if _, err := heir.Get(other); err == nil || err.Verdict != verdict.NotRun {
+	if _, err := successor.Get(other); err == nil || err.Verdict != verdict.NotRun {
 		t.Errorf("got %v for a ticket that was never submitted, want not run", err)
 	}
 }
