Test the verdict of a fenced start and the bound of direct starts

Cause: removing either rule went unnoticed by the tests. Change: a test of each; both failed with its rule removed and pass with it.

--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -354,3 +354,30 @@
 		t.Errorf("a declared run time puts a job back by %s", long.due.Sub(short.due))
 	}
 }
+
+// A start that was refused as fenced was not run here, but the adopter may run
+// its task: the task ends as may have run, and is not sent again.
+func TestFencedTaskMayHaveRun(t *testing.T) {
+	k := newDesk(1)
+	k.submit(t, k.task(true))
+	k.answer("r0", k.agents["r0"].started()[0], verdict.NotRunError(apiv1.Reason_REASON_FENCED, "fenced"))
+	if len(k.ended.list) != 1 || k.ended.list[0].Err == nil || k.ended.list[0].Err.Verdict != verdict.MayHaveRun {
+		t.Errorf("outcomes %v, want one that may have run", k.ended.list)
+	}
+	if got := k.count(); got != 1 {
+		t.Errorf("%d starts, want 1", got)
+	}
+}
+
+// Without a lent slot no more tasks are sent than slots were reported free.
+func TestDirectStartsKeepToReportedSlots(t *testing.T) {
+	k := newDesk(1)
+	k.opts.Slots = silentSlots{}
+	k.HandleLoad("r0", &peerv1.Load{Free: 1, Broker: self})
+	k.submit(t, k.task(false), k.task(false), k.task(false))
+	waitUntil(t, "the first start", func() bool { return k.count() >= 1 })
+	k.Refresh()
+	if got := k.count(); got != 1 {
+		t.Errorf("%d starts on 1 free slot", got)
+	}
+}
