Serve the users' platform: entry and agent over its store, targets and callers

The whole path, thin: jobs under the caller's key, targets as resource vectors, attempts under two leases, desired state and roster from the platform's store. platform/ translates; decisions stand in internal/process/load.

--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -52,6 +52,13 @@
 	Refused func(verdict.Reason)
 	// Closed is told why a connection was cut; nil for an end by the caller.
 	Closed func(Cut)
+	// MoreAddresses are served beside Address.
+	MoreAddresses []string
+	// Bare leaves limits and the form of errors to Handler.
+	Bare bool
+	// Closing reports that connections end after their present answer; nil for
+	// never.
+	Closing func() bool
 }
 
 // Server is an HTTP server. The context of a request ends when its caller hangs
@@ -67,26 +74,31 @@
 func Listen(o Options) (*Server, error) {
 	logging.SetLevel(logging.LevelNone)
 	// The engine does not return when its own listening fails.
-	listener, err := net.Listen("tcp", o.Address)
+	addresses := append([]string{o.Address}, o.MoreAddresses...)
+	listeners, err := listenAll(addresses)
 	if err != nil {
-		return nil, eris.Wrap(err, "listen for callers")
+		return nil, err
 	}
 	s := &Server{options: o}
+	handler := o.Handler
+	if !o.Bare {
+		handler = s.withLimits(handler)
+	}
 	config := nbhttp.Config{
 		Network:           "tcp",
-		Listen:            func(string, string) (net.Listener, error) { return listener, nil },
+		Listen:            func(_, address string) (net.Listener, error) { return listeners[address], nil },
 		MaxLoad:           o.MaxConnections,
 		ReadLimit:         maxReadBytes,
 		MaxHTTPBodySize:   maxReadBytes,
 		KeepaliveTime:     o.Idle,
 		ServerExecutor:    func(f func()) { go f() },
 		SupportServerOnly: true,
-		Handler:           s.withDeadlines(withHangup(s.withLimits(o.Handler))),
+		Handler:           s.withDeadlines(withHangup(handler)),
 	}
 	if o.Keys == nil {
-		config.Addrs = []string{o.Address}
+		config.Addrs = addresses
 	} else {
-		config.AddrsTLS = []string{o.Address}
+		config.AddrsTLS = addresses
 		config.TLSConfig = o.Keys.config()
 	}
 	s.engine = nbhttp.NewEngine(config)
@@ -97,6 +109,21 @@
 	return s, nil
 }
 
+func listenAll(addresses []string) (map[string]net.Listener, error) {
+	listeners := make(map[string]net.Listener, len(addresses))
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, l := range listeners {
+				_ = l.Close()
+			}
+			return nil, eris.Wrap(err, "listen for callers")
+		}
+		listeners[address] = listener
+	}
+	return listeners, nil
+}
+
 // Close stops the server; ctx bounds the wait for open connections.
 func (s *Server) Close(ctx context.Context) {
 	_ = s.engine.Shutdown(ctx)
@@ -122,6 +149,9 @@
 		}
 		_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
 		next.ServeHTTP(w, r)
+		if s.options.Closing != nil && s.options.Closing() {
+			r.Close = true
+		}
 		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	})
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/rosemarybay/rosemarybay/internal/process/agent"
 	"github.com/rosemarybay/rosemarybay/internal/process/entry"
+	"github.com/rosemarybay/rosemarybay/internal/process/server"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
 )
 
@@ -23,6 +24,9 @@
 	exitUsage = 2
 )
 
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "ROSEMARYBAY_SETTINGS"
+
 // node is one role of the daemon.
 type node interface {
 	Run(stop <-chan struct{})
@@ -35,7 +39,7 @@
 func Main(args []string, stderr io.Writer) int {
 	flags := flag.NewFlagSet("rosemarybayd", flag.ContinueOnError)
 	flags.SetOutput(stderr)
-	path := flags.String("settings", "", "settings `FILE` in JSON")
+	path := flags.String("settings", os.Getenv(settingsVariable), "settings `FILE` in JSON")
 	check := flags.Bool("check", false, "validate the settings and exit")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
@@ -77,6 +81,9 @@
 }
 
 func start(s *settings.Settings, log zerolog.Logger) (node, error) {
+	if s.Node != nil {
+		return server.New(s)
+	}
 	if s.Role == settings.RoleEntry {
 		return entry.New(s, log)
 	}
--- /dev/null
+++ b/internal/process/load/order.go
@@ -0,0 +1,117 @@
+package load
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Waiting is what a queue orders.
+type Waiting interface {
+	// LatestStart is the last moment at which a start still meets the
+	// objective, as a time since the epoch.
+	LatestStart() time.Duration
+	// Begun reports whether other tasks of the same job have been started.
+	Begun() bool
+	// Work is the work that starts with it.
+	Work() Work
+	// Position keeps the place in the queue; -1 for none.
+	Position() *int
+}
+
+// Queue holds tasks that wait, the one with the least slack first. A job is of
+// use only when its last task has ended, so the tasks of jobs that have begun go
+// before all others. It answers bursts of one kind: with the arrival order a
+// short job waits behind long ones that could wait.
+type Queue[T Waiting] struct {
+	items items[T]
+	total Work
+}
+
+// Len returns the number of tasks that wait.
+func (q *Queue[T]) Len() int { return len(q.items) }
+
+// Total returns the work that waits.
+func (q *Queue[T]) Total() Work { return q.total }
+
+// Push adds a task.
+func (q *Queue[T]) Push(t T) {
+	heap.Push(&q.items, t)
+	q.total += t.Work()
+}
+
+// Pop removes the first task.
+func (q *Queue[T]) Pop() T {
+	t := heap.Pop(&q.items).(T)
+	q.total -= t.Work()
+	return t
+}
+
+// Remove removes a task if it waits.
+func (q *Queue[T]) Remove(t T) {
+	if *t.Position() < 0 {
+		return
+	}
+	heap.Remove(&q.items, *t.Position())
+	q.total -= t.Work()
+}
+
+// Fix restores the order after a change of t.
+func (q *Queue[T]) Fix(t T) {
+	if *t.Position() >= 0 {
+		heap.Fix(&q.items, *t.Position())
+	}
+}
+
+// Ahead returns the work that would be started before a task with a latest start.
+func (q *Queue[T]) Ahead(latest time.Duration) Work {
+	var sum Work
+	for _, t := range q.items {
+		if t.Begun() || t.LatestStart() <= latest {
+			sum += t.Work()
+		}
+	}
+	return sum
+}
+
+// All calls f with each task that waits, in no order.
+func (q *Queue[T]) All(f func(T)) {
+	for _, t := range q.items {
+		f(t)
+	}
+}
+
+// items implements heap.Interface.
+type items[T Waiting] []T
+
+func (s items[T]) Len() int { return len(s) }
+
+func (s items[T]) Less(i, j int) bool {
+	if s[i].Begun() != s[j].Begun() {
+		return s[i].Begun()
+	}
+	return s[i].LatestStart() < s[j].LatestStart()
+}
+
+func (s items[T]) Swap(i, j int) {
+	s[i], s[j] = s[j], s[i]
+	*s[i].Position() = i
+	*s[j].Position() = j
+}
+
+// Push implements heap.Interface.
+func (s *items[T]) Push(x any) {
+	t := x.(T)
+	*t.Position() = len(*s)
+	*s = append(*s, t)
+}
+
+// Pop implements heap.Interface.
+func (s *items[T]) Pop() any {
+	old := *s
+	t := old[len(old)-1]
+	var none T
+	old[len(old)-1] = none
+	*s = old[:len(old)-1]
+	*t.Position() = -1
+	return t
+}
--- /dev/null
+++ b/internal/process/runs/look.go
@@ -0,0 +1,175 @@
+package runs
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+const (
+	// lookWait is how long the target holds a look without an end.
+	lookWait = 100 * time.Millisecond
+	// lookGrace is added to it before the look counts as unanswered.
+	lookGrace = 40 * time.Millisecond
+	// lookBackoff spaces looks that are refused or fail at once.
+	lookBackoff = 20 * time.Millisecond
+	// muteAfter is the silence after which the target gets no new work.
+	muteAfter = 250 * time.Millisecond
+	// clockDrift is how much slower than ours the target's clock may run, in
+	// percent.
+	clockDrift = 2
+	// lapseMargin is added to the target's lease for the stop itself.
+	lapseMargin = 60 * time.Millisecond
+)
+
+// look renews the lease and takes note of ends until the lifetime is over.
+func (k *Keeper) look(l *lifetime) {
+	wait := time.Duration(0)
+	for l.ctx.Err() == nil {
+		k.mu.Lock()
+		token, lastSeen := l.token, l.lastSeen
+		k.mu.Unlock()
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(l.ctx, wait+lookGrace)
+		report, err := l.target.Look(ctx, token, lastSeen, wait)
+		cancel()
+		if err != nil {
+			k.missed(l, token, err)
+			if time.Since(sent) < lookGrace {
+				time.Sleep(lookBackoff)
+			}
+			wait = 0
+			continue
+		}
+		wait = k.looked(l, report, token, sent)
+	}
+}
+
+// looked takes a report, and returns how long the next look may wait.
+func (k *Keeper) looked(l *lifetime, report Report, token uint64, sent time.Time) time.Duration {
+	switch report.Answer {
+	case AnswerDone:
+		k.take(l, report, sent)
+		return lookWait
+	case AnswerFenced:
+		k.raiseToken(l, token, tokenStep)
+	case AnswerOtherLifetime:
+		time.Sleep(lookBackoff)
+	default:
+		time.Sleep(lookBackoff)
+	}
+	return 0
+}
+
+// missed counts a look without an answer.
+func (k *Keeper) missed(l *lifetime, token uint64, err error) {
+	if l.ctx.Err() != nil {
+		return
+	}
+	k.raiseToken(l, token, 1)
+	k.opts.Counters.Counter("looks_unanswered").Inc(1)
+	k.mu.Lock()
+	silent := time.Since(l.answered)
+	if silent > muteAfter && !l.mute {
+		l.mute = true
+		k.opts.Log.Warn().Err(err).Str("target", l.ID).Dur("silent", silent).Msg("target does not answer")
+		k.describeLocked()
+	}
+	k.mu.Unlock()
+	k.lapsed(l)
+}
+
+// lapsed ends all runs once the target's lease on them is surely over, and
+// reports whether it was.
+func (k *Keeper) lapsed(l *lifetime) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	lease := k.opts.TargetLease*(100+clockDrift)/100 + lapseMargin
+	if k.life != l || time.Since(l.answered) < lease {
+		return false
+	}
+	for _, r := range k.runs {
+		k.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
+	}
+	return true
+}
+
+// heard notes that the target answers.
+func (k *Keeper) heard(l *lifetime) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l.answered = time.Now()
+	if l.mute {
+		l.mute = false
+		k.opts.Log.Info().Str("target", l.ID).Msg("target answers again")
+		k.describeLocked()
+	}
+}
+
+// take brings the runs up to date with a report of the target.
+func (k *Keeper) take(l *lifetime, report Report, sent time.Time) {
+	k.heard(l)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.life != l {
+		return
+	}
+	first := !l.looked
+	running := make(map[task.Attempt]Running, len(report.Running))
+	for _, r := range report.Running {
+		running[r.Attempt] = r
+	}
+	for _, e := range report.Ended {
+		k.endedLocked(l, e)
+	}
+	for _, r := range k.runs {
+		k.compareLocked(r, running, sent)
+	}
+	for a := range running {
+		if k.runs[a.Key] == nil && first {
+			k.adoptLocked(a)
+		}
+	}
+	if first {
+		l.looked = true
+		k.opts.Log.Info().Str("target", l.ID).Int("running", len(running)).Int("ended", len(report.Ended)).
+			Uint64("token", l.token).Msg("target looked at")
+		k.describeLocked()
+	}
+}
+
+func (k *Keeper) endedLocked(l *lifetime, e Ended) {
+	if e.Number <= l.lastSeen {
+		return
+	}
+	l.lastSeen = e.Number
+	r := k.runs[e.Attempt.Key]
+	if r == nil || r.attempt != e.Attempt {
+		if !l.looked {
+			k.resultLocked(0, e.Attempt, e.Outcome, peer.RefusalNone)
+		}
+		return
+	}
+	k.finishLocked(r, e.Outcome, peer.RefusalNone)
+}
+
+// compareLocked takes the progress of a run, and ends one that the target does
+// not know although the look was sent after its start was confirmed.
+func (k *Keeper) compareLocked(r *run, running map[task.Attempt]Running, sent time.Time) {
+	if seen, ok := running[r.attempt]; ok {
+		r.percent, r.cpu = seen.Percent, seen.CPU
+		return
+	}
+	if r.phase != phaseStarting && r.since.Before(sent) {
+		k.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
+	}
+}
+
+// adoptLocked keeps a run that an earlier process of this agent has started,
+// until an entry claims it.
+func (k *Keeper) adoptLocked(a task.Attempt) {
+	k.runs[a.Key] = &run{attempt: a, phase: phaseRunning, since: time.Now()}
+	k.opts.Log.Info().Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).Msg("run adopted")
+}
--- /dev/null
+++ b/internal/process/runs/owner.go
@@ -0,0 +1,294 @@
+package runs
+
+import (
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+const (
+	// sweepInterval is the time between looks at the leases of entries.
+	sweepInterval = 25 * time.Millisecond
+	// orphanLease is how long a run that no entry has claimed is kept.
+	orphanLease = 400 * time.Millisecond
+	// ownerMemory is how long the results for an entry without a link are kept.
+	ownerMemory = 5 * time.Second
+	// roomIntervalPerLink spaces the updates of room to entries that have no
+	// part in the change, so that their number does not grow with the square
+	// of the fleet.
+	roomIntervalPerLink = 3 * time.Millisecond
+)
+
+// owner is one incarnation of an entry, as the one that sent runs.
+type owner struct {
+	name        string
+	incarnation uint64
+	address     string
+	link        *peer.Link
+	// heard is the latest time of this process that the entry has echoed: it
+	// lived after it.
+	heard time.Duration
+	// lost is when the link broke; zero while there is one.
+	lost time.Time
+	// results are kept until the entry has taken them.
+	results []peer.Result
+	// accepted counts the starts of the present link.
+	accepted uint64
+	// sent is when the latest frame went out.
+	sent time.Time
+	// attempts counts its runs.
+	attempts int
+	// roomDirty is set when the room has changed since the latest frame.
+	roomDirty bool
+	// echo is the latest Sent that arrived from the entry.
+	echo int64
+}
+
+// IsReady reports whether the target has said what runs there.
+func (k *Keeper) IsReady() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.life != nil && k.life.looked
+}
+
+// Links returns the number of entries that are linked.
+func (k *Keeper) Links() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := 0
+	for _, o := range k.owners {
+		if o.link != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// IsLinked reports whether the entry at an address is linked.
+func (k *Keeper) IsLinked(address string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, o := range k.owners {
+		if o.link != nil && o.address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// Connect attaches a link to the entry that its Hello names, and tells it what
+// runs here for it.
+func (k *Keeper) Connect(hello *peer.Hello, address string, link *peer.Link) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	o := k.owners[hello.Incarnation]
+	if o == nil {
+		o = &owner{name: hello.Name, incarnation: hello.Incarnation}
+		k.owners[hello.Incarnation] = o
+	}
+	o.address, o.link, o.lost, o.accepted = address, link, time.Time{}, 0
+	o.heard = k.clock()
+	k.opts.Log.Info().Str("entry", o.name).Uint64("incarnation", o.incarnation).
+		Int("runs", o.attempts).Int("results", len(o.results)).Msg("entry linked")
+	link.Send(peer.Frame{
+		Hello:   &peer.Hello{Name: k.opts.Name, Incarnation: k.opts.Incarnation, DataCentre: k.opts.DataCentre, Runs: k.runsForLocked(o)},
+		Target:  k.descriptionLocked(),
+		Results: append([]peer.Result(nil), o.results...),
+		Policy:  k.policyLocked(),
+	})
+}
+
+func (k *Keeper) policyLocked() *peer.Policy {
+	if k.policy.Revision == 0 {
+		return nil
+	}
+	p := k.policy
+	return &p
+}
+
+// runsForLocked returns the runs of o and those of no known entry.
+func (k *Keeper) runsForLocked(o *owner) []task.Attempt {
+	var attempts []task.Attempt
+	for _, r := range k.runs {
+		if r.owner == o.incarnation || r.owner == 0 {
+			attempts = append(attempts, r.attempt)
+		}
+	}
+	return attempts
+}
+
+// Disconnect detaches a link that has broken.
+func (k *Keeper) Disconnect(incarnation uint64, link *peer.Link, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	o := k.owners[incarnation]
+	if o == nil || o.link != link {
+		return
+	}
+	o.link, o.lost = nil, time.Now()
+	k.opts.Log.Info().Err(err).Str("entry", o.name).Uint64("incarnation", incarnation).
+		Int("runs", o.attempts).Msg("entry lost")
+}
+
+// Stamp completes a frame to an entry in the instant of sending.
+func (k *Keeper) Stamp(incarnation uint64, f *peer.Frame) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f.Sent = int64(k.clock())
+	o := k.owners[incarnation]
+	if o == nil {
+		return
+	}
+	o.sent = time.Now()
+	o.roomDirty = false
+	f.Room = &peer.Room{Free: k.freeLocked()}
+	f.Accepted = o.accepted
+	f.Echo = o.echo
+}
+
+// Receive handles a frame of an entry.
+func (k *Keeper) Receive(incarnation uint64, f *peer.Frame) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	o := k.owners[incarnation]
+	if o == nil {
+		return
+	}
+	o.heard = max(o.heard, time.Duration(f.Echo))
+	o.echo = f.Sent
+	o.taken(f.Taken)
+	if f.Policy != nil {
+		k.takePolicyLocked(f.Policy, o.name)
+	}
+	if f.Claims != nil {
+		k.claimLocked(o, f.Claims)
+	}
+	for _, s := range f.Starts {
+		o.accepted++
+		k.startLocked(o, s)
+	}
+	for _, a := range f.Stops {
+		k.stopLocked(a, "ordered by its entry")
+	}
+	for _, job := range f.CancelJobs {
+		k.cancelJobLocked(job)
+	}
+}
+
+// taken forgets the results that the entry has.
+func (o *owner) taken(number uint64) {
+	n := 0
+	for n < len(o.results) && o.results[n].Number <= number {
+		n++
+	}
+	o.results = o.results[n:]
+}
+
+// claimLocked gives runs of no known entry to the one that claims them.
+func (k *Keeper) claimLocked(o *owner, c *peer.Claims) {
+	for _, claim := range c.Attempts {
+		a := claim.Attempt
+		r := k.runs[a.Key]
+		if r == nil || r.attempt != a || r.owner != 0 {
+			continue
+		}
+		r.owner, r.need = o.incarnation, claim.Need
+		o.attempts++
+		k.opts.Log.Info().Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).
+			Str("entry", o.name).Msg("run claimed")
+	}
+}
+
+// cancelJobLocked stops the runs of a job, whichever entry sent them.
+func (k *Keeper) cancelJobLocked(job string) {
+	for key, r := range k.runs {
+		if key.Job == job {
+			k.stopLocked(r.attempt, "job cancelled")
+		}
+	}
+}
+
+// Sweep ends the runs of entries that are no longer heard, and sends heartbeats.
+// It is called each sweepInterval.
+func (k *Keeper) Sweep() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	clock := k.clock()
+	for incarnation, o := range k.owners {
+		if why, over := o.leaseOver(clock, now); over && o.attempts > 0 {
+			k.stopOwnerLocked(incarnation, why)
+		}
+		if !o.lost.IsZero() && o.attempts == 0 && now.Sub(o.lost) > ownerMemory {
+			delete(k.owners, incarnation)
+			continue
+		}
+		k.heartbeatLocked(o, now)
+	}
+	for _, r := range k.runs {
+		if r.owner == 0 && now.Sub(r.since) > orphanLease {
+			k.stopLocked(r.attempt, "claimed by no entry")
+		}
+	}
+}
+
+func (o *owner) leaseOver(clock time.Duration, now time.Time) (string, bool) {
+	switch {
+	case clock-o.heard > peer.OwnerLease:
+		return "entry silent", true
+	case !o.lost.IsZero() && now.Sub(o.lost) > peer.BrokenLinkLease:
+		return "link to entry broken", true
+	}
+	return "", false
+}
+
+func (k *Keeper) stopOwnerLocked(incarnation uint64, why string) {
+	for _, r := range k.runs {
+		if r.owner == incarnation {
+			k.stopLocked(r.attempt, why)
+		}
+	}
+}
+
+func (k *Keeper) heartbeatLocked(o *owner, now time.Time) {
+	if o.link == nil {
+		return
+	}
+	interval := peer.IdleHeartbeat
+	if o.attempts > 0 {
+		interval = peer.BusyHeartbeat
+	}
+	if o.roomDirty {
+		interval = time.Duration(len(k.owners)) * roomIntervalPerLink
+	}
+	if now.Sub(o.sent) < interval {
+		return
+	}
+	o.sent = now
+	o.link.Send(peer.Frame{Progress: k.progressLocked(o)})
+}
+
+func (k *Keeper) progressLocked(o *owner) []peer.Progress {
+	var progress []peer.Progress
+	for _, r := range k.runs {
+		if r.owner == o.incarnation && r.phase == phaseRunning {
+			progress = append(progress, peer.Progress{Attempt: r.attempt, Percent: r.percent, CPU: r.cpu})
+		}
+	}
+	return progress
+}
+
+// Run sweeps until done is closed.
+func (k *Keeper) Run(done <-chan struct{}) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+			k.Sweep()
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/scheduler/admit.go
@@ -0,0 +1,119 @@
+package scheduler
+
+import (
+	"time"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/process/load"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+const (
+	// noTargetRetry is when a caller should return that found no target at all.
+	noTargetRetry = 500 * time.Millisecond
+	// stoppingRetry is the same at an entry that stops: any other can be asked.
+	stoppingRetry = 50 * time.Millisecond
+	// sweepInterval is the time between looks at deadlines and silent targets.
+	sweepInterval = 10 * time.Millisecond
+)
+
+// admit decides whether a job may wait here, and answers it if not.
+func (s *Scheduler) admit(j *job) (Answer, bool) {
+	now := s.now()
+	if s.stopping {
+		return refuse(apiv1.Reason_REASON_STOPPING, stoppingRetry, "this entry stops"), false
+	}
+	if message, ok := s.canEverRun(j); !ok {
+		return refuse(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, noTargetRetry, message), false
+	}
+	wait := s.predictWait(j, now)
+	if now+wait+j.expected > j.objective {
+		return refuse(apiv1.Reason_REASON_OVERLOAD, load.RetryAfter(wait, s.opts.Random()), "would wait past its objective"), false
+	}
+	return Answer{}, true
+}
+
+// canEverRun reports whether each step has a target that could run its tasks.
+func (s *Scheduler) canEverRun(j *job) (string, bool) {
+	for i := range j.spec.Steps {
+		if !s.hasTarget(j, i) {
+			return "no target in service could run its tasks", false
+		}
+	}
+	return "", true
+}
+
+func (s *Scheduler) hasTarget(j *job, step int) bool {
+	wish := s.wish(&j.spec.Steps[step])
+	for _, t := range s.targets {
+		c := t.candidate()
+		if s.eligible(t, j.queue) && wish.MayRun(&c) {
+			return true
+		}
+	}
+	return false
+}
+
+// predictWait returns how long the job's tasks wait for those ahead of them.
+func (s *Scheduler) predictWait(j *job, now time.Duration) time.Duration {
+	if s.queue.Len() == 0 {
+		return 0
+	}
+	ahead := s.queue.Ahead(j.objective - j.expected)
+	return s.drain.Wait(now, ahead, s.shareOfCapacity())
+}
+
+// shareOfCapacity returns the processors of all targets in service divided by
+// the entries that use them.
+func (s *Scheduler) shareOfCapacity() int64 {
+	var cpu int64
+	for _, t := range s.targets {
+		if t.info.Available {
+			cpu += t.info.Capacity.CPU
+		}
+	}
+	return cpu / int64(max(s.opts.Entries(), 1))
+}
+
+func (s *Scheduler) retryAfter() time.Duration {
+	wait := s.drain.Wait(s.now(), s.queue.Total(), s.shareOfCapacity())
+	return load.RetryAfter(wait, s.opts.Random())
+}
+
+// Sweep ends jobs that can no longer be served and attempts that are surely
+// over. It is called each sweepInterval.
+func (s *Scheduler) Sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for _, t := range s.targets {
+		s.sweepTarget(t, now)
+	}
+	for _, j := range s.jobs {
+		s.sweepJob(j, now)
+	}
+	s.pump()
+}
+
+func (s *Scheduler) sweepJob(j *job, now time.Duration) {
+	switch {
+	case now >= j.deadline:
+		s.giveUp(j, apiv1.Reason_REASON_DEADLINE_EXCEEDED, "its caller's deadline has passed")
+	case j.verdict() == verdict.NotRun && now+j.expected > j.objective:
+		s.giveUp(j, apiv1.Reason_REASON_OVERLOAD, "no room before its objective could no longer be met")
+	}
+}
+
+// Run sweeps until done is closed.
+func (s *Scheduler) Run(done <-chan struct{}) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+			s.Sweep()
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/scheduler/job.go
@@ -0,0 +1,200 @@
+package scheduler
+
+import (
+	"time"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/load"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+	"github.com/rosemarybay/rosemarybay/internal/version/policy"
+)
+
+// job is one job until its answer. Times are since the scheduler's epoch.
+type job struct {
+	spec    *task.Job
+	queue   *policy.Queue
+	arrived time.Duration
+	// expected is the predicted run time of its critical path.
+	expected time.Duration
+	// objective is when it should have ended, deadline when its caller leaves.
+	objective time.Duration
+	deadline  time.Duration
+	steps     []step
+	// left is the number of tasks that have not ended.
+	left int
+	// live is the number of attempts sent and not resolved.
+	live int
+	// begun is set once an attempt has been sent.
+	begun bool
+	// ran is set once an attempt is known to have started.
+	ran   bool
+	ended bool
+	// predecessor is an answered job of the same ID of which something may
+	// still run; nil for none.
+	predecessor *job
+	waiters     []chan Answer
+}
+
+// step is one step of a job.
+type step struct {
+	items    []*item
+	left     int
+	released bool
+}
+
+// item is one task.
+type item struct {
+	job      *job
+	key      task.Key
+	step     *task.Step
+	expected time.Duration
+	position int
+	// run is the number of the latest attempt.
+	run      uint64
+	failures int
+	done     bool
+	// attempt is the attempt in progress, if any.
+	attempt *attempt
+	// avoid names the target on which the latest attempt went wrong.
+	avoid string
+}
+
+// attempt is one order to start a task.
+type attempt struct {
+	item   *item
+	id     task.Attempt
+	target *target
+	// sent and started are times since the epoch; started is 0 until confirmed.
+	sent    time.Duration
+	started time.Duration
+	// number is that of the order on its link.
+	number uint64
+	// stopping is set once it has been ordered to end.
+	stopping bool
+}
+
+// LatestStart implements load.Waiting.
+func (it *item) LatestStart() time.Duration { return it.job.objective - it.expected }
+
+// Begun implements load.Waiting.
+func (it *item) Begun() bool { return it.job.begun }
+
+// Work implements load.Waiting.
+func (it *item) Work() load.Work { return load.WorkOf(it.step.Need.CPU, it.expected) }
+
+// Position implements load.Waiting.
+func (it *item) Position() *int { return &it.position }
+
+func (s *Scheduler) newJob(spec *task.Job, queue *policy.Queue) *job {
+	j := &job{
+		spec:     spec,
+		queue:    queue,
+		arrived:  spec.Arrived.Sub(s.epoch),
+		deadline: spec.Deadline.Sub(s.epoch),
+		steps:    make([]step, len(spec.Steps)),
+	}
+	j.expected = s.estimate.Predict(queue.Name, spec.CriticalPath())
+	j.objective = j.arrived + queue.Objective(j.expected)
+	for i := range spec.Steps {
+		declared := &spec.Steps[i]
+		expected := s.estimate.Predict(queue.Name, declared.Estimate)
+		items := make([]*item, declared.Count)
+		for n := range items {
+			items[n] = &item{
+				job:      j,
+				key:      task.Key{Job: spec.ID, Step: i, Index: n},
+				step:     declared,
+				expected: expected,
+				position: -1,
+			}
+		}
+		j.steps[i] = step{items: items, left: declared.Count}
+		j.left += declared.Count
+	}
+	return j
+}
+
+// verdict says whether anything of the job may have run. An attempt that was
+// sent and not resolved may run.
+func (j *job) verdict() verdict.Verdict {
+	switch {
+	case j.ran:
+		return verdict.Ran
+	case j.live > 0, j.predecessor != nil:
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
+// finish answers a job and ends what is left of it.
+func (s *Scheduler) finish(j *job, a Answer) {
+	if j.ended {
+		return
+	}
+	j.ended = true
+	for i := range j.steps {
+		for _, it := range j.steps[i].items {
+			s.queue.Remove(it)
+			if it.attempt != nil {
+				s.stopAttempt(it.attempt)
+			}
+		}
+	}
+	delete(s.jobs, j.spec.ID)
+	if j.live > 0 {
+		s.closing[j.spec.ID] = j
+	}
+	if a.isFinal() {
+		s.answers.put(j.spec.ID, a, s.now())
+	}
+	s.logAnswer(j, a)
+	for _, w := range j.waiters {
+		w <- a
+	}
+}
+
+// stopAttempt orders the end of an attempt whose result no longer counts.
+func (s *Scheduler) stopAttempt(at *attempt) {
+	if at.stopping {
+		return
+	}
+	at.stopping = true
+	at.target.send(peer.Frame{Stops: []task.Attempt{at.id}})
+}
+
+// logAnswer writes the line of a job's answer and counts it.
+func (s *Scheduler) logAnswer(j *job, a Answer) {
+	took := s.now() - j.arrived
+	s.opts.Counters.ObserveJob(j.queue.Name, s.opts.DataCentre, took)
+	s.opts.Counters.Counter("jobs_" + string(a.State)).Inc(1)
+	if a.State == StateComplete {
+		s.opts.Log.Debug().Str("job", j.spec.ID).Str("queue", j.queue.Name).Dur("took", took).
+			Bool("in_objective", s.now() <= j.objective).Msg("job complete")
+		return
+	}
+	s.opts.Counters.Refuse(a.Reason)
+	s.opts.Log.Info().Str("job", j.spec.ID).Str("queue", j.queue.Name).Str("state", string(a.State)).
+		Str("verdict", verdict.Name(a.Verdict)).Str("reason", verdict.ReasonName(a.Reason)).Str("detail", a.Message).
+		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.expected).
+		Dur("retry_after", a.RetryAfter).Int("tasks_left", j.left).Int("unresolved", j.live).
+		Int("waiting", s.queue.Len()).Uint64("config_version", s.version()).Msg("job not completed")
+}
+
+func (s *Scheduler) version() uint64 {
+	if snapshot := s.opts.View.Snapshot(); snapshot != nil {
+		return snapshot.Version
+	}
+	return 0
+}
+
+// giveUp answers a job that cannot be completed any more, by what may have run.
+func (s *Scheduler) giveUp(j *job, reason apiv1.Reason, message string) {
+	v := j.verdict()
+	if v == verdict.NotRun {
+		s.finish(j, refuse(reason, s.retryAfter(), message))
+		return
+	}
+	s.finish(j, Answer{State: StateUnfinished, Verdict: v, Reason: reason, Message: message})
+}
--- /dev/null
+++ b/internal/process/scheduler/place.go
@@ -0,0 +1,107 @@
+package scheduler
+
+import (
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/load"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/version/policy"
+)
+
+// misfits is how many tasks that fit nowhere are passed over in one round.
+const misfits = 8
+
+// placeJitter keeps entries with the same view from choosing the same target.
+const placeJitter = 0.05
+
+// pump starts the tasks at the head of the queue while there is room.
+func (s *Scheduler) pump() {
+	var passed []*item
+	for s.queue.Len() > 0 && len(passed) < misfits {
+		it := s.queue.Pop()
+		t := s.choose(it)
+		if t == nil {
+			passed = append(passed, it)
+			continue
+		}
+		s.start(it, t)
+	}
+	for _, it := range passed {
+		s.queue.Push(it)
+	}
+}
+
+func (s *Scheduler) wish(st *task.Step) load.Wish {
+	return load.Wish{
+		Need:         st.Need,
+		Label:        st.Label,
+		DataRack:     st.DataRack,
+		MaxPerTarget: st.MaxPerTarget,
+		DataCentre:   s.opts.DataCentre,
+	}
+}
+
+// choose returns the best target for a task, or nil.
+func (s *Scheduler) choose(it *item) *target {
+	wish := s.wish(it.step)
+	var best *target
+	bestScore := 0.0
+	for _, t := range s.targets {
+		c := t.candidate()
+		c.Avoid = t.name == it.avoid
+		if wish.MaxPerTarget > 0 {
+			c.OfStep = t.ofStep(it)
+		}
+		if !s.eligible(t, it.job.queue) || !wish.Fits(&c) {
+			continue
+		}
+		score := wish.Score(&c) + placeJitter*s.opts.Random()
+		if best == nil || score > bestScore {
+			best, bestScore = t, score
+		}
+	}
+	return best
+}
+
+// eligible reports whether a queue's tasks may be started on a target.
+func (s *Scheduler) eligible(t *target, q *policy.Queue) bool {
+	return t.usable(s.now()) && t.info.Pool == q.Pool && !s.opts.View.Outages().Has(t.info.DataCentre)
+}
+
+// start sends the next attempt of a task to a target.
+func (s *Scheduler) start(it *item, t *target) {
+	now := s.now()
+	it.run++
+	at := &attempt{
+		item:   it,
+		id:     task.Attempt{Key: it.key, Run: it.run},
+		target: t,
+		sent:   now,
+	}
+	it.attempt = at
+	it.job.live++
+	if !it.job.begun {
+		it.job.begun = true
+		s.fixOrder(it.job)
+	}
+	s.drain.Started(now, it.Work())
+	s.opts.Counters.Counter("attempts_sent").Inc(1)
+	s.opts.Log.Debug().Str("job", it.key.Job).Stringer("task", it.key).Uint64("run", it.run).Str("target", t.info.ID).
+		Int64("free_cpu", t.free().CPU).Dur("room_age", now-t.heard).Msg("attempt sent")
+	t.begin(at)
+	t.send(peer.Frame{Starts: []peer.Start{{
+		Attempt:     at.id,
+		Spec:        it.job.spec.Spec,
+		Need:        it.step.Need,
+		Incarnation: t.info.Incarnation,
+		Expected:    it.expected,
+	}}})
+}
+
+// fixOrder moves the waiting tasks of a job that has begun to the front.
+func (s *Scheduler) fixOrder(j *job) {
+	for i := range j.steps {
+		for _, it := range j.steps[i].items {
+			s.queue.Fix(it)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/settings/node.go
@@ -0,0 +1,78 @@
+package settings
+
+import (
+	"net"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Node holds the settings of a node that learns everything else from the
+// platform's store and from the target beside it.
+type Node struct {
+	// IP is the node's own address.
+	IP string `json:"ip"`
+	// CallerListen is the TCP address for callers; entries only.
+	CallerListen string `json:"caller_listen,omitempty"`
+	// ReadyListen answers whether the entry may be given connections.
+	ReadyListen string `json:"ready_listen,omitempty"`
+	// AnnounceListen is the TCP address for the target's reports; agents only.
+	AnnounceListen string `json:"announce_listen,omitempty"`
+	// MetricsPort serves counters and latencies.
+	MetricsPort uint16 `json:"metrics_port"`
+	// PeerPort is the TCP port at which each entry takes the links of agents.
+	PeerPort uint16 `json:"peer_port"`
+	// Seeds are addresses of some entries, separated by commas; their ports are
+	// not used. They stand in while the store does not answer.
+	Seeds string `json:"seeds,omitempty"`
+	// Store is the address of the platform's store.
+	Store string `json:"store"`
+	// TargetLease is how long a target runs what is not renewed.
+	TargetLease Duration `json:"target_lease"`
+	// MemoryMB is the memory at which the process is killed.
+	MemoryMB int `json:"memory_mb"`
+}
+
+// minTargetLease leaves time for a few renewals.
+const minTargetLease = Duration(400 * time.Millisecond)
+
+// SeedIPs returns the IP of each seed.
+func (n *Node) SeedIPs() []string {
+	var ips []string
+	for _, seed := range strings.Split(n.Seeds, ",") {
+		if host, _, err := net.SplitHostPort(strings.TrimSpace(seed)); err == nil {
+			ips = append(ips, host)
+		}
+	}
+	return ips
+}
+
+func (n *Node) validate(role Role) error {
+	if role != RoleEntry && role != RoleAgent {
+		return eris.Errorf("role is %q, expected \"entry\" or \"agent\"", role)
+	}
+	if _, err := netip.ParseAddr(n.IP); err != nil {
+		return eris.Errorf("node.ip is %q, expected an IP address", n.IP)
+	}
+	if err := validateAddress("node.store", n.Store); err != nil {
+		return err
+	}
+	if n.PeerPort == 0 {
+		return eris.New("node.peer_port is 0, expected a port")
+	}
+	if n.TargetLease < minTargetLease {
+		return eris.Errorf("node.target_lease is %s, expected at least %s", n.TargetLease.Std(), minTargetLease.Std())
+	}
+	if n.MemoryMB <= 0 {
+		return eris.Errorf("node.memory_mb is %d, expected a positive number", n.MemoryMB)
+	}
+	if role == RoleAgent {
+		return validateAddress("node.announce_listen", n.AnnounceListen)
+	}
+	if err := validateAddress("node.caller_listen", n.CallerListen); err != nil {
+		return err
+	}
+	return validateAddress("node.ready_listen", n.ReadyListen)
+}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -60,6 +60,9 @@
 	StopTimeout Duration `json:"stop_timeout,omitempty"`
 	Entry       *Entry   `json:"entry,omitempty"`
 	Agent       *Agent   `json:"agent,omitempty"`
+	// Node replaces Entry, Agent and TLS where the node learns the rest by
+	// itself.
+	Node *Node `json:"node,omitempty"`
 }
 
 // TLS names the keys of a node: each field is PEM text or a path.
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -70,6 +70,9 @@
 	if s.StopTimeout <= 0 {
 		return eris.New("stop_timeout must be positive")
 	}
+	if s.Node != nil {
+		return s.Node.validate(s.Role)
+	}
 	if s.TLS.CA == "" || s.TLS.Cert == "" || s.TLS.Key == "" {
 		return eris.New("tls needs ca, cert and key")
 	}
--- /dev/null
+++ b/internal/request/task/task.go
@@ -0,0 +1,116 @@
+// Package task holds what a caller asks for: a job, its steps and the tasks of
+// each step.
+package task
+
+import (
+	"fmt"
+	"time"
+)
+
+// Resources is an amount of each resource of a target.
+type Resources struct {
+	// CPU is in thousandths of a core.
+	CPU int64 `cbor:"1,keyasint,omitempty"`
+	// MemoryMB is in megabytes.
+	MemoryMB int64 `cbor:"2,keyasint,omitempty"`
+	// Accelerators is a number of devices.
+	Accelerators int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Add returns r and o together.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{
+		CPU:          r.CPU + o.CPU,
+		MemoryMB:     r.MemoryMB + o.MemoryMB,
+		Accelerators: r.Accelerators + o.Accelerators,
+	}
+}
+
+// Sub returns r without o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{
+		CPU:          r.CPU - o.CPU,
+		MemoryMB:     r.MemoryMB - o.MemoryMB,
+		Accelerators: r.Accelerators - o.Accelerators,
+	}
+}
+
+// FitsIn reports whether room has at least r of each resource. A resource that
+// is not asked for fits even where room is overdrawn.
+func (r Resources) FitsIn(room Resources) bool {
+	return fits(r.CPU, room.CPU) && fits(r.MemoryMB, room.MemoryMB) && fits(r.Accelerators, room.Accelerators)
+}
+
+func fits(need, room int64) bool { return need == 0 || need <= room }
+
+// Key names one task of a job.
+type Key struct {
+	Job   string `cbor:"1,keyasint"`
+	Step  int    `cbor:"2,keyasint,omitempty"`
+	Index int    `cbor:"3,keyasint,omitempty"`
+}
+
+// String returns the key as it is logged.
+func (k Key) String() string { return fmt.Sprintf("%s/%d/%d", k.Job, k.Step, k.Index) }
+
+// Attempt names one run of a task. Runs of a task are numbered upwards from 1.
+type Attempt struct {
+	Key Key    `cbor:"1,keyasint"`
+	Run uint64 `cbor:"2,keyasint"`
+}
+
+// Step is a group of equal tasks.
+type Step struct {
+	Count int
+	// Need is what each task takes of its target.
+	Need Resources
+	// Estimate is the caller's guess of the run time of a task.
+	Estimate time.Duration
+	// After lists the steps that must be done before this one.
+	After []int
+	// Label, if set, must be one of the target's labels.
+	Label string
+	// DataRack, if set, is the rack on which the tasks run fastest.
+	DataRack string
+	// MaxPerTarget bounds the tasks of the step on one target; 0 for no bound.
+	MaxPerTarget int
+}
+
+// Job is a caller's request: steps of parallel tasks that are answered together.
+type Job struct {
+	// ID is the caller's own key; the same ID is the same job.
+	ID string
+	// Queue names the configured queue that the job was sent to.
+	Queue string
+	// Spec is passed to the target unread.
+	Spec  string
+	Steps []Step
+	// Arrived is when the request was read.
+	Arrived time.Time
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+}
+
+// CriticalPath returns the longest chain of estimates through the steps.
+func (j *Job) CriticalPath() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i, s := range j.Steps {
+		var start time.Duration
+		for _, before := range s.After {
+			start = max(start, ends[before])
+		}
+		ends[i] = start + s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Tasks returns the number of tasks of all steps.
+func (j *Job) Tasks() int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Count
+	}
+	return n
+}
