--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -186,8 +186,9 @@
 	SilenceLimit = 1000 * time.Millisecond
 	// SuspectAfter is the silence after which a target gets no new work.
 	SuspectAfter = 350 * time.Millisecond
-	// DialTimeout bounds the opening of a link.
-	DialTimeout = 300 * time.Millisecond
+	// DialTimeout bounds the opening of a link. A packet lost to a machine that
+	// was away is sent again only after a second, so a new try is sooner.
+	DialTimeout = 120 * time.Millisecond
 	// HelloTimeout bounds the wait for the first frame.
 	HelloTimeout = time.Second
 	// WriteTimeout bounds the wait for a peer that does not read.
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -13,6 +13,9 @@
 	noTargetRetry = 500 * time.Millisecond
 	// stoppingRetry is the same at an entry that stops: any other can be asked.
 	stoppingRetry = 50 * time.Millisecond
+	// warmUp is how long after its start an entry lets jobs wait for targets
+	// whose agents have not called yet.
+	warmUp = time.Second
 	// sweepInterval is the time between looks at deadlines and silent targets.
 	sweepInterval = 10 * time.Millisecond
 )
@@ -23,7 +26,7 @@
 	if s.stopping {
 		return refuse(apiv1.Reason_REASON_STOPPING, stoppingRetry, "this entry stops"), false
 	}
-	if message, ok := s.canEverRun(j); !ok {
+	if message, ok := s.canEverRun(j); !ok && now > warmUp {
 		return refuse(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, noTargetRetry, message), false
 	}
 	wait := s.predictWait(j, now)
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -17,12 +17,12 @@
 const (
 	// rosterFast is the time between looks at the roster while no entry is
 	// linked, rosterSlow otherwise.
-	rosterFast = 150 * time.Millisecond
+	rosterFast = 60 * time.Millisecond
 	rosterSlow = 1500 * time.Millisecond
 	// dialBackoff and dialBackoffMax space the calls of an entry that does not
 	// answer.
-	dialBackoff    = 20 * time.Millisecond
-	dialBackoffMax = 400 * time.Millisecond
+	dialBackoff    = 10 * time.Millisecond
+	dialBackoffMax = 80 * time.Millisecond
 	// entryMemory is how long an entry that the roster no longer names is
 	// called: its key may have lapsed while the store was away.
 	entryMemory = 10 * time.Second
