--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -65,6 +65,10 @@
 // Room is what is free at a target.
 type Room struct {
 	Free task.Resources `cbor:"1,keyasint"`
+	// Probation is set while the target fails, slows down or hangs what it runs.
+	Probation bool `cbor:"2,keyasint,omitempty"`
+	// Probe is set while a target on probation should be given one task.
+	Probe bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Start asks an agent to run one attempt.
@@ -139,12 +143,12 @@
 	Refusal Refusal      `cbor:"4,keyasint,omitempty"`
 }
 
-// Progress is how far a running attempt has come.
+// Progress is how far an attempt has come that advances slowly or not at all.
 type Progress struct {
 	Attempt task.Attempt `cbor:"1,keyasint"`
 	Percent int          `cbor:"2,keyasint"`
-	// CPU is the recent use in thousandths of a core.
-	CPU int64 `cbor:"3,keyasint,omitempty"`
+	// Pace is the speed in percent of the expected one.
+	Pace int `cbor:"3,keyasint,omitempty"`
 }
 
 // Policy is what an agent must know of the operators' wishes.
@@ -178,8 +182,9 @@
 	// lives takes the agent's next call within a few round trips.
 	BrokenLinkLease = 150 * time.Millisecond
 	// BusyHeartbeat is the interval of an agent's frames to an entry that has
-	// attempts there.
+	// attempts there, SlowHeartbeat that while one of them advances slowly.
 	BusyHeartbeat = 100 * time.Millisecond
+	SlowHeartbeat = 40 * time.Millisecond
 	// IdleHeartbeat is the same without attempts.
 	IdleHeartbeat = 250 * time.Millisecond
 	// SilenceLimit is how long a link may bring nothing before it is closed.
--- /dev/null
+++ b/internal/process/load/move.go
@@ -0,0 +1,32 @@
+package load
+
+import "time"
+
+const (
+	// stopCost is the time until a stopped run is confirmed.
+	stopCost = 40 * time.Millisecond
+	// moveGain is how much sooner, as a factor, a moved task must end.
+	moveGain = 1.5
+	// standstill stands for the remaining time of a run that does not advance.
+	standstill = time.Hour
+)
+
+// Remaining returns the time that a run still takes at its present pace.
+func Remaining(percent int, pace float64, expected time.Duration) time.Duration {
+	left := float64(100-percent) / 100 * float64(expected)
+	if pace <= 0 || left/pace > float64(standstill) {
+		return standstill
+	}
+	return time.Duration(left / pace)
+}
+
+// ShouldMove reports whether a run should be stopped and started on another
+// target: when it would miss the objective where it is, and would end clearly
+// sooner elsewhere. It answers targets that hang or slow down under their work.
+func ShouldMove(now, objective, remaining, fresh time.Duration) bool {
+	if now+remaining <= objective {
+		return false
+	}
+	moved := stopCost + fresh
+	return float64(moved)*moveGain < float64(remaining)
+}
--- a/internal/process/runs/keeper.go
+++ b/internal/process/runs/keeper.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
@@ -22,6 +23,9 @@
 	Counters    *metrics.Counters
 	// Dial returns the target of an announcement.
 	Dial func(Announcement) Target
+	// Announced is called, without blocking, when the target or its state is
+	// new; nil for nobody.
+	Announced func(Announcement)
 	// TargetLease is how long a target runs what is not renewed.
 	TargetLease time.Duration
 }
@@ -54,8 +58,11 @@
 	lastSeen uint64
 	// looked is set once the target has said what runs.
 	looked bool
-	// answered is when the latest call that was answered had been sent.
+	// answered is when the latest answer came, renewed when the latest order
+	// was sent that renews the target's lease.
 	answered time.Time
+	renewed  time.Time
+	health   load.Health
 	// mute is set while calls are not answered.
 	mute bool
 }
@@ -79,9 +86,10 @@
 	// since is when it was last confirmed by the answer to an order.
 	since time.Time
 	// stop is set when it is to be stopped as soon as it has started.
-	stop    bool
-	percent int
-	cpu     int64
+	stop     bool
+	expected time.Duration
+	percent  int
+	pace     load.RunPace
 }
 
 // New returns a keeper without a target.
@@ -131,11 +139,19 @@
 		cancel:       cancel,
 		token:        uint64(time.Now().UnixMilli()),
 		answered:     time.Now(),
+		renewed:      time.Now(),
 	}
 	k.opts.Log.Info().Str("target", a.ID).Int64("incarnation", a.Incarnation).Str("address", a.Address).
 		Str("pool", a.Pool).Int64("cpu", a.Capacity.CPU).Strs("labels", a.Labels).Bool("draining", a.Draining).
 		Msg("target announced")
 	go k.look(k.life)
+	k.noteLocked()
+}
+
+func (k *Keeper) noteLocked() {
+	if k.opts.Announced != nil {
+		k.opts.Announced(k.life.Announcement)
+	}
 }
 
 func (k *Keeper) updateLocked(a Announcement) {
@@ -144,6 +160,7 @@
 	if changed {
 		k.opts.Log.Info().Str("target", a.ID).Bool("draining", a.Draining).Int64("cpu", a.Capacity.CPU).
 			Uint64("sequence", a.Sequence).Msg("target changed")
+		k.noteLocked()
 		k.describeLocked()
 	}
 }
@@ -190,6 +207,16 @@
 	return free
 }
 
+// roomLocked returns the room as entries see it.
+func (k *Keeper) roomLocked() *peer.Room {
+	room := &peer.Room{Free: k.freeLocked()}
+	if l := k.life; l != nil && !l.health.Sound() {
+		room.Probation = true
+		room.Probe = l.health.MayProbe(k.clock(), len(k.runs))
+	}
+	return room
+}
+
 // descriptionLocked returns the target as entries see it.
 func (k *Keeper) descriptionLocked() *peer.Target {
 	if k.life == nil {
--- a/internal/process/runs/look.go
+++ b/internal/process/runs/look.go
@@ -10,12 +10,14 @@
 
 const (
 	// lookWait is how long the target holds a look without an end.
-	lookWait = 100 * time.Millisecond
+	lookWait = 50 * time.Millisecond
 	// lookGrace is added to it before the look counts as unanswered.
-	lookGrace = 40 * time.Millisecond
+	lookGrace = 15 * time.Millisecond
 	// lookBackoff spaces looks that are refused or fail at once.
-	lookBackoff = 20 * time.Millisecond
-	// muteAfter is the silence after which the target gets no new work.
+	lookBackoff = 10 * time.Millisecond
+	// muteAfter is the silence after which the target gets no new work, and
+	// after which its lease is not renewed, so that what runs there is over in
+	// a known time.
 	muteAfter = 250 * time.Millisecond
 	// clockDrift is how much slower than ours the target's clock may run, in
 	// percent.
@@ -28,25 +30,33 @@
 func (k *Keeper) look(l *lifetime) {
 	wait := time.Duration(0)
 	for l.ctx.Err() == nil {
-		k.mu.Lock()
-		token, lastSeen := l.token, l.lastSeen
-		k.mu.Unlock()
+		order := k.nextLook(l, wait)
 		sent := time.Now()
 		ctx, cancel := context.WithTimeout(l.ctx, wait+lookGrace)
-		report, err := l.target.Look(ctx, token, lastSeen, wait)
+		report, err := l.target.Look(ctx, order)
 		cancel()
 		if err != nil {
-			k.missed(l, token, err)
-			if time.Since(sent) < lookGrace {
+			k.missed(l, err)
+			if time.Since(sent) < lookBackoff {
 				time.Sleep(lookBackoff)
 			}
 			wait = 0
 			continue
 		}
-		wait = k.looked(l, report, token, sent)
+		wait = k.looked(l, report, order.Token, sent)
 	}
 }
 
+func (k *Keeper) nextLook(l *lifetime, wait time.Duration) Look {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	order := Look{Token: l.token, LastSeen: l.lastSeen, Wait: wait, Renew: !l.mute}
+	if order.Renew {
+		l.renewed = time.Now()
+	}
+	return order
+}
+
 // looked takes a report, and returns how long the next look may wait.
 func (k *Keeper) looked(l *lifetime, report Report, token uint64, sent time.Time) time.Duration {
 	switch report.Answer {
@@ -55,8 +65,6 @@
 		return lookWait
 	case AnswerFenced:
 		k.raiseToken(l, token, tokenStep)
-	case AnswerOtherLifetime:
-		time.Sleep(lookBackoff)
 	default:
 		time.Sleep(lookBackoff)
 	}
@@ -64,11 +72,10 @@
 }
 
 // missed counts a look without an answer.
-func (k *Keeper) missed(l *lifetime, token uint64, err error) {
+func (k *Keeper) missed(l *lifetime, err error) {
 	if l.ctx.Err() != nil {
 		return
 	}
-	k.raiseToken(l, token, 1)
 	k.opts.Counters.Counter("looks_unanswered").Inc(1)
 	k.mu.Lock()
 	silent := time.Since(l.answered)
@@ -82,12 +89,12 @@
 }
 
 // lapsed ends all runs once the target's lease on them is surely over, and
-// reports whether it was.
+// reports whether it was. A renewal counts though it was not answered.
 func (k *Keeper) lapsed(l *lifetime) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	lease := k.opts.TargetLease*(100+clockDrift)/100 + lapseMargin
-	if k.life != l || time.Since(l.answered) < lease {
+	if k.life != l || time.Since(l.renewed) < lease {
 		return false
 	}
 	for _, r := range k.runs {
@@ -117,6 +124,7 @@
 		return
 	}
 	first := !l.looked
+	now := k.clock()
 	running := make(map[task.Attempt]Running, len(report.Running))
 	for _, r := range report.Running {
 		running[r.Attempt] = r
@@ -125,8 +133,9 @@
 		k.endedLocked(l, e)
 	}
 	for _, r := range k.runs {
-		k.compareLocked(r, running, sent)
+		k.compareLocked(r, running, sent, now)
 	}
+	k.judgeLocked(l)
 	for a := range running {
 		if k.runs[a.Key] == nil && first {
 			k.adoptLocked(a)
@@ -152,14 +161,41 @@
 		}
 		return
 	}
+	if e.Outcome == peer.OutcomeDone || e.Outcome == peer.OutcomeFailed {
+		l.health.Ended(e.Attempt.Key.Job, e.Outcome == peer.OutcomeFailed)
+	}
 	k.finishLocked(r, e.Outcome, peer.RefusalNone)
 }
 
+// judgeLocked judges the target by the mean pace of what it runs.
+func (k *Keeper) judgeLocked(l *lifetime) {
+	sum, samples := 0.0, 0
+	for _, r := range k.runs {
+		if pace, ok := r.pace.Pace(); ok && r.phase == phaseRunning {
+			sum += min(pace, 1)
+			samples++
+		}
+	}
+	was := l.health.Sound()
+	if samples > 0 {
+		l.health.Paced(sum/float64(samples), samples)
+	}
+	if is := l.health.Sound(); is != was {
+		k.opts.Log.Warn().Str("target", l.ID).Bool("sound", is).Float64("pace", sum/float64(max(samples, 1))).
+			Int("runs", samples).Msg("target judged")
+		k.opts.Counters.Counter("target_judgements").Inc(1)
+		k.describeLocked()
+	}
+}
+
 // compareLocked takes the progress of a run, and ends one that the target does
 // not know although the look was sent after its start was confirmed.
-func (k *Keeper) compareLocked(r *run, running map[task.Attempt]Running, sent time.Time) {
+func (k *Keeper) compareLocked(r *run, running map[task.Attempt]Running, sent time.Time, now time.Duration) {
 	if seen, ok := running[r.attempt]; ok {
-		r.percent, r.cpu = seen.Percent, seen.CPU
+		r.percent = seen.Percent
+		if r.phase == phaseRunning {
+			r.pace.Update(now, seen.Percent, r.expected)
+		}
 		return
 	}
 	if r.phase != phaseStarting && r.since.Before(sent) {
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -11,9 +11,9 @@
 const (
 	// orderTimeout bounds the wait for the answer to one order. A healthy
 	// target on the same machine answers within a millisecond or two.
-	orderTimeout = 40 * time.Millisecond
+	orderTimeout = 15 * time.Millisecond
 	// orderTries is how often an order without an answer is sent again.
-	orderTries = 4
+	orderTries = 5
 	// stopTries is the same for a stop; the target's lease ends the run if all
 	// of them fail.
 	stopTries = 20
@@ -29,7 +29,10 @@
 		k.opts.Counters.Counter("starts_refused_" + string(refusal)).Inc(1)
 		return
 	}
-	r := &run{attempt: s.Attempt, owner: o.incarnation, need: s.Need, since: time.Now()}
+	r := &run{attempt: s.Attempt, owner: o.incarnation, need: s.Need, since: time.Now(), expected: s.Expected}
+	if !k.life.health.Sound() {
+		k.life.health.Probed(k.clock())
+	}
 	k.runs[s.Attempt.Key] = r
 	o.attempts++
 	k.roomChangedLocked()
@@ -53,8 +56,8 @@
 	return peer.RefusalNone
 }
 
-// start carries out an order. An order without an answer is repeated with a
-// higher token, which makes the earlier one harmless.
+// start carries out an order. An order without an answer is repeated: starting
+// an attempt that runs succeeds, and one that has ended is refused.
 func (k *Keeper) start(l *lifetime, r *run, s peer.Start) {
 	refusal := peer.RefusalUnanswered
 	for range orderTries {
@@ -67,7 +70,6 @@
 		cancel()
 		if err != nil {
 			k.unanswered(l, "start", s.Attempt, err)
-			k.raiseToken(l, token, 1)
 			continue
 		}
 		k.heard(l)
@@ -95,6 +97,7 @@
 	if k.runs[r.attempt.Key] != r || r.stop {
 		return 0, false
 	}
+	l.renewed = time.Now()
 	return l.token, true
 }
 
@@ -123,6 +126,7 @@
 		return
 	}
 	r.phase, r.since = phaseRunning, time.Now()
+	r.pace.Start(k.clock())
 	k.resultLocked(r.owner, r.attempt, peer.OutcomeStarted, peer.RefusalNone)
 	if r.stop {
 		k.beginStopLocked(r)
@@ -150,7 +154,7 @@
 		token, lastSeen := l.token, l.lastSeen
 		k.mu.Unlock()
 		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
-		report, err := l.target.Look(ctx, token, lastSeen, 0)
+		report, err := l.target.Look(ctx, Look{Token: token, LastSeen: lastSeen})
 		cancel()
 		if err != nil || report.Answer != AnswerDone {
 			k.unanswered(l, "look", r.attempt, err)
@@ -218,7 +222,6 @@
 		switch {
 		case err != nil:
 			k.unanswered(l, "stop", r.attempt, err)
-			k.raiseToken(l, token, 1)
 		case answer == AnswerFenced:
 			k.raiseToken(l, token, tokenStep)
 		case answer == AnswerDone:
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -9,11 +9,13 @@
 
 const (
 	// sweepInterval is the time between looks at the leases of entries.
-	sweepInterval = 25 * time.Millisecond
+	sweepInterval = 10 * time.Millisecond
 	// orphanLease is how long a run that no entry has claimed is kept.
 	orphanLease = 400 * time.Millisecond
 	// ownerMemory is how long the results for an entry without a link are kept.
 	ownerMemory = 5 * time.Second
+	// slowRun is the pace below which an entry is told of a run.
+	slowRun = 0.5
 	// roomIntervalPerLink spaces the updates of room to entries that have no
 	// part in the change, so that their number does not grow with the square
 	// of the fleet.
@@ -142,7 +144,7 @@
 	}
 	o.sent = time.Now()
 	o.roomDirty = false
-	f.Room = &peer.Room{Free: k.freeLocked()}
+	f.Room = k.roomLocked()
 	f.Accepted = o.accepted
 	f.Echo = o.echo
 }
@@ -255,25 +257,30 @@
 	if o.link == nil {
 		return
 	}
+	progress := k.progressLocked(o)
 	interval := peer.IdleHeartbeat
-	if o.attempts > 0 {
-		interval = peer.BusyHeartbeat
-	}
-	if o.roomDirty {
+	switch {
+	case o.roomDirty:
 		interval = time.Duration(len(k.owners)) * roomIntervalPerLink
+	case len(progress) > 0:
+		interval = peer.SlowHeartbeat
+	case o.attempts > 0:
+		interval = peer.BusyHeartbeat
 	}
 	if now.Sub(o.sent) < interval {
 		return
 	}
 	o.sent = now
-	o.link.Send(peer.Frame{Progress: k.progressLocked(o)})
+	o.link.Send(peer.Frame{Progress: progress})
 }
 
+// progressLocked returns the runs of o that advance slowly or not at all.
 func (k *Keeper) progressLocked(o *owner) []peer.Progress {
 	var progress []peer.Progress
 	for _, r := range k.runs {
-		if r.owner == o.incarnation && r.phase == phaseRunning {
-			progress = append(progress, peer.Progress{Attempt: r.attempt, Percent: r.percent, CPU: r.cpu})
+		pace, known := r.pace.Pace()
+		if r.owner == o.incarnation && r.phase == phaseRunning && known && pace < slowRun {
+			progress = append(progress, peer.Progress{Attempt: r.attempt, Percent: r.percent, Pace: int(pace * 100)})
 		}
 	}
 	return progress
--- a/internal/process/runs/target.go
+++ b/internal/process/runs/target.go
@@ -40,13 +40,24 @@
 	Start(ctx context.Context, token uint64, start peer.Start) (Answer, error)
 	// Stop ends an attempt, and forbids it if it has not begun.
 	Stop(ctx context.Context, token uint64, attempt task.Attempt) (Answer, error)
-	// Look renews the lease of all that runs, acknowledges ends up to
-	// lastSeen and returns what there is. It waits up to wait for an end.
-	Look(ctx context.Context, token, lastSeen uint64, wait time.Duration) (Report, error)
+	// Look acknowledges ends up to lastSeen and returns what there is. It waits
+	// for an end, if asked to.
+	Look(ctx context.Context, look Look) (Report, error)
 	// Close ends the connections to the target.
 	Close()
 }
 
+// Look asks a target what there is.
+type Look struct {
+	Token uint64
+	// LastSeen is the highest end that has been taken note of.
+	LastSeen uint64
+	// Wait is how long the answer may wait for an end.
+	Wait time.Duration
+	// Renew asks for a new lease on all that runs.
+	Renew bool
+}
+
 // Answer is a target's answer to an order.
 type Answer int
 
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -54,6 +54,7 @@
 	// run is the number of the latest attempt.
 	run      uint64
 	failures int
+	moves    int
 	done     bool
 	// attempt is the attempt in progress, if any.
 	attempt *attempt
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
@@ -10,6 +11,9 @@
 // misfits is how many tasks that fit nowhere are passed over in one round.
 const misfits = 8
 
+// maxMoves bounds the moves of one task.
+const maxMoves = 2
+
 // placeJitter keeps entries with the same view from choosing the same target.
 const placeJitter = 0.05
 
@@ -43,6 +47,7 @@
 // choose returns the best target for a task, or nil.
 func (s *Scheduler) choose(it *item) *target {
 	wish := s.wish(it.step)
+	trusted := s.mostAreSound()
 	var best *target
 	bestScore := 0.0
 	for _, t := range s.targets {
@@ -54,6 +59,9 @@
 		if !s.eligible(t, it.job.queue) || !wish.Fits(&c) {
 			continue
 		}
+		if trusted && t.probation && !t.probe {
+			continue
+		}
 		score := wish.Score(&c) + placeJitter*s.opts.Random()
 		if best == nil || score > bestScore {
 			best, bestScore = t, score
@@ -62,6 +70,46 @@
 	return best
 }
 
+// mostAreSound reports whether the judgement of targets can be relied on: when
+// half of them are on probation, the cause is not theirs.
+func (s *Scheduler) mostAreSound() bool {
+	sound, doubtful := 0, 0
+	for _, t := range s.targets {
+		switch {
+		case !t.usable(s.now()):
+		case t.probation:
+			doubtful++
+		default:
+			sound++
+		}
+	}
+	return sound > doubtful
+}
+
+// progress moves a run that hangs or is too slow, if there is room elsewhere.
+func (s *Scheduler) progress(t *target, p peer.Progress) {
+	at := t.attempts[p.Attempt]
+	if at == nil || at.stopping || at.item.job.ended {
+		return
+	}
+	it := at.item
+	now := s.now()
+	remaining := load.Remaining(p.Percent, float64(p.Pace)/100, it.expected)
+	if it.moves >= maxMoves || !load.ShouldMove(now, it.job.objective, remaining, it.expected) {
+		return
+	}
+	it.avoid = t.name
+	if other := s.choose(it); other == nil || other == t {
+		return
+	}
+	it.moves++
+	s.opts.Counters.Retry(apiv1.Reason_REASON_STRAGGLER)
+	s.opts.Log.Info().Str("job", it.key.Job).Stringer("task", it.key).Uint64("run", at.id.Run).Str("target", t.info.ID).
+		Int("percent", p.Percent).Int("pace", p.Pace).Dur("after", now-at.sent).Dur("expected", it.expected).
+		Dur("objective_in", it.job.objective-now).Msg("attempt moved")
+	s.stopAttempt(at)
+}
+
 // eligible reports whether a queue's tasks may be started on a target.
 func (s *Scheduler) eligible(t *target, q *policy.Queue) bool {
 	return t.usable(s.now()) && t.info.Pool == q.Pool && !s.opts.View.Outages().Has(t.info.DataCentre)
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -23,6 +23,8 @@
 	// reported is the room in the latest frame, before the starts that the
 	// agent had not seen then.
 	reported task.Resources
+	// probation and probe are those of the latest frame.
+	probation, probe bool
 	// unseen are the attempts sent and not yet accounted for in reported.
 	unseen []*attempt
 	// sent counts the starts of the present link.
@@ -84,6 +86,7 @@
 	at.number = t.sent
 	t.attempts[at.id] = at
 	t.unseen = append(t.unseen, at)
+	t.probe = false
 }
 
 // accepted drops the starts that the agent's room now counts.
@@ -170,6 +173,7 @@
 	t.accepted(f.Accepted)
 	if f.Room != nil {
 		t.reported = f.Room.Free
+		t.probation, t.probe = f.Room.Probation, f.Room.Probe
 	}
 	for _, r := range f.Results {
 		s.result(t, r)
@@ -181,6 +185,9 @@
 	if f.Policy != nil && f.Policy.Revision > s.opts.View.Outages().Revision {
 		s.opts.Behind(f.Policy)
 	}
+	for _, p := range f.Progress {
+		s.progress(t, p)
+	}
 	s.pump()
 	if t.answered != t.echo {
 		t.send(peer.Frame{})
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -33,6 +33,7 @@
 	*Server
 	keeper *runs.Keeper
 	store  rosterStore
+	record *record
 	status *caller.Server
 	// dialers are the entries being called or linked, by address.
 	dialers map[string]*dialer
@@ -47,9 +48,11 @@
 }
 
 func (p *Server) newAgent() error {
+	kv := platform.NewStore(p.node.Store, p.node.IP)
 	a := &agent{
 		Server:  p,
-		store:   platform.NewStore(p.node.Store, p.node.IP),
+		store:   kv,
+		record:  newRecord(kv, p.log, p.settings.Name),
 		dialers: make(map[string]*dialer),
 	}
 	p.run = a.serve
@@ -60,6 +63,7 @@
 		Log:         p.log,
 		Counters:    p.counters,
 		TargetLease: p.node.TargetLease.Std(),
+		Announced:   a.record.changed,
 		Dial: func(announced runs.Announcement) runs.Target {
 			return platform.NewRunner(announced, p.node.IP, p.node.TargetLease.Std())
 		},
@@ -88,6 +92,7 @@
 	defer cancel()
 	go a.keeper.Run(ctx.Done())
 	go a.followRoster(ctx)
+	go a.keepRecord(ctx)
 	<-stop
 	a.log.Info().Msg("stopping")
 	draining, cancelDraining := context.WithTimeout(context.Background(), a.settings.StopTimeout.Std()-stopReserve)
@@ -98,6 +103,14 @@
 	a.status.Close(closing)
 }
 
+// keepRecord takes the target's description from the store, and keeps it there.
+func (a *agent) keepRecord(ctx context.Context) {
+	if kept := a.record.load(ctx); kept != nil {
+		a.keeper.Announce(*kept)
+	}
+	a.record.run(ctx)
+}
+
 // followRoster keeps a link with each entry of the roster. Seeds stand in for it
 // until it has been read.
 func (a *agent) followRoster(ctx context.Context) {
