Drop jobs before a short run time would make them late

Cause: at a lasting overload jobs started at the last moment that the predicted run time allowed; declared run times are off by 40 %, so every second was late.

--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -30,7 +30,7 @@
 		return refuse(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, noTargetRetry, message), false
 	}
 	wait := s.predictWait(j, now)
-	if now+wait+j.expected > j.objective {
+	if now+wait > j.latestStart {
 		return refuse(apiv1.Reason_REASON_OVERLOAD, load.RetryAfter(wait, s.opts.Random()), "would wait past its objective"), false
 	}
 	return Answer{}, true
@@ -62,7 +62,7 @@
 	if s.queue.Len() == 0 {
 		return 0
 	}
-	ahead := s.queue.Ahead(j.objective - j.expected)
+	ahead := s.queue.Ahead(j.latestStart)
 	return s.drain.Wait(now, ahead, s.shareOfCapacity())
 }
 
@@ -102,7 +102,7 @@
 	switch {
 	case now >= j.deadline:
 		s.giveUp(j, apiv1.Reason_REASON_DEADLINE_EXCEEDED, "its caller's deadline has passed")
-	case j.verdict() == verdict.NotRun && now+j.expected > j.objective:
+	case j.verdict() == verdict.NotRun && now > j.latestStart:
 		s.giveUp(j, apiv1.Reason_REASON_OVERLOAD, "no room before its objective could no longer be met")
 	}
 }
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -21,7 +21,9 @@
 	// objective is when it should have ended, deadline when its caller leaves.
 	objective time.Duration
 	deadline  time.Duration
-	steps     []step
+	// latestStart is when its first task must start to meet the objective.
+	latestStart time.Duration
+	steps       []step
 	// left is the number of tasks that have not ended.
 	left int
 	// live is the number of attempts sent and not resolved.
@@ -77,7 +79,7 @@
 }
 
 // LatestStart implements load.Waiting.
-func (it *item) LatestStart() time.Duration { return it.job.objective - it.expected }
+func (it *item) LatestStart() time.Duration { return it.job.latestStart }
 
 // Begun implements load.Waiting.
 func (it *item) Begun() bool { return it.job.begun }
@@ -98,6 +100,7 @@
 	}
 	j.expected = s.estimate.Predict(queue.Name, spec.CriticalPath())
 	j.objective = j.arrived + queue.Objective(j.expected)
+	j.latestStart = j.arrived + load.Slack(queue.Stretch, queue.TargetLatency, j.expected)
 	for i := range spec.Steps {
 		declared := &spec.Steps[i]
 		expected := s.estimate.Predict(queue.Name, declared.Estimate)
