Let the last answers leave before a stopping entry ends; order overdue callers last

The drain now waits for requests, not jobs, and for their answers to leave.

Callers who were cut by an outage come back with much less time left; their jobs now go after those of new callers.

--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio/logging"
@@ -68,6 +69,8 @@
 	engine  *nbhttp.Engine
 	// limiters holds a *rate.Limiter for each open connection.
 	limiters sync.Map
+	// requests counts those that have been read and not been answered.
+	requests atomic.Int64
 }
 
 // Listen starts a server.
@@ -124,6 +127,31 @@
 	return listeners, nil
 }
 
+const (
+	// answerPoll is the time between looks at the requests in progress.
+	answerPoll = 5 * time.Millisecond
+	// answerFlush is the time allowed for the last answers to leave: the engine
+	// writes an answer after its handler has returned.
+	answerFlush = 100 * time.Millisecond
+)
+
+// Requests returns the number of requests in progress.
+func (s *Server) Requests() int { return int(s.requests.Load()) }
+
+// Drain waits until each request in progress has its answer, or ctx ends, and
+// reports whether all have.
+func (s *Server) Drain(ctx context.Context) bool {
+	for s.Requests() > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(answerPoll):
+		}
+	}
+	time.Sleep(answerFlush)
+	return s.Requests() == 0
+}
+
 // Close stops the server; ctx bounds the wait for open connections.
 func (s *Server) Close(ctx context.Context) {
 	_ = s.engine.Shutdown(ctx)
@@ -142,6 +170,8 @@
 // a time to take the answer.
 func (s *Server) withDeadlines(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.requests.Add(1)
+		defer s.requests.Add(-1)
 		conn := engineConn(w)
 		if conn == nil {
 			next.ServeHTTP(w, r)
--- a/internal/process/load/order.go
+++ b/internal/process/load/order.go
@@ -12,6 +12,8 @@
 	LatestStart() time.Duration
 	// Begun reports whether other tasks of the same job have been started.
 	Begun() bool
+	// Overdue reports whether the objective cannot be met any more.
+	Overdue() bool
 	// Work is the work that starts with it.
 	Work() Work
 	// Position keeps the place in the queue; -1 for none.
@@ -20,7 +22,7 @@
 
 // Queue holds tasks that wait, the one with the least slack first. A job is of
 // use only when its last task has ended, so the tasks of jobs that have begun go
-// before all others. It answers bursts of one kind: with the arrival order a
+// before all others; those that are late anyway go last. It answers bursts of one kind: with the arrival order a
 // short job waits behind long ones that could wait.
 type Queue[T Waiting] struct {
 	items items[T]
@@ -66,7 +68,7 @@
 func (q *Queue[T]) Ahead(latest time.Duration) Work {
 	var sum Work
 	for _, t := range q.items {
-		if t.Begun() || t.LatestStart() <= latest {
+		if !t.Overdue() && (t.Begun() || t.LatestStart() <= latest) {
 			sum += t.Work()
 		}
 	}
@@ -86,6 +88,9 @@
 func (s items[T]) Len() int { return len(s) }
 
 func (s items[T]) Less(i, j int) bool {
+	if s[i].Overdue() != s[j].Overdue() {
+		return s[j].Overdue()
+	}
 	if s[i].Begun() != s[j].Begun() {
 		return s[i].Begun()
 	}
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -24,6 +24,9 @@
 	// latestStart is when its first task must start to meet the objective.
 	latestStart time.Duration
 	steps       []step
+	// overdue is set when its caller has waited before, at another entry or for
+	// a connection.
+	overdue bool
 	// left is the number of tasks that have not ended.
 	left int
 	// live is the number of attempts sent and not resolved.
@@ -84,6 +87,9 @@
 // Begun implements load.Waiting.
 func (it *item) Begun() bool { return it.job.begun }
 
+// Overdue implements load.Waiting.
+func (it *item) Overdue() bool { return it.job.overdue }
+
 // Work implements load.Waiting.
 func (it *item) Work() load.Work { return load.WorkOf(it.step.Need.CPU, it.expected) }
 
@@ -101,6 +107,10 @@
 	j.expected = s.estimate.Predict(queue.Name, spec.CriticalPath())
 	j.objective = j.arrived + queue.Objective(j.expected)
 	j.latestStart = j.arrived + load.Slack(queue.Stretch, queue.TargetLatency, j.expected)
+	if s.patience.Overdue(queue.Name, j.deadline-j.arrived, queue.Timeout) {
+		j.overdue = true
+		j.latestStart = j.arrived + load.OverdueSlack(j.objective-j.arrived)
+	}
 	for i := range spec.Steps {
 		declared := &spec.Steps[i]
 		expected := s.estimate.Predict(queue.Name, declared.Estimate)
@@ -182,7 +192,7 @@
 	s.opts.Log.Info().Str("job", j.spec.ID).Str("queue", j.queue.Name).Str("state", string(a.State)).
 		Str("verdict", verdict.Name(a.Verdict)).Str("reason", verdict.ReasonName(a.Reason)).Str("detail", a.Message).
 		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.expected).
-		Dur("retry_after", a.RetryAfter).Int("tasks_left", j.left).Int("unresolved", j.live).
+		Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).Dur("retry_after", a.RetryAfter).Int("tasks_left", j.left).Int("unresolved", j.live).
 		Int("waiting", s.queue.Len()).Uint64("config_version", s.version()).Msg("job not completed")
 }
 
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -23,7 +23,7 @@
 	for s.queue.Len() > 0 && len(passed) < misfits {
 		it := s.queue.Pop()
 		t := s.choose(it)
-		if t == nil {
+		if t == nil || (it.Overdue() && !it.Begun() && !load.HasReserve(s.room())) {
 			passed = append(passed, it)
 			continue
 		}
@@ -70,6 +70,18 @@
 	return best
 }
 
+// room returns the processors free and in all at targets that can be used.
+func (s *Scheduler) room() (free, all int64) {
+	now := s.now()
+	for _, t := range s.targets {
+		if t.usable(now) && !t.probation && !s.opts.View.Outages().Has(t.info.DataCentre) {
+			free += max(t.free().CPU, 0)
+			all += t.info.Capacity.CPU
+		}
+	}
+	return free, all
+}
+
 // mostAreSound reports whether the judgement of targets can be relied on: when
 // half of them are on probation, the cause is not theirs.
 func (s *Scheduler) mostAreSound() bool {
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -54,6 +54,7 @@
 	queue    load.Queue[*item]
 	drain    load.Drain
 	estimate *load.Estimator
+	patience *load.Patience
 	// stopping is set when no new job may begin.
 	stopping bool
 }
@@ -68,6 +69,7 @@
 		closing:  make(map[string]*job),
 		answers:  newAnswers(),
 		estimate: load.NewEstimator(),
+		patience: load.NewPatience(),
 	}
 }
 
@@ -109,7 +111,7 @@
 	s.jobs[j.spec.ID] = j
 	s.opts.Counters.Counter("jobs_admitted").Inc(1)
 	s.opts.Log.Debug().Str("job", j.spec.ID).Str("queue", j.queue.Name).Int("tasks", j.spec.Tasks()).
-		Dur("expected", j.expected).Dur("objective", j.objective-j.arrived).
+		Dur("expected", j.expected).Dur("objective", j.objective-j.arrived).Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).
 		Int("waiting", s.queue.Len()).Msg("job admitted")
 	if j.predecessor == nil {
 		s.releaseAll(j)
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -23,8 +23,6 @@
 	newJobsAfterStop = 2500 * time.Millisecond
 	// stopReserve is left of the grace of a stop for the last answers.
 	stopReserve = 500 * time.Millisecond
-	// stopPoll is the time between looks at the jobs in progress.
-	stopPoll = 20 * time.Millisecond
 )
 
 // entry is the role that takes jobs.
@@ -134,21 +132,21 @@
 	_ = e.peers.Close()
 }
 
-// drain lets the jobs in progress end. New ones are taken until the balancer
-// has had the time to send no more, and refused after that.
+// drain lets the requests in progress have their answers. New ones are taken until
+// the balancer has had the time to send no more, and refused after that.
 func (e *entry) drain() {
-	deadline := time.Now().Add(e.settings.StopTimeout.Std() - stopReserve)
-	e.draining.Store(true)
-	e.log.Info().Int("jobs", e.scheduler.Jobs()).Msg("stopping")
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.StopTimeout.Std()-stopReserve)
 	defer cancel()
+	e.draining.Store(true)
+	e.log.Info().Int("jobs", e.scheduler.Jobs()).Int("requests", e.callers.Requests()).Msg("stopping")
 	go e.registrar.withdraw(ctx)
 	sleep(ctx, newJobsAfterStop)
 	e.scheduler.Stop()
-	for e.scheduler.Jobs() > 0 && sleep(ctx, stopPoll) {
-	}
-	if left := e.scheduler.Jobs(); left > 0 {
-		e.log.Warn().Int("jobs", left).Msg("stopping with jobs in progress")
+	for !e.callers.Drain(ctx) {
+		if ctx.Err() != nil {
+			e.log.Warn().Int("requests", e.callers.Requests()).Msg("stopping with requests in progress")
+			break
+		}
 	}
 	closing, cancelClosing := context.WithTimeout(context.Background(), stopReserve/2)
 	defer cancelClosing()
