Tests of load decisions, runs and jobs; end a job whose starts are refused past its time

The test TestRefusedAttemptIsNotCountedAsRun found that a job whose starts were refused again and again was never looked at between two of them, and ended only with its caller's deadline.

--- /dev/null
+++ b/internal/process/load/load_test.go
@@ -0,0 +1,315 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+// waiting is a task of the tests.
+type waiting struct {
+	name     string
+	latest   time.Duration
+	begun    bool
+	overdue  bool
+	work     Work
+	position int
+}
+
+func (w *waiting) LatestStart() time.Duration { return w.latest }
+func (w *waiting) Begun() bool                { return w.begun }
+func (w *waiting) Overdue() bool              { return w.overdue }
+func (w *waiting) Work() Work                 { return w.work }
+func (w *waiting) Position() *int             { return &w.position }
+
+func popAll(q *Queue[*waiting]) []string {
+	var names []string
+	for q.Len() > 0 {
+		names = append(names, q.Pop().name)
+	}
+	return names
+}
+
+// A burst of one kind: short jobs with little slack arrive behind long ones.
+func TestQueueServesLeastSlackFirstInABurst(t *testing.T) {
+	q := &Queue[*waiting]{}
+	long := &waiting{name: "long", latest: 700 * time.Millisecond, work: 900}
+	overdue := &waiting{name: "overdue", latest: 10 * time.Millisecond, overdue: true, work: 5}
+	short := &waiting{name: "short", latest: 80 * time.Millisecond, work: 60}
+	begun := &waiting{name: "begun", latest: 900 * time.Millisecond, begun: true, work: 7}
+	for _, w := range []*waiting{long, overdue, short, begun} {
+		q.Push(w)
+	}
+	if got, want := q.Ahead(100*time.Millisecond), Work(67); got != want {
+		t.Errorf("work ahead of 100 ms is %d, want %d", got, want)
+	}
+	got := popAll(q)
+	want := []string{"begun", "short", "long", "overdue"}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatalf("order %v, want %v", got, want)
+		}
+	}
+	if q.Total() != 0 {
+		t.Errorf("work left in an empty queue: %d", q.Total())
+	}
+}
+
+func TestQueueRemovesAndReorders(t *testing.T) {
+	q := &Queue[*waiting]{}
+	a := &waiting{name: "a", latest: 1, work: 1}
+	b := &waiting{name: "b", latest: 2, work: 2}
+	c := &waiting{name: "c", latest: 3, work: 4}
+	for _, w := range []*waiting{a, b, c} {
+		q.Push(w)
+	}
+	q.Remove(b)
+	q.Remove(b)
+	c.begun = true
+	q.Fix(c)
+	if got := popAll(q); len(got) != 2 || got[0] != "c" || got[1] != "a" {
+		t.Errorf("order %v, want c a", got)
+	}
+}
+
+// A burst of twice the capacity: the wait predicted for a new job grows with the
+// queue, so the excess is refused when it arrives.
+func TestDrainPredictsTheWaitOfABurst(t *testing.T) {
+	var d Drain
+	const cpu = 3000
+	for now := time.Duration(0); now < time.Second; now += 10 * time.Millisecond {
+		d.Started(now, WorkOf(cpu, 100*time.Millisecond))
+	}
+	// 300,000 each 10 ms are 30 cores.
+	wait := d.Wait(time.Second, WorkOf(30_000, 200*time.Millisecond), 1)
+	if wait < 150*time.Millisecond || wait > 250*time.Millisecond {
+		t.Errorf("wait for 200 ms of all processors is %v", wait)
+	}
+	if wait := d.Wait(10*time.Second, WorkOf(1000, time.Second), 1000); wait != time.Second {
+		t.Errorf("after a pause the wait is %v, want 1 s at the lowest rate", wait)
+	}
+	if wait := d.Wait(10*time.Second, 0, 0); wait != 0 {
+		t.Errorf("wait without a backlog is %v", wait)
+	}
+}
+
+// Callers refused together must not return together.
+func TestRetryAfterSpreadsTheReturn(t *testing.T) {
+	early := RetryAfter(400*time.Millisecond, 0)
+	late := RetryAfter(400*time.Millisecond, 0.99)
+	if early < 400*time.Millisecond || late-early < 400*time.Millisecond {
+		t.Errorf("return between %v and %v, want it spread over the wait", early, late)
+	}
+	if got := RetryAfter(time.Hour, 0.5); got != retryMax {
+		t.Errorf("return after %v, want at most %v", got, retryMax)
+	}
+}
+
+// A lasting overload: jobs start at the last moment allowed, and a run time of
+// two thirds of the predicted one must still meet its own objective.
+func TestSlackLeavesRoomForShortRuns(t *testing.T) {
+	const stretch, latency, expected = 1.6, 60 * time.Millisecond, 200 * time.Millisecond
+	wait := Slack(stretch, latency, expected)
+	actual := expected * 2 / 3
+	objective := time.Duration(stretch*float64(actual)) + latency
+	if wait+actual > objective {
+		t.Errorf("a job of %v that waited %v misses its objective of %v", actual, wait, objective)
+	}
+}
+
+// Estimates are wrong by a common factor.
+func TestEstimatorLearnsTheFactorOfAQueue(t *testing.T) {
+	e := NewEstimator()
+	if got := e.Predict("q", 100*time.Millisecond); got != 100*time.Millisecond {
+		t.Errorf("first prediction %v, want what is declared", got)
+	}
+	for range 50 {
+		e.Observe("q", 100*time.Millisecond, 250*time.Millisecond)
+	}
+	if got := e.Predict("q", 100*time.Millisecond); got < 240*time.Millisecond || got > 260*time.Millisecond {
+		t.Errorf("prediction %v, want about 250 ms", got)
+	}
+	e.Observe("q", 100*time.Millisecond, time.Hour)
+	if got := e.Predict("q", 100*time.Millisecond); got > 300*time.Millisecond {
+		t.Errorf("one hanging run moved the prediction to %v", got)
+	}
+	if got := e.Predict("other", 0); got != defaultRunTime {
+		t.Errorf("prediction without a declaration %v", got)
+	}
+}
+
+// The return after an outage: callers with little time left go last, also at an
+// entry that has just started and knows nobody.
+func TestPatienceTellsCallersWhoAskAgain(t *testing.T) {
+	const timeout = 1500 * time.Millisecond
+	fresh := NewPatience()
+	if !fresh.Overdue("q", 500*time.Millisecond, timeout) {
+		t.Error("after a restart a caller with 500 of 1500 ms left is taken for a new one")
+	}
+	p := NewPatience()
+	for i := range 200 {
+		left := 2*time.Second + time.Duration(i%7)*50*time.Millisecond
+		if p.Overdue("q", left, timeout) {
+			t.Fatalf("caller %d with %v left is taken for one who asks again", i, left)
+		}
+	}
+	if !p.Overdue("q", 800*time.Millisecond, timeout) {
+		t.Error("a caller with 0.8 of 2 s left is taken for a new one")
+	}
+	if p.Overdue("q", 1900*time.Millisecond, timeout) {
+		t.Error("a caller with 1.9 of 2 s left is taken for one who asks again")
+	}
+}
+
+func TestReserveIsKeptFromOverdueJobs(t *testing.T) {
+	if HasReserve(10, 100) || !HasReserve(30, 100) {
+		t.Error("the reserve is not a fifth")
+	}
+}
+
+// A target that fails everything it starts, beside hopeless jobs that fail
+// everywhere.
+func TestHealthTellsAFailingTargetFromAHopelessJob(t *testing.T) {
+	var h Health
+	for range 8 {
+		h.Ended("hopeless", true)
+	}
+	if !h.Sound() {
+		t.Fatal("one hopeless job put the target on probation")
+	}
+	h.Ended("fine", false)
+	for _, job := range []string{"a", "b", "c"} {
+		h.Ended(job, true)
+	}
+	if h.Sound() {
+		t.Fatal("three jobs in a row failed and the target counts as sound")
+	}
+	if !h.MayProbe(time.Second, 0) || h.MayProbe(time.Second, 1) {
+		t.Error("a probe is one task, when none runs")
+	}
+	h.Probed(time.Second)
+	if h.MayProbe(time.Second+probeInterval/2, 0) {
+		t.Error("probes are not spaced")
+	}
+	h.Ended("d", false)
+	if !h.Sound() {
+		t.Error("a probe that went well does not end the probation")
+	}
+}
+
+// A third of the targets slow down by the factor 5, and recover.
+func TestHealthFollowsThePace(t *testing.T) {
+	var h Health
+	h.Paced(0.2, 1)
+	if !h.Sound() {
+		t.Error("one slow run put the target on probation")
+	}
+	h.Paced(0.2, 3)
+	if h.Sound() {
+		t.Error("a target at a fifth of its pace counts as sound")
+	}
+	h.Paced(0.55, 3)
+	if h.Sound() {
+		t.Error("no hysteresis between slow and sound")
+	}
+	h.Paced(0.9, 1)
+	if !h.Sound() {
+		t.Error("a recovered target stays on probation")
+	}
+}
+
+func TestRunPaceSeesAHang(t *testing.T) {
+	const expected = 200 * time.Millisecond
+	var r RunPace
+	r.Start(0)
+	r.Update(10*time.Millisecond, 5, expected)
+	if _, known := r.Pace(); known {
+		t.Error("a pace is known before the window is over")
+	}
+	r.Update(100*time.Millisecond, 50, expected)
+	if pace, _ := r.Pace(); pace < 0.9 || pace > 1.1 {
+		t.Errorf("pace %v, want 1", pace)
+	}
+	r.Update(200*time.Millisecond, 50, expected)
+	if pace, _ := r.Pace(); pace != 0 {
+		t.Errorf("pace of a hanging run %v, want 0", pace)
+	}
+}
+
+func TestShouldMoveOnlyWhereItHelps(t *testing.T) {
+	const fresh = 200 * time.Millisecond
+	objective := 400 * time.Millisecond
+	for _, c := range []struct {
+		name      string
+		now       time.Duration
+		remaining time.Duration
+		move      bool
+	}{
+		{"in time where it is", 100 * time.Millisecond, 250 * time.Millisecond, false},
+		{"late, and sooner elsewhere", 100 * time.Millisecond, time.Second, true},
+		{"late, but nearly done", 390 * time.Millisecond, 100 * time.Millisecond, false},
+		{"hangs", 100 * time.Millisecond, Remaining(40, 0, fresh), true},
+	} {
+		if got := ShouldMove(c.now, objective, c.remaining, fresh); got != c.move {
+			t.Errorf("%s: move %v, want %v", c.name, got, c.move)
+		}
+	}
+}
+
+func TestWishFitsVectorsLabelsAndBounds(t *testing.T) {
+	target := Candidate{
+		Free:     task.Resources{CPU: 3000, MemoryMB: 100},
+		Capacity: task.Resources{CPU: 32000, MemoryMB: 1000},
+		Labels:   []string{"a", "r1"},
+		OfStep:   2,
+	}
+	for _, c := range []struct {
+		name string
+		wish Wish
+		fits bool
+	}{
+		{"fits", Wish{Need: task.Resources{CPU: 3000, MemoryMB: 100}}, true},
+		{"too much memory", Wish{Need: task.Resources{CPU: 1, MemoryMB: 101}}, false},
+		{"accelerator", Wish{Need: task.Resources{Accelerators: 1}}, false},
+		{"other label", Wish{Label: "b"}, false},
+		{"its label", Wish{Label: "a"}, true},
+		{"bound reached", Wish{MaxPerTarget: 2}, false},
+		{"below the bound", Wish{MaxPerTarget: 3}, true},
+	} {
+		if got := c.wish.Fits(&target); got != c.fits {
+			t.Errorf("%s: fits %v, want %v", c.name, got, c.fits)
+		}
+	}
+}
+
+func TestScorePrefersRoomDataAndFreshTargets(t *testing.T) {
+	full := Candidate{Free: task.Resources{CPU: 4000}, Capacity: task.Resources{CPU: 32000}, DataCentre: "dc1"}
+	empty := Candidate{Free: task.Resources{CPU: 30000}, Capacity: task.Resources{CPU: 32000}, DataCentre: "dc2", Labels: []string{"r2"}}
+	w := Wish{Need: task.Resources{CPU: 3000}, DataCentre: "dc1"}
+	if w.Score(&full) >= w.Score(&empty) {
+		t.Error("the nearer but full target is preferred")
+	}
+	avoided := empty
+	avoided.Avoid = true
+	if w.Score(&avoided) >= w.Score(&full) {
+		t.Error("the target on which the task failed is preferred")
+	}
+	w.DataRack = "r2"
+	if w.Score(&full) >= w.Score(&empty) {
+		t.Error("the rack of the data is not preferred")
+	}
+}
+
+func BenchmarkScore(b *testing.B) {
+	c := Candidate{Free: task.Resources{CPU: 30000}, Capacity: task.Resources{CPU: 32000}, DataCentre: "dc2"}
+	w := Wish{Need: task.Resources{CPU: 3000}, DataCentre: "dc1"}
+	b.ReportAllocs()
+	for b.Loop() {
+		for range 1000 {
+			if w.Fits(&c) {
+				_ = w.Score(&c)
+			}
+		}
+	}
+}
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -20,6 +20,8 @@
 	sweepInterval = 10 * time.Millisecond
 )
 
+const messageNoRoom = "no room before its objective could no longer be met"
+
 // admit decides whether a job may wait here, and answers it if not.
 func (s *Scheduler) admit(j *job) (Answer, bool) {
 	now := s.now()
@@ -102,11 +104,17 @@
 	switch {
 	case now >= j.deadline:
 		s.giveUp(j, apiv1.Reason_REASON_DEADLINE_EXCEEDED, "its caller's deadline has passed")
-	case j.verdict() == verdict.NotRun && now > j.latestStart:
-		s.giveUp(j, apiv1.Reason_REASON_OVERLOAD, "no room before its objective could no longer be met")
+	case s.isTooLate(j, now):
+		s.giveUp(j, apiv1.Reason_REASON_OVERLOAD, messageNoRoom)
 	}
 }
 
+// isTooLate reports whether nothing of a job has run and it would miss its
+// objective if it began now.
+func (s *Scheduler) isTooLate(j *job, now time.Duration) bool {
+	return j.verdict() == verdict.NotRun && now > j.latestStart
+}
+
 // Run sweeps until done is closed.
 func (s *Scheduler) Run(done <-chan struct{}) {
 	ticker := time.NewTicker(sweepInterval)
--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -156,6 +156,10 @@
 	default:
 		it.avoid = at.target.name
 	}
+	if s.isTooLate(it.job, s.now()) {
+		s.giveUp(it.job, apiv1.Reason_REASON_OVERLOAD, messageNoRoom)
+		return
+	}
 	s.queue.Push(it)
 }
 
--- /dev/null
+++ b/internal/process/scheduler/scheduler_test.go
@@ -0,0 +1,485 @@
+package scheduler
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+	"github.com/rosemarybay/rosemarybay/internal/version/policy"
+)
+
+const testLease = 300 * time.Millisecond
+
+// fakeAgent is an agent whose answers the test gives.
+type fakeAgent struct {
+	t      *testing.T
+	name   string
+	world  *world
+	link   *peer.Link
+	starts chan peer.Start
+	stops  chan task.Attempt
+
+	mu       sync.Mutex
+	accepted uint64
+	number   uint64
+	room     task.Resources
+	claims   []peer.Claim
+}
+
+// world is a scheduler with fake agents.
+type world struct {
+	t         *testing.T
+	scheduler *Scheduler
+	view      *policy.View
+	queue     *policy.Queue
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, view: &policy.View{}}
+	w.queue = &policy.Queue{Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 1.6, TargetLatency: 60 * time.Millisecond, Timeout: time.Second}
+	w.view.Apply(&policy.Snapshot{Version: 1, Queues: map[string]*policy.Queue{"q": w.queue}})
+	w.scheduler = New(Options{
+		Log:         zerolog.Nop(),
+		Counters:    metrics.New(),
+		View:        w.view,
+		TargetLease: testLease,
+		Random:      func() float64 { return 0 },
+		Entries:     func() int { return 1 },
+		Behind:      func(*peer.Policy) {},
+	})
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go w.scheduler.Run(done)
+	return w
+}
+
+func (w *world) agent(name string, runs ...task.Attempt) *fakeAgent {
+	here, there := net.Pipe()
+	a := &fakeAgent{
+		t: w.t, name: name, world: w,
+		starts: make(chan peer.Start, 100),
+		stops:  make(chan task.Attempt, 100),
+		room:   task.Resources{CPU: 8000},
+	}
+	link := peer.NewLink(here, func(f *peer.Frame) { w.scheduler.Stamp(name, f) })
+	a.link = peer.NewLink(there, func(f *peer.Frame) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		f.Accepted = a.accepted
+		f.Room = &peer.Room{Free: a.room}
+		f.Sent = time.Now().UnixNano()
+	})
+	w.t.Cleanup(a.link.Close)
+	w.t.Cleanup(link.Close)
+	go a.receive()
+	hello := &peer.Hello{Name: name, Incarnation: 1, Runs: runs}
+	w.scheduler.Connect(hello, link)
+	go func() {
+		for {
+			f, err := link.Receive()
+			if err != nil {
+				w.scheduler.Disconnect(name, link, err)
+				return
+			}
+			w.scheduler.Receive(name, link, f)
+		}
+	}()
+	a.link.Send(peer.Frame{Hello: hello, Target: &peer.Target{
+		ID: name, Incarnation: 1, Pool: "p", DataCentre: "dc1", Available: true,
+		Capacity: task.Resources{CPU: 8000}, Labels: []string{name},
+	}})
+	for !w.knows(name) {
+		time.Sleep(time.Millisecond)
+	}
+	return a
+}
+
+func (w *world) knows(name string) bool {
+	w.scheduler.mu.Lock()
+	defer w.scheduler.mu.Unlock()
+	t := w.scheduler.targets[name]
+	return t != nil && t.usable(w.scheduler.now())
+}
+
+func (a *fakeAgent) receive() {
+	for {
+		f, err := a.link.Receive()
+		if err != nil {
+			return
+		}
+		a.mu.Lock()
+		a.accepted += uint64(len(f.Starts))
+		if f.Claims != nil {
+			a.claims = append(a.claims, f.Claims.Attempts...)
+		}
+		for _, s := range f.Starts {
+			a.room = a.room.Sub(s.Need)
+		}
+		a.mu.Unlock()
+		for _, s := range f.Starts {
+			a.starts <- s
+		}
+		for _, s := range f.Stops {
+			a.stops <- s
+		}
+	}
+}
+
+func (a *fakeAgent) report(at task.Attempt, need task.Resources, outcome peer.Outcome, refusal peer.Refusal) {
+	a.mu.Lock()
+	a.number++
+	number := a.number
+	if outcome != peer.OutcomeStarted {
+		a.room = a.room.Add(need)
+	}
+	a.mu.Unlock()
+	a.link.Send(peer.Frame{Results: []peer.Result{{Number: number, Attempt: at, Outcome: outcome, Refusal: refusal}}})
+}
+
+func (a *fakeAgent) next() peer.Start {
+	a.t.Helper()
+	select {
+	case s := <-a.starts:
+		return s
+	case <-time.After(2 * time.Second):
+		a.t.Fatal("no start")
+		return peer.Start{}
+	}
+}
+
+func (a *fakeAgent) done(s peer.Start) {
+	a.report(s.Attempt, s.Need, peer.OutcomeStarted, "")
+	a.report(s.Attempt, s.Need, peer.OutcomeDone, "")
+}
+
+func (w *world) job(id string, tasks int, cpu int64) *task.Job {
+	return &task.Job{
+		ID: id, Queue: "q",
+		Steps:    []task.Step{{Count: tasks, Need: task.Resources{CPU: cpu}, Estimate: 100 * time.Millisecond}},
+		Arrived:  time.Now(),
+		Deadline: time.Now().Add(2 * time.Second),
+	}
+}
+
+func (w *world) submit(j *task.Job) (<-chan Answer, func()) { return w.scheduler.Submit(j, w.queue) }
+
+func await(t *testing.T, answered <-chan Answer) Answer {
+	t.Helper()
+	select {
+	case a := <-answered:
+		return a
+	case <-time.After(4 * time.Second):
+		t.Fatal("no answer")
+		return Answer{}
+	}
+}
+
+func TestJobIsCompleteWhenEachTaskIsDone(t *testing.T) {
+	w := newWorld(t)
+	a := w.agent("a")
+	answered, _ := w.submit(w.job("j", 3, 1000))
+	for range 3 {
+		select {
+		case <-answered:
+			t.Fatal("answered before each task was done")
+		default:
+		}
+		a.done(a.next())
+	}
+	if got := await(t, answered); got.State != StateComplete {
+		t.Fatalf("answer %+v", got)
+	}
+	again, _ := w.submit(w.job("j", 3, 1000))
+	if got := await(t, again); got.State != StateComplete {
+		t.Errorf("the same request again is answered %+v", got)
+	}
+	if len(a.starts) > 0 {
+		t.Error("the same request again started tasks")
+	}
+}
+
+func TestStepsFollowTheirDependencies(t *testing.T) {
+	w := newWorld(t)
+	a := w.agent("a")
+	j := w.job("j", 2, 1000)
+	j.Steps = append(j.Steps, task.Step{Count: 1, Need: task.Resources{CPU: 1}, Estimate: time.Millisecond, After: []int{0}})
+	answered, _ := w.submit(j)
+	first, second := a.next(), a.next()
+	a.done(first)
+	time.Sleep(30 * time.Millisecond)
+	if len(a.starts) > 0 {
+		t.Fatal("a step began before the one it depends on had ended")
+	}
+	a.done(second)
+	third := a.next()
+	if third.Attempt.Key.Step != 1 {
+		t.Fatalf("started %v", third.Attempt)
+	}
+	a.done(third)
+	if got := await(t, answered); got.State != StateComplete {
+		t.Errorf("answer %+v", got)
+	}
+}
+
+// A burst: what finds no room before its objective is lost is refused, truly.
+func TestOverloadIsRefusedAsNotRun(t *testing.T) {
+	w := newWorld(t)
+	a := w.agent("a")
+	w.submit(w.job("first", 1, 8000))
+	a.next()
+	begun := time.Now()
+	answered, _ := w.submit(w.job("second", 1, 8000))
+	got := await(t, answered)
+	if got.State != StateRefused || got.Verdict != verdict.NotRun || got.RetryAfter <= 0 {
+		t.Errorf("answer %+v", got)
+	}
+	if took := time.Since(begun); took > 200*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+	if len(a.starts) > 0 {
+		t.Error("started what was refused")
+	}
+}
+
+// A refusal after something may have run must not say that nothing has.
+func TestGivenUpJobIsNotCalledRefusedOnceSent(t *testing.T) {
+	w := newWorld(t)
+	a := w.agent("a")
+	j := w.job("j", 1, 1000)
+	j.Deadline = time.Now().Add(60 * time.Millisecond)
+	answered, _ := w.submit(j)
+	s := a.next()
+	got := await(t, answered)
+	if got.State != StateUnfinished || got.Verdict == verdict.NotRun {
+		t.Errorf("answer %+v", got)
+	}
+	if stopped := <-a.stops; stopped != s.Attempt {
+		t.Errorf("stopped %v", stopped)
+	}
+}
+
+func TestRefusedAttemptIsNotCountedAsRun(t *testing.T) {
+	w := newWorld(t)
+	a := w.agent("a")
+	answered, _ := w.submit(w.job("j", 1, 1000))
+	for {
+		select {
+		case s := <-a.starts:
+			a.report(s.Attempt, s.Need, peer.OutcomeRefused, peer.RefusalUnanswered)
+			continue
+		case got := <-answered:
+			if got.State != StateRefused || got.Verdict != verdict.NotRun {
+				t.Errorf("answer %+v", got)
+			}
+		}
+		return
+	}
+}
+
+func TestTaskFailsAsOftenAsItsQueueAllows(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.agent("a"), w.agent("b")
+	answered, _ := w.submit(w.job("j", 1, 1000))
+	var first peer.Start
+	var failed, other *fakeAgent
+	select {
+	case first = <-a.starts:
+		failed, other = a, b
+	case first = <-b.starts:
+		failed, other = b, a
+	}
+	failed.report(first.Attempt, first.Need, peer.OutcomeFailed, "")
+	second := other.next()
+	if second.Attempt.Run <= first.Attempt.Run {
+		t.Errorf("run %d follows run %d", second.Attempt.Run, first.Attempt.Run)
+	}
+	other.report(second.Attempt, second.Need, peer.OutcomeFailed, "")
+	got := await(t, answered)
+	if got.State != StateFailed || got.Reason != apiv1.Reason_REASON_TARGET_FAILED {
+		t.Errorf("answer %+v", got)
+	}
+}
+
+// An agent falls silent: its attempts are repeated elsewhere only when they are
+// surely over.
+func TestSilentAgentsAttemptsAreRepeatedOnlyWhenOver(t *testing.T) {
+	w := newWorld(t)
+	a := w.agent("a")
+	answered, _ := w.submit(w.job("j", 1, 1000))
+	s := a.next()
+	a.link.Close()
+	begun := time.Now()
+	b := w.agent("b")
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+				b.link.Send(peer.Frame{})
+			}
+		}
+	}()
+	again := b.next()
+	if took, over := time.Since(begun), w.scheduler.surelyOver(); took < over-50*time.Millisecond {
+		t.Errorf("started again after %v, the first attempt may run for %v", took, over)
+	}
+	if again.Attempt.Run <= s.Attempt.Run {
+		t.Errorf("run %d follows run %d", again.Attempt.Run, s.Attempt.Run)
+	}
+	b.done(again)
+	if got := await(t, answered); got.State != StateComplete {
+		t.Errorf("answer %+v", got)
+	}
+}
+
+// A link breaks and comes back: what runs goes on, what never arrived is sent
+// again at once.
+func TestReconnectedAgentKeepsItsRuns(t *testing.T) {
+	w := newWorld(t)
+	a := w.agent("a")
+	answered, _ := w.submit(w.job("j", 2, 1000))
+	kept, lost := a.next(), a.next()
+	a.link.Close()
+	for w.knows("a") {
+		time.Sleep(time.Millisecond)
+	}
+	a = w.agent("a", kept.Attempt)
+	again := a.next()
+	if again.Attempt.Key != lost.Attempt.Key || again.Attempt.Run <= lost.Attempt.Run {
+		t.Errorf("sent again: %v", again.Attempt)
+	}
+	a.mu.Lock()
+	if len(a.claims) != 1 || a.claims[0].Attempt != kept.Attempt {
+		t.Errorf("claimed %v", a.claims)
+	}
+	a.mu.Unlock()
+	a.done(kept)
+	a.done(again)
+	if got := await(t, answered); got.State != StateComplete {
+		t.Errorf("answer %+v", got)
+	}
+}
+
+// A caller leaves and comes back with the same job while a run of the first try
+// is still being stopped: the two must not overlap.
+func TestJobWaitsForTheRunsOfItsFormerSelf(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.agent("a"), w.agent("b")
+	_, cancel := w.submit(w.job("j", 1, 1000))
+	var first peer.Start
+	var holder *fakeAgent
+	select {
+	case first = <-a.starts:
+		holder = a
+	case first = <-b.starts:
+		holder = b
+	}
+	cancel()
+	<-holder.stops
+	answered, _ := w.submit(w.job("j", 1, 1000))
+	time.Sleep(50 * time.Millisecond)
+	if len(a.starts)+len(b.starts) > 0 {
+		t.Fatal("started while a run of the first try may go on")
+	}
+	holder.report(first.Attempt, first.Need, peer.OutcomeStopped, "")
+	select {
+	case s := <-a.starts:
+		a.done(s)
+	case s := <-b.starts:
+		b.done(s)
+	case <-time.After(time.Second):
+		t.Fatal("not started after the end of the first try")
+	}
+	if got := await(t, answered); got.State != StateComplete {
+		t.Errorf("answer %+v", got)
+	}
+}
+
+func TestDataCentreOutGetsNothing(t *testing.T) {
+	w := newWorld(t)
+	a := w.agent("a")
+	w.view.ApplyOutages(&policy.Outages{Revision: 5, Out: []string{"dc1"}})
+	w.scheduler.Refresh()
+	answered, _ := w.submit(w.job("j", 1, 1000))
+	if got := await(t, answered); got.State != StateRefused {
+		t.Errorf("answer %+v", got)
+	}
+	if len(a.starts) > 0 {
+		t.Error("started in a data centre out of service")
+	}
+}
+
+// A target hangs what it runs: the task moves once its stop is confirmed.
+func TestHangingRunMoves(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.agent("a"), w.agent("b")
+	answered, _ := w.submit(w.job("j", 1, 1000))
+	var s peer.Start
+	var slow, other *fakeAgent
+	select {
+	case s = <-a.starts:
+		slow, other = a, b
+	case s = <-b.starts:
+		slow, other = b, a
+	}
+	slow.report(s.Attempt, s.Need, peer.OutcomeStarted, "")
+	slow.link.Send(peer.Frame{Progress: []peer.Progress{{Attempt: s.Attempt, Percent: 10}}})
+	<-slow.stops
+	if len(other.starts) > 0 {
+		t.Fatal("moved before the stop was confirmed")
+	}
+	slow.report(s.Attempt, s.Need, peer.OutcomeStopped, "")
+	other.done(other.next())
+	if got := await(t, answered); got.State != StateComplete {
+		t.Errorf("answer %+v", got)
+	}
+}
+
+func TestCancelReachesAllAgents(t *testing.T) {
+	w := newWorld(t)
+	a := w.agent("a")
+	answered, _ := w.submit(w.job("j", 1, 1000))
+	s := a.next()
+	if !w.scheduler.Cancel("j") {
+		t.Error("the job is not known")
+	}
+	if got := await(t, answered); got.State != StateCancelled {
+		t.Errorf("answer %+v", got)
+	}
+	if stopped := <-a.stops; stopped != s.Attempt {
+		t.Errorf("stopped %v", stopped)
+	}
+	if w.scheduler.Cancel("unknown") {
+		t.Error("an unknown job was cancelled")
+	}
+	if state, ok := w.scheduler.State("j"); !ok || state != StateCancelled {
+		t.Errorf("state %v, %v", state, ok)
+	}
+}
+
+func TestStoppingEntryRefusesNewJobs(t *testing.T) {
+	w := newWorld(t)
+	a := w.agent("a")
+	answered, _ := w.submit(w.job("old", 1, 1000))
+	s := a.next()
+	w.scheduler.Stop()
+	fresh, _ := w.submit(w.job("new", 1, 1000))
+	if got := await(t, fresh); got.State != StateRefused || got.Reason != apiv1.Reason_REASON_STOPPING {
+		t.Errorf("answer %+v", got)
+	}
+	a.done(s)
+	if got := await(t, answered); got.State != StateComplete {
+		t.Errorf("the job in progress is answered %+v", got)
+	}
+}
