--- /dev/null
+++ b/internal/process/server/server_test.go
@@ -0,0 +1,311 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/runs"
+	"github.com/rosemarybay/rosemarybay/internal/version/policy"
+)
+
+var errDown = errors.New("store is down")
+
+// fakeStore is a store that can be down, lose leases, and forget its history.
+type fakeStore struct {
+	mu        sync.Mutex
+	values    map[string]store.Value
+	leases    map[uint64]bool
+	revision  uint64
+	down      bool
+	compacted bool
+	// deaf keeps watches from seeing events.
+	deaf bool
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{values: make(map[string]store.Value), leases: make(map[uint64]bool), revision: 10}
+}
+
+func (f *fakeStore) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// put writes as an operator does; the caller holds the lock.
+func (f *fakeStore) put(key, data string) {
+	f.revision++
+	f.values[key] = store.Value{Key: key, Data: []byte(data), Revision: f.revision}
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (*store.Value, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, errDown
+	}
+	v, ok := f.values[key]
+	if !ok {
+		return nil, nil
+	}
+	return &v, nil
+}
+
+func (f *fakeStore) List(_ context.Context, prefix string) (store.Listing, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return store.Listing{}, errDown
+	}
+	l := store.Listing{Revision: f.revision}
+	for key, v := range f.values {
+		if strings.HasPrefix(key, prefix) {
+			l.Values = append(l.Values, v)
+		}
+	}
+	return l, nil
+}
+
+func (f *fakeStore) ListStale(ctx context.Context, prefix string) (store.Listing, error) {
+	return f.List(ctx, prefix)
+}
+
+func (f *fakeStore) CompareAndSwap(_ context.Context, c store.Change) (store.SwapResult, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return store.SwapResult{}, errDown
+	}
+	if present, ok := f.values[c.Key]; (ok && present.Revision != c.Expected) || (!ok && c.Expected != 0) {
+		return store.SwapResult{Revision: present.Revision, Present: &present}, nil
+	}
+	f.put(c.Key, string(c.Data))
+	return store.SwapResult{Swapped: true, Revision: f.revision}, nil
+}
+
+func (f *fakeStore) GrantLease(context.Context, time.Duration) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return 0, errDown
+	}
+	id := uint64(len(f.leases) + 1)
+	f.leases[id] = true
+	return id, nil
+}
+
+func (f *fakeStore) RenewLease(_ context.Context, id uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errDown
+	}
+	if !f.leases[id] {
+		return store.ErrLeaseLapsed
+	}
+	return nil
+}
+
+func (f *fakeStore) RevokeLease(_ context.Context, id uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.leases, id)
+	return nil
+}
+
+func (f *fakeStore) Watch(ctx context.Context, prefix string, after uint64, _ time.Duration) (store.Listing, error) {
+	time.Sleep(2 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down || ctx.Err() != nil {
+		return store.Listing{}, errDown
+	}
+	if f.compacted {
+		f.compacted = false
+		return store.Listing{Compacted: true}, nil
+	}
+	l := store.Listing{Revision: f.revision}
+	for key, v := range f.values {
+		if strings.HasPrefix(key, prefix) && v.Revision > after && !f.deaf {
+			l.Values = append(l.Values, v)
+		}
+	}
+	return l, nil
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
+
+func newTestRegistrar(f *fakeStore) *registrar {
+	return &registrar{store: f, log: zerolog.Nop(), key: rosterPrefix + "e", value: registration{Address: "10.0.0.1:1", Incarnation: 3}}
+}
+
+func TestRegistrationComesBack(t *testing.T) {
+	ctx := context.Background()
+	for _, c := range []struct {
+		name string
+		lose func(*fakeStore)
+	}{
+		{"after its lease has lapsed", func(f *fakeStore) { clear(f.leases); clear(f.values) }},
+		{"after the key alone was taken away", func(f *fakeStore) { clear(f.values) }},
+		{"after another wrote the key", func(f *fakeStore) { clear(f.leases); f.put(rosterPrefix+"e", "junk") }},
+	} {
+		f := newFakeStore()
+		r := newTestRegistrar(f)
+		if err := r.keep(ctx); err != nil {
+			t.Fatal(err)
+		}
+		f.set(func() { f.revision++; c.lose(f) })
+		if err := r.keep(ctx); err != nil {
+			t.Fatal(err)
+		}
+		listing, _ := f.List(ctx, rosterPrefix)
+		if got := decodeRoster(listing, zerolog.Nop()); got["e"] != r.value {
+			t.Errorf("%s: roster %v", c.name, got)
+		}
+	}
+}
+
+func TestRegistrationOutlivesAnOutage(t *testing.T) {
+	f := newFakeStore()
+	r := newTestRegistrar(f)
+	f.set(func() { f.down = true })
+	if err := r.keep(context.Background()); err == nil {
+		t.Fatal("registered at a store that is down")
+	}
+	f.set(func() { f.down = false })
+	if err := r.keep(context.Background()); err != nil || r.lease == 0 {
+		t.Errorf("after the outage: %v, lease %d", err, r.lease)
+	}
+}
+
+// A key in the roster that another wrote names no entry, and harms no other.
+func TestUnreadableRegistrationIsPassedOver(t *testing.T) {
+	l := store.Listing{Values: []store.Value{
+		{Key: rosterPrefix + "a", Data: []byte("{")},
+		{Key: rosterPrefix + "b", Data: []byte("{}")},
+		{Key: rosterPrefix + "c", Data: []byte(`{"address":"10.0.0.2:1"}`)},
+	}}
+	if got := decodeRoster(l, zerolog.Nop()); len(got) != 1 || got["c"].Address != "10.0.0.2:1" {
+		t.Errorf("roster %v", got)
+	}
+}
+
+func configAt(version string) string {
+	return `{"version":` + version + `,"routes":[{"name":"r","host":"h","path_prefix":"/p/","service":"s"}]}`
+}
+
+func startFollower(t *testing.T, f *fakeStore) *follower {
+	fl := &follower{store: f, log: zerolog.Nop(), view: &policy.View{}, changed: func() {}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		fl.run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return fl
+}
+
+func (f *follower) version() uint64 {
+	if s := f.view.Snapshot(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+func TestFollowerTakesEachVersionAndNoneOlder(t *testing.T) {
+	f := newFakeStore()
+	f.put("op/config", configAt("5"))
+	fl := startFollower(t, f)
+	eventually(t, "version 5", func() bool { return fl.version() == 5 })
+	f.set(func() { f.put("op/config", configAt("9")) })
+	eventually(t, "version 9", func() bool { return fl.version() == 9 })
+	f.set(func() { f.put("op/config", configAt("7")) })
+	time.Sleep(30 * time.Millisecond)
+	if fl.version() != 9 || fl.document.Load().Routes.Version != 9 {
+		t.Errorf("went back to version %d", fl.version())
+	}
+}
+
+func TestFollowerReadsAnew(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		disturb func(*fakeStore)
+		mend    func(*fakeStore)
+	}{
+		{"after the history is gone", func(f *fakeStore) { f.deaf = true }, func(f *fakeStore) { f.compacted = true }},
+		{"after a watch that missed a change", func(f *fakeStore) { f.deaf = true }, func(*fakeStore) {}},
+		{"after an outage", func(f *fakeStore) { f.down = true }, func(f *fakeStore) { f.down = false }},
+	} {
+		f := newFakeStore()
+		f.put("op/config", configAt("1"))
+		fl := startFollower(t, f)
+		eventually(t, "version 1", func() bool { return fl.version() == 1 })
+		f.set(func() { c.disturb(f); f.put("op/config", configAt("2")); f.put("op/evacuate/z1", "{}") })
+		f.set(func() { c.mend(f) })
+		eventually(t, c.name, func() bool { return fl.version() == 2 && slices.Equal(fl.view.Outages().Out, []string{"z1"}) })
+	}
+}
+
+func TestFollowerTakesADataCentreBack(t *testing.T) {
+	f := newFakeStore()
+	f.put("op/evacuate/z1", "{}")
+	fl := startFollower(t, f)
+	eventually(t, "z1 out", func() bool { return fl.view.Outages().Has("z1") })
+	f.set(func() { delete(f.values, "op/evacuate/z1"); f.revision++ })
+	eventually(t, "z1 back", func() bool { return !fl.view.Outages().Has("z1") })
+}
+
+// An agent starts again beside a target that still runs.
+func TestRecordSurvivesARestart(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := newFakeStore()
+	first := newRecord(f, zerolog.Nop(), "agent")
+	if kept := first.load(ctx); kept != nil {
+		t.Fatalf("found %+v in an empty store", kept)
+	}
+	go first.run(ctx)
+	announced := runs.Announcement{ID: "t", Incarnation: 4, Sequence: 80, Address: "10.0.0.1:80", Pool: "p"}
+	first.changed(runs.Announcement{ID: "t", Incarnation: 3})
+	first.changed(announced)
+	eventually(t, "the record", func() bool {
+		v, _ := f.Get(ctx, recordPrefix+"agent")
+		return v != nil && strings.Contains(string(v.Data), `"Incarnation":4`)
+	})
+	kept := newRecord(f, zerolog.Nop(), "agent").load(ctx)
+	if kept == nil || kept.ID != "t" || kept.Incarnation != 4 || kept.Sequence != 0 {
+		t.Errorf("kept %+v", kept)
+	}
+	f.set(func() { f.put(recordPrefix+"agent", "junk") })
+	if kept := newRecord(f, zerolog.Nop(), "agent").load(ctx); kept != nil {
+		t.Errorf("junk is read as %+v", kept)
+	}
+}
+
+func TestRegistrationIsPlainJSON(t *testing.T) {
+	b, err := json.Marshal(registration{Address: "10.0.0.1:7720", Incarnation: 9})
+	if err != nil || string(b) != `{"address":"10.0.0.1:7720","incarnation":9}` {
+		t.Errorf("%s, %v", b, err)
+	}
+}
