--- a/internal/process/metrics/doc_test.go
+++ b/internal/process/metrics/doc_test.go
@@ -25,6 +25,8 @@
 	ofTraffic = regexp.MustCompile(`newTraffic\(r, "([a-z_]+)"\)`)
 	prefixed  = regexp.MustCompile(`Counter\(\s*"([a-z_]+_)"\s*\+`)
 	endings   = regexp.MustCompile(`Cut = "([a-z]+)"`)
+	states    = regexp.MustCompile(`State = "([a-z_]+)"`)
+	refusals  = regexp.MustCompile(`Refusal = "([a-z_]+)"`)
 	row       = regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\|")
 )
 
@@ -33,7 +35,8 @@
 func namesInSource(t *testing.T) map[string]bool {
 	t.Helper()
 	names := make(map[string]bool)
-	var prefixes, cuts []string
+	var prefixes []string
+	ends := make(map[string][]string) // by the prefix that they end
 	err := filepath.WalkDir(sourceDir, func(path string, d fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
@@ -48,8 +51,14 @@
 		for _, m := range prefixed.FindAllStringSubmatch(string(b), -1) {
 			prefixes = append(prefixes, m[1])
 		}
-		for _, m := range endings.FindAllStringSubmatch(string(b), -1) {
-			cuts = append(cuts, m[1])
+		for prefix, expression := range map[string]*regexp.Regexp{
+			"caller_connections_cut_": endings,
+			"jobs_":                   states,
+			"starts_refused_":         refusals,
+		} {
+			for _, m := range expression.FindAllStringSubmatch(string(b), -1) {
+				ends[prefix] = append(ends[prefix], m[1])
+			}
 		}
 		return err
 	})
@@ -57,22 +66,22 @@
 		t.Fatal(err)
 	}
 	for _, prefix := range prefixes {
-		addEndings(t, names, prefix, cuts)
+		addEndings(t, names, prefix, ends[prefix])
 	}
 	return names
 }
 
 // addEndings adds the counters of a prefix whose endings the program computes.
-func addEndings(t *testing.T, names map[string]bool, prefix string, cuts []string) {
+func addEndings(t *testing.T, names map[string]bool, prefix string, ends []string) {
 	t.Helper()
 	switch prefix {
 	case "refused_", "retried_":
 		for _, reason := range verdict.Reasons() {
 			names[prefix+verdict.ReasonName(reason)] = true
 		}
-	case "caller_connections_cut_":
-		for _, cut := range cuts {
-			names[prefix+cut] = true
+	case "caller_connections_cut_", "jobs_", "starts_refused_":
+		for _, end := range ends {
+			names[prefix+end] = true
 		}
 	default:
 		t.Errorf("counters %s* have endings that this test does not know", prefix)
