Move only runs that hang or that a slow target holds

A target is now judged slow on two jobs or more, since the tasks of one share the error of its declared run time, and a run moves from a slow target or when it does not advance. Unanswered orders are repeated after 30 ms instead of 15: seven a second were only late.

--- a/internal/process/load/health.go
+++ b/internal/process/load/health.go
@@ -9,8 +9,11 @@
 	failureLimit = 3
 	// slowPace is the pace below which a target is on probation, and soundPace
 	// the one above which it is off: declared run times are off by some 40 %.
-	slowPace  = 0.45
-	soundPace = 0.65
+	slowPace  = 0.35
+	soundPace = 0.6
+	// slowJobs is the number of jobs on which a slow pace must be seen: the tasks
+	// of one job share the error of its declared run time.
+	slowJobs = 2
 	// probeInterval is the time between probes of a target on probation.
 	probeInterval = 300 * time.Millisecond
 )
@@ -42,11 +45,11 @@
 }
 
 // Paced notes the mean pace of the runs: 1 as predicted, 0 for standstill.
-// samples is the number of runs that it was measured on.
-func (h *Health) Paced(pace float64, samples int) {
+// jobs is the number of different jobs that it was measured on.
+func (h *Health) Paced(pace float64, jobs int) {
 	switch {
-	case samples == 0:
-	case pace < slowPace && (samples > 1 || h.slow):
+	case jobs == 0:
+	case pace < slowPace && (jobs >= slowJobs || h.slow):
 		h.slow = true
 	case pace > soundPace:
 		h.slow = false
--- a/internal/process/runs/look.go
+++ b/internal/process/runs/look.go
@@ -12,7 +12,7 @@
 	// lookWait is how long the target holds a look without an end.
 	lookWait = 50 * time.Millisecond
 	// lookGrace is added to it before the look counts as unanswered.
-	lookGrace = 15 * time.Millisecond
+	lookGrace = 30 * time.Millisecond
 	// lookBackoff spaces looks that are refused or fail at once.
 	lookBackoff = 10 * time.Millisecond
 	// muteAfter is the silence after which the target gets no new work, and
@@ -167,22 +167,24 @@
 	k.finishLocked(r, e.Outcome, peer.RefusalNone)
 }
 
-// judgeLocked judges the target by the mean pace of what it runs.
+// judgeLocked judges the target by the mean pace of the jobs that run there.
 func (k *Keeper) judgeLocked(l *lifetime) {
-	sum, samples := 0.0, 0
+	paces := make(map[string]float64)
 	for _, r := range k.runs {
 		if pace, ok := r.pace.Pace(); ok && r.phase == phaseRunning {
-			sum += min(pace, 1)
-			samples++
+			job := r.attempt.Key.Job
+			paces[job] = max(paces[job], min(pace, 1))
 		}
 	}
-	was := l.health.Sound()
-	if samples > 0 {
-		l.health.Paced(sum/float64(samples), samples)
+	mean := 0.0
+	for _, pace := range paces {
+		mean += pace / float64(len(paces))
 	}
+	was := l.health.Sound()
+	l.health.Paced(mean, len(paces))
 	if is := l.health.Sound(); is != was {
-		k.opts.Log.Warn().Str("target", l.ID).Bool("sound", is).Float64("pace", sum/float64(max(samples, 1))).
-			Int("runs", samples).Msg("target judged")
+		k.opts.Log.Warn().Str("target", l.ID).Bool("sound", is).Float64("pace", mean).
+			Int("jobs", len(paces)).Msg("target judged")
 		k.opts.Counters.Counter("target_judgements").Inc(1)
 		k.describeLocked()
 	}
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -11,7 +11,7 @@
 const (
 	// orderTimeout bounds the wait for the answer to one order. A healthy
 	// target on the same machine answers within a millisecond or two.
-	orderTimeout = 15 * time.Millisecond
+	orderTimeout = 30 * time.Millisecond
 	// orderTries is how often an order without an answer is sent again.
 	orderTries = 5
 	// stopTries is the same for a stop; the target's lease ends the run if all
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -107,7 +107,7 @@
 	it := at.item
 	now := s.now()
 	remaining := load.Remaining(p.Percent, float64(p.Pace)/100, it.expected)
-	if it.moves >= maxMoves || !load.ShouldMove(now, it.job.objective, remaining, it.expected) {
+	if it.moves >= maxMoves || !load.ShouldMove(now, it.job.objective, remaining, it.expected, t.probation) {
 		return
 	}
 	it.avoid = t.name
