--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -38,7 +38,7 @@
 	flags func(*call)
 	// args names the positional arguments, for the usage line.
 	args string
-	// argCount is the number of positional arguments.
+	// argCount is the number of positional arguments; anyArgs leaves it to run.
 	argCount int
 	// readOnly commands change nothing, so none of their errors leaves an
 	// outcome unknown.
@@ -68,6 +68,7 @@
 		configWatchCommand(),
 		statusCommand(),
 		countersCommand(),
+		traceCommand(),
 		keysNewCommand(),
 		keysShowCommand(),
 		versionCommand(),
@@ -91,6 +92,9 @@
 	http    *http.Client
 }
 
+// anyArgs is the count of a subcommand that checks its arguments itself.
+const anyArgs = -1
+
 // errUsage reports wrong arguments.
 var errUsage = errors.New("wrong arguments")
 
@@ -115,7 +119,7 @@
 		}
 		return exitUsage
 	}
-	if len(c.args) != sub.argCount || (c.output != outputTable && c.output != outputJSON) {
+	if (sub.argCount != anyArgs && len(c.args) != sub.argCount) || (c.output != outputTable && c.output != outputJSON) {
 		c.flags.Usage()
 		return exitUsage
 	}
--- /dev/null
+++ b/internal/command/trace.go
@@ -0,0 +1,179 @@
+package command
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxLineBytes bounds one log line.
+const maxLineBytes = 1 << 20
+
+func traceCommand() subcommand {
+	return subcommand{
+		name:     "trace",
+		summary:  "print the life of one request from the logs of several processes",
+		args:     "ID [FILE ...]",
+		argCount: anyArgs,
+		readOnly: true,
+		run:      runTrace,
+	}
+}
+
+// logLine is one line of a process's log that names the request.
+type logLine struct {
+	at      time.Time
+	node    string
+	message string
+	task    string
+	run     string
+	fields  string
+}
+
+// Messages of the log that begin and end something.
+const (
+	messageSent        = "attempt sent"
+	messageResolved    = "attempt resolved"
+	messageAdmitted    = "job admitted"
+	messageComplete    = "job complete"
+	messageNotComplete = "job not completed"
+)
+
+// hiddenFields are printed elsewhere on the line, or say nothing of the request.
+var hiddenFields = []string{"time", "node", "role", "level", "message", "job", "task", "run"}
+
+func runTrace(_ context.Context, c *call) error {
+	if len(c.args) == 0 {
+		return errUsage
+	}
+	id := c.args[0]
+	var lines []logLine
+	skipped, err := c.readLogs(c.args[1:], id, &lines)
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return eris.Errorf("no line of the logs names %s", id)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
+	printTrace(c.Out, lines)
+	for _, gap := range gaps(lines) {
+		_, _ = fmt.Fprintf(c.Out, "gap: %s\n", gap)
+	}
+	if skipped > 0 {
+		_, _ = fmt.Fprintf(c.Err, "%d lines are not JSON and were passed over\n", skipped)
+	}
+	return nil
+}
+
+// readLogs reads the files, or the standard input if there are none.
+func (c *call) readLogs(paths []string, id string, lines *[]logLine) (skipped int, err error) {
+	if len(paths) == 0 {
+		return readLog(c.In, id, lines)
+	}
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return skipped, eris.Wrap(err, "open log")
+		}
+		n, err := readLog(f, id, lines)
+		_ = f.Close()
+		skipped += n
+		if err != nil {
+			return skipped, eris.Wrapf(err, "read %s", path)
+		}
+	}
+	return skipped, nil
+}
+
+// readLog adds the lines that name the request. What stands before the JSON
+// object of a line, such as a collector's own time, is passed over.
+func readLog(r io.Reader, id string, lines *[]logLine) (skipped int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		text := scanner.Text()
+		if !strings.Contains(text, id) {
+			continue
+		}
+		start := strings.IndexByte(text, '{')
+		fields := make(map[string]any)
+		if start < 0 || json.Unmarshal([]byte(text[start:]), &fields) != nil {
+			skipped++
+			continue
+		}
+		if fields["job"] == id {
+			*lines = append(*lines, newLogLine(fields))
+		}
+	}
+	return skipped, scanner.Err()
+}
+
+func newLogLine(fields map[string]any) logLine {
+	text := func(name string) string {
+		if fields[name] == nil {
+			return ""
+		}
+		return fmt.Sprint(fields[name])
+	}
+	l := logLine{node: text("node"), message: text("message"), task: text("task"), run: text("run")}
+	// A line without a readable time stands first, where it can be seen.
+	l.at, _ = time.Parse(time.RFC3339Nano, text("time"))
+	var rest []string
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		if !slices.Contains(hiddenFields, name) {
+			rest = append(rest, fmt.Sprintf("%s=%v", name, fields[name]))
+		}
+	}
+	l.fields = strings.Join(rest, " ")
+	return l
+}
+
+// printTrace prints each line with the time since the first.
+func printTrace(w io.Writer, lines []logLine) {
+	for _, l := range lines {
+		what := l.message
+		if l.task != "" {
+			what += " " + l.task + " run " + l.run
+		}
+		_, _ = fmt.Fprintf(w, "%+9.3fms %-24s %s  %s\n",
+			float64(l.at.Sub(lines[0].at))/float64(time.Millisecond), l.node, what, l.fields)
+	}
+}
+
+// gaps names what the logs should hold and don't: attempts without an end, and a
+// job without an answer.
+func gaps(lines []logLine) []string {
+	open := make(map[string]logLine)
+	admitted, answered := "", false
+	for _, l := range lines {
+		attempt := l.node + " " + l.task + " run " + l.run
+		switch l.message {
+		case messageSent:
+			open[attempt] = l
+		case messageResolved:
+			delete(open, attempt)
+		case messageAdmitted:
+			admitted, answered = l.node, false
+		case messageComplete, messageNotComplete:
+			answered = true
+		}
+	}
+	var found []string
+	for _, attempt := range slices.Sorted(maps.Keys(open)) {
+		found = append(found, "no end of attempt "+attempt+": its entry ended first, or its line was dropped")
+	}
+	if admitted != "" && !answered {
+		found = append(found, "no answer of the job at "+admitted+": the process ended before it")
+	}
+	return found
+}
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -16,12 +16,12 @@
 	// queueLines is the number of lines that may wait for a slow reader.
 	queueLines = 1024
 	// linesPerSecond and burstLines bound the volume.
-	linesPerSecond = 400
+	linesPerSecond = 600
 	burstLines     = 1200
 )
 
-// Writer is an io.Writer of whole lines. Lines of the level error, and those of
-// warnings, go before the budget.
+// Writer is an io.Writer of whole lines. The budget is for lines of the level info
+// and below; a request that failed or was refused has its line as a warning.
 type Writer struct {
 	lines   chan []byte
 	budget  *rate.Limiter
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -27,6 +27,9 @@
 	if refusal := k.refusalLocked(o, s); refusal != peer.RefusalNone {
 		k.resultLocked(o.incarnation, s.Attempt, peer.OutcomeRefused, refusal)
 		k.opts.Counters.Counter("starts_refused_" + string(refusal)).Inc(1)
+		k.opts.Log.Info().Str("job", s.Attempt.Key.Job).Stringer("task", s.Attempt.Key).Uint64("run", s.Attempt.Run).
+			Str("entry", o.name).Str("refusal", string(refusal)).Int64("free_cpu", k.freeLocked().CPU).
+			Uint64("policy_revision", k.policy.Revision).Msg("start refused")
 		return
 	}
 	r := &run{attempt: s.Attempt, owner: o.incarnation, need: s.Need, since: time.Now(), expected: s.Expected}
@@ -127,6 +130,8 @@
 	}
 	r.phase, r.since = phaseRunning, time.Now()
 	r.pace.Start(k.clock())
+	k.opts.Log.Info().Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
+		Str("target", k.life.ID).Int64("free_cpu", k.freeLocked().CPU).Msg("run started")
 	k.resultLocked(r.owner, r.attempt, peer.OutcomeStarted, peer.RefusalNone)
 	if r.stop {
 		k.beginStopLocked(r)
@@ -254,9 +259,9 @@
 	}
 	k.resultLocked(r.owner, r.attempt, outcome, refusal)
 	k.roomChangedLocked()
-	event := k.opts.Log.Debug()
-	if outcome != peer.OutcomeDone {
-		event = k.opts.Log.Info()
+	event := k.opts.Log.Info()
+	if outcome == peer.OutcomeFailed || outcome == peer.OutcomeLost {
+		event = k.opts.Log.Warn()
 	}
 	event.Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
 		Stringer("outcome", outcome).Str("refusal", string(refusal)).
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -184,12 +184,12 @@
 	s.opts.Counters.ObserveJob(j.queue.Name, s.opts.DataCentre, took)
 	s.opts.Counters.Counter("jobs_" + string(a.State)).Inc(1)
 	if a.State == StateComplete {
-		s.opts.Log.Debug().Str("job", j.spec.ID).Str("queue", j.queue.Name).Dur("took", took).
+		s.opts.Log.Info().Str("job", j.spec.ID).Str("queue", j.queue.Name).Dur("took", took).
 			Bool("in_objective", s.now() <= j.objective).Msg("job complete")
 		return
 	}
 	s.opts.Counters.Refuse(a.Reason)
-	s.opts.Log.Info().Str("job", j.spec.ID).Str("queue", j.queue.Name).Str("state", string(a.State)).
+	s.opts.Log.Warn().Str("job", j.spec.ID).Str("queue", j.queue.Name).Str("state", string(a.State)).
 		Str("verdict", verdict.Name(a.Verdict)).Str("reason", verdict.ReasonName(a.Reason)).Str("detail", a.Message).
 		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.expected).
 		Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).Dur("retry_after", a.RetryAfter).Int("tasks_left", j.left).Int("unresolved", j.live).
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -145,7 +145,7 @@
 	}
 	s.drain.Started(now, it.Work())
 	s.opts.Counters.Counter("attempts_sent").Inc(1)
-	s.opts.Log.Debug().Str("job", it.key.Job).Stringer("task", it.key).Uint64("run", it.run).Str("target", t.info.ID).
+	s.opts.Log.Info().Str("job", it.key.Job).Stringer("task", it.key).Uint64("run", it.run).Str("target", t.info.ID).
 		Int64("free_cpu", t.free().CPU).Dur("room_age", now-t.heard).Msg("attempt sent")
 	t.begin(at)
 	t.send(peer.Frame{Starts: []peer.Start{{
--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -100,9 +100,9 @@
 }
 
 func (s *Scheduler) logResolved(at *attempt, outcome peer.Outcome, refusal peer.Refusal) {
-	event := s.opts.Log.Debug()
+	event := s.opts.Log.Info()
 	if outcome == peer.OutcomeFailed || outcome == peer.OutcomeLost {
-		event = s.opts.Log.Info()
+		event = s.opts.Log.Warn()
 	}
 	event.Str("job", at.id.Key.Job).Stringer("task", at.id.Key).Uint64("run", at.id.Run).Str("target", at.target.info.ID).
 		Stringer("outcome", outcome).Str("refusal", string(refusal)).Int("failures", at.item.failures).
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -110,7 +110,7 @@
 func (s *Scheduler) begin(j *job) {
 	s.jobs[j.spec.ID] = j
 	s.opts.Counters.Counter("jobs_admitted").Inc(1)
-	s.opts.Log.Debug().Str("job", j.spec.ID).Str("queue", j.queue.Name).Int("tasks", j.spec.Tasks()).
+	s.opts.Log.Info().Str("job", j.spec.ID).Str("queue", j.queue.Name).Int("tasks", j.spec.Tasks()).
 		Dur("expected", j.expected).Dur("objective", j.objective-j.arrived).Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).
 		Int("waiting", s.queue.Len()).Msg("job admitted")
 	if j.predecessor == nil {
@@ -245,7 +245,7 @@
 // Unserved notes a request that is refused before it is a job.
 func (s *Scheduler) Unserved(request, reason string, status int) {
 	s.opts.Counters.Counter("requests_unserved").Inc(1)
-	s.opts.Log.Info().Str("job", request).Str("reason", reason).Int("status", status).
+	s.opts.Log.Warn().Str("job", request).Str("reason", reason).Int("status", status).
 		Uint64("config_version", s.version()).Msg("request not taken")
 }
 
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -28,6 +28,9 @@
 	// logCloseWait bounds the writing of the last lines.
 	logCloseWait = 200 * time.Millisecond
 	metricsPath  = "/metrics"
+	// logTime has the resolution at which decisions of several processes can be
+	// put in order.
+	logTime = "2006-01-02T15:04:05.000000Z07:00"
 	// connectionIdle ends connections on which no request arrives.
 	connectionIdle = 2 * time.Minute
 	// maxConnections is below the descriptors of the smallest machine.
@@ -60,6 +63,7 @@
 		counters:    counters,
 		incarnation: rand.Uint64(),
 	}
+	zerolog.TimeFieldFormat = logTime
 	p.log = zerolog.New(lines).Level(level).With().Timestamp().Str("node", s.Name).Str("role", string(s.Role)).Logger()
 	debug.SetMemoryLimit(int64(s.Node.MemoryMB) << 20 * memoryShare / 100)
 	if s.Role == settings.RoleEntry {
