--- a/cmd/rosemarybay-bench/main.go
+++ b/cmd/rosemarybay-bench/main.go
@@ -30,6 +30,7 @@
   chaos [-jobs N] [-seed N]
                 run jobs while nodes are killed, paused, stopped and cut off
   replay FILE.. replay traces and check their outcomes
+  soak [FLAGS]  run jobs on the users' platform's stand-ins under random faults
   budget        measure the control cost of an idle fleet
   restart       restart a third of an entry's agents at once under load
   slopes        measure what one more link, task, change and so on costs
@@ -60,6 +61,8 @@
 		return runChaos(ctx, args[1:])
 	case "replay":
 		return runReplay(ctx, args[1:])
+	case "soak":
+		return runSoak(ctx, args[1:])
 	case "budget":
 		return runBudget(ctx, args[1:])
 	case "restart":
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -42,11 +42,15 @@
 	e := &entry{Server: p, view: &policy.View{}}
 	p.run = e.serve
 	kv := platform.NewStore(p.node.Store, p.node.IP)
+	advertised := p.node.PeerAdvertise
+	if advertised == "" {
+		advertised = p.address(p.node.PeerPort)
+	}
 	e.registrar = &registrar{
 		store: kv,
 		log:   p.log,
 		key:   rosterPrefix + p.settings.Name,
-		value: registration{Address: p.address(p.node.PeerPort), Incarnation: p.incarnation},
+		value: registration{Address: advertised, Incarnation: p.incarnation},
 	}
 	e.scheduler = scheduler.New(scheduler.Options{
 		Name:        p.settings.Name,
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -24,6 +24,9 @@
 	MetricsPort uint16 `json:"metrics_port"`
 	// PeerPort is the TCP port at which each entry takes the links of agents.
 	PeerPort uint16 `json:"peer_port"`
+	// PeerAdvertise is the address at which agents reach an entry's PeerPort;
+	// default the node's own.
+	PeerAdvertise string `json:"peer_advertise,omitempty"`
 	// Seeds are addresses of some entries, separated by commas; their ports are
 	// not used. They stand in while the store does not answer.
 	Seeds string `json:"seeds,omitempty"`
@@ -68,6 +71,11 @@
 	if n.MemoryMB <= 0 {
 		return eris.Errorf("node.memory_mb is %d, expected a positive number", n.MemoryMB)
 	}
+	if n.PeerAdvertise != "" {
+		if err := validateAddress("node.peer_advertise", n.PeerAdvertise); err != nil {
+			return err
+		}
+	}
 	if role == RoleAgent {
 		return validateAddress("node.announce_listen", n.AnnounceListen)
 	}
