Stop what a later lifetime of a target has begun before reporting it

Cause: a start reached a target that had been born again under its ID, which carried it out; the agent saw another lifetime in the answer and reported the attempt as refused, so the entry started it elsewhere. Ruled out: leases and tokens, which the new lifetime does not know. Now such a run is stopped and forbidden before it is reported, as are orders that were on their way when the lifetime changed, and a run that nobody asked for is stopped when it is seen.

--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -24,6 +24,7 @@
 	cause string
 }{
 	{1, "the run of CI"},
+	{107, "a start reached a target that was born again under its ID, and was reported as refused"},
 }
 
 func TestSoak(t *testing.T) {
--- a/internal/process/runs/keeper.go
+++ b/internal/process/runs/keeper.go
@@ -74,6 +74,9 @@
 	phaseStarting phase = iota
 	phaseRunning
 	phaseStopping
+	// phaseAstray: its order may have reached, or may yet reach, a later lifetime
+	// of the target.
+	phaseAstray
 )
 
 // run is one attempt at the target.
@@ -129,7 +132,7 @@
 // the former one ran.
 func (k *Keeper) beginLocked(a Announcement) {
 	if k.life != nil {
-		k.endLocked("new lifetime")
+		k.endLocked("new lifetime", true)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	k.life = &lifetime{
@@ -172,18 +175,25 @@
 	if k.life == nil || k.life.ID != id || (incarnation != 0 && incarnation < k.life.Incarnation) {
 		return
 	}
-	k.endLocked("left")
+	k.endLocked("left", false)
 }
 
-// endLocked ends the present lifetime: what ran there runs no longer.
-func (k *Keeper) endLocked(why string) {
+// endLocked ends the present lifetime: what ran there runs no longer. An order on
+// its way may still reach a target that is reborn.
+func (k *Keeper) endLocked(why string, reborn bool) {
 	l := k.life
 	k.opts.Log.Info().Str("target", l.ID).Int64("incarnation", l.Incarnation).Str("reason", why).
 		Int("runs", len(k.runs)).Msg("target ended")
 	l.cancel()
 	l.target.Close()
 	for _, r := range k.runs {
-		k.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
+		switch {
+		case reborn && r.phase == phaseStarting:
+			k.endAstrayLocked(r)
+		case reborn && r.phase == phaseAstray:
+		default:
+			k.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
+		}
 	}
 	k.life = nil
 	k.describeLocked()
--- a/internal/process/runs/keeper_test.go
+++ b/internal/process/runs/keeper_test.go
@@ -36,6 +36,8 @@
 	held       []func()
 	starts     []task.Attempt
 	renewals   int
+	// reborn is set while another lifetime answers than the one that is meant.
+	reborn bool
 }
 
 func newFakeTarget() *fakeTarget {
@@ -65,7 +67,11 @@
 		}
 		return 0, errSilent
 	}
-	return f.start(token, s), nil
+	answer := f.start(token, s)
+	if f.reborn && answer == AnswerDone {
+		return AnswerDoneByOther, nil
+	}
+	return answer, nil
 }
 
 func (f *fakeTarget) start(token uint64, s peer.Start) Answer {
@@ -110,6 +116,9 @@
 	if f.fenced(look.Token) {
 		return Report{Answer: AnswerFenced}, nil
 	}
+	if f.reborn {
+		return Report{Answer: AnswerDoneByOther}, nil
+	}
 	if look.Renew {
 		f.renewals++
 	}
@@ -386,6 +395,40 @@
 	}
 }
 
+// The target is born again under its id, and a start reaches the new lifetime before
+// its first report: found by the soak, seed 107.
+func TestStartCarriedOutByALaterLifetimeIsStoppedBeforeItIsReported(t *testing.T) {
+	w := newWorld(t)
+	w.target.set(func() { w.target.reborn, w.target.token = true, 0 })
+	a := w.start(0, 1, task.Resources{CPU: 1000})
+	w.outcome(a, peer.OutcomeLost)
+	w.target.set(func() {
+		if w.target.running[a] || len(w.target.starts) != 1 {
+			t.Errorf("running %v after the report, starts %v", w.target.running, w.target.starts)
+		}
+	})
+}
+
+// An order that was given to the former lifetime arrives at the new one.
+func TestLateOrderAtANewLifetimeIsStopped(t *testing.T) {
+	w := newWorld(t)
+	w.target.set(func() { clear(w.target.running) })
+	w.announce(Announcement{Incarnation: 2, Sequence: 1})
+	w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && f.Target.Incarnation == 2 && f.Target.Available })
+	late := task.Attempt{Key: task.Key{Job: "late"}, Run: 1}
+	w.target.set(func() { w.target.running[late] = true })
+	for deadline := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
+		var running bool
+		w.target.set(func() { running = w.target.running[late] })
+		if !running {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("a run that nobody asked for goes on")
+		}
+	}
+}
+
 func TestDrainingTargetGetsNothing(t *testing.T) {
 	w := newWorld(t)
 	w.announce(Announcement{Incarnation: 1, Sequence: 2, Draining: true})
--- a/internal/process/runs/look.go
+++ b/internal/process/runs/look.go
@@ -137,8 +137,8 @@
 	}
 	k.judgeLocked(l)
 	for a := range running {
-		if k.runs[a.Key] == nil && first {
-			k.adoptLocked(a)
+		if r := k.runs[a.Key]; r == nil || r.attempt != a {
+			k.strayLocked(a, first)
 		}
 	}
 	if first {
@@ -200,11 +200,24 @@
 		}
 		return
 	}
-	if r.phase != phaseStarting && r.since.Before(sent) {
+	if (r.phase == phaseRunning || r.phase == phaseStopping) && r.since.Before(sent) {
 		k.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
 	}
 }
 
+// strayLocked takes a run that is not known here. At the first look it may be one
+// of an earlier process of this agent; later it is that of an order which came late
+// to a new lifetime of the target, and nobody waits for it.
+func (k *Keeper) strayLocked(a task.Attempt, first bool) {
+	if k.runs[a.Key] != nil {
+		return
+	}
+	k.adoptLocked(a)
+	if !first {
+		k.stopLocked(a, "started by an order that came late")
+	}
+}
+
 // adoptLocked keeps a run that an earlier process of this agent has started,
 // until an entry claims it.
 func (k *Keeper) adoptLocked(a task.Attempt) {
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -84,6 +84,10 @@
 			k.raiseToken(l, token, tokenStep)
 			continue
 		}
+		if answer == AnswerDoneByOther {
+			k.startedByOther(r)
+			return
+		}
 		if refused, ok := refusals[answer]; ok {
 			k.refused(r, refused)
 			return
@@ -235,6 +239,57 @@
 	}
 }
 
+// startedByOther ends a run that a later lifetime of the target has begun.
+func (k *Keeper) startedByOther(r *run) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.runs[r.attempt.Key] == r && r.phase == phaseStarting {
+		k.endAstrayLocked(r)
+	}
+}
+
+// endAstrayLocked keeps a run until the later lifetime that its order may reach has
+// stopped and forbidden it.
+func (k *Keeper) endAstrayLocked(r *run) {
+	r.phase, r.stop = phaseAstray, true
+	k.opts.Log.Warn().Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
+		Msg("order may have reached a later lifetime of the target")
+	go k.endAstray(r)
+}
+
+func (k *Keeper) endAstray(r *run) {
+	lease := k.opts.TargetLease*(100+clockDrift)/100 + lapseMargin
+	for begun := time.Now(); time.Since(begun) < lease; {
+		k.mu.Lock()
+		l := k.life
+		var token uint64
+		if l != nil {
+			token = l.token
+		}
+		k.mu.Unlock()
+		if l == nil {
+			time.Sleep(lookBackoff)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+		answer, err := l.target.Stop(ctx, token, r.attempt)
+		cancel()
+		if err == nil && (answer == AnswerDone || answer == AnswerDoneByOther) {
+			time.Sleep(lapseMargin)
+			break
+		}
+		if err == nil && answer == AnswerFenced {
+			k.raiseToken(l, token, tokenStep)
+		}
+		time.Sleep(lookBackoff)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.runs[r.attempt.Key] == r {
+		k.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
+	}
+}
+
 // resultLocked reports an attempt to its entry and keeps the report until it has
 // been taken.
 func (k *Keeper) resultLocked(incarnation uint64, a task.Attempt, outcome peer.Outcome, refusal peer.Refusal) {
--- a/internal/process/runs/target.go
+++ b/internal/process/runs/target.go
@@ -75,8 +75,12 @@
 	AnswerUnhealthy
 	// AnswerInvalid: such an order is never carried out.
 	AnswerInvalid
-	// AnswerOtherLifetime: the target is not the lifetime that was meant.
+	// AnswerOtherLifetime: the target is not the lifetime that was meant, and
+	// has done nothing.
 	AnswerOtherLifetime
+	// AnswerDoneByOther: a lifetime that was not meant has carried out the order:
+	// a target may be born again under its ID.
+	AnswerDoneByOther
 )
 
 // refusals gives the reason for an entry of each answer that refuses a start.
