--- a/internal/process/runs/keeper_test.go
+++ b/internal/process/runs/keeper_test.go
@@ -516,6 +516,7 @@
 		w.keeper.Stop(ctx)
 		close(stopped)
 	}()
+	w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && !f.Target.Available })
 	b := w.start(1, 1, task.Resources{CPU: 1000})
 	w.outcome(b, peer.OutcomeRefused)
 	select {
