Tell room and echo less often; one process a node in the soak

The soak now starts a node only when it does not run.

An entry of the grown sites spent half of its processor on frames of room (with 52 agents some 2,000 a second) and on echoes. Room is told less often while a third of a target is free, and echoes alone go every 60 ms.

--- a/internal/bench/soak/node.go
+++ b/internal/bench/soak/node.go
@@ -41,10 +41,27 @@
 	return n, os.WriteFile(n.path, b, 0o600)
 }
 
-// start runs the node as a process of this very binary.
+// isRunning reports whether the process has not ended; the caller holds n.mu.
+func (n *node) isRunning() bool {
+	if n.process == nil {
+		return false
+	}
+	select {
+	case <-n.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// start runs the node as a process of this very binary, unless it runs: two faults
+// that end one node overlap, and each starts it again.
 func (n *node) start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.isRunning() {
+		return nil
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -70,23 +87,23 @@
 	return nil
 }
 
-func (n *node) signal(s syscall.Signal) {
+// signal sends a signal to the present process and returns what is closed at its
+// end.
+func (n *node) signal(s syscall.Signal) (ended <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_ = n.process.Process.Signal(s)
+	_ = n.process.Process.Signal(s) // one that has ended needs none
+	return n.ended
 }
 
 // kill ends the process at once and waits for its end.
-func (n *node) kill() {
-	n.signal(syscall.SIGKILL)
-	<-n.ended
-}
+func (n *node) kill() { <-n.signal(syscall.SIGKILL) }
 
 // stop ends the process as planned, or kills it after the grace.
 func (n *node) stop() {
-	n.signal(syscall.SIGTERM)
+	ended := n.signal(syscall.SIGTERM)
 	select {
-	case <-n.ended:
+	case <-ended:
 	case <-time.After(stopWait):
 		n.kill()
 	}
--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -185,6 +185,9 @@
 	// attempts there, SlowHeartbeat that while one of them advances slowly.
 	BusyHeartbeat = 100 * time.Millisecond
 	SlowHeartbeat = 40 * time.Millisecond
+	// EchoInterval is the shortest time between frames of an entry that only
+	// echo; several fit into the lease.
+	EchoInterval = 60 * time.Millisecond
 	// IdleHeartbeat is the same without attempts.
 	IdleHeartbeat = 250 * time.Millisecond
 	// SilenceLimit is how long a link may bring nothing before it is closed.
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -18,8 +18,11 @@
 	slowRun = 0.5
 	// roomIntervalPerLink spaces the updates of room to entries that have no
 	// part in the change, so that their number does not grow with the square
-	// of the fleet.
+	// of the fleet. While amplePercent of the room is free, each entry finds a
+	// place with an older view as well, and updates are rarer by ampleFactor.
 	roomIntervalPerLink = 3 * time.Millisecond
+	amplePercent        = 35
+	ampleFactor         = 4
 )
 
 // owner is one incarnation of an entry, as the one that sent runs.
@@ -261,7 +264,7 @@
 	interval := peer.IdleHeartbeat
 	switch {
 	case o.roomDirty:
-		interval = time.Duration(len(k.owners)) * roomIntervalPerLink
+		interval = min(k.roomIntervalLocked(), peer.BusyHeartbeat)
 	case len(progress) > 0:
 		interval = peer.SlowHeartbeat
 	case o.attempts > 0:
@@ -274,6 +277,14 @@
 	o.link.Send(peer.Frame{Progress: progress})
 }
 
+func (k *Keeper) roomIntervalLocked() time.Duration {
+	interval := time.Duration(len(k.owners)) * roomIntervalPerLink
+	if l := k.life; l != nil && k.freeLocked().CPU*100 >= l.Capacity.CPU*amplePercent {
+		interval *= ampleFactor
+	}
+	return interval
+}
+
 // progressLocked returns the runs of o that advance slowly or not at all.
 func (k *Keeper) progressLocked(o *owner) []peer.Progress {
 	var progress []peer.Progress
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -36,8 +36,9 @@
 	// echo is the latest Sent of the agent; taken its latest result.
 	echo  int64
 	taken uint64
-	// answered is the echo of the latest frame sent.
+	// answered is the echo of the latest frame sent, at the time stamped.
 	answered int64
+	stamped  time.Duration
 }
 
 func (t *target) send(f peer.Frame) {
@@ -154,7 +155,7 @@
 	}
 	f.Echo, f.Taken = t.echo, t.taken
 	f.Sent = int64(s.now())
-	t.answered = t.echo
+	t.answered, t.stamped = t.echo, s.now()
 }
 
 // Receive handles a frame of an agent.
@@ -189,7 +190,8 @@
 		s.progress(t, p)
 	}
 	s.pump()
-	if t.answered != t.echo {
+	if t.answered != t.echo && s.now()-t.stamped >= peer.EchoInterval {
+		t.stamped = s.now()
 		t.send(peer.Frame{})
 	}
 }
