Take a lifetime that began by an earlier clock once it answers

Cause, from reading Announce: after a step of the clock a target born again may say an earlier time of birth than its former lifetime; its reports were refused as those of a past one for ever. Now the announcement that follows a look answered by another lifetime, or by none, is that of the present one. The test fails without the change.

--- a/internal/process/runs/keeper.go
+++ b/internal/process/runs/keeper.go
@@ -65,6 +65,10 @@
 	health   load.Health
 	// mute is set while calls are not answered.
 	mute bool
+	// displaced is set once another lifetime answers, or none: the next
+	// announcement is then that of the present one, even if clocks were set back
+	// before its start.
+	displaced bool
 }
 
 // phase is the state of a run.
@@ -116,6 +120,8 @@
 	switch l := k.life; {
 	case l == nil, a.Incarnation > l.Incarnation:
 		k.beginLocked(a)
+	case l.displaced && (a.Incarnation != l.Incarnation || a.ID != l.ID):
+		k.beginLocked(a)
 	case a.Incarnation < l.Incarnation, a.ID != l.ID:
 		k.opts.Log.Warn().Str("target", a.ID).Int64("incarnation", a.Incarnation).
 			Int64("known", l.Incarnation).Msg("announcement of a past lifetime ignored")
@@ -202,7 +208,7 @@
 // availableLocked reports whether the target may be given work.
 func (k *Keeper) availableLocked() bool {
 	l := k.life
-	return l != nil && l.looked && !l.Draining && !l.mute && !k.stopping
+	return l != nil && l.looked && !l.Draining && !l.mute && !l.displaced && !k.stopping
 }
 
 // freeLocked returns the room left. What is being stopped still counts.
--- a/internal/process/runs/keeper_test.go
+++ b/internal/process/runs/keeper_test.go
@@ -413,6 +413,22 @@
 	})
 }
 
+// Clocks were set back before the target was born again: its reports must not be taken
+// for those of a past lifetime for ever.
+func TestLifetimeWithAnEarlierClockIsTakenOnceItAnswers(t *testing.T) {
+	w := newWorld(t)
+	if w.announce(Announcement{Incarnation: 0, Sequence: 1}) {
+		t.Fatal("a delayed announcement of a past lifetime is taken while the present one answers")
+	}
+	w.target.set(func() { w.target.reborn = true })
+	w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && !f.Target.Available })
+	w.target.set(func() { w.target.reborn = false })
+	if !w.announce(Announcement{Incarnation: 0, Sequence: 1}) {
+		t.Error("the announcement of the lifetime that answers is not taken")
+	}
+	w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && f.Target.Available })
+}
+
 // An order that was given to the former lifetime arrives at the new one.
 func TestLateOrderAtANewLifetimeIsStopped(t *testing.T) {
 	w := newWorld(t)
--- a/internal/process/runs/look.go
+++ b/internal/process/runs/look.go
@@ -65,12 +65,27 @@
 		return lookWait
 	case AnswerFenced:
 		k.raiseToken(l, token, tokenStep)
+	case AnswerOtherLifetime, AnswerDoneByOther:
+		k.displace(l)
+		time.Sleep(lookBackoff)
 	default:
 		time.Sleep(lookBackoff)
 	}
 	return 0
 }
 
+// displace notes that the target is another lifetime than the one known.
+func (k *Keeper) displace(l *lifetime) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if l.displaced {
+		return
+	}
+	l.displaced = true
+	k.opts.Log.Warn().Str("target", l.ID).Int64("incarnation", l.Incarnation).Msg("another lifetime answers")
+	k.describeLocked()
+}
+
 // missed counts a look without an answer.
 func (k *Keeper) missed(l *lifetime, err error) {
 	if l.ctx.Err() != nil {
@@ -80,7 +95,7 @@
 	k.mu.Lock()
 	silent := time.Since(l.answered)
 	if silent > muteAfter && !l.mute {
-		l.mute = true
+		l.mute, l.displaced = true, true
 		k.opts.Log.Warn().Err(err).Str("target", l.ID).Dur("silent", silent).Msg("target does not answer")
 		k.describeLocked()
 	}
@@ -125,6 +140,10 @@
 	}
 	first := !l.looked
 	now := k.clock()
+	if l.displaced {
+		l.displaced = false
+		k.describeLocked()
+	}
 	running := make(map[task.Attempt]Running, len(report.Running))
 	for _, r := range report.Running {
 		running[r.Attempt] = r
