--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -40,19 +40,22 @@
 
 // canEverRun reports whether each step has a target that could run its tasks.
 func (s *Scheduler) canEverRun(j *job) (string, bool) {
+	r := s.newRound()
 	for i := range j.spec.Steps {
-		if !s.hasTarget(j, i) {
+		if !s.hasTarget(j, i, r) {
 			return "no target in service could run its tasks", false
 		}
 	}
 	return "", true
 }
 
-func (s *Scheduler) hasTarget(j *job, step int) bool {
+func (s *Scheduler) hasTarget(j *job, step int, r round) bool {
 	wish := s.wish(&j.spec.Steps[step])
 	for _, t := range s.targets {
-		c := t.candidate()
-		if s.eligible(t, j.queue) && wish.MayRun(&c) {
+		if !r.isEligible(t, j.queue) {
+			continue
+		}
+		if c := t.candidate(); wish.MayRun(&c) {
 			return true
 		}
 	}
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
@@ -17,13 +19,35 @@
 // placeJitter keeps entries with the same view from choosing the same target.
 const placeJitter = 0.05
 
+// maxCandidates bounds the targets with room that one task is weighed against. They
+// are met in random order, so that a few dozen stand for all.
+const maxCandidates = 32
+
+// round is what all choices made at one moment have in common.
+type round struct {
+	now     time.Duration
+	outages *policy.Outages
+	// trusted is set while the judgement of targets can be relied on.
+	trusted bool
+}
+
+func (s *Scheduler) newRound() round {
+	r := round{now: s.now(), outages: s.opts.View.Outages()}
+	r.trusted = s.mostAreSound(r.now)
+	return r
+}
+
 // pump starts the tasks at the head of the queue while there is room.
 func (s *Scheduler) pump() {
+	if s.queue.Len() == 0 {
+		return
+	}
+	r := s.newRound()
 	var passed []*item
 	for s.queue.Len() > 0 && len(passed) < misfits {
 		it := s.queue.Pop()
-		t := s.choose(it)
-		if t == nil || (it.Overdue() && !it.Begun() && !load.HasReserve(s.room())) {
+		t := s.choose(it, r)
+		if t == nil || (it.Overdue() && !it.Begun() && !load.HasReserve(s.room(r))) {
 			passed = append(passed, it)
 			continue
 		}
@@ -45,36 +69,37 @@
 }
 
 // choose returns the best target for a task, or nil.
-func (s *Scheduler) choose(it *item) *target {
+func (s *Scheduler) choose(it *item, r round) *target {
 	wish := s.wish(it.step)
-	trusted := s.mostAreSound()
 	var best *target
 	bestScore := 0.0
+	candidates := 0
 	for _, t := range s.targets {
+		if !r.isEligible(t, it.job.queue) || (r.trusted && t.probation && !t.probe) {
+			continue
+		}
 		c := t.candidate()
 		c.Avoid = t.name == it.avoid
 		if wish.MaxPerTarget > 0 {
 			c.OfStep = t.ofStep(it)
 		}
-		if !s.eligible(t, it.job.queue) || !wish.Fits(&c) {
+		if !wish.Fits(&c) {
 			continue
 		}
-		if trusted && t.probation && !t.probe {
-			continue
-		}
-		score := wish.Score(&c) + placeJitter*s.opts.Random()
-		if best == nil || score > bestScore {
+		if score := wish.Score(&c) + placeJitter*s.opts.Random(); best == nil || score > bestScore {
 			best, bestScore = t, score
 		}
+		if candidates++; candidates == maxCandidates {
+			break
+		}
 	}
 	return best
 }
 
 // room returns the processors free and in all at targets that can be used.
-func (s *Scheduler) room() (free, all int64) {
-	now := s.now()
+func (s *Scheduler) room(r round) (free, all int64) {
 	for _, t := range s.targets {
-		if t.usable(now) && !t.probation && !s.opts.View.Outages().Has(t.info.DataCentre) {
+		if t.usable(r.now) && !t.probation && !r.outages.Has(t.info.DataCentre) {
 			free += max(t.free().CPU, 0)
 			all += t.info.Capacity.CPU
 		}
@@ -84,11 +109,11 @@
 
 // mostAreSound reports whether the judgement of targets can be relied on: when
 // half of them are on probation, the cause is not theirs.
-func (s *Scheduler) mostAreSound() bool {
+func (s *Scheduler) mostAreSound(now time.Duration) bool {
 	sound, doubtful := 0, 0
 	for _, t := range s.targets {
 		switch {
-		case !t.usable(s.now()):
+		case !t.usable(now):
 		case t.probation:
 			doubtful++
 		default:
@@ -111,7 +136,7 @@
 		return
 	}
 	it.avoid = t.name
-	if other := s.choose(it); other == nil || other == t {
+	if other := s.choose(it, s.newRound()); other == nil || other == t {
 		return
 	}
 	it.moves++
@@ -122,9 +147,9 @@
 	s.stopAttempt(at)
 }
 
-// eligible reports whether a queue's tasks may be started on a target.
-func (s *Scheduler) eligible(t *target, q *policy.Queue) bool {
-	return t.usable(s.now()) && t.info.Pool == q.Pool && !s.opts.View.Outages().Has(t.info.DataCentre)
+// isEligible reports whether a queue's tasks may be started on a target.
+func (r round) isEligible(t *target, q *policy.Queue) bool {
+	return t.usable(r.now) && t.info.Pool == q.Pool && !r.outages.Has(t.info.DataCentre)
 }
 
 // start sends the next attempt of a task to a target.
--- /dev/null
+++ b/internal/process/scheduler/place_bench_test.go
@@ -0,0 +1,35 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/version/policy"
+)
+
+// BenchmarkChoose places one task among a thousand targets.
+func BenchmarkChoose(b *testing.B) {
+	queue := &policy.Queue{Name: "q", Pool: "p"}
+	s := New(Options{Log: zerolog.Nop(), Counters: metrics.New(), View: &policy.View{}, Random: func() float64 { return 0.5 }})
+	for i := range 1000 {
+		name := fmt.Sprintf("t%d", i)
+		s.targets[name] = &target{
+			name: name, link: &peer.Link{}, heard: time.Hour, reported: task.Resources{CPU: int64(i * 32)},
+			info: peer.Target{Pool: "p", Available: true, Capacity: task.Resources{CPU: 32000}},
+		}
+	}
+	it := &item{job: &job{queue: queue}, step: &task.Step{Need: task.Resources{CPU: 3000}}}
+	r := s.newRound()
+	b.ReportAllocs()
+	for b.Loop() {
+		if s.choose(it, r) == nil {
+			b.Fatal("no target")
+		}
+	}
+}
