Say may have run for an unknown ticket at a stopping entry

Cause, from the code: the table of a stopping entry is closed before its tickets are handed over, and called each ticket it did not know not run, though the entry that takes them over may have started it.

--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -20,9 +20,8 @@
 // Link is one connection between an agent and an entry. Send may be called by
 // any goroutine, Receive by one.
 type Link struct {
-	conn    net.Conn
-	reader  *bufio.Reader
-	silence time.Duration
+	conn   net.Conn
+	reader *bufio.Reader
 
 	wake chan struct{}
 	done chan struct{}
@@ -40,12 +39,11 @@
 // called with each frame just before it is encoded.
 func NewLink(conn net.Conn, stamp func(*Frame)) *Link {
 	l := &Link{
-		conn:    conn,
-		reader:  bufio.NewReaderSize(conn, bufferBytes),
-		silence: SilenceLimit,
-		wake:    make(chan struct{}, 1),
-		done:    make(chan struct{}),
-		stamp:   stamp,
+		conn:   conn,
+		reader: bufio.NewReaderSize(conn, bufferBytes),
+		wake:   make(chan struct{}, 1),
+		done:   make(chan struct{}),
+		stamp:  stamp,
 	}
 	go l.write()
 	return l
@@ -99,7 +97,7 @@
 // Receive returns the next frame, or an error once the link is closed or silent
 // for too long.
 func (l *Link) Receive() (*Frame, error) {
-	if err := l.conn.SetReadDeadline(time.Now().Add(l.silence)); err != nil {
+	if err := l.conn.SetReadDeadline(time.Now().Add(SilenceLimit)); err != nil {
 		return nil, eris.Wrap(err, "set read deadline")
 	}
 	var head [lengthBytes]byte
--- a/internal/process/jobs/table.go
+++ b/internal/process/jobs/table.go
@@ -119,7 +119,8 @@
 // admit decides on a job that was not submitted before; the caller holds t.mu.
 func (t *Table) admit(admit func() *verdict.Error) *verdict.Error {
 	if t.closed {
-		return verdict.NotRunError(apiv1.Reason_REASON_STOPPING, "entry is stopping")
+		// The entry that takes over the tickets may have started the job.
+		return verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_STOPPING, "entry is stopping")
 	}
 	if t.memory.isFull() {
 		return verdict.NotRunError(apiv1.Reason_REASON_OVERLOAD, "remembered answers take up %d bytes", t.memory.Used())
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -17,8 +17,8 @@
 	// stopTries is the same for a stop; the target's lease ends the run if all
 	// of them fail.
 	stopTries = 20
-	// tokenStep raises the token above that of another process by more each
-	// time, since clocks step.
+	// tokenStep raises the token above that of a former process: tokens begin at
+	// the time of day in milliseconds, and its clock may have been ahead.
 	tokenStep = 10_000
 )
 
@@ -62,7 +62,6 @@
 // start carries out an order. An order without an answer is repeated: starting
 // an attempt that runs succeeds, and one that has ended is refused.
 func (k *Keeper) start(l *lifetime, r *run, s peer.Start) {
-	refusal := peer.RefusalUnanswered
 	for range orderTries {
 		token, ok := k.tokenFor(l, r)
 		if !ok {
@@ -93,7 +92,7 @@
 			return
 		}
 	}
-	k.settle(l, r, refusal)
+	k.settle(l, r)
 }
 
 // tokenFor returns the token of the next order for r, or false when r has ended
@@ -152,7 +151,7 @@
 
 // settle finds out whether an attempt whose orders were not answered runs. The
 // look carries a token above theirs, so that none of them counts later.
-func (k *Keeper) settle(l *lifetime, r *run, refusal peer.Refusal) {
+func (k *Keeper) settle(l *lifetime, r *run) {
 	for l.ctx.Err() == nil {
 		k.mu.Lock()
 		if k.runs[r.attempt.Key] != r {
@@ -172,12 +171,12 @@
 			}
 			continue
 		}
-		k.settled(l, r, report, refusal)
+		k.settled(l, r, report)
 		return
 	}
 }
 
-func (k *Keeper) settled(l *lifetime, r *run, report Report, refusal peer.Refusal) {
+func (k *Keeper) settled(l *lifetime, r *run, report Report) {
 	k.heard(l)
 	for _, running := range report.Running {
 		if running.Attempt == r.attempt {
@@ -191,9 +190,10 @@
 		}
 	}
 	if r.stop {
-		refusal = peer.RefusalStopped
+		k.refused(r, peer.RefusalStopped)
+		return
 	}
-	k.refused(r, refusal)
+	k.refused(r, peer.RefusalUnanswered)
 }
 
 // stopLocked ends an attempt.
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -23,12 +23,10 @@
 
 // Options configure a Scheduler.
 type Options struct {
-	Name        string
-	Incarnation uint64
-	DataCentre  string
-	Log         zerolog.Logger
-	Counters    *metrics.Counters
-	View        *policy.View
+	DataCentre string
+	Log        zerolog.Logger
+	Counters   *metrics.Counters
+	View       *policy.View
 	// TargetLease is how long a target runs what its agent no longer renews.
 	TargetLease time.Duration
 	// Random returns a number in [0, 1).
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -16,10 +16,9 @@
 
 // target is a target as its agent describes it.
 type target struct {
-	name        string
-	incarnation uint64 // of the agent
-	link        *peer.Link
-	info        peer.Target
+	name string
+	link *peer.Link
+	info peer.Target
 	// reported is the room in the latest frame, before the starts that the
 	// agent had not seen then.
 	reported task.Resources
@@ -111,7 +110,6 @@
 	s.opts.Log.Info().Str("agent", hello.Name).Uint64("incarnation", hello.Incarnation).
 		Int("runs", len(hello.Runs)).Int("attempts", len(t.attempts)).Msg("agent linked")
 	t.link, t.unseen, t.sent = link, nil, 0
-	t.incarnation = hello.Incarnation
 	t.heard = s.now()
 	t.reported = task.Resources{}
 	t.taken = 0
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -53,8 +53,6 @@
 		value: registration{Address: advertised, Incarnation: p.incarnation},
 	}
 	e.scheduler = scheduler.New(scheduler.Options{
-		Name:        p.settings.Name,
-		Incarnation: p.incarnation,
 		DataCentre:  p.settings.DataCentre,
 		Log:         p.log,
 		Counters:    p.counters,
