--- a/internal/process/runs/keeper.go
+++ b/internal/process/runs/keeper.go
@@ -63,6 +63,8 @@
 	answered time.Time
 	renewed  time.Time
 	health   load.Health
+	// doubted is set while the latest judgement logged is that it is not sound.
+	doubted bool
 	// mute is set while calls are not answered.
 	mute bool
 	// displaced is set once another lifetime answers, or none: the next
--- a/internal/process/runs/look.go
+++ b/internal/process/runs/look.go
@@ -199,9 +199,9 @@
 	for _, pace := range paces {
 		mean += pace / float64(len(paces))
 	}
-	was := l.health.Sound()
 	l.health.Paced(mean, len(paces))
-	if is := l.health.Sound(); is != was {
+	if is := l.health.Sound(); is == l.doubted {
+		l.doubted = !is
 		k.opts.Log.Warn().Str("target", l.ID).Bool("sound", is).Float64("pace", mean).
 			Int("jobs", len(paces)).Msg("target judged")
 		k.opts.Counters.Counter("target_judgements").Inc(1)
