Predict jobs by the time callers have left; begin and refuse by the room to come

A stopping entry refused what came after 2.5 s on connections that were open. Ruled out: refusals by targets (none), overdue jobs in the way (1.5 of 92 task-seconds). Change: load.Patience fits a line of patience to run time by queue, forecasts run time and the time already waited, and is kept in the store for those who start anew; where callers wait alike for any job it falls back to what was declared. load.Releases foretells when room becomes free: a job is begun only when its last task starts in time, and refused at once when it arrives if that cannot be. load.Stop: after 2.5 s an entry that stops takes what surely ends before it.

--- a/internal/process/load/load_test.go
+++ b/internal/process/load/load_test.go
@@ -21,6 +21,7 @@
 func (w *waiting) Begun() bool                { return w.begun }
 func (w *waiting) Overdue() bool              { return w.overdue }
 func (w *waiting) Work() Work                 { return w.work }
+func (w *waiting) CPU() int64                 { return int64(w.work) * 10 }
 func (w *waiting) Position() *int             { return &w.position }
 
 func popAll(q *Queue[*waiting]) []string {
@@ -41,8 +42,8 @@
 	for _, w := range []*waiting{long, overdue, short, begun} {
 		q.Push(w)
 	}
-	if got, want := q.Ahead(100*time.Millisecond), Work(67); got != want {
-		t.Errorf("work ahead of 100 ms is %d, want %d", got, want)
+	if work, cpu := q.Ahead(100 * time.Millisecond); work != 67 || cpu != 670 {
+		t.Errorf("work ahead of 100 ms is %d on %d, want 67 on 670", work, cpu)
 	}
 	got := popAll(q)
 	want := []string{"begun", "short", "long", "overdue"}
@@ -107,15 +108,19 @@
 }
 
 // A lasting overload: jobs start at the last moment allowed, and a run time of
-// two thirds of the predicted one must still meet its own objective.
+// two thirds of the predicted one must still meet its own objective; one that is
+// known need not.
 func TestSlackLeavesRoomForShortRuns(t *testing.T) {
 	const stretch, latency, expected = 1.6, 60 * time.Millisecond, 200 * time.Millisecond
-	wait := Slack(stretch, latency, expected)
+	wait := Slack(stretch, latency, Forecast{RunTime: expected})
 	actual := expected * 2 / 3
-	objective := time.Duration(stretch*float64(actual)) + latency
-	if wait+actual > objective {
+	if objective := time.Duration(stretch*float64(actual)) + latency; wait+actual > objective {
 		t.Errorf("a job of %v that waited %v misses its objective of %v", actual, wait, objective)
 	}
+	certain := Slack(stretch, latency, Forecast{RunTime: expected, Certain: true})
+	if objective := time.Duration(stretch*float64(expected)) + latency; certain <= wait || certain+expected > objective {
+		t.Errorf("a job known to run %v may wait %v, one that is guessed %v", expected, certain, wait)
+	}
 }
 
 // Estimates are wrong by a common factor.
@@ -139,26 +144,94 @@
 	}
 }
 
-// The return after an outage: callers with little time left go last, also at an
-// entry that has just started and knows nobody.
+// The return after an outage at an entry that knows nobody, and of callers who wait
+// as long for any job.
 func TestPatienceTellsCallersWhoAskAgain(t *testing.T) {
-	const timeout = 1500 * time.Millisecond
+	const timeout, predicted = 1500 * time.Millisecond, 100 * time.Millisecond
 	fresh := NewPatience()
-	if !fresh.Overdue("q", 500*time.Millisecond, timeout) {
+	if f := fresh.Forecast("q", predicted, 500*time.Millisecond, timeout); f.Waited == 0 {
 		t.Error("after a restart a caller with 500 of 1500 ms left is taken for a new one")
 	}
 	p := NewPatience()
 	for i := range 200 {
 		left := 2*time.Second + time.Duration(i%7)*50*time.Millisecond
-		if p.Overdue("q", left, timeout) {
+		if f := p.Forecast("q", predicted, left, timeout); f.Waited != 0 {
 			t.Fatalf("caller %d with %v left is taken for one who asks again", i, left)
 		}
+		p.Observe("q", predicted+time.Duration(i%5)*time.Millisecond, left)
+	}
+	if f := p.Forecast("q", predicted, 800*time.Millisecond, timeout); f.Waited == 0 || f.Certain {
+		t.Errorf("a caller with 0.8 of 2 s left: %+v", f)
+	}
+	if f := p.Forecast("q", predicted, 1900*time.Millisecond, timeout); f.Waited != 0 || f.RunTime != predicted {
+		t.Errorf("a caller with 1.9 of 2 s left: %+v", f)
+	}
+}
+
+// An overload of jobs whose declared run times are off by half, from callers who
+// know better: they wait 1.5 s and four times the run.
+func TestPatienceTellsTheRunTime(t *testing.T) {
+	p := NewPatience()
+	patience := func(run time.Duration) time.Duration { return 1500*time.Millisecond + 4*run }
+	for i := range 100 {
+		run := 100*time.Millisecond + time.Duration(i*37%100)*2*time.Millisecond
+		p.Observe("q", run+time.Duration(i%3)*time.Millisecond, patience(run))
+	}
+	const declared, run = 200 * time.Millisecond, 120 * time.Millisecond
+	for _, queue := range []string{"q", "one that is new"} {
+		f := p.Forecast(queue, declared, patience(run), time.Second)
+		if !f.Certain || f.Waited != 0 || (f.RunTime-run).Abs() > 5*time.Millisecond {
+			t.Errorf("%s: forecast %+v, want a run of %v", queue, f, run)
+		}
+	}
+	const before = 1300 * time.Millisecond
+	f := p.Forecast("q", declared, patience(run)-before, time.Second)
+	if f.Certain || f.RunTime != declared || (f.Waited-before).Abs() > 400*time.Millisecond {
+		t.Errorf("a caller who asks again after %v: %+v", before, f)
+	}
+}
+
+// Runs on a slow target and callers who ask again leave the line where it is; when
+// all callers change, a new one is learned.
+func TestPatienceKeepsItsLineUntilAllCallersChange(t *testing.T) {
+	p := NewPatience()
+	patience := func(run time.Duration) time.Duration { return 1500*time.Millisecond + 4*run }
+	learn := func(samples int, change func(run time.Duration) (time.Duration, time.Duration)) {
+		for i := range samples {
+			run, left := change(100*time.Millisecond + time.Duration(i*37%100)*2*time.Millisecond)
+			p.Observe("q", run, left)
+		}
 	}
-	if !p.Overdue("q", 800*time.Millisecond, timeout) {
-		t.Error("a caller with 0.8 of 2 s left is taken for a new one")
+	usual := func(run time.Duration) (time.Duration, time.Duration) { return run, patience(run) }
+	learn(100, usual)
+	for range 50 {
+		learn(3, usual)
+		learn(3, func(run time.Duration) (time.Duration, time.Duration) { return 6 * run, patience(run) })
+		learn(3, func(run time.Duration) (time.Duration, time.Duration) { return run, patience(run) - time.Second })
+	}
+	const run = 150 * time.Millisecond
+	if f := p.Forecast("q", run, patience(run), time.Second); !f.Certain || (f.RunTime-run).Abs() > 5*time.Millisecond {
+		t.Errorf("after outliers the forecast is %+v, want a run of %v", f, run)
+	}
+	later := func(run time.Duration) time.Duration { return 5*time.Second + 8*run }
+	learn(200, func(run time.Duration) (time.Duration, time.Duration) { return run, later(run) })
+	if f := p.Forecast("q", run, later(run), time.Second); !f.Certain || (f.RunTime-run).Abs() > 5*time.Millisecond {
+		t.Errorf("after a change of all callers the forecast is %+v, want a run of %v", f, run)
+	}
+}
+
+// All machines without power: an entry that starts again takes what was learned.
+func TestPatienceOutlivesAProcess(t *testing.T) {
+	p := NewPatience()
+	for i := range 100 {
+		run := time.Duration(50+i) * time.Millisecond
+		p.Observe("q", run, time.Second+4*run)
 	}
-	if p.Overdue("q", 1900*time.Millisecond, timeout) {
-		t.Error("a caller with 1.9 of 2 s left is taken for one who asks again")
+	next := NewPatience()
+	next.Restore(p.Lines())
+	const run = 80 * time.Millisecond
+	if f := next.Forecast("q", run, time.Second+4*run, time.Second); !f.Certain || (f.RunTime-run).Abs() > time.Millisecond {
+		t.Errorf("forecast %+v, want a run of %v", f, run)
 	}
 }
 
@@ -315,3 +388,23 @@
 		}
 	}
 }
+
+// A rolling restart: callers stay on their connections until the entry is gone.
+func TestStoppingEntryTakesWhatSurelyEnds(t *testing.T) {
+	stop := Stop{Open: 2 * time.Second, End: 5 * time.Second}
+	for _, c := range []struct {
+		name     string
+		now      time.Duration
+		expected time.Duration
+		takes    bool
+	}{
+		{"a long job while the balancer still sends", time.Second, time.Second, true},
+		{"a short job later", 3 * time.Second, 100 * time.Millisecond, true},
+		{"a long job later", 3 * time.Second, time.Second, false},
+		{"a short job at the end", 4900 * time.Millisecond, 100 * time.Millisecond, false},
+	} {
+		if got := stop.Takes(c.now, c.expected); got != c.takes {
+			t.Errorf("%s: taken %v, want %v", c.name, got, c.takes)
+		}
+	}
+}
--- a/internal/process/load/move.go
+++ b/internal/process/load/move.go
@@ -28,11 +28,11 @@
 
 // ShouldMove reports whether a run should be stopped and started on another
 // target: when it hangs or its target is slow, it would miss the objective where
-// it is, and would end clearly sooner elsewhere. A task that is only longer than
-// declared takes as long anywhere. It answers targets that hang or slow down
-// under their work.
-func ShouldMove(now, objective, remaining, fresh time.Duration, slowTarget bool) bool {
-	if now+remaining <= objective || (!slowTarget && remaining < standstill) {
+// it is, and would end clearly sooner elsewhere. slow says that the target is to
+// blame: a task that is only longer than declared takes as long anywhere. It answers
+// targets that hang or slow down under their work.
+func ShouldMove(now, objective, remaining, fresh time.Duration, slow bool) bool {
+	if now+remaining <= objective || (!slow && remaining < standstill) {
 		return false
 	}
 	moved := stopCost + fresh
--- a/internal/process/load/order.go
+++ b/internal/process/load/order.go
@@ -14,8 +14,9 @@
 	Begun() bool
 	// Overdue reports whether the objective cannot be met any more.
 	Overdue() bool
-	// Work is the work that starts with it.
+	// Work is the work that starts with it, CPU the thousandths of a core.
 	Work() Work
+	CPU() int64
 	// Position keeps the place in the queue; -1 for none.
 	Position() *int
 }
@@ -64,15 +65,16 @@
 	}
 }
 
-// Ahead returns the work that would be started before a task with a latest start.
-func (q *Queue[T]) Ahead(latest time.Duration) Work {
-	var sum Work
+// Ahead returns the work that would be started before a task with a latest start,
+// and the thousandths of a core that it takes.
+func (q *Queue[T]) Ahead(latest time.Duration) (work Work, cpu int64) {
 	for _, t := range q.items {
 		if !t.Overdue() && (t.Begun() || t.LatestStart() <= latest) {
-			sum += t.Work()
+			work += t.Work()
+			cpu += t.CPU()
 		}
 	}
-	return sum
+	return work, cpu
 }
 
 // All calls f with each task that waits, in no order.
--- /dev/null
+++ b/internal/process/load/release_test.go
@@ -0,0 +1,37 @@
+package load
+
+import (
+	"testing"
+	"time"
+)
+
+// All room was filled at one moment: a wide job must not be begun on the little
+// that is left, if the rest comes too late for it.
+func TestJobBeginsOnlyWhenItsLastTaskStartsInTime(t *testing.T) {
+	const now = time.Second
+	var r Releases
+	for i := range 10 {
+		r.Add(Release{At: now + time.Duration(10-i)*50*time.Millisecond, CPU: 3000})
+	}
+	for _, c := range []struct {
+		name    string
+		slack   time.Duration
+		missing int64
+		begin   bool
+	}{
+		{"all fits", 0, 0, true},
+		{"one task waits for the first end", 60 * time.Millisecond, 3000, true},
+		{"one task, no time left", 40 * time.Millisecond, 3000, false},
+		{"three tasks", 160 * time.Millisecond, 9000, true},
+		{"three tasks, the last one late", 120 * time.Millisecond, 9000, false},
+		{"more than will ever be free", time.Minute, 40_000, false},
+	} {
+		if got := r.ShouldBegin(now, now+c.slack, c.missing); got != c.begin {
+			t.Errorf("%s: begin %v, want %v", c.name, got, c.begin)
+		}
+	}
+	r.Reset()
+	if r.ShouldBegin(now, now+time.Hour, 1) {
+		t.Error("room is foreseen where nothing runs")
+	}
+}
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -25,14 +25,14 @@
 // admit decides whether a job may wait here, and answers it if not.
 func (s *Scheduler) admit(j *job) (Answer, bool) {
 	now := s.now()
-	if s.stopping {
+	if s.stop != nil && !s.stop.Takes(now, j.forecast.RunTime) {
 		return refuse(apiv1.Reason_REASON_STOPPING, stoppingRetry, "this entry stops"), false
 	}
 	if message, ok := s.canEverRun(j); !ok && now > warmUp {
 		return refuse(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, noTargetRetry, message), false
 	}
-	wait := s.predictWait(j, now)
-	if now+wait > j.latestStart {
+	wait, ok := s.predictWait(j, now)
+	if !ok || now+wait > j.latestStart {
 		return refuse(apiv1.Reason_REASON_OVERLOAD, load.RetryAfter(wait, s.opts.Random()), "would wait past its objective"), false
 	}
 	return Answer{}, true
@@ -62,13 +62,26 @@
 	return false
 }
 
-// predictWait returns how long the job's tasks wait for those ahead of them.
-func (s *Scheduler) predictWait(j *job, now time.Duration) time.Duration {
-	if s.queue.Len() == 0 {
-		return 0
+// predictWait returns how long the job's last task waits for room behind the work
+// that goes before it.
+func (s *Scheduler) predictWait(j *job, now time.Duration) (time.Duration, bool) {
+	work, cpu := s.queue.Ahead(j.latestStart)
+	r := s.newRound()
+	missing := cpu + j.firstCPU() - s.roomFor(j.spec.Steps[0].Need.CPU, r)
+	if missing <= 0 {
+		return 0, true
+	}
+	s.releases.Reset()
+	s.foretell(r)
+	if s.releases.Len() == 0 {
+		wait := s.drain.Wait(now, work, s.shareOfCapacity())
+		return wait, true
+	}
+	at, ok := s.releases.When(now, missing)
+	if !ok {
+		return s.drain.Wait(now, s.queue.Total(), s.shareOfCapacity()), false
 	}
-	ahead := s.queue.Ahead(j.latestStart)
-	return s.drain.Wait(now, ahead, s.shareOfCapacity())
+	return at - now, true
 }
 
 // shareOfCapacity returns the processors of all targets in service divided by
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -16,17 +16,19 @@
 	spec    *task.Job
 	queue   *policy.Queue
 	arrived time.Duration
-	// expected is the predicted run time of its critical path.
-	expected time.Duration
+	// forecast is what was known when it arrived.
+	forecast load.Forecast
 	// objective is when it should have ended, deadline when its caller leaves.
 	objective time.Duration
 	deadline  time.Duration
 	// latestStart is when its first task must start to meet the objective.
 	latestStart time.Duration
 	steps       []step
-	// overdue is set when its caller has waited before, at another entry or for
-	// a connection.
+	// overdue is set when its caller has waited so long before, at another entry or
+	// for a connection, that the objective is missed.
 	overdue bool
+	// disturbed is set once a task of it has been started more than once.
+	disturbed bool
 	// left is the number of tasks that have not ended.
 	left int
 	// live is the number of attempts sent and not resolved.
@@ -47,6 +49,8 @@
 	items    []*item
 	left     int
 	released bool
+	// longest is the longest run of its tasks that are done.
+	longest time.Duration
 }
 
 // item is one task.
@@ -93,6 +97,9 @@
 // Work implements load.Waiting.
 func (it *item) Work() load.Work { return load.WorkOf(it.step.Need.CPU, it.expected) }
 
+// CPU implements load.Waiting.
+func (it *item) CPU() int64 { return it.step.Need.CPU }
+
 // Position implements load.Waiting.
 func (it *item) Position() *int { return &it.position }
 
@@ -104,16 +111,12 @@
 		deadline: spec.Deadline.Sub(s.epoch),
 		steps:    make([]step, len(spec.Steps)),
 	}
-	j.expected = s.estimate.Predict(queue.Name, spec.CriticalPath())
-	j.objective = j.arrived + queue.Objective(j.expected)
-	j.latestStart = j.arrived + load.Slack(queue.Stretch, queue.TargetLatency, j.expected)
-	if s.patience.Overdue(queue.Name, j.deadline-j.arrived, queue.Timeout) {
-		j.overdue = true
-		j.latestStart = j.arrived + load.OverdueSlack(j.objective-j.arrived)
-	}
+	predicted := s.estimate.Predict(queue.Name, spec.CriticalPath())
+	s.schedule(j, s.patience.Forecast(queue.Name, predicted, j.deadline-j.arrived, queue.Timeout))
 	for i := range spec.Steps {
 		declared := &spec.Steps[i]
 		expected := s.estimate.Predict(queue.Name, declared.Estimate)
+		expected = time.Duration(float64(expected) * float64(j.forecast.RunTime) / float64(max(predicted, 1)))
 		items := make([]*item, declared.Count)
 		for n := range items {
 			items[n] = &item{
@@ -130,6 +133,26 @@
 	return j
 }
 
+// schedule sets the times by which a job should start and end. They count from when
+// its caller first asked.
+func (s *Scheduler) schedule(j *job, f load.Forecast) {
+	j.forecast = f
+	asked := j.arrived - f.Waited
+	objective := j.queue.Objective(f.RunTime)
+	j.objective = asked + objective
+	j.latestStart = asked + load.Slack(j.queue.Stretch, j.queue.TargetLatency, f)
+	if j.latestStart < j.arrived {
+		j.overdue = true
+		j.latestStart = j.arrived + load.OverdueSlack(objective)
+	}
+}
+
+// criticalRun returns the longest chain of runs through the steps of a job that is
+// complete.
+func (j *job) criticalRun() time.Duration {
+	return task.LongestChain(j.spec.Steps, func(step int) time.Duration { return j.steps[step].longest })
+}
+
 // verdict says whether anything of the job may have run. An attempt that was
 // sent and not resolved may run.
 func (j *job) verdict() verdict.Verdict {
@@ -191,7 +214,8 @@
 	s.opts.Counters.Refuse(a.Reason)
 	s.opts.Log.Warn().Str("job", j.spec.ID).Str("queue", j.queue.Name).Str("state", string(a.State)).
 		Str("verdict", verdict.Name(a.Verdict)).Str("reason", verdict.ReasonName(a.Reason)).Str("detail", a.Message).
-		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.expected).
+		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.forecast.RunTime).
+		Dur("waited", j.forecast.Waited).Bool("certain", j.forecast.Certain).
 		Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).Dur("retry_after", a.RetryAfter).Int("tasks_left", j.left).Int("unresolved", j.live).
 		Int("waiting", s.queue.Len()).Uint64("config_version", s.version()).Msg("job not completed")
 }
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
@@ -10,8 +12,14 @@
 	"github.com/rosemarybay/rosemarybay/internal/version/policy"
 )
 
-// misfits is how many tasks that fit nowhere are passed over in one round.
-const misfits = 8
+const (
+	// misfits is how many jobs that cannot go on are passed over in one round,
+	// and maxPassed how many tasks of theirs.
+	misfits   = 8
+	maxPassed = 100
+	// noStart is before the latest start of any task.
+	noStart = math.MinInt64
+)
 
 // maxMoves bounds the moves of one task.
 const maxMoves = 2
@@ -43,21 +51,80 @@
 		return
 	}
 	r := s.newRound()
+	s.releases.Reset()
 	var passed []*item
-	for s.queue.Len() > 0 && len(passed) < misfits {
+	var skipped []*job
+	for s.queue.Len() > 0 && len(skipped) < misfits && len(passed) < maxPassed {
 		it := s.queue.Pop()
-		t := s.choose(it, r)
-		if t == nil || (it.Overdue() && !it.Begun() && !load.HasReserve(s.room(r))) {
-			passed = append(passed, it)
+		switch {
+		case slices.Contains(skipped, it.job):
+		case s.tryStart(it, r):
 			continue
+		default:
+			skipped = append(skipped, it.job)
 		}
-		s.start(it, t)
+		passed = append(passed, it)
 	}
 	for _, it := range passed {
 		s.queue.Push(it)
 	}
 }
 
+// tryStart starts a task if there is room, and if its job should be begun.
+func (s *Scheduler) tryStart(it *item, r round) bool {
+	t := s.choose(it, r)
+	if t == nil || (!it.Begun() && !s.mayBegin(it, r)) {
+		return false
+	}
+	s.start(it, t)
+	return true
+}
+
+// mayBegin reports whether a job should take room now that others could use.
+func (s *Scheduler) mayBegin(it *item, r round) bool {
+	if it.Overdue() {
+		return load.HasReserve(s.room(r))
+	}
+	_, begun := s.queue.Ahead(noStart)
+	missing := begun + it.job.firstCPU() - s.roomFor(it.step.Need.CPU, r)
+	if missing <= 0 {
+		return true
+	}
+	s.foretell(r)
+	return s.releases.ShouldBegin(r.now, it.job.latestStart, missing)
+}
+
+// firstCPU returns the processors that the first steps of a job need at once.
+func (j *job) firstCPU() int64 {
+	var cpu int64
+	for _, st := range j.spec.Steps {
+		if len(st.After) == 0 {
+			cpu += int64(st.Count) * st.Need.CPU
+		}
+	}
+	return cpu
+}
+
+// foretell notes when the attempts in progress should end, once in a round. What
+// other entries run there is taken to end like the attempts of this one.
+func (s *Scheduler) foretell(r round) {
+	if s.releases.Len() > 0 {
+		return
+	}
+	var own, used int64
+	for _, t := range s.targets {
+		if !t.usable(r.now) || t.probation {
+			continue
+		}
+		used += t.info.Capacity.CPU - t.free().CPU
+		for _, at := range t.attempts {
+			own += at.item.step.Need.CPU
+			s.releases.Add(load.Release{At: at.began() + at.item.expected, CPU: at.item.step.Need.CPU})
+		}
+	}
+	s.releases.Scale(float64(used) / float64(max(own, 1)))
+}
+
 func (s *Scheduler) wish(st *task.Step) load.Wish {
 	return load.Wish{
 		Need:         st.Need,
@@ -107,6 +174,18 @@
 	return free, all
 }
 
+// roomFor returns the processors free for tasks of one size: what is left at a target beside whole tasks is of no use.
+func (s *Scheduler) roomFor(cpu int64, r round) int64 {
+	need := max(cpu, 1)
+	var sum int64
+	for _, t := range s.targets {
+		if t.usable(r.now) && !t.probation && !r.outages.Has(t.info.DataCentre) {
+			sum += max(t.free().CPU, 0) / need * need
+		}
+	}
+	return sum
+}
+
 // mostAreSound reports whether the judgement of targets can be relied on: when
 // half of them are on probation, the cause is not theirs.
 func (s *Scheduler) mostAreSound(now time.Duration) bool {
@@ -132,7 +211,8 @@
 	it := at.item
 	now := s.now()
 	remaining := load.Remaining(p.Percent, float64(p.Pace)/100, it.expected)
-	if it.moves >= maxMoves || !load.ShouldMove(now, it.job.objective, remaining, it.expected, t.probation) {
+	slow := t.probation || it.job.forecast.Certain
+	if it.moves >= maxMoves || !load.ShouldMove(now, it.job.objective, remaining, it.expected, slow) {
 		return
 	}
 	it.avoid = t.name
@@ -156,6 +236,7 @@
 func (s *Scheduler) start(it *item, t *target) {
 	now := s.now()
 	it.run++
+	it.job.disturbed = it.job.disturbed || it.run > 1
 	at := &attempt{
 		item:   it,
 		id:     task.Attempt{Key: it.key, Run: it.run},
--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -59,7 +59,7 @@
 	}
 	switch outcome {
 	case peer.OutcomeDone:
-		s.estimate.Observe(j.queue.Name, it.step.Estimate, s.now()-at.began())
+		s.learn(it, s.now()-at.began())
 		s.taskDone(it)
 	case peer.OutcomeFailed:
 		it.avoid = at.target.name
@@ -73,6 +73,13 @@
 	}
 }
 
+// learn takes the run time of a task that is done.
+func (s *Scheduler) learn(it *item, took time.Duration) {
+	s.estimate.Observe(it.job.queue.Name, it.step.Estimate, took)
+	st := &it.job.steps[it.key.Step]
+	st.longest = max(st.longest, took)
+}
+
 // settleEnded lets the next job of the same ID begin once nothing of the former
 // one runs.
 func (s *Scheduler) settleEnded(j *job) {
@@ -116,6 +123,9 @@
 	st := &j.steps[it.key.Step]
 	st.left--
 	if j.left == 0 {
+		if !j.disturbed {
+			s.patience.Observe(j.queue.Name, j.criticalRun(), j.deadline-j.arrived)
+		}
 		s.finish(j, Answer{State: StateComplete, Verdict: verdict.Ran})
 		return
 	}
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -53,8 +53,10 @@
 	drain    load.Drain
 	estimate *load.Estimator
 	patience *load.Patience
-	// stopping is set when no new job may begin.
-	stopping bool
+	// releases is that of the present round of placement.
+	releases load.Releases
+	// stop says until when jobs are taken, if this entry stops.
+	stop *load.Stop
 }
 
 // New returns a scheduler without targets.
@@ -109,7 +111,8 @@
 	s.jobs[j.spec.ID] = j
 	s.opts.Counters.Counter("jobs_admitted").Inc(1)
 	s.opts.Log.Info().Str("job", j.spec.ID).Str("queue", j.queue.Name).Int("tasks", j.spec.Tasks()).
-		Dur("expected", j.expected).Dur("objective", j.objective-j.arrived).Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).
+		Dur("expected", j.forecast.RunTime).Bool("certain", j.forecast.Certain).Dur("waited", j.forecast.Waited).
+		Dur("objective", j.objective-j.arrived).Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).
 		Int("waiting", s.queue.Len()).Msg("job admitted")
 	if j.predecessor == nil {
 		s.releaseAll(j)
@@ -210,11 +213,26 @@
 	return len(s.jobs)
 }
 
-// Stop refuses jobs from now on; those that are here go on.
-func (s *Scheduler) Stop() {
+// Patience returns what has been learned of how long callers wait.
+func (s *Scheduler) Patience() map[string]load.Line {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping = true
+	return s.patience.Lines()
+}
+
+// RestorePatience takes what an earlier process, or another entry, has learned.
+func (s *Scheduler) RestorePatience(lines map[string]load.Line) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.patience.Restore(lines)
+}
+
+// Stop takes any job for a time, and after that only those that surely end within
+// another, counted from now too; those that are here go on.
+func (s *Scheduler) Stop(open, within time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stop = &load.Stop{Open: s.now() + open, End: s.now() + within}
 }
 
 // Refresh places work after a change of the policy, and tells the agents.
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -249,6 +249,32 @@
 	}
 }
 
+// All room is in use by runs that end long after a wide job should have started:
+// it is refused when it arrives, and a narrow one that fits is started.
+func TestWideJobIsRefusedWhenItsLastTaskCannotStartInTime(t *testing.T) {
+	w := newWorld(t)
+	a := w.agent("a")
+	long := w.job("long", 3, 2000)
+	long.Steps[0].Estimate = time.Second
+	w.submit(long)
+	for range 3 {
+		a.report(a.next().Attempt, task.Resources{}, peer.OutcomeStarted, "")
+	}
+	begun := time.Now()
+	wide, _ := w.submit(w.job("wide", 4, 2000))
+	if got := await(t, wide); got.State != StateRefused || got.Verdict != verdict.NotRun || got.RetryAfter <= 0 {
+		t.Errorf("answer %+v", got)
+	}
+	if took := time.Since(begun); took > 50*time.Millisecond {
+		t.Errorf("refused after %v, want at once", took)
+	}
+	narrow, _ := w.submit(w.job("narrow", 1, 2000))
+	a.done(a.next())
+	if got := await(t, narrow); got.State != StateComplete {
+		t.Errorf("answer %+v", got)
+	}
+}
+
 // A refusal after something may have run must not say that nothing has.
 func TestGivenUpJobIsNotCalledRefusedOnceSent(t *testing.T) {
 	w := newWorld(t)
@@ -473,7 +499,13 @@
 	a := w.agent("a")
 	answered, _ := w.submit(w.job("old", 1, 1000))
 	s := a.next()
-	w.scheduler.Stop()
+	w.scheduler.Stop(0, time.Minute)
+	short, _ := w.submit(w.job("short", 1, 1000))
+	a.done(a.next())
+	if got := await(t, short); got.State != StateComplete {
+		t.Errorf("a job that ends long before the stop is answered %+v", got)
+	}
+	w.scheduler.Stop(0, 20*time.Millisecond)
 	fresh, _ := w.submit(w.job("new", 1, 1000))
 	if got := await(t, fresh); got.State != StateRefused || got.Reason != apiv1.Reason_REASON_STOPPING {
 		t.Errorf("answer %+v", got)
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// newJobsAfterStop is how long a stopping entry still takes jobs: the
-	// balancer needs two missed probes, a second apart, to send none.
+	// newJobsAfterStop is how long a stopping entry stays and takes any job: the
+	// balancer needs two missed probes, a second apart, to send nothing more.
 	newJobsAfterStop = 2500 * time.Millisecond
 	// stopReserve is left of the grace of a stop for the last answers.
 	stopReserve = 500 * time.Millisecond
@@ -31,6 +31,7 @@
 	view      *policy.View
 	follower  *follower
 	registrar *registrar
+	learned   *learned
 	scheduler *scheduler.Scheduler
 	callers   *caller.Server
 	status    *caller.Server
@@ -62,6 +63,7 @@
 		Behind:      e.behind,
 		Entries:     func() int { return int(e.registrar.entries.Load()) },
 	})
+	e.learned = &learned{store: kv, log: p.log, patience: e.scheduler}
 	e.follower = &follower{store: kv, log: p.log, view: e.view, changed: e.scheduler.Refresh}
 	return e.listen()
 }
@@ -127,6 +129,7 @@
 	defer cancel()
 	go e.follower.run(ctx)
 	go e.registrar.run(ctx)
+	go e.learned.run(ctx)
 	go e.scheduler.Run(ctx.Done())
 	go e.accept()
 	<-stop
@@ -134,16 +137,17 @@
 	_ = e.peers.Close()
 }
 
-// drain lets the requests in progress have their answers. New ones are taken until
-// the balancer has had the time to send no more, and refused after that.
+// drain lets the requests in progress have their answers. New ones are taken as long
+// as they end in time.
 func (e *entry) drain() {
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.StopTimeout.Std()-stopReserve)
+	grace := e.settings.StopTimeout.Std() - stopReserve
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
+	e.scheduler.Stop(newJobsAfterStop, grace)
 	e.draining.Store(true)
 	e.log.Info().Int("jobs", e.scheduler.Jobs()).Int("requests", e.callers.Requests()).Msg("stopping")
 	go e.registrar.withdraw(ctx)
 	sleep(ctx, newJobsAfterStop)
-	e.scheduler.Stop()
 	for !e.callers.Drain(ctx) {
 		if ctx.Err() != nil {
 			e.log.Warn().Int("requests", e.callers.Requests()).Msg("stopping with requests in progress")
--- a/internal/request/task/task.go
+++ b/internal/request/task/task.go
@@ -93,14 +93,20 @@
 
 // CriticalPath returns the longest chain of estimates through the steps.
 func (j *Job) CriticalPath() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
+	return LongestChain(j.Steps, func(step int) time.Duration { return j.Steps[step].Estimate })
+}
+
+// LongestChain returns the longest chain of durations through steps that depend on
+// each other.
+func LongestChain(steps []Step, duration func(step int) time.Duration) time.Duration {
+	ends := make([]time.Duration, len(steps))
 	var longest time.Duration
-	for i, s := range j.Steps {
+	for i, s := range steps {
 		var start time.Duration
 		for _, before := range s.After {
 			start = max(start, ends[before])
 		}
-		ends[i] = start + s.Estimate
+		ends[i] = start + duration(i)
 		longest = max(longest, ends[i])
 	}
 	return longest
