Measure the rate of starts only while tasks wait

Cause: the own fleet predicted the wait of a job by the starts of the last second. Change: the average runs on the time in which tasks of the department waited. Before -> after: TestFirstQueueAfterIdleTimeRefusesNobody "expected in 25581 ms" -> passes.

--- a/internal/process/dispatch/admission.go
+++ b/internal/process/dispatch/admission.go
@@ -14,9 +14,9 @@
 	maxWaitShare = 0.5
 	// minRetryAfter is the least time to come back that a refusal names.
 	minRetryAfter = 50 * time.Millisecond
-	// paceWindow is the time over which starts are averaged.
+	// paceWindow is the time with a backlog over which starts are averaged.
 	paceWindow = time.Second
-	// minPaceAge is the least time over which a rate is known.
+	// minPaceAge is the least such time over which a rate is known.
 	minPaceAge = 250 * time.Millisecond
 )
 
@@ -62,21 +62,23 @@
 	return err
 }
 
-// expectedWait returns how long the queue of a department takes at the present
-// rate of starts.
+// expectedWait returns how long the queue of a department takes at the rate of
+// starts that it has had while tasks waited. Without a backlog the rate is that at
+// which tasks come, and says nothing of the targets.
 func (d *Dispatcher) expectedWait(department string, now time.Time) time.Duration {
-	waiting := d.queue.waiting[department]
+	waiting := d.queue.waiting(department)
 	if waiting == 0 {
 		return 0
 	}
-	rate := d.pace.rate(department, now)
+	rate := d.pace.rate(department, d.queue.busy(department, now))
 	if rate <= 0 {
 		return 0
 	}
 	return time.Duration(float64(waiting) / rate * float64(time.Second))
 }
 
-// pace averages the starts of each department.
+// pace averages the starts of each department over the time in which it had a
+// backlog.
 type pace struct {
 	departments map[string]*average
 }
@@ -84,35 +86,37 @@
 // average is a rate of events that fades with paceWindow.
 type average struct {
 	perSecond float64
-	at        time.Time
-	since     time.Time
+	// at is the time with a backlog at the latest event, since that before the
+	// first.
+	at    time.Duration
+	since time.Duration
 }
 
-func (p *pace) add(department string, now time.Time) {
+func (p *pace) add(department string, busy time.Duration) {
 	a, ok := p.departments[department]
 	if !ok {
-		a = &average{at: now, since: now}
+		a = &average{at: busy, since: busy}
 		p.departments[department] = a
 	}
-	a.perSecond = a.value(now) + 1/paceWindow.Seconds()
-	a.at = now
+	a.perSecond = a.value(busy) + 1/paceWindow.Seconds()
+	a.at = busy
 }
 
 // rate returns the starts a second of a department, or 0 while they have been
 // watched for less than minPaceAge.
-func (p *pace) rate(department string, now time.Time) float64 {
+func (p *pace) rate(department string, busy time.Duration) float64 {
 	a, ok := p.departments[department]
 	if !ok {
 		return 0
 	}
-	age := now.Sub(a.since)
+	age := busy - a.since
 	if age < minPaceAge {
 		return 0
 	}
 	// What came before the first start is not known; it counts as the rest.
-	return a.value(now) / (1 - math.Exp(-age.Seconds()/paceWindow.Seconds()))
+	return a.value(busy) / (1 - math.Exp(-age.Seconds()/paceWindow.Seconds()))
 }
 
-func (a *average) value(now time.Time) float64 {
-	return a.perSecond * math.Exp(-now.Sub(a.at).Seconds()/paceWindow.Seconds())
+func (a *average) value(busy time.Duration) float64 {
+	return a.perSecond * math.Exp(-(busy-a.at).Seconds()/paceWindow.Seconds())
 }
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -283,7 +283,9 @@
 	k := newDesk(1)
 	now := time.Now()
 	k.mu.Lock()
-	k.pace.departments["desk"] = &average{perSecond: 2, at: now, since: now.Add(-time.Minute)}
+	k.queue.line(classOf(k.task(false)))
+	k.queue.backlogs["desk"] = &backlog{past: time.Minute}
+	k.pace.departments["desk"] = &average{perSecond: 2, at: time.Minute}
 	k.mu.Unlock()
 	var tasks []*Task
 	for range deskSlots + 10 {
@@ -299,6 +301,29 @@
 	k.submit(t, k.task(false))
 }
 
+// After a time without work the rate of starts is low for want of tasks, not of
+// slots: the first jobs that wait must not be refused for it.
+func TestFirstQueueAfterIdleTimeRefusesNobody(t *testing.T) {
+	k := newDesk(1)
+	k.submit(t, k.task(false), k.task(false))
+	time.Sleep(minPaceAge)
+	for _, s := range k.agents["r0"].started() {
+		k.answer("r0", s, nil)
+	}
+	k.HandleLoad("r0", &peerv1.Load{Free: deskSlots, Broker: self})
+	time.Sleep(2 * paceWindow)
+	var tasks []*Task
+	for range deskSlots + 4 {
+		tasks = append(tasks, k.task(false))
+	}
+	k.submit(t, tasks...)
+	next := k.task(false)
+	next.Deadline = time.Now().Add(4 * time.Second)
+	if err := k.Submit([]*Task{next}); err != nil {
+		t.Errorf("a job behind 4 tasks is refused: %v", err)
+	}
+}
+
 func TestImpossibleTaskIsRefusedAtOnce(t *testing.T) {
 	k := newDesk(2)
 	huge := k.task(false)
--- a/internal/process/dispatch/place.go
+++ b/internal/process/dispatch/place.go
@@ -111,7 +111,7 @@
 	}
 	d.inUse[t.Department]++
 	d.started.Inc(1)
-	d.pace.add(t.Department, now)
+	d.pace.add(t.Department, d.queue.busy(t.Department, now))
 	tg.free--
 	tg.inFlight[at.key] = at
 	if t.started != verdict.NotRun || t.current != nil {
--- a/internal/process/dispatch/queue.go
+++ b/internal/process/dispatch/queue.go
@@ -68,9 +68,37 @@
 // queue holds all waiting tasks by class.
 type queue struct {
 	lines map[class]*line
-	// waiting counts the tasks by department.
-	waiting map[string]int
-	count   int
+	// backlogs are the waiting tasks by department.
+	backlogs map[string]*backlog
+	count    int
+}
+
+// backlog counts the waiting tasks of a department, and the time in which there
+// were any.
+type backlog struct {
+	waiting int
+	since   time.Time
+	past    time.Duration
+}
+
+// waiting returns the number of waiting tasks of a department.
+func (q *queue) waiting(department string) int {
+	if b := q.backlogs[department]; b != nil {
+		return b.waiting
+	}
+	return 0
+}
+
+// busy returns for how long in all tasks of a department have waited.
+func (q *queue) busy(department string, now time.Time) time.Duration {
+	b := q.backlogs[department]
+	switch {
+	case b == nil:
+		return 0
+	case b.waiting == 0:
+		return b.past
+	}
+	return b.past + now.Sub(b.since)
 }
 
 func (q *queue) len() int { return q.count }
@@ -78,7 +106,7 @@
 func (q *queue) line(c class) *line {
 	if q.lines == nil {
 		q.lines = make(map[class]*line)
-		q.waiting = make(map[string]int)
+		q.backlogs = make(map[string]*backlog)
 	}
 	l, ok := q.lines[c]
 	if !ok {
@@ -113,7 +141,14 @@
 
 func (q *queue) added(t *Task) {
 	q.count++
-	q.waiting[t.Department]++
+	b := q.backlogs[t.Department]
+	if b == nil {
+		b = &backlog{}
+		q.backlogs[t.Department] = b
+	}
+	if b.waiting++; b.waiting == 1 {
+		b.since = time.Now()
+	}
 }
 
 func (q *queue) remove(t *Task) {
@@ -124,8 +159,9 @@
 	l.tasks.Remove(t.element)
 	t.element = nil
 	q.count--
-	if q.waiting[t.Department]--; q.waiting[t.Department] == 0 {
-		delete(q.waiting, t.Department)
+	b := q.backlogs[t.Department]
+	if b.waiting--; b.waiting == 0 {
+		b.past += time.Since(b.since)
 	}
 	q.prune(l)
 }
