--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -31,9 +31,10 @@
 	if message, ok := s.canEverRun(j); !ok && now > warmUp {
 		return refuse(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, noTargetRetry, message), false
 	}
-	wait, ok := s.predictWait(j, now)
-	if !ok || now+wait > j.latestStart {
-		return refuse(apiv1.Reason_REASON_OVERLOAD, load.RetryAfter(wait, s.opts.Random()), "would wait past its objective"), false
+	j.outlook = s.foresee(j, now)
+	if !j.outlook.ok || now+j.outlook.wait > j.latestStart {
+		retry := load.RetryAfter(j.outlook.wait, s.opts.Random())
+		return refuse(apiv1.Reason_REASON_OVERLOAD, retry, "would wait past its objective"), false
 	}
 	return Answer{}, true
 }
@@ -62,26 +63,25 @@
 	return false
 }
 
-// predictWait returns how long the job's last task waits for room behind the work
-// that goes before it.
-func (s *Scheduler) predictWait(j *job, now time.Duration) (time.Duration, bool) {
+// foresee returns how long the job's last task waits for room behind the work that
+// goes before it. Where nothing runs that could end, the rate of starts stands for it.
+func (s *Scheduler) foresee(j *job, now time.Duration) outlook {
 	work, cpu := s.queue.Ahead(j.latestStart)
 	r := s.newRound()
-	missing := cpu + j.firstCPU() - s.roomFor(j.spec.Steps[0].Need.CPU, r)
+	missing := s.missing(cpu+j.firstCPU(), j.spec.Steps[0].Need.CPU, r)
 	if missing <= 0 {
-		return 0, true
+		return outlook{missing: missing, ok: true}
 	}
 	s.releases.Reset()
 	s.foretell(r)
 	if s.releases.Len() == 0 {
-		wait := s.drain.Wait(now, work, s.shareOfCapacity())
-		return wait, true
+		return outlook{missing: missing, wait: s.drain.Wait(now, work, s.shareOfCapacity()), ok: true}
 	}
 	at, ok := s.releases.When(now, missing)
 	if !ok {
-		return s.drain.Wait(now, s.queue.Total(), s.shareOfCapacity()), false
+		return outlook{missing: missing, wait: s.drain.Wait(now, s.queue.Total(), s.shareOfCapacity())}
 	}
-	return at - now, true
+	return outlook{missing: missing, wait: at - now, ok: true}
 }
 
 // shareOfCapacity returns the processors of all targets in service divided by
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -27,6 +27,8 @@
 	// overdue is set when its caller has waited so long before, at another entry or
 	// for a connection, that the objective is missed.
 	overdue bool
+	// outlook is what its admission was decided by.
+	outlook outlook
 	// disturbed is set once a task of it has been started more than once.
 	disturbed bool
 	// left is the number of tasks that have not ended.
@@ -44,6 +46,17 @@
 	waiters     []chan Answer
 }
 
+// outlook is when room was foreseen for a job at its arrival.
+type outlook struct {
+	// missing is what its tasks and those before them needed beyond the room that
+	// was free, in thousandths of a core.
+	missing int64
+	// wait is how long until so much would have become free; ok is false if that
+	// could not be foreseen.
+	wait time.Duration
+	ok   bool
+}
+
 // step is one step of a job.
 type step struct {
 	items    []*item
@@ -214,9 +227,9 @@
 	s.opts.Counters.Refuse(a.Reason)
 	s.opts.Log.Warn().Str("job", j.spec.ID).Str("queue", j.queue.Name).Str("state", string(a.State)).
 		Str("verdict", verdict.Name(a.Verdict)).Str("reason", verdict.ReasonName(a.Reason)).Str("detail", a.Message).
-		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.forecast.RunTime).
-		Dur("waited", j.forecast.Waited).Bool("certain", j.forecast.Certain).
-		Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).Dur("retry_after", a.RetryAfter).Int("tasks_left", j.left).Int("unresolved", j.live).
+		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.forecast.RunTime).Dur("waited", j.forecast.Waited).Bool("certain", j.forecast.Certain).
+		Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).
+		Int64("missing_cpu", j.outlook.missing).Dur("predicted_wait", j.outlook.wait).Dur("retry_after", a.RetryAfter).Int("tasks_left", j.left).Int("unresolved", j.live).
 		Int("waiting", s.queue.Len()).Uint64("config_version", s.version()).Msg("job not completed")
 }
 
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -86,7 +86,7 @@
 		return load.HasReserve(s.room(r))
 	}
 	_, begun := s.queue.Ahead(noStart)
-	missing := begun + it.job.firstCPU() - s.roomFor(it.step.Need.CPU, r)
+	missing := s.missing(begun+it.job.firstCPU(), it.step.Need.CPU, r)
 	if missing <= 0 {
 		return true
 	}
@@ -174,16 +174,20 @@
 	return free, all
 }
 
-// roomFor returns the processors free for tasks of one size: what is left at a target beside whole tasks is of no use.
-func (s *Scheduler) roomFor(cpu int64, r round) int64 {
-	need := max(cpu, 1)
-	var sum int64
+// missing returns what is wanted beyond the processors that are free for tasks of one
+// size: what is left at a target beside whole tasks is of no use. It looks no further
+// once nothing is missing.
+func (s *Scheduler) missing(wanted, size int64, r round) int64 {
+	size = max(size, 1)
 	for _, t := range s.targets {
+		if wanted <= 0 {
+			break
+		}
 		if t.usable(r.now) && !t.probation && !r.outages.Has(t.info.DataCentre) {
-			sum += max(t.free().CPU, 0) / need * need
+			wanted -= max(t.free().CPU, 0) / size * size
 		}
 	}
-	return sum
+	return wanted
 }
 
 // mostAreSound reports whether the judgement of targets can be relied on: when
