Foresee the room that other entries' tasks give back at a steady rate

Cause: the releases of an entry's own tasks stood for all, scaled by the room in use. Change: own tasks by their ends, those of others by the share of a run that passes.

--- a/internal/process/load/release_test.go
+++ b/internal/process/load/release_test.go
@@ -11,7 +11,7 @@
 	const now = time.Second
 	var r Releases
 	for i := range 10 {
-		r.Add(Release{At: now + time.Duration(10-i)*50*time.Millisecond, CPU: 3000})
+		r.Add(Release{At: now + time.Duration(10-i)*50*time.Millisecond, CPU: 3000}, 500*time.Millisecond)
 	}
 	for _, c := range []struct {
 		name    string
@@ -35,3 +35,26 @@
 		t.Error("room is foreseen where nothing runs")
 	}
 }
+
+// Three entries share the room: its own tasks end late, but those of the others end
+// all the time.
+func TestRoomOfOtherEntriesBecomesFreeAsWell(t *testing.T) {
+	const now = time.Second
+	var r Releases
+	for range 10 {
+		r.Add(Release{At: now + 300*time.Millisecond, CPU: 3000}, 400*time.Millisecond)
+	}
+	alone, _ := r.When(now, 6000)
+	r.AddOthers(60_000)
+	at, ok := r.When(now, 6000)
+	// 60,000 in 400 ms are 150 a millisecond.
+	if want := now + 40*time.Millisecond; !ok || (at-want).Abs() > 5*time.Millisecond || alone != now+300*time.Millisecond {
+		t.Errorf("room at %v, alone at %v; want %v and 1.3 s", at, alone, want)
+	}
+	if at, ok := r.When(now, 80_000); !ok || at < now+300*time.Millisecond {
+		t.Errorf("room of own tasks and others at %v, %v", at, ok)
+	}
+	if _, ok := r.When(now, 91_000); ok {
+		t.Error("more room is foreseen than is in use")
+	}
+}
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -105,8 +105,7 @@
 	return cpu
 }
 
-// foretell notes when the attempts in progress should end, once in a round. What
-// other entries run there is taken to end like the attempts of this one.
+// foretell notes when the attempts in progress should end, once in a round.
 func (s *Scheduler) foretell(r round) {
 	if s.releases.Len() > 0 {
 		return
@@ -118,11 +117,12 @@
 		}
 		used += t.info.Capacity.CPU - t.free().CPU
 		for _, at := range t.attempts {
-			own += at.item.step.Need.CPU
-			s.releases.Add(load.Release{At: at.began() + at.item.expected, CPU: at.item.step.Need.CPU})
+			cpu := at.item.step.Need.CPU
+			own += cpu
+			s.releases.Add(load.Release{At: at.began() + at.item.expected, CPU: cpu}, at.item.expected)
 		}
 	}
-	s.releases.Scale(float64(used) / float64(max(own, 1)))
+	s.releases.AddOthers(used - own)
 }
 
 func (s *Scheduler) wish(st *task.Step) load.Wish {
