Let jobs wider than a quarter of the room run in waves; count the room of their pool

Cause, found in reading the diff: a job with more tasks than ever fit at once was never begun, since the end of its last task could not be foreseen; room of other pools counted as free; and an entry without runs of its own began nothing beside those of others. Change: load.FirstWave; missing and foretell look at the targets that the queue may use; without runs of its own an entry begins what fits in part.

--- a/internal/process/load/release.go
+++ b/internal/process/load/release.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -52,7 +53,7 @@
 		return now, true
 	}
 	if !r.sorted {
-		slices.SortFunc(r.list, func(a, b Release) int { return int(a.At - b.At) })
+		slices.SortFunc(r.list, func(a, b Release) int { return cmp.Compare(a.At, b.At) })
 		r.sorted = true
 	}
 	for _, x := range r.list {
@@ -88,3 +89,12 @@
 	at, ok := r.When(now, missing)
 	return ok && at <= latestStart
 }
+
+// waveShare is the part of all room, as its reciprocal, that one job may be expected
+// to find at once.
+const waveShare = 4
+
+// FirstWave returns the room that a job needs to begin. One that is wider than a
+// quarter of all room runs in waves. It answers very wide jobs, which would never find
+// room for all of their tasks at once.
+func FirstWave(cpu, capacity int64) int64 { return min(cpu, capacity/waveShare) }
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -68,12 +68,12 @@
 func (s *Scheduler) foresee(j *job, now time.Duration) outlook {
 	work, cpu := s.queue.Ahead(j.latestStart)
 	r := s.newRound()
-	missing := s.missing(cpu+j.firstCPU(), j.spec.Steps[0].Need.CPU, r)
+	missing := s.missing(j, cpu, r)
 	if missing <= 0 {
 		return outlook{missing: missing, ok: true}
 	}
 	s.releases.Reset()
-	s.foretell(r)
+	s.foretell(j.queue, r)
 	if s.releases.Len() == 0 {
 		return outlook{missing: missing, wait: s.drain.Wait(now, work, s.shareOfCapacity()), ok: true}
 	}
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -227,9 +227,11 @@
 	s.opts.Counters.Refuse(a.Reason)
 	s.opts.Log.Warn().Str("job", j.spec.ID).Str("queue", j.queue.Name).Str("state", string(a.State)).
 		Str("verdict", verdict.Name(a.Verdict)).Str("reason", verdict.ReasonName(a.Reason)).Str("detail", a.Message).
-		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.forecast.RunTime).Dur("waited", j.forecast.Waited).Bool("certain", j.forecast.Certain).
+		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.forecast.RunTime).
+		Dur("waited", j.forecast.Waited).Bool("certain", j.forecast.Certain).
 		Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).
-		Int64("missing_cpu", j.outlook.missing).Dur("predicted_wait", j.outlook.wait).Dur("retry_after", a.RetryAfter).Int("tasks_left", j.left).Int("unresolved", j.live).
+		Int64("missing_cpu", j.outlook.missing).Dur("predicted_wait", j.outlook.wait).
+		Dur("retry_after", a.RetryAfter).Int("tasks_left", j.left).Int("unresolved", j.live).
 		Int("waiting", s.queue.Len()).Uint64("config_version", s.version()).Msg("job not completed")
 }
 
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -86,12 +86,39 @@
 		return load.HasReserve(s.room(r))
 	}
 	_, begun := s.queue.Ahead(noStart)
-	missing := s.missing(begun+it.job.firstCPU(), it.step.Need.CPU, r)
+	missing := s.missing(it.job, begun, r)
 	if missing <= 0 {
 		return true
 	}
-	s.foretell(r)
-	return s.releases.ShouldBegin(r.now, it.job.latestStart, missing)
+	s.foretell(it.job.queue, r)
+	return s.releases.Len() == 0 || s.releases.ShouldBegin(r.now, it.job.latestStart, missing)
+}
+
+// missing returns how many processors a job needs to begin, behind tasks that need
+// others before, beyond those that are free. It looks no further once nothing is
+// missing.
+func (s *Scheduler) missing(j *job, before int64, r round) int64 {
+	first := j.firstCPU()
+	missing := before + first
+	var capacity int64
+	for _, t := range s.targets {
+		if !r.isEligible(t, j.queue) || t.probation {
+			continue
+		}
+		capacity += t.info.Capacity.CPU
+		missing -= wholeTasks(t.free().CPU, j.spec.Steps[0].Need.CPU)
+		if missing <= 0 {
+			return missing
+		}
+	}
+	return missing - first + load.FirstWave(first, capacity)
+}
+
+// wholeTasks returns the part of the free processors of a target that tasks of one
+// size can use.
+func wholeTasks(free, size int64) int64 {
+	size = max(size, 1)
+	return max(free, 0) / size * size
 }
 
 // firstCPU returns the processors that the first steps of a job need at once.
@@ -105,14 +132,17 @@
 	return cpu
 }
 
-// foretell notes when the attempts in progress should end, once in a round.
-func (s *Scheduler) foretell(r round) {
-	if s.releases.Len() > 0 {
+// foretell notes when the attempts in progress in the pool of a queue should end,
+// once in a round.
+func (s *Scheduler) foretell(q *policy.Queue, r round) {
+	if s.releases.Len() > 0 && s.releasesPool == q.Pool {
 		return
 	}
+	s.releases.Reset()
+	s.releasesPool = q.Pool
 	var own, used int64
 	for _, t := range s.targets {
-		if !t.usable(r.now) || t.probation {
+		if !r.isEligible(t, q) || t.probation {
 			continue
 		}
 		used += t.info.Capacity.CPU - t.free().CPU
@@ -174,22 +204,6 @@
 	return free, all
 }
 
-// missing returns what is wanted beyond the processors that are free for tasks of one
-// size: what is left at a target beside whole tasks is of no use. It looks no further
-// once nothing is missing.
-func (s *Scheduler) missing(wanted, size int64, r round) int64 {
-	size = max(size, 1)
-	for _, t := range s.targets {
-		if wanted <= 0 {
-			break
-		}
-		if t.usable(r.now) && !t.probation && !r.outages.Has(t.info.DataCentre) {
-			wanted -= max(t.free().CPU, 0) / size * size
-		}
-	}
-	return wanted
-}
-
 // mostAreSound reports whether the judgement of targets can be relied on: when
 // half of them are on probation, the cause is not theirs.
 func (s *Scheduler) mostAreSound(now time.Duration) bool {
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -53,8 +53,9 @@
 	drain    load.Drain
 	estimate *load.Estimator
 	patience *load.Patience
-	// releases is that of the present round of placement.
-	releases load.Releases
+	// releases is that of the present round of placement, for one pool.
+	releases     load.Releases
+	releasesPool string
 	// stop says until when jobs are taken, if this entry stops.
 	stop *load.Stop
 }
