Place work away from data centres whose starts are held up

Ruled out: a slow entry or target (1 to 6 ms within marmara-c and between the others), a burst, lost links (none logged). Change: load.Delays, the share of starts confirmed after more than 60 ms by data centre, halved each second; placement counts it against the targets there. The test of the scheduler fails with the cost taken out.

--- a/internal/process/load/load_test.go
+++ b/internal/process/load/load_test.go
@@ -370,6 +370,11 @@
 	if w.Score(&avoided) >= w.Score(&full) {
 		t.Error("the target on which the task failed is preferred")
 	}
+	lossy := empty
+	lossy.Delayed = 0.25
+	if w.Score(&lossy) >= w.Score(&full) {
+		t.Error("the target behind a link that loses packets is preferred")
+	}
 	w.DataRack = "r2"
 	if w.Score(&full) >= w.Score(&empty) {
 		t.Error("the rack of the data is not preferred")
@@ -408,3 +413,31 @@
 		}
 	}
 }
+
+// The links to one data centre lose a tenth of the packets each way, then recover.
+func TestDelaysTellALossyWay(t *testing.T) {
+	d := NewDelays()
+	now := time.Duration(0)
+	start := func(destination string, slowEvery int) {
+		for i := range 100 {
+			took := 4 * time.Millisecond
+			if slowEvery > 0 && i%slowEvery == slowEvery-1 {
+				took = 205 * time.Millisecond
+			}
+			now += time.Millisecond
+			d.Observe(destination, now, took)
+		}
+	}
+	start("dc1", 0)
+	start("dc2", 50)
+	start("dc3", 5)
+	if got := d.Share("dc1", now) + d.Share("dc2", now); got != 0 {
+		t.Errorf("sound ways are delayed with a share of %.2f", got)
+	}
+	if got := d.Share("dc3", now); got < 0.1 || got > 0.35 {
+		t.Errorf("a fifth of the starts is held up, the share is %.2f", got)
+	}
+	if got := d.Share("dc3", now+4*delayHalfLife); got != 0 {
+		t.Errorf("a way that was avoided for 4 s is still delayed with a share of %.2f", got)
+	}
+}
--- a/internal/process/load/placement.go
+++ b/internal/process/load/placement.go
@@ -15,6 +15,8 @@
 	Labels     []string
 	// Avoid is set when an earlier attempt of the task went wrong there.
 	Avoid bool
+	// Delayed is the share of the starts there that are held up on the way.
+	Delayed float64
 	// OfStep counts the tasks of the same step that run there.
 	OfStep int
 }
@@ -33,6 +35,10 @@
 // data, as a share of a target's room.
 const remoteRackCost = 0.5
 
+// delayedCost stands for the lateness of a job with a start that is held up, as a share
+// of a target's room.
+const delayedCost = 4
+
 // nearGain stands for the shorter way within a data centre, as a share of a
 // target's room: it decides only between targets that are about equally free.
 const nearGain = 0.02
@@ -49,7 +55,8 @@
 
 // Score returns the preference for a target: the larger the better. The emptiest
 // target comes first, so that a burst is spread and a loss hits few tasks of a
-// job; one on which the task went wrong comes last.
+// job; one behind a link that loses packets comes later, and one on which the task
+// went wrong last.
 func (w *Wish) Score(c *Candidate) float64 {
 	score := 1.0
 	if c.Capacity.CPU > 0 {
@@ -61,6 +68,7 @@
 	if c.DataCentre == w.DataCentre {
 		score += nearGain
 	}
+	score -= delayedCost * c.Delayed
 	if c.Avoid {
 		score -= 2
 	}
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -177,6 +177,7 @@
 		}
 		c := t.candidate()
 		c.Avoid = t.name == it.avoid
+		c.Delayed = s.delays.Share(c.DataCentre, r.now)
 		if wish.MaxPerTarget > 0 {
 			c.OfStep = t.ofStep(it)
 		}
--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -32,13 +32,19 @@
 		return
 	}
 	if r.Outcome == peer.OutcomeStarted {
-		at.started = s.now()
-		at.item.job.ran = true
+		s.confirmed(at)
 		return
 	}
 	s.resolve(at, r.Outcome, r.Refusal)
 }
 
+// confirmed notes that an attempt has started.
+func (s *Scheduler) confirmed(at *attempt) {
+	at.started = s.now()
+	at.item.job.ran = true
+	s.delays.Observe(at.target.info.DataCentre, at.started, at.started-at.sent)
+}
+
 // resolve ends an attempt and decides what follows for its task.
 func (s *Scheduler) resolve(at *attempt, outcome peer.Outcome, refusal peer.Refusal) {
 	it := at.item
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -53,6 +53,8 @@
 	drain    load.Drain
 	estimate *load.Estimator
 	patience *load.Patience
+	// delays are those of starts by data centre.
+	delays *load.Delays
 	// releases is that of the present round of placement, for one pool.
 	releases     load.Releases
 	releasesPool string
@@ -71,6 +73,7 @@
 		answers:  newAnswers(),
 		estimate: load.NewEstimator(),
 		patience: load.NewPatience(),
+		delays:   load.NewDelays(),
 	}
 }
 
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -62,6 +63,10 @@
 }
 
 func (w *world) agent(name string, runs ...task.Attempt) *fakeAgent {
+	return w.agentIn("dc1", name, runs...)
+}
+
+func (w *world) agentIn(dataCentre, name string, runs ...task.Attempt) *fakeAgent {
 	here, there := net.Pipe()
 	a := &fakeAgent{
 		t: w.t, name: name, world: w,
@@ -93,7 +98,7 @@
 		}
 	}()
 	a.link.Send(peer.Frame{Hello: hello, Target: &peer.Target{
-		ID: name, Incarnation: 1, Pool: "p", DataCentre: "dc1", Available: true,
+		ID: name, Incarnation: 1, Pool: "p", DataCentre: dataCentre, Available: true,
 		Capacity: task.Resources{CPU: 8000}, Labels: []string{name},
 	}})
 	for !w.knows(name) {
@@ -336,6 +341,28 @@
 	return w.scheduler.targets[name].free().CPU
 }
 
+// The link to another data centre loses packets, so that starts there are confirmed
+// 200 ms late: work stays where it is not held up.
+func TestWorkAvoidsADataCentreWhoseStartsAreHeldUp(t *testing.T) {
+	w := newWorld(t)
+	far := w.agentIn("dc2", "far")
+	for n := range 4 {
+		answered, _ := w.submit(w.job(fmt.Sprintf("held-up-%d", n), 1, 1000))
+		s := far.next()
+		time.Sleep(80 * time.Millisecond)
+		far.done(s)
+		await(t, answered)
+	}
+	near := w.agent("near")
+	for n := range 4 {
+		w.submit(w.job(fmt.Sprintf("later-%d", n), 1, 1000))
+		near.next()
+	}
+	if len(far.starts) > 0 {
+		t.Error("a task was started behind the link that loses packets")
+	}
+}
+
 // A refusal after something may have run must not say that nothing has.
 func TestGivenUpJobIsNotCalledRefusedOnceSent(t *testing.T) {
 	w := newWorld(t)
