Log when starts at a data centre are held up, and when no longer

A change of what an entry believes, with its share before and after; counted as data_centre_judgements.

--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -42,7 +42,15 @@
 func (s *Scheduler) confirmed(at *attempt) {
 	at.started = s.now()
 	at.item.job.ran = true
-	s.delays.Observe(at.target.info.DataCentre, at.started, at.started-at.sent)
+	dataCentre := at.target.info.DataCentre
+	before := s.delays.Share(dataCentre, at.started)
+	s.delays.Observe(dataCentre, at.started, at.started-at.sent)
+	after := s.delays.Share(dataCentre, at.started)
+	if (before > 0) != (after > 0) {
+		s.opts.Counters.Counter("data_centre_judgements").Inc(1)
+		s.opts.Log.Warn().Str("target_data_centre", dataCentre).Float64("held_up", after).Float64("former", before).
+			Dur("confirmed_after", at.started-at.sent).Msg("data centre judged")
+	}
 }
 
 // resolve ends an attempt and decides what follows for its task.
