--- a/internal/process/load/patience.go
+++ b/internal/process/load/patience.go
@@ -19,11 +19,11 @@
 	// lineOutliers is the number of such samples in a row after which the line
 	// itself is taken to be wrong.
 	lineOutliers = 40
-	// newcomerShare is the share of the predicted run time below which the time
+	// minRunShare is the share of the predicted run time below which the time
 	// that a caller has left does not stand for a shorter run any more, and
-	// strangerShare the one above which it does not stand for a longer one.
-	newcomerShare = 0.3
-	strangerShare = 6
+	// maxRunShare the one above which it does not stand for a longer one.
+	minRunShare = 0.3
+	maxRunShare = 6
 	// overdueShare is the share of the usual time below which a caller has been
 	// waiting for long, where that time says nothing of the run.
 	overdueShare = 0.6
@@ -85,9 +85,9 @@
 	if line, ok := p.line(queue); ok {
 		run := line.run(left)
 		switch {
-		case float64(run) < newcomerShare*float64(predicted):
+		case float64(run) < minRunShare*float64(predicted):
 			return Forecast{RunTime: predicted, Waited: max(line.patience(predicted)-left, 0)}
-		case run > strangerShare*predicted:
+		case run > maxRunShare*predicted:
 			return Forecast{RunTime: predicted}
 		}
 		return Forecast{RunTime: run, Certain: true}
--- a/internal/process/load/release.go
+++ b/internal/process/load/release.go
@@ -14,7 +14,7 @@
 	CPU int64
 }
 
-// Releases foretells when room becomes free. It answers the first second after an
+// Releases predicts when room becomes free. It answers the first second after an
 // outage and the peak of a burst, when the room has been filled at one moment: what
 // was started lately says nothing of when it ends.
 type Releases struct {
--- a/internal/process/load/release_test.go
+++ b/internal/process/load/release_test.go
@@ -32,7 +32,7 @@
 	}
 	r.Reset()
 	if r.ShouldBegin(now, now+time.Hour, 1) {
-		t.Error("room is foreseen where nothing runs")
+		t.Error("room is predicted where nothing runs")
 	}
 }
 
@@ -55,6 +55,6 @@
 		t.Errorf("room of own tasks and others at %v, %v", at, ok)
 	}
 	if _, ok := r.When(now, 91_000); ok {
-		t.Error("more room is foreseen than is in use")
+		t.Error("more room is predicted than is in use")
 	}
 }
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -31,9 +31,9 @@
 	if message, ok := s.canEverRun(j); !ok && now > warmUp {
 		return refuse(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, noTargetRetry, message), false
 	}
-	j.outlook = s.foresee(j, now)
-	if !j.outlook.ok || now+j.outlook.wait > j.latestStart {
-		retry := load.RetryAfter(j.outlook.wait, s.opts.Random())
+	j.room = s.predictRoom(j, now)
+	if !j.room.known || now+j.room.wait > j.latestStart {
+		retry := load.RetryAfter(j.room.wait, s.opts.Random())
 		return refuse(apiv1.Reason_REASON_OVERLOAD, retry, "would wait past its objective"), false
 	}
 	return Answer{}, true
@@ -63,25 +63,25 @@
 	return false
 }
 
-// foresee returns how long the job's last task waits for room behind the work that
+// predictRoom returns how long the job's last task waits for room behind the work that
 // goes before it. Where nothing runs that could end, the rate of starts stands for it.
-func (s *Scheduler) foresee(j *job, now time.Duration) outlook {
+func (s *Scheduler) predictRoom(j *job, now time.Duration) roomPrediction {
 	work, cpu := s.queue.Ahead(j.latestStart)
 	r := s.newRound()
 	missing := s.missing(j, cpu, r)
 	if missing <= 0 {
-		return outlook{missing: missing, ok: true}
+		return roomPrediction{missing: missing, known: true}
 	}
 	s.releases.Reset()
-	s.foretell(j.queue, r)
+	s.collectReleases(j.queue, r)
 	if s.releases.Len() == 0 {
-		return outlook{missing: missing, wait: s.drain.Wait(now, work, s.shareOfCapacity()), ok: true}
+		return roomPrediction{missing: missing, wait: s.drain.Wait(now, work, s.shareOfCapacity()), known: true}
 	}
 	at, ok := s.releases.When(now, missing)
 	if !ok {
-		return outlook{missing: missing, wait: s.drain.Wait(now, s.queue.Total(), s.shareOfCapacity())}
+		return roomPrediction{missing: missing, wait: s.drain.Wait(now, s.queue.Total(), s.shareOfCapacity())}
 	}
-	return outlook{missing: missing, wait: at - now, ok: true}
+	return roomPrediction{missing: missing, wait: at - now, known: true}
 }
 
 // shareOfCapacity returns the processors of all targets in service divided by
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -27,8 +27,8 @@
 	// overdue is set when its caller has waited so long before, at another entry or
 	// for a connection, that the objective is missed.
 	overdue bool
-	// outlook is what its admission was decided by.
-	outlook outlook
+	// room is the prediction by which its admission was decided.
+	room roomPrediction
 	// disturbed is set once a task of it has been started more than once.
 	disturbed bool
 	// left is the number of tasks that have not ended.
@@ -46,15 +46,16 @@
 	waiters     []chan Answer
 }
 
-// outlook is when room was foreseen for a job at its arrival.
-type outlook struct {
+// roomPrediction says how much room a job lacked at its arrival, and when that much
+// becomes free.
+type roomPrediction struct {
 	// missing is what its tasks and those before them needed beyond the room that
 	// was free, in thousandths of a core.
 	missing int64
-	// wait is how long until so much would have become free; ok is false if that
-	// could not be foreseen.
-	wait time.Duration
-	ok   bool
+	// wait is how long until so much becomes free; known is false if the runs in
+	// progress do not free so much.
+	wait  time.Duration
+	known bool
 }
 
 // step is one step of a job.
@@ -230,7 +231,7 @@
 		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.forecast.RunTime).
 		Dur("waited", j.forecast.Waited).Bool("certain", j.forecast.Certain).
 		Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).
-		Int64("missing_cpu", j.outlook.missing).Dur("predicted_wait", j.outlook.wait).
+		Int64("missing_cpu", j.room.missing).Dur("predicted_wait", j.room.wait).
 		Dur("retry_after", a.RetryAfter).Int("tasks_left", j.left).Int("unresolved", j.live).
 		Int("waiting", s.queue.Len()).Uint64("config_version", s.version()).Msg("job not completed")
 }
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -90,7 +90,7 @@
 	if missing <= 0 {
 		return true
 	}
-	s.foretell(it.job.queue, r)
+	s.collectReleases(it.job.queue, r)
 	return s.releases.Len() == 0 || s.releases.ShouldBegin(r.now, it.job.latestStart, missing)
 }
 
@@ -132,9 +132,9 @@
 	return cpu
 }
 
-// foretell notes when the attempts in progress in the pool of a queue should end,
+// collectReleases notes when the attempts in progress in the pool of a queue should end,
 // once in a round.
-func (s *Scheduler) foretell(q *policy.Queue, r round) {
+func (s *Scheduler) collectReleases(q *policy.Queue, r round) {
 	if s.releases.Len() > 0 && s.releasesPool == q.Pool {
 		return
 	}
