--- a/internal/bench/slopes/changes.go
+++ b/internal/bench/slopes/changes.go
@@ -71,25 +71,31 @@
 		return err
 	}
 	calls := sumCalls(f.Store)
-	entry, err := readEvent(f, f.Entries[0])
+	err = measurePair(ctx, f, received, applied, n, func() error { return toggle(ctx, f, n) })
+	received.add(costEventCalls, float64(n), float64(sumCalls(f.Store)-calls))
+	return err
+}
+
+// measurePair adds what the entry and the agent of a fleet spend on n units of work.
+func measurePair(ctx context.Context, f *fleet.Fleet, entry, agent *series, n int, work func() error) error {
+	beforeEntry, err := readEvent(f, f.Entries[0])
 	if err != nil {
 		return err
 	}
-	agent, err := readEvent(f, f.Agents[0])
+	beforeAgent, err := readEvent(f, f.Agents[0])
 	if err != nil {
 		return err
 	}
-	if err := toggle(ctx, f, n); err != nil {
+	if err := work(); err != nil {
 		return err
 	}
 	if err := pause(ctx, applyTime); err != nil {
 		return err
 	}
-	if err := received.event(f, f.Entries[0], entry, n); err != nil {
+	if err := entry.event(f, f.Entries[0], beforeEntry, n); err != nil {
 		return err
 	}
-	received.add(costEventCalls, float64(n), float64(sumCalls(f.Store)-calls))
-	return applied.event(f, f.Agents[0], agent, n)
+	return agent.event(f, f.Agents[0], beforeAgent, n)
 }
 
 // event adds what a node spent since a reading.
@@ -135,8 +141,7 @@
 	if err != nil {
 		return err
 	}
-	bytes := g.conn.bytes.Load()
-	datagrams := g.conn.datagrams.Load()
+	traffic := g.traffic()
 	if err := toggle(ctx, f, relayedChanges); err != nil {
 		return err
 	}
@@ -151,11 +156,26 @@
 	_, controlBytes := control(before.values, after.values)
 	s.add(costEventProcessor, units, micros(after.usage.cpu-before.usage.cpu))
 	s.add(costEventControl, units, controlBytes)
-	s.add(costEventWire, units, float64(g.conn.bytes.Load()-bytes))
-	s.add(costEventDatagrams, units, float64(g.conn.datagrams.Load()-datagrams))
+	s.addTraffic(g, traffic, units)
 	return nil
 }
 
+// traffic is what has passed the links of a group.
+type traffic struct {
+	bytes, datagrams int64
+}
+
+func (g *group) traffic() traffic {
+	return traffic{bytes: g.conn.bytes.Load(), datagrams: g.conn.datagrams.Load()}
+}
+
+// addTraffic adds what has passed the links of a group since a reading.
+func (s *series) addTraffic(g *group, before traffic, units float64) {
+	now := g.traffic()
+	s.add(costEventWire, units, float64(now.bytes-before.bytes))
+	s.add(costEventDatagrams, units, float64(now.datagrams-before.datagrams))
+}
+
 // startGroup starts one entry with n light agents. Their heartbeats are slow, so
 // that they add little to what is measured.
 func startGroup(ctx context.Context, o Options, n int) (*fleet.Fleet, *group, error) {
@@ -194,26 +214,10 @@
 		return err
 	}
 	defer f.Close()
-	beforeEntry, err := readEvent(f, f.Entries[0])
+	err = measurePair(ctx, f, entry, agent, n, func() error { return createTeams(ctx, f, n) })
 	if err != nil {
 		return err
 	}
-	beforeAgent, err := readEvent(f, f.Agents[0])
-	if err != nil {
-		return err
-	}
-	if err := createTeams(ctx, f, n); err != nil {
-		return err
-	}
-	if err := pause(ctx, applyTime); err != nil {
-		return err
-	}
-	if err := entry.event(f, f.Entries[0], beforeEntry, n); err != nil {
-		return err
-	}
-	if err := agent.event(f, f.Agents[0], beforeAgent, n); err != nil {
-		return err
-	}
 	g, err := newGroup(f.PeerAddress(0), o.Heartbeat)
 	if err != nil {
 		return err
--- a/internal/bench/slopes/tasks.go
+++ b/internal/bench/slopes/tasks.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	datagrams, bytes := g.conn.datagrams.Load(), g.conn.bytes.Load()
+	traffic := g.traffic()
 	if err := submit(ctx, f, n, 1); err != nil {
 		return err
 	}
@@ -163,7 +163,6 @@
 	units := float64(n)
 	s.add(costMemory, units, float64(after.usage.memory))
 	s.add(costEventProcessor, units, micros(after.usage.cpu-before.usage.cpu))
-	s.add(costEventDatagrams, units, float64(g.conn.datagrams.Load()-datagrams))
-	s.add(costEventWire, units, float64(g.conn.bytes.Load()-bytes))
+	s.addTraffic(g, traffic, units)
 	return nil
 }
