--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -60,6 +60,7 @@
 	ctx     context.Context
 	done    chan struct{}
 	servers []*http.Server
+	subnet  int
 
 	store   *standin.Store
 	ledger  *standin.Ledger
@@ -105,13 +106,29 @@
 
 func zone(i int) string { return fmt.Sprintf("dc%d", i%zones+1) }
 
-func address(kind byte, i, port int) string {
-	return fmt.Sprintf("127.%d.0.%d:%d", kind, i+1, port)
+// ip returns the address of a node; each soak of a machine has a third byte of its own.
+func (s *soak) ip(kind byte, i int) string { return fmt.Sprintf("127.%d.%d.%d", kind, s.subnet, i+1) }
+
+func (s *soak) address(kind byte, i, port int) string {
+	return fmt.Sprintf("%s:%d", s.ip(kind, i), port)
+}
+
+// listenStore serves the store in the first subnet in which no other soak runs.
+func (s *soak) listenStore() error {
+	for {
+		err := s.listen(s.address(storeNet, 0, storePort), s.store)
+		if err == nil || s.subnet == maxSubnet {
+			return err
+		}
+		s.subnet++
+	}
 }
 
 // Second bytes of the addresses of each kind of node.
 const (
 	storeNet, entryNet, proxyNet, agentNet = 30, 31, 32, 33
+	// maxSubnet bounds the soaks that run at once.
+	maxSubnet = 20
 )
 
 func (s *soak) start() error {
@@ -122,7 +139,7 @@
 		}
 		s.dir = dir
 	}
-	if err := s.listen(address(storeNet, 0, storePort), s.store); err != nil {
+	if err := s.listenStore(); err != nil {
 		return err
 	}
 	go s.store.Run(s.done)
@@ -162,7 +179,7 @@
 			IP:          ip,
 			MetricsPort: metricsPort,
 			PeerPort:    peerPort,
-			Store:       address(storeNet, 0, storePort),
+			Store:       s.address(storeNet, 0, storePort),
 			TargetLease: settings.Duration(targetLease),
 			MemoryMB:    memoryMB,
 		},
@@ -170,12 +187,12 @@
 }
 
 func (s *soak) startEntry(i int) error {
-	ip := fmt.Sprintf("127.%d.0.%d", entryNet, i+1)
+	ip := s.ip(entryNet, i)
 	config := s.settings(settings.RoleEntry, i, ip)
-	config.Node.CallerListen = address(entryNet, i, callerPort)
-	config.Node.ReadyListen = address(entryNet, i, readyPort)
-	config.Node.PeerAdvertise = address(proxyNet, i, peerPort)
-	p, err := newProxy(config.Node.PeerAdvertise, address(entryNet, i, peerPort))
+	config.Node.CallerListen = s.address(entryNet, i, callerPort)
+	config.Node.ReadyListen = s.address(entryNet, i, readyPort)
+	config.Node.PeerAdvertise = s.address(proxyNet, i, peerPort)
+	p, err := newProxy(config.Node.PeerAdvertise, s.address(entryNet, i, peerPort))
 	if err != nil {
 		return err
 	}
@@ -190,14 +207,14 @@
 }
 
 func (s *soak) startAgent(i int) error {
-	ip := fmt.Sprintf("127.%d.0.%d", agentNet, i+1)
+	ip := s.ip(agentNet, i)
 	config := s.settings(settings.RoleAgent, i, ip)
-	config.Node.AnnounceListen = address(agentNet, i, announcePort)
+	config.Node.AnnounceListen = s.address(agentNet, i, announcePort)
 	t := &standin.Target{
 		ID:      fmt.Sprintf("t%d", i+1),
 		Zone:    zone(i),
 		Service: service,
-		Address: address(agentNet, i, targetPort),
+		Address: s.address(agentNet, i, targetPort),
 		CPU:     targetCPU,
 		Ledger:  s.ledger,
 		Agent:   config.Node.AnnounceListen,
@@ -221,7 +238,7 @@
 func (s *soak) awaitReady() error {
 	deadline := time.Now().Add(startWait)
 	for i := range s.entries {
-		for !isReady(address(entryNet, i, readyPort)) {
+		for !isReady(s.address(entryNet, i, readyPort)) {
 			if time.Now().After(deadline) {
 				return errors.New("the fleet is not ready in time")
 			}
@@ -244,7 +261,7 @@
 func (s *soak) play() []string {
 	var addresses []string
 	for i := range s.entries {
-		addresses = append(addresses, address(entryNet, i, callerPort))
+		addresses = append(addresses, s.address(entryNet, i, callerPort))
 	}
 	s.callers = newCallers(addresses)
 	end := time.Now().Add(s.options.For)
