--- /dev/null
+++ b/internal/process/scheduler/world_test.go
@@ -0,0 +1,185 @@
+package scheduler
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/version/policy"
+)
+
+const testLease = 300 * time.Millisecond
+
+// fakeAgent is an agent whose answers the test gives.
+type fakeAgent struct {
+	t      *testing.T
+	name   string
+	world  *world
+	link   *peer.Link
+	starts chan peer.Start
+	stops  chan task.Attempt
+
+	mu       sync.Mutex
+	accepted uint64
+	number   uint64
+	room     task.Resources
+	claims   []peer.Claim
+}
+
+// world is a scheduler with fake agents.
+type world struct {
+	t         *testing.T
+	scheduler *Scheduler
+	view      *policy.View
+	queue     *policy.Queue
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, view: &policy.View{}}
+	w.queue = &policy.Queue{Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 1.6, TargetLatency: 60 * time.Millisecond, Timeout: time.Second}
+	w.view.Apply(&policy.Snapshot{Version: 1, Queues: map[string]*policy.Queue{"q": w.queue}})
+	w.scheduler = New(Options{
+		Log:         zerolog.Nop(),
+		Counters:    metrics.New(),
+		View:        w.view,
+		TargetLease: testLease,
+		Random:      func() float64 { return 0 },
+		Entries:     func() int { return 1 },
+		Behind:      func(*peer.Policy) {},
+	})
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go w.scheduler.Run(done)
+	return w
+}
+
+func (w *world) agent(name string, runs ...task.Attempt) *fakeAgent {
+	return w.agentIn("dc1", name, runs...)
+}
+
+func (w *world) agentIn(dataCentre, name string, runs ...task.Attempt) *fakeAgent {
+	here, there := net.Pipe()
+	a := &fakeAgent{
+		t: w.t, name: name, world: w,
+		starts: make(chan peer.Start, 100),
+		stops:  make(chan task.Attempt, 100),
+		room:   task.Resources{CPU: 8000},
+	}
+	link := peer.NewLink(here, func(f *peer.Frame) { w.scheduler.Stamp(name, f) })
+	a.link = peer.NewLink(there, func(f *peer.Frame) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		f.Accepted = a.accepted
+		f.Room = &peer.Room{Free: a.room}
+		f.Sent = time.Now().UnixNano()
+	})
+	w.t.Cleanup(a.link.Close)
+	w.t.Cleanup(link.Close)
+	go a.receive()
+	hello := &peer.Hello{Name: name, Incarnation: 1, Runs: runs}
+	w.scheduler.Connect(hello, link)
+	go func() {
+		for {
+			f, err := link.Receive()
+			if err != nil {
+				w.scheduler.Disconnect(name, link, err)
+				return
+			}
+			w.scheduler.Receive(name, link, f)
+		}
+	}()
+	a.link.Send(peer.Frame{Hello: hello, Target: &peer.Target{
+		ID: name, Incarnation: 1, Pool: "p", DataCentre: dataCentre, Available: true,
+		Capacity: task.Resources{CPU: 8000}, Labels: []string{name},
+	}})
+	for !w.knows(name) {
+		time.Sleep(time.Millisecond)
+	}
+	return a
+}
+
+func (w *world) knows(name string) bool {
+	w.scheduler.mu.Lock()
+	defer w.scheduler.mu.Unlock()
+	t := w.scheduler.targets[name]
+	return t != nil && t.usable(w.scheduler.now())
+}
+
+func (a *fakeAgent) receive() {
+	for {
+		f, err := a.link.Receive()
+		if err != nil {
+			return
+		}
+		a.mu.Lock()
+		a.accepted += uint64(len(f.Starts))
+		if f.Claims != nil {
+			a.claims = append(a.claims, f.Claims.Attempts...)
+		}
+		for _, s := range f.Starts {
+			a.room = a.room.Sub(s.Need)
+		}
+		a.mu.Unlock()
+		for _, s := range f.Starts {
+			a.starts <- s
+		}
+		for _, s := range f.Stops {
+			a.stops <- s
+		}
+	}
+}
+
+func (a *fakeAgent) report(at task.Attempt, need task.Resources, outcome peer.Outcome, refusal peer.Refusal) {
+	a.mu.Lock()
+	a.number++
+	number := a.number
+	if outcome != peer.OutcomeStarted {
+		a.room = a.room.Add(need)
+	}
+	a.mu.Unlock()
+	a.link.Send(peer.Frame{Results: []peer.Result{{Number: number, Attempt: at, Outcome: outcome, Refusal: refusal}}})
+}
+
+func (a *fakeAgent) next() peer.Start {
+	a.t.Helper()
+	select {
+	case s := <-a.starts:
+		return s
+	case <-time.After(2 * time.Second):
+		a.t.Fatal("no start")
+		return peer.Start{}
+	}
+}
+
+func (a *fakeAgent) done(s peer.Start) {
+	a.report(s.Attempt, s.Need, peer.OutcomeStarted, "")
+	a.report(s.Attempt, s.Need, peer.OutcomeDone, "")
+}
+
+func (w *world) job(id string, tasks int, cpu int64) *task.Job {
+	return &task.Job{
+		ID: id, Queue: "q",
+		Steps:    []task.Step{{Count: tasks, Need: task.Resources{CPU: cpu}, Estimate: 100 * time.Millisecond}},
+		Arrived:  time.Now(),
+		Deadline: time.Now().Add(2 * time.Second),
+	}
+}
+
+func (w *world) submit(j *task.Job) (<-chan Answer, func()) { return w.scheduler.Submit(j, w.queue) }
+
+func await(t *testing.T, answered <-chan Answer) Answer {
+	t.Helper()
+	select {
+	case a := <-answered:
+		return a
+	case <-time.After(4 * time.Second):
+		t.Fatal("no answer")
+		return Answer{}
+	}
+}
