Wait for the new roster before the entry that sent it is closed

Cause: TestSubsetReplacesTheEntriesOfTheSettings sends a roster through an entry and closes that entry's socket in the next line. What the connection has not sent yet is lost with it, so the agent keeps the old roster, in which the closed entry is its only choice, and nobody in the test tells it more.

Ruled out: a fault of the subset. With the roster delivered the agent lets go of the lost entry in a few milliseconds; with a roster that is lost it falls back to the entries of its settings, of which the test's one is a fake that sends no roster of its own.

Change: the test waits until the agent holds the roster, as the case it is about supposes. Nothing it asserts changes.

--- a/internal/process/agent/dial_test.go
+++ b/internal/process/agent/dial_test.go
@@ -253,7 +253,9 @@
 		return order[0].isLinked() && !order[1].isLinked() && !order[2].isLinked()
 	})
 	// The chosen entry is lost: the next one takes the agent.
+	// What its link still held when it ends would be lost with it.
 	x.announce(t, order[0], 2, order[1], order[2])
+	eventually(t, "the new roster", func() bool { return x.agent.roster.Load().Revision == 2 })
 	_ = order[0].transport.Close()
 	eventually(t, "link to the next entry only", func() bool { return order[1].isLinked() && !order[2].isLinked() })
 }
