Run the tests of runs and scheduler in bubbles of virtual time

Change: testing/synctest; no bound is changed. A report of the fake agent takes a millisecond, since in a bubble a refusal that takes no time is repeated without end. The keeper lets its target go when its Run ends, which the bubble needs and a process that ends should do as well.

--- a/internal/process/runs/keeper_test.go
+++ b/internal/process/runs/keeper_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -195,15 +196,24 @@
 		Dial:        func(Announcement) Target { return w.target },
 		TargetLease: testLease,
 	})
-	done := make(chan struct{})
-	t.Cleanup(func() { close(done) })
-	go w.keeper.Run(done)
+	w.run()
 	w.announce(Announcement{Incarnation: 1, Sequence: 1})
 	w.connect(7)
 	w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && f.Target.Available })
 	return w
 }
 
+// run starts the keeper and ends it with the test. Time is that of the test's bubble,
+// so what still sleeps then has time to end.
+func (w *world) run() {
+	done := make(chan struct{})
+	w.t.Cleanup(func() {
+		close(done)
+		time.Sleep(time.Minute)
+	})
+	go w.keeper.Run(done)
+}
+
 func (w *world) announce(a Announcement) bool {
 	a.ID, a.DataCentre, a.Capacity = "t1", "dc1", testCapacity
 	return w.keeper.Announce(a)
@@ -215,6 +225,7 @@
 	agentLink := peer.NewLink(here, func(f *peer.Frame) { w.keeper.Stamp(incarnation, f) })
 	w.keeper.Connect(&peer.Hello{Name: "entry", Incarnation: incarnation}, "entry:1", agentLink)
 	go func() {
+		defer agentLink.Close()
 		for {
 			f, err := agentLink.Receive()
 			if err != nil {
@@ -306,251 +317,279 @@
 }
 
 func TestRunEndsOnceAndFreesItsRoom(t *testing.T) {
-	w := newWorld(t)
-	a := w.start(0, 1, testCapacity)
-	w.started(a)
-	full := w.start(1, 1, task.Resources{CPU: 1})
-	if r := w.outcome(full, peer.OutcomeRefused); r.Refusal != peer.RefusalRoom {
-		t.Errorf("refused for %q, want room", r.Refusal)
-	}
-	w.target.end(a, peer.OutcomeDone)
-	w.outcome(a, peer.OutcomeDone)
-	w.waitFor(func(f *peer.Frame) bool { return f.Room != nil && f.Room.Free == testCapacity })
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.start(0, 1, testCapacity)
+		w.started(a)
+		full := w.start(1, 1, task.Resources{CPU: 1})
+		if r := w.outcome(full, peer.OutcomeRefused); r.Refusal != peer.RefusalRoom {
+			t.Errorf("refused for %q, want room", r.Refusal)
+		}
+		w.target.end(a, peer.OutcomeDone)
+		w.outcome(a, peer.OutcomeDone)
+		w.waitFor(func(f *peer.Frame) bool { return f.Room != nil && f.Room.Free == testCapacity })
+	})
 }
 
 // An order is carried out and its answer is lost.
 func TestUnansweredStartIsNotStartedTwice(t *testing.T) {
-	w := newWorld(t)
-	w.target.set(func() { w.target.loseStarts = 2 })
-	a := w.start(0, 1, task.Resources{CPU: 1000})
-	w.started(a)
-	if n := w.target.startsOf(a); n != 1 {
-		t.Errorf("started %d times", n)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.target.set(func() { w.target.loseStarts = 2 })
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		w.started(a)
+		if n := w.target.startsOf(a); n != 1 {
+			t.Errorf("started %d times", n)
+		}
+	})
 }
 
 // No start is ever answered, and each arrives long after the attempt has been
 // reported as not run: none of them may start anything.
 func TestLateStartIsFencedAfterRefusal(t *testing.T) {
-	w := newWorld(t)
-	w.target.set(func() { w.target.loseStarts, w.target.holdBack = 100, true })
-	a := w.start(0, 1, task.Resources{CPU: 1000})
-	if r := w.outcome(a, peer.OutcomeRefused); r.Refusal != peer.RefusalUnanswered {
-		t.Errorf("refused for %q", r.Refusal)
-	}
-	w.target.set(func() {
-		for _, deliver := range w.target.held {
-			deliver()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.target.set(func() { w.target.loseStarts, w.target.holdBack = 100, true })
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		if r := w.outcome(a, peer.OutcomeRefused); r.Refusal != peer.RefusalUnanswered {
+			t.Errorf("refused for %q", r.Refusal)
+		}
+		w.target.set(func() {
+			for _, deliver := range w.target.held {
+				deliver()
+			}
+		})
+		if n := w.target.startsOf(a); n != 0 {
+			t.Errorf("a late order started the attempt after it was reported as not run")
 		}
 	})
-	if n := w.target.startsOf(a); n != 0 {
-		t.Errorf("a late order started the attempt after it was reported as not run")
-	}
 }
 
 // An entry dies or is cut off: nothing of it may run when its caller asks again.
 func TestRunsOfASilentEntryAreStopped(t *testing.T) {
-	w := newWorld(t)
-	a := w.start(0, 1, task.Resources{CPU: 1000})
-	w.started(a)
-	close(w.silent)
-	begun := time.Now()
-	w.outcome(a, peer.OutcomeStopped)
-	if took := time.Since(begun); took > resend {
-		t.Errorf("stopped after %v", took)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		w.started(a)
+		close(w.silent)
+		begun := time.Now()
+		w.outcome(a, peer.OutcomeStopped)
+		if took := time.Since(begun); took > resend {
+			t.Errorf("stopped after %v", took)
+		}
+	})
 }
 
 func TestRunsSurviveABrokenLink(t *testing.T) {
-	w := newWorld(t)
-	a := w.start(0, 1, task.Resources{CPU: 1000})
-	w.started(a)
-	w.entry.Close()
-	w.connect(7)
-	f := w.waitFor(func(f *peer.Frame) bool { return f.Hello != nil })
-	if !slices.Contains(f.Hello.Runs, a) {
-		t.Errorf("hello names the runs %v, want %v", f.Hello.Runs, a)
-	}
-	time.Sleep(2 * peer.BrokenLinkLease)
-	w.target.end(a, peer.OutcomeDone)
-	w.outcome(a, peer.OutcomeDone)
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		w.started(a)
+		w.entry.Close()
+		w.connect(7)
+		f := w.waitFor(func(f *peer.Frame) bool { return f.Hello != nil })
+		if !slices.Contains(f.Hello.Runs, a) {
+			t.Errorf("hello names the runs %v, want %v", f.Hello.Runs, a)
+		}
+		time.Sleep(2 * peer.BrokenLinkLease)
+		w.target.end(a, peer.OutcomeDone)
+		w.outcome(a, peer.OutcomeDone)
+	})
 }
 
 func TestRunsOfAnEntryThatStaysAwayAreStopped(t *testing.T) {
-	w := newWorld(t)
-	a := w.start(0, 1, task.Resources{CPU: 1000})
-	w.started(a)
-	w.entry.Close()
-	deadline := time.Now().Add(resend)
-	for time.Now().Before(deadline) {
-		var running bool
-		w.target.set(func() { running = w.target.running[a] })
-		if !running {
-			return
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		w.started(a)
+		w.entry.Close()
+		deadline := time.Now().Add(resend)
+		for time.Now().Before(deadline) {
+			var running bool
+			w.target.set(func() { running = w.target.running[a] })
+			if !running {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
 		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	t.Error("the run goes on without its entry")
+		t.Error("the run goes on without its entry")
+	})
 }
 
 // The target crashes and is born again under its id: nothing runs there.
 func TestNewLifetimeLosesTheRunsOfTheFormer(t *testing.T) {
-	w := newWorld(t)
-	a := w.start(0, 1, task.Resources{CPU: 1000})
-	w.started(a)
-	w.target.set(func() { clear(w.target.running) })
-	w.announce(Announcement{Incarnation: 2, Sequence: 1})
-	w.outcome(a, peer.OutcomeLost)
-	if w.announce(Announcement{Incarnation: 1, Sequence: 99}) {
-		t.Error("a delayed announcement of the former lifetime is taken")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		w.started(a)
+		w.target.set(func() { clear(w.target.running) })
+		w.announce(Announcement{Incarnation: 2, Sequence: 1})
+		w.outcome(a, peer.OutcomeLost)
+		if w.announce(Announcement{Incarnation: 1, Sequence: 99}) {
+			t.Error("a delayed announcement of the former lifetime is taken")
+		}
+	})
 }
 
 // The target is born again under its id, and a start reaches the new lifetime before
 // its first report: found by the soak, seed 107.
 func TestStartCarriedOutByALaterLifetimeIsStoppedBeforeItIsReported(t *testing.T) {
-	w := newWorld(t)
-	w.target.set(func() { w.target.rebornStarts, w.target.token = true, 0 })
-	a := w.start(0, 1, task.Resources{CPU: 1000})
-	w.over(a, peer.OutcomeLost, peer.OutcomeStopped)
-	w.target.set(func() {
-		if w.target.running[a] || len(w.target.starts) != 1 {
-			t.Errorf("running %v after the report, starts %v", w.target.running, w.target.starts)
-		}
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.target.set(func() { w.target.rebornStarts, w.target.token = true, 0 })
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		w.over(a, peer.OutcomeLost, peer.OutcomeStopped)
+		w.target.set(func() {
+			if w.target.running[a] || len(w.target.starts) != 1 {
+				t.Errorf("running %v after the report, starts %v", w.target.running, w.target.starts)
+			}
+		})
 	})
 }
 
 // Clocks were set back before the target was born again: its reports must not be taken
 // for those of a past lifetime for ever.
 func TestLifetimeWithAnEarlierClockIsTakenOnceItAnswers(t *testing.T) {
-	w := newWorld(t)
-	if w.announce(Announcement{Incarnation: 0, Sequence: 1}) {
-		t.Fatal("a delayed announcement of a past lifetime is taken while the present one answers")
-	}
-	w.target.set(func() { w.target.reborn = true })
-	w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && !f.Target.Available })
-	w.target.set(func() { w.target.reborn = false })
-	if !w.announce(Announcement{Incarnation: 0, Sequence: 1}) {
-		t.Error("the announcement of the lifetime that answers is not taken")
-	}
-	w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && f.Target.Available })
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		if w.announce(Announcement{Incarnation: 0, Sequence: 1}) {
+			t.Fatal("a delayed announcement of a past lifetime is taken while the present one answers")
+		}
+		w.target.set(func() { w.target.reborn = true })
+		w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && !f.Target.Available })
+		w.target.set(func() { w.target.reborn = false })
+		if !w.announce(Announcement{Incarnation: 0, Sequence: 1}) {
+			t.Error("the announcement of the lifetime that answers is not taken")
+		}
+		w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && f.Target.Available })
+	})
 }
 
 // An order that was given to the former lifetime arrives at the new one.
 func TestLateOrderAtANewLifetimeIsStopped(t *testing.T) {
-	w := newWorld(t)
-	w.target.set(func() { clear(w.target.running) })
-	w.announce(Announcement{Incarnation: 2, Sequence: 1})
-	w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && f.Target.Incarnation == 2 && f.Target.Available })
-	late := task.Attempt{Key: task.Key{Job: "late"}, Run: 1}
-	w.target.set(func() { w.target.running[late] = true })
-	for deadline := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
-		var running bool
-		w.target.set(func() { running = w.target.running[late] })
-		if !running {
-			return
-		}
-		if time.Now().After(deadline) {
-			t.Fatal("a run that nobody asked for goes on")
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.target.set(func() { clear(w.target.running) })
+		w.announce(Announcement{Incarnation: 2, Sequence: 1})
+		w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && f.Target.Incarnation == 2 && f.Target.Available })
+		late := task.Attempt{Key: task.Key{Job: "late"}, Run: 1}
+		w.target.set(func() { w.target.running[late] = true })
+		for deadline := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
+			var running bool
+			w.target.set(func() { running = w.target.running[late] })
+			if !running {
+				return
+			}
+			if time.Now().After(deadline) {
+				t.Fatal("a run that nobody asked for goes on")
+			}
 		}
-	}
+	})
 }
 
 func TestDrainingTargetGetsNothing(t *testing.T) {
-	w := newWorld(t)
-	w.announce(Announcement{Incarnation: 1, Sequence: 2, Draining: true})
-	a := w.start(0, 1, task.Resources{CPU: 1000})
-	if r := w.outcome(a, peer.OutcomeRefused); r.Refusal != peer.RefusalUnavailable {
-		t.Errorf("refused for %q", r.Refusal)
-	}
-	w.announce(Announcement{Incarnation: 1, Sequence: 1})
-	b := w.start(1, 1, task.Resources{CPU: 1000})
-	w.outcome(b, peer.OutcomeRefused)
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.announce(Announcement{Incarnation: 1, Sequence: 2, Draining: true})
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		if r := w.outcome(a, peer.OutcomeRefused); r.Refusal != peer.RefusalUnavailable {
+			t.Errorf("refused for %q", r.Refusal)
+		}
+		w.announce(Announcement{Incarnation: 1, Sequence: 1})
+		b := w.start(1, 1, task.Resources{CPU: 1000})
+		w.outcome(b, peer.OutcomeRefused)
+	})
 }
 
 // An entry that is cut off from the store sends work to a data centre that is
 // out of service; another entry has told the agent.
 func TestDataCentreOutIsGatedAtTheStart(t *testing.T) {
-	w := newWorld(t)
-	w.entry.Send(peer.Frame{Policy: &peer.Policy{Revision: 9, Out: []string{"dc1"}}})
-	a := w.start(0, 1, task.Resources{CPU: 1000})
-	if r := w.outcome(a, peer.OutcomeRefused); r.Refusal != peer.RefusalOut {
-		t.Errorf("refused for %q", r.Refusal)
-	}
-	w.entry.Send(peer.Frame{Policy: &peer.Policy{Revision: 8}})
-	b := w.start(1, 1, task.Resources{CPU: 1000})
-	if r := w.outcome(b, peer.OutcomeRefused); r.Refusal != peer.RefusalOut {
-		t.Errorf("an older policy was taken: %q", r.Refusal)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.entry.Send(peer.Frame{Policy: &peer.Policy{Revision: 9, Out: []string{"dc1"}}})
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		if r := w.outcome(a, peer.OutcomeRefused); r.Refusal != peer.RefusalOut {
+			t.Errorf("refused for %q", r.Refusal)
+		}
+		w.entry.Send(peer.Frame{Policy: &peer.Policy{Revision: 8}})
+		b := w.start(1, 1, task.Resources{CPU: 1000})
+		if r := w.outcome(b, peer.OutcomeRefused); r.Refusal != peer.RefusalOut {
+			t.Errorf("an older policy was taken: %q", r.Refusal)
+		}
+	})
 }
 
 // The target does not answer: its runs are reported as lost only when its lease
 // on them is surely over, and nothing renews it meanwhile.
 func TestMuteTargetIsNotRenewedAndItsRunsAreLostAfterTheLease(t *testing.T) {
-	w := newWorld(t)
-	a := w.start(0, 1, task.Resources{CPU: 1000})
-	w.started(a)
-	w.target.set(func() { w.target.mute = true })
-	begun := time.Now()
-	w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && !f.Target.Available })
-	w.outcome(a, peer.OutcomeLost)
-	if took := time.Since(begun); took < testLease {
-		t.Errorf("lost after %v, the lease is %v", took, testLease)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		w.started(a)
+		w.target.set(func() { w.target.mute = true })
+		begun := time.Now()
+		w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && !f.Target.Available })
+		w.outcome(a, peer.OutcomeLost)
+		if took := time.Since(begun); took < testLease {
+			t.Errorf("lost after %v, the lease is %v", took, testLease)
+		}
+	})
 }
 
 // A new process of the agent finds runs at the target: an entry that sent them
 // claims them, the others are stopped.
 func TestNewProcessKeepsClaimedRunsAndStopsTheOthers(t *testing.T) {
-	w := &world{t: t, target: newFakeTarget(), frames: make(chan *peer.Frame, 1000), silent: make(chan struct{})}
-	mine := task.Attempt{Key: task.Key{Job: "mine"}, Run: 3}
-	stray := task.Attempt{Key: task.Key{Job: "stray"}, Run: 1}
-	ended := task.Attempt{Key: task.Key{Job: "ended"}, Run: 1}
-	w.target.running[mine], w.target.running[stray] = true, true
-	w.target.endLocked(ended, peer.OutcomeDone)
-	w.keeper = New(Options{Log: zerolog.Nop(), Counters: metrics.New(), Dial: func(Announcement) Target { return w.target }, TargetLease: testLease})
-	done := make(chan struct{})
-	t.Cleanup(func() { close(done) })
-	go w.keeper.Run(done)
-	// The clock of the former process was ahead.
-	w.target.set(func() { w.target.token = uint64(time.Now().UnixMilli()) + 5000 })
-	w.announce(Announcement{Incarnation: 1, Sequence: 1})
-	for !w.keeper.IsReady() {
-		time.Sleep(time.Millisecond)
-	}
-	w.connect(7)
-	f := w.waitFor(func(f *peer.Frame) bool { return f.Hello != nil })
-	if !slices.Contains(f.Hello.Runs, mine) || !slices.Contains(f.Hello.Runs, stray) {
-		t.Fatalf("hello names %v", f.Hello.Runs)
-	}
-	w.entry.Send(peer.Frame{Claims: &peer.Claims{Attempts: []peer.Claim{{Attempt: mine, Need: task.Resources{CPU: 500}}}}})
-	time.Sleep(orphanLease + 100*time.Millisecond)
-	w.target.set(func() {
-		if !w.target.running[mine] || w.target.running[stray] {
-			t.Errorf("running after the claim: %v", w.target.running)
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, target: newFakeTarget(), frames: make(chan *peer.Frame, 1000), silent: make(chan struct{})}
+		mine := task.Attempt{Key: task.Key{Job: "mine"}, Run: 3}
+		stray := task.Attempt{Key: task.Key{Job: "stray"}, Run: 1}
+		ended := task.Attempt{Key: task.Key{Job: "ended"}, Run: 1}
+		w.target.running[mine], w.target.running[stray] = true, true
+		w.target.endLocked(ended, peer.OutcomeDone)
+		w.keeper = New(Options{Log: zerolog.Nop(), Counters: metrics.New(), Dial: func(Announcement) Target { return w.target }, TargetLease: testLease})
+		w.run()
+		// The clock of the former process was ahead.
+		w.target.set(func() { w.target.token = uint64(time.Now().UnixMilli()) + 5000 })
+		w.announce(Announcement{Incarnation: 1, Sequence: 1})
+		for !w.keeper.IsReady() {
+			time.Sleep(time.Millisecond)
+		}
+		w.connect(7)
+		f := w.waitFor(func(f *peer.Frame) bool { return f.Hello != nil })
+		if !slices.Contains(f.Hello.Runs, mine) || !slices.Contains(f.Hello.Runs, stray) {
+			t.Fatalf("hello names %v", f.Hello.Runs)
 		}
+		w.entry.Send(peer.Frame{Claims: &peer.Claims{Attempts: []peer.Claim{{Attempt: mine, Need: task.Resources{CPU: 500}}}}})
+		time.Sleep(orphanLease + 100*time.Millisecond)
+		w.target.set(func() {
+			if !w.target.running[mine] || w.target.running[stray] {
+				t.Errorf("running after the claim: %v", w.target.running)
+			}
+		})
 	})
 }
 
 func TestStopWaitsForRuns(t *testing.T) {
-	w := newWorld(t)
-	a := w.start(0, 1, task.Resources{CPU: 1000})
-	w.started(a)
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	stopped := make(chan struct{})
-	go func() {
-		w.keeper.Stop(ctx)
-		close(stopped)
-	}()
-	w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && !f.Target.Available })
-	b := w.start(1, 1, task.Resources{CPU: 1000})
-	w.outcome(b, peer.OutcomeRefused)
-	select {
-	case <-stopped:
-		t.Fatal("stopped with a run in progress")
-	case <-time.After(50 * time.Millisecond):
-	}
-	w.target.end(a, peer.OutcomeDone)
-	<-stopped
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		w.started(a)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		stopped := make(chan struct{})
+		go func() {
+			w.keeper.Stop(ctx)
+			close(stopped)
+		}()
+		w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && !f.Target.Available })
+		b := w.start(1, 1, task.Resources{CPU: 1000})
+		w.outcome(b, peer.OutcomeRefused)
+		select {
+		case <-stopped:
+			t.Fatal("stopped with a run in progress")
+		case <-time.After(50 * time.Millisecond):
+		}
+		w.target.end(a, peer.OutcomeDone)
+		<-stopped
+	})
 }
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -297,8 +297,9 @@
 	return progress
 }
 
-// Run sweeps until done is closed.
+// Run sweeps until done is closed; then the target is let go.
 func (k *Keeper) Run(done <-chan struct{}) {
+	defer k.letGo()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -310,3 +311,13 @@
 		}
 	}
 }
+
+// letGo ends all calls of the target. What runs there is left to its lease.
+func (k *Keeper) letGo() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.life != nil {
+		k.life.cancel()
+		k.life.target.Close()
+	}
+}
--- a/internal/process/scheduler/world_test.go
+++ b/internal/process/scheduler/world_test.go
@@ -14,7 +14,11 @@
 	"github.com/rosemarybay/rosemarybay/internal/version/policy"
 )
 
-const testLease = 300 * time.Millisecond
+const (
+	testLease = 300 * time.Millisecond
+	// reportDelay is the way of a report: in a bubble nothing else takes time.
+	reportDelay = time.Millisecond
+)
 
 // fakeAgent is an agent whose answers the test gives.
 type fakeAgent struct {
@@ -53,8 +57,12 @@
 		Entries:     func() int { return 1 },
 		Behind:      func(*peer.Policy) {},
 	})
+	// Time is that of the test's bubble, so what still sleeps at the end has time to end.
 	done := make(chan struct{})
-	t.Cleanup(func() { close(done) })
+	t.Cleanup(func() {
+		close(done)
+		time.Sleep(time.Minute)
+	})
 	go w.scheduler.Run(done)
 	return w
 }
@@ -136,6 +144,7 @@
 }
 
 func (a *fakeAgent) report(at task.Attempt, need task.Resources, outcome peer.Outcome, refusal peer.Refusal) {
+	time.Sleep(reportDelay)
 	a.mu.Lock()
 	a.number++
 	number := a.number
