Space the calls of a target that is down, and settle one attempt at a time

Each run had a loop of its own.

Change: calls that fail are spaced by 10 to 80 ms, the longer the more of them fail; attempts of one target are settled one after the other.

Seen failing first: TestTargetThatResetsConnectionsIsNotCalledInALoop, 16,616 calls of a target that is down for one lease against at most 140.

--- a/internal/process/runs/keeper.go
+++ b/internal/process/runs/keeper.go
@@ -52,6 +52,8 @@
 	target Target
 	ctx    context.Context
 	cancel context.CancelFunc
+	// settling has a value while an attempt without an answer is looked for.
+	settling chan struct{}
 	// token fences orders: the target ignores all with a lower one.
 	token uint64
 	// lastSeen is the highest end that has been taken note of.
@@ -149,6 +151,7 @@
 		ctx:          ctx,
 		cancel:       cancel,
 		token:        uint64(time.Now().UnixMilli()),
+		settling:     make(chan struct{}, 1),
 		answered:     time.Now(),
 		renewed:      time.Now(),
 	}
--- a/internal/process/runs/keeper_test.go
+++ b/internal/process/runs/keeper_test.go
@@ -37,6 +37,8 @@
 	held       []func()
 	starts     []task.Attempt
 	renewals   int
+	// calls counts the orders and looks that came while mute.
+	calls int
 	// reborn is set while another lifetime answers looks than the one that is
 	// meant, rebornStarts while it carries out starts.
 	reborn, rebornStarts bool
@@ -58,6 +60,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.mute {
+		f.calls++
 		return 0, errSilent
 	}
 	if f.loseStarts > 0 {
@@ -96,6 +99,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.mute {
+		f.calls++
 		return 0, errSilent
 	}
 	if f.fenced(token) {
@@ -113,6 +117,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.mute {
+		f.calls++
 		return Report{}, errSilent
 	}
 	if f.fenced(look.Token) {
@@ -536,6 +541,31 @@
 	})
 }
 
+// A target crashes and its machine resets each connection at once, while the orders of
+// twenty tasks are on their way. Each call of it opens a connection.
+func TestTargetThatResetsConnectionsIsNotCalledInALoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.target.set(func() { w.target.mute = true })
+		const tasks = 20
+		for n := range tasks {
+			w.start(n, 1, task.Resources{CPU: 100})
+		}
+		ended := 0
+		w.waitFor(func(f *peer.Frame) bool {
+			ended += len(f.Results)
+			return ended == tasks
+		})
+		// The tries of each order, and the looks of one lease.
+		const most = tasks*orderTries + 40
+		w.target.set(func() {
+			if w.target.calls > most {
+				t.Errorf("%d calls of a target that is down, want at most %d", w.target.calls, most)
+			}
+		})
+	})
+}
+
 // A new process of the agent finds runs at the target: an entry that sent them
 // claims them, the others are stopped.
 func TestNewProcessKeepsClaimedRunsAndStopsTheOthers(t *testing.T) {
--- a/internal/process/runs/look.go
+++ b/internal/process/runs/look.go
@@ -13,7 +13,7 @@
 	lookWait = 50 * time.Millisecond
 	// lookGrace is added to it before the look counts as unanswered.
 	lookGrace = 30 * time.Millisecond
-	// lookBackoff spaces looks that are refused or fail at once.
+	// lookBackoff spaces looks that are refused.
 	lookBackoff = 10 * time.Millisecond
 	// muteAfter is the silence after which the target gets no new work, and
 	// after which its lease is not renewed, so that what runs there is over in
@@ -29,6 +29,7 @@
 // look renews the lease and takes note of ends until the lifetime is over.
 func (k *Keeper) look(l *lifetime) {
 	wait := time.Duration(0)
+	var pace pace
 	for l.ctx.Err() == nil {
 		order := k.nextLook(l, wait)
 		sent := time.Now()
@@ -37,12 +38,11 @@
 		cancel()
 		if err != nil {
 			k.missed(l, err)
-			if time.Since(sent) < lookBackoff {
-				time.Sleep(lookBackoff)
-			}
+			pace.failed(l.ctx, sent)
 			wait = 0
 			continue
 		}
+		pace.answered()
 		wait = k.looked(l, report, order.Token, sent)
 	}
 }
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -62,16 +62,19 @@
 // start carries out an order. An order without an answer is repeated: starting
 // an attempt that runs succeeds, and one that has ended is refused.
 func (k *Keeper) start(l *lifetime, r *run, s peer.Start) {
+	var pace pace
 	for range orderTries {
 		token, ok := k.tokenFor(l, r)
 		if !ok {
 			break
 		}
+		sent := time.Now()
 		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 		answer, err := l.target.Start(ctx, token, s)
 		cancel()
 		if err != nil {
 			k.unanswered(l, "start", s.Attempt, err)
+			pace.failed(l.ctx, sent)
 			continue
 		}
 		k.heard(l)
@@ -150,30 +153,48 @@
 }
 
 // settle finds out whether an attempt whose orders were not answered runs. The
-// look carries a token above theirs, so that none of them counts later.
+// look carries a token above theirs, so that none of them counts later. Attempts of
+// one target are settled one at a time: while it does not answer, one look tells as
+// much as many.
 func (k *Keeper) settle(l *lifetime, r *run) {
+	select {
+	case l.settling <- struct{}{}:
+	case <-l.ctx.Done():
+		return
+	}
+	defer func() { <-l.settling }()
+	var pace pace
 	for l.ctx.Err() == nil {
-		k.mu.Lock()
-		if k.runs[r.attempt.Key] != r {
-			k.mu.Unlock()
+		order, ok := k.settlingLook(l, r)
+		if !ok {
 			return
 		}
-		l.token++
-		token, lastSeen := l.token, l.lastSeen
-		k.mu.Unlock()
+		sent := time.Now()
 		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
-		report, err := l.target.Look(ctx, Look{Token: token, LastSeen: lastSeen})
+		report, err := l.target.Look(ctx, order)
 		cancel()
-		if err != nil || report.Answer != AnswerDone {
-			k.unanswered(l, "look", r.attempt, err)
-			if k.lapsed(l) {
-				return
-			}
-			continue
+		if err == nil && report.Answer == AnswerDone {
+			k.settled(l, r, report)
+			return
 		}
-		k.settled(l, r, report)
-		return
+		k.unanswered(l, "look", r.attempt, err)
+		if k.lapsed(l) {
+			return
+		}
+		pace.failed(l.ctx, sent)
+	}
+}
+
+// settlingLook returns a look with a token above that of all orders so far, or false
+// when r has ended.
+func (k *Keeper) settlingLook(l *lifetime, r *run) (Look, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.runs[r.attempt.Key] != r {
+		return Look{}, false
 	}
+	l.token++
+	return Look{Token: l.token, LastSeen: l.lastSeen}, true
 }
 
 func (k *Keeper) settled(l *lifetime, r *run, report Report) {
@@ -218,6 +239,7 @@
 
 // stop orders the end of a run. Its end is reported by the loop that looks.
 func (k *Keeper) stop(l *lifetime, r *run) {
+	var pace pace
 	for range stopTries {
 		k.mu.Lock()
 		gone, token := k.runs[r.attempt.Key] != r, l.token
@@ -225,12 +247,14 @@
 		if gone || l.ctx.Err() != nil {
 			return
 		}
+		sent := time.Now()
 		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 		answer, err := l.target.Stop(ctx, token, r.attempt)
 		cancel()
 		switch {
 		case err != nil:
 			k.unanswered(l, "stop", r.attempt, err)
+			pace.failed(l.ctx, sent)
 		case answer == AnswerFenced:
 			k.raiseToken(l, token, tokenStep)
 		case answer == AnswerDone:
