Judge a target by its first failure, and clear it by runs begun later

The agent's judgement took three failures in a row and was taken back by the good end of any run, also of one from before; and it offered each probe to all entries at once.

A probe is offered to one entry, and is a task that can afford to fail. A probe that hangs holds up the next one for a second.

Ruled out: the entries' own judgement (each sees a part of the results; the agent sees all), the health answers (not asked).

Tests: health_test.go, which replaces the test of three failures; in runs TestFirstFailureKeepsWorkAway and TestProbeIsOfferedToOneEntry. Not seen failing on the former code, whose interface differs.

--- /dev/null
+++ b/internal/process/load/health_test.go
@@ -0,0 +1,108 @@
+package load
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const testRun = 50 * time.Millisecond
+
+// A target begins to fail all it starts, each time at once. Runs from before end well
+// meanwhile and must not clear it; runs begun later must.
+func TestHealthIsClearedOnlyByRunsBegunAfterTheFailure(t *testing.T) {
+	var h Health
+	now := time.Second
+	h.Ended("first", now-20*time.Millisecond, now, true)
+	if h.Sound() {
+		t.Fatal("a target that has just failed a run is given work freely")
+	}
+	h.Ended("older", now-testRun, now, false)
+	if h.Sound() {
+		t.Fatal("a run from before the failure cleared the target")
+	}
+	h.Ended("later", now, now+testRun, false)
+	if !h.Sound() {
+		t.Error("a run begun after the failure does not clear the target")
+	}
+}
+
+// A hopeless job fails everywhere: its tasks count as one failure.
+func TestHealthCountsAHopelessJobOnce(t *testing.T) {
+	var h Health
+	for n := range 8 {
+		at := time.Duration(n) * time.Millisecond
+		h.Ended("hopeless", at, at+testRun, true)
+	}
+	h.Ended("fine", 10*time.Millisecond, 10*time.Millisecond+testRun, false)
+	if !h.Sound() {
+		t.Error("one hopeless job needs more than one run to be forgiven")
+	}
+}
+
+// A target fails two of five runs, or all, and recovers after ten seconds. In doubt it
+// is given one task at a time, so few of those that it gets are failed.
+func TestHealthKeepsWorkFromATargetThatFailsAPart(t *testing.T) {
+	const (
+		end   = 10 * time.Second
+		width = 10 // tasks at a time while it is sound
+		// unjudged is how many tasks it would be given without a judgement.
+		unjudged = width * int(end/testRun)
+	)
+	for _, failing := range []int{5, 2} {
+		var h Health
+		failed, number := 0, 0
+		for now := time.Second; now < time.Second+end; now += testRun {
+			tasks := 0
+			switch {
+			case h.Sound():
+				tasks = width
+			case h.MayProbe(now):
+				tasks = 1
+				h.Probed(now)
+			}
+			for range tasks {
+				number++
+				bad := number%5 < failing
+				if bad {
+					failed++
+				}
+				h.Ended(fmt.Sprint(number), now, now+testRun, bad)
+			}
+		}
+		if most := unjudged * failing / 5 / 10; failed > most {
+			t.Errorf("%d of five runs fail: %d did, want a tenth of what would at most, %d", failing, failed, most)
+		}
+		now := time.Second + end
+		for ; !h.Sound() && now < 20*time.Second; now += testRun {
+			if h.MayProbe(now) {
+				h.Probed(now)
+				number++
+				h.Ended(fmt.Sprint(number), now, now+testRun, false)
+			}
+		}
+		if took := now - time.Second - end; took > 6*time.Second {
+			t.Errorf("%d of five runs failed: sound again after %v", failing, took)
+		}
+	}
+}
+
+// Probes of a target that hangs do not pile up.
+func TestProbesAreSpaced(t *testing.T) {
+	var h Health
+	h.Paced(0.1, 2)
+	if !h.MayProbe(time.Second) {
+		t.Fatal("no probe of a slow target")
+	}
+	h.Probed(time.Second)
+	if h.MayProbe(time.Second + probeTime - time.Millisecond) {
+		t.Error("a second probe while the first one runs")
+	}
+	if !h.MayProbe(time.Second + probeTime) {
+		t.Error("no probe after one that hangs")
+	}
+	h.Ended("probe", time.Second, time.Second+testRun, false)
+	if h.MayProbe(time.Second + probeInterval - time.Millisecond) {
+		t.Error("probes are not spaced")
+	}
+}
--- a/internal/process/load/load_test.go
+++ b/internal/process/load/load_test.go
@@ -241,36 +241,6 @@
 	}
 }
 
-// A target that fails everything it starts, beside hopeless jobs that fail
-// everywhere.
-func TestHealthTellsAFailingTargetFromAHopelessJob(t *testing.T) {
-	var h Health
-	for range 8 {
-		h.Ended("hopeless", true)
-	}
-	if !h.Sound() {
-		t.Fatal("one hopeless job put the target on probation")
-	}
-	h.Ended("fine", false)
-	for _, job := range []string{"a", "b", "c"} {
-		h.Ended(job, true)
-	}
-	if h.Sound() {
-		t.Fatal("three jobs in a row failed and the target counts as sound")
-	}
-	if !h.MayProbe(time.Second, 0) || h.MayProbe(time.Second, 1) {
-		t.Error("a probe is one task, when none runs")
-	}
-	h.Probed(time.Second)
-	if h.MayProbe(time.Second+probeInterval/2, 0) {
-		t.Error("probes are not spaced")
-	}
-	h.Ended("d", false)
-	if !h.Sound() {
-		t.Error("a probe that went well does not end the probation")
-	}
-}
-
 // A third of the targets slow down by the factor 5, and recover.
 func TestHealthFollowsThePace(t *testing.T) {
 	var h Health
--- a/internal/process/runs/keeper.go
+++ b/internal/process/runs/keeper.go
@@ -65,6 +65,10 @@
 	answered time.Time
 	renewed  time.Time
 	health   load.Health
+	// prober is the incarnation of the entry that may send the next probe, offered
+	// when it was chosen.
+	prober  uint64
+	offered time.Duration
 	// doubted is set while the latest judgement logged is that it is not sound.
 	doubted bool
 	// mute is set while calls are not answered.
@@ -96,6 +100,8 @@
 	phase phase
 	// since is when it was last confirmed by the answer to an order.
 	since time.Time
+	// began is when its order was taken, on the clock of leases.
+	began time.Duration
 	// stop is set when it is to be stopped as soon as it has started.
 	stop     bool
 	expected time.Duration
@@ -228,12 +234,12 @@
 	return free
 }
 
-// roomLocked returns the room as entries see it.
-func (k *Keeper) roomLocked() *peer.Room {
+// roomLocked returns the room as an entry sees it.
+func (k *Keeper) roomLocked(o *owner) *peer.Room {
 	room := &peer.Room{Free: k.freeLocked()}
 	if l := k.life; l != nil && !l.health.Sound() {
 		room.Probation = true
-		room.Probe = l.health.MayProbe(k.clock(), len(k.runs))
+		room.Probe = l.prober == o.incarnation && l.health.MayProbe(k.clock())
 	}
 	return room
 }
--- a/internal/process/runs/keeper_test.go
+++ b/internal/process/runs/keeper_test.go
@@ -181,6 +181,9 @@
 
 var testCapacity = task.Resources{CPU: 8000, MemoryMB: 1000}
 
+// suspectProbe is long enough for a probe of a target that has failed once to be due.
+const suspectProbe = 70 * time.Millisecond
+
 // world is a keeper between a fake target and one entry.
 type world struct {
 	t      *testing.T
@@ -623,3 +626,50 @@
 		<-stopped
 	})
 }
+
+// A target begins to fail all that it starts, at once, so that it is always the
+// emptiest: the first failure tells the entries, and the good end of a run from before
+// does not take it back.
+func TestFirstFailureKeepsWorkAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		older := w.start(0, 1, task.Resources{CPU: 1000})
+		w.started(older)
+		time.Sleep(5 * time.Millisecond)
+		a := w.start(1, 1, task.Resources{CPU: 1000})
+		w.started(a)
+		w.target.end(a, peer.OutcomeFailed)
+		w.waitFor(func(f *peer.Frame) bool { return f.Room != nil && f.Room.Probation })
+		w.target.end(older, peer.OutcomeDone)
+		f := w.waitFor(func(f *peer.Frame) bool {
+			return slices.ContainsFunc(f.Results, func(r peer.Result) bool { return r.Attempt == older && r.Outcome == peer.OutcomeDone })
+		})
+		if !f.Room.Probation {
+			t.Error("a run from before the failure cleared the target")
+		}
+	})
+}
+
+// A target in doubt offers one probe to one entry, not to each of them.
+func TestProbeIsOfferedToOneEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.connect(8)
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		w.started(a)
+		w.target.end(a, peer.OutcomeFailed)
+		w.outcome(a, peer.OutcomeFailed)
+		time.Sleep(suspectProbe)
+		offers := 0
+		w.keeper.mu.Lock()
+		for _, o := range w.keeper.owners {
+			if w.keeper.roomLocked(o).Probe {
+				offers++
+			}
+		}
+		w.keeper.mu.Unlock()
+		if offers != 1 {
+			t.Errorf("%d entries may send a probe, want 1", offers)
+		}
+	})
+}
--- a/internal/process/runs/look.go
+++ b/internal/process/runs/look.go
@@ -181,7 +181,7 @@
 		return
 	}
 	if e.Outcome == peer.OutcomeDone || e.Outcome == peer.OutcomeFailed {
-		l.health.Ended(e.Attempt.Key.Job, e.Outcome == peer.OutcomeFailed)
+		l.health.Ended(e.Attempt.Key.Job, r.began, k.clock(), e.Outcome == peer.OutcomeFailed)
 	}
 	k.finishLocked(r, e.Outcome, peer.RefusalNone)
 }
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -32,9 +32,17 @@
 			Uint64("policy_revision", k.policy.Revision).Msg("start refused")
 		return
 	}
-	r := &run{attempt: s.Attempt, owner: o.incarnation, need: s.Need, since: time.Now(), expected: s.Expected}
+	r := &run{
+		attempt:  s.Attempt,
+		owner:    o.incarnation,
+		need:     s.Need,
+		since:    time.Now(),
+		began:    k.clock(),
+		expected: s.Expected,
+	}
 	if !k.life.health.Sound() {
-		k.life.health.Probed(k.clock())
+		k.life.health.Probed(r.began)
+		k.life.prober = 0
 	}
 	k.runs[s.Attempt.Key] = r
 	o.attempts++
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -14,6 +14,8 @@
 	orphanLease = 400 * time.Millisecond
 	// ownerMemory is how long the results for an entry without a link are kept.
 	ownerMemory = 5 * time.Second
+	// probeOffer is how long one entry may use its offer of a probe.
+	probeOffer = 100 * time.Millisecond
 	// slowRun is the pace below which an entry is told of a run.
 	slowRun = 0.5
 	// roomIntervalPerLink spaces the updates of room to entries that have no
@@ -147,7 +149,7 @@
 	}
 	o.sent = time.Now()
 	o.roomDirty = false
-	f.Room = k.roomLocked()
+	f.Room = k.roomLocked(o)
 	f.Accepted = o.accepted
 	f.Echo = o.echo
 }
@@ -221,6 +223,7 @@
 	defer k.mu.Unlock()
 	now := time.Now()
 	clock := k.clock()
+	k.offerProbeLocked(clock)
 	for incarnation, o := range k.owners {
 		if why, over := o.leaseOver(clock, now); over && o.attempts > 0 {
 			k.stopOwnerLocked(incarnation, why)
@@ -238,6 +241,23 @@
 	}
 }
 
+// offerProbeLocked lets one entry after the other send a probe while one is due: all at
+// once would send as many tasks to a target that may fail them.
+func (k *Keeper) offerProbeLocked(clock time.Duration) {
+	l := k.life
+	if l == nil || !l.health.MayProbe(clock) || (l.prober != 0 && clock-l.offered < probeOffer) {
+		return
+	}
+	// The order of a map is random.
+	for incarnation, o := range k.owners {
+		if o.link != nil && incarnation != l.prober {
+			l.prober, l.offered = incarnation, clock
+			o.link.Send(peer.Frame{})
+			return
+		}
+	}
+}
+
 func (o *owner) leaseOver(clock time.Duration, now time.Time) (string, bool) {
 	switch {
 	case clock-o.heard > peer.OwnerLease:
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -172,7 +172,7 @@
 	bestScore := 0.0
 	candidates := 0
 	for _, t := range s.targets {
-		if !r.isEligible(t, it.job.queue) || (r.trusted && t.probation && !t.probe) {
+		if !r.isEligible(t, it.job.queue) || (r.trusted && t.probation && !(t.probe && it.mayProbe())) {
 			continue
 		}
 		c := t.candidate()
@@ -194,6 +194,10 @@
 	return best
 }
 
+// mayProbe reports whether a task can be risked on a target in doubt: one more failure
+// must not be its last.
+func (it *item) mayProbe() bool { return it.failures == 0 && it.job.queue.MaxAttempts > 1 }
+
 // room returns the processors free and in all at targets that can be used.
 func (s *Scheduler) room(r round) (free, all int64) {
 	for _, t := range s.targets {
