Let urgent queues go first, and keep room for them

Priorities were not used at all. Jobs of priority 0 are short and wide and can wait some 80 ms, in which no room comes back that others who wait longer do not take first.

Change: the queue orders by priority before slack (begun jobs still first, late ones last); and less urgent work leaves one standard deviation free of the room that more urgent work uses (trunk reservation), by its rate, width and run time as seen here, times the number of entries, at most 15 % of all room.

--- a/internal/process/load/load_test.go
+++ b/internal/process/load/load_test.go
@@ -13,12 +13,14 @@
 	latest   time.Duration
 	begun    bool
 	overdue  bool
+	priority int
 	work     Work
 	position int
 }
 
 func (w *waiting) LatestStart() time.Duration { return w.latest }
 func (w *waiting) Begun() bool                { return w.begun }
+func (w *waiting) Priority() int              { return w.priority }
 func (w *waiting) Overdue() bool              { return w.overdue }
 func (w *waiting) Work() Work                 { return w.work }
 func (w *waiting) CPU() int64                 { return int64(w.work) * 10 }
@@ -39,14 +41,18 @@
 	overdue := &waiting{name: "overdue", latest: 10 * time.Millisecond, overdue: true, work: 5}
 	short := &waiting{name: "short", latest: 80 * time.Millisecond, work: 60}
 	begun := &waiting{name: "begun", latest: 900 * time.Millisecond, begun: true, work: 7}
-	for _, w := range []*waiting{long, overdue, short, begun} {
+	urgent := &waiting{name: "urgent", latest: 950 * time.Millisecond, priority: -1, work: 3}
+	for _, w := range []*waiting{long, overdue, short, begun, urgent} {
 		q.Push(w)
 	}
-	if work, cpu := q.Ahead(100 * time.Millisecond); work != 67 || cpu != 670 {
-		t.Errorf("work ahead of 100 ms is %d on %d, want 67 on 670", work, cpu)
+	if work, cpu := q.Ahead(0, 100*time.Millisecond); work != 70 || cpu != 700 {
+		t.Errorf("work ahead of 100 ms is %d on %d, want 70 on 700", work, cpu)
+	}
+	if cpu := q.Begun(); cpu != 70 {
+		t.Errorf("tasks of begun jobs take %d, want 70", cpu)
 	}
 	got := popAll(q)
-	want := []string{"begun", "short", "long", "overdue"}
+	want := []string{"begun", "urgent", "short", "long", "overdue"}
 	for i := range want {
 		if got[i] != want[i] {
 			t.Fatalf("order %v, want %v", got, want)
--- a/internal/process/load/order.go
+++ b/internal/process/load/order.go
@@ -10,6 +10,8 @@
 	// LatestStart is the last moment at which a start still meets the
 	// objective, as a time since the epoch.
 	LatestStart() time.Duration
+	// Priority is that of its queue; 0 comes first.
+	Priority() int
 	// Begun reports whether other tasks of the same job have been started.
 	Begun() bool
 	// Overdue reports whether the objective cannot be met any more.
@@ -21,10 +23,11 @@
 	Position() *int
 }
 
-// Queue holds tasks that wait, the one with the least slack first. A job is of
-// use only when its last task has ended, so the tasks of jobs that have begun go
-// before all others; those that are late anyway go last. It answers bursts of one kind: with the arrival order a
-// short job waits behind long ones that could wait.
+// Queue holds tasks that wait: those of the most urgent queue first, and of one
+// priority the one with the least slack. A job is of use only when its last task has
+// ended, so the tasks of jobs that have begun go before all others; those that are
+// late anyway go last. It answers bursts of one kind: with the arrival order a short
+// job waits behind long ones that could wait.
 type Queue[T Waiting] struct {
 	items items[T]
 	total Work
@@ -65,11 +68,11 @@
 	}
 }
 
-// Ahead returns the work that would be started before a task with a latest start,
-// and the thousandths of a core that it takes.
-func (q *Queue[T]) Ahead(latest time.Duration) (work Work, cpu int64) {
+// Ahead returns the work that would be started before a task of a priority with a
+// latest start, and the thousandths of a core that it takes.
+func (q *Queue[T]) Ahead(priority int, latest time.Duration) (work Work, cpu int64) {
 	for _, t := range q.items {
-		if !t.Overdue() && (t.Begun() || t.LatestStart() <= latest) {
+		if !t.Overdue() && goesBefore(t, priority, latest) {
 			work += t.Work()
 			cpu += t.CPU()
 		}
@@ -77,6 +80,27 @@
 	return work, cpu
 }
 
+func goesBefore[T Waiting](t T, priority int, latest time.Duration) bool {
+	switch {
+	case t.Begun():
+		return true
+	case t.Priority() != priority:
+		return t.Priority() < priority
+	}
+	return t.LatestStart() <= latest
+}
+
+// Begun returns the thousandths of a core that the tasks of begun jobs take.
+func (q *Queue[T]) Begun() int64 {
+	var cpu int64
+	for _, t := range q.items {
+		if !t.Overdue() && t.Begun() {
+			cpu += t.CPU()
+		}
+	}
+	return cpu
+}
+
 // All calls f with each task that waits, in no order.
 func (q *Queue[T]) All(f func(T)) {
 	for _, t := range q.items {
@@ -96,6 +120,9 @@
 	if s[i].Begun() != s[j].Begun() {
 		return s[i].Begun()
 	}
+	if s[i].Priority() != s[j].Priority() {
+		return s[i].Priority() < s[j].Priority()
+	}
 	return s[i].LatestStart() < s[j].LatestStart()
 }
 
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -25,6 +25,7 @@
 // admit decides whether a job may wait here, and answers it if not.
 func (s *Scheduler) admit(j *job) (Answer, bool) {
 	now := s.now()
+	s.reserve.Arrived(j.queue.Priority, now, j.firstCPU(), j.forecast.RunTime)
 	if s.stop != nil && !s.stop.Takes(now, j.forecast.RunTime) {
 		return refuse(apiv1.Reason_REASON_STOPPING, stoppingRetry, "this entry stops"), false
 	}
@@ -66,9 +67,9 @@
 // predictRoom returns how long the job's last task waits for room behind the work that
 // goes before it. Where nothing runs that could end, the rate of starts stands for it.
 func (s *Scheduler) predictRoom(j *job, now time.Duration) roomPrediction {
-	work, cpu := s.queue.Ahead(j.latestStart)
+	work, cpu := s.queue.Ahead(j.queue.Priority, j.latestStart)
 	r := s.newRound()
-	missing := s.missing(j, cpu, r)
+	missing := s.missing(j, cpu+s.reserved(j, r), r)
 	if missing <= 0 {
 		return roomPrediction{missing: missing, known: true}
 	}
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -102,6 +102,9 @@
 // LatestStart implements load.Waiting.
 func (it *item) LatestStart() time.Duration { return it.job.latestStart }
 
+// Priority implements load.Waiting.
+func (it *item) Priority() int { return it.job.queue.Priority }
+
 // Begun implements load.Waiting.
 func (it *item) Begun() bool { return it.job.begun }
 
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -17,8 +16,6 @@
 	// and maxPassed how many tasks of theirs.
 	misfits   = 8
 	maxPassed = 100
-	// noStart is before the latest start of any task.
-	noStart = math.MinInt64
 )
 
 // maxMoves bounds the moves of one task.
@@ -85,8 +82,7 @@
 	if it.Overdue() {
 		return load.HasReserve(s.room(r))
 	}
-	_, begun := s.queue.Ahead(noStart)
-	missing := s.missing(it.job, begun, r)
+	missing := s.missing(it.job, s.queue.Begun()+s.reserved(it.job, r), r)
 	if missing <= 0 {
 		return true
 	}
@@ -94,6 +90,12 @@
 	return s.releases.Len() == 0 || s.releases.ShouldBegin(r.now, it.job.latestStart, missing)
 }
 
+// reserved returns the processors that a job leaves free for more urgent queues.
+func (s *Scheduler) reserved(j *job, r round) int64 {
+	_, all := s.room(r)
+	return s.reserve.For(j.queue.Priority, r.now, all, s.opts.Entries())
+}
+
 // missing returns how many processors a job needs to begin, behind tasks that need
 // others before, beyond those that are free. It looks no further once nothing is
 // missing.
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -53,6 +53,7 @@
 	drain    load.Drain
 	estimate *load.Estimator
 	patience *load.Patience
+	reserve  *load.Reserve
 	// delays are those of starts by data centre.
 	delays *load.Delays
 	// releases is that of the present round of placement, for one pool.
@@ -73,6 +74,7 @@
 		answers:  newAnswers(),
 		estimate: load.NewEstimator(),
 		patience: load.NewPatience(),
+		reserve:  load.NewReserve(),
 		delays:   load.NewDelays(),
 	}
 }
