Tell short jobs from callers who ask again

A caller's remaining time that means a run below 0.3 of the predicted one counted as a sign of that; but declared run times are off by 45 % and true ones spread as much, so one job in ten is that short.

Change: a caller has waited only if less time is left than the shortest run explains: below 0.97 of the base of the line.

Seen failing first: TestPatienceTellsShortJobsFromCallersWhoAskAgain.

--- a/internal/process/load/load_test.go
+++ b/internal/process/load/load_test.go
@@ -197,6 +197,31 @@
 	}
 }
 
+// Half of the jobs of a queue take a tenth of what is declared: their callers, who have
+// less time left than others, have not waited before.
+func TestPatienceTellsShortJobsFromCallersWhoAskAgain(t *testing.T) {
+	p := NewPatience()
+	patience := func(run time.Duration) time.Duration { return 1700*time.Millisecond + 4*run }
+	run := func(i int) time.Duration {
+		if i%2 == 0 {
+			return 10*time.Millisecond + time.Duration(i%7)*time.Millisecond
+		}
+		return 150 * time.Millisecond
+	}
+	for i := range 200 {
+		p.Observe("q", run(i), patience(run(i)))
+	}
+	for i := range 50 {
+		f := p.Forecast("q", 100*time.Millisecond, patience(run(i)), time.Second)
+		if f.Waited != 0 || (f.RunTime-run(i)).Abs() > 5*time.Millisecond {
+			t.Fatalf("a job of %v: forecast %+v", run(i), f)
+		}
+	}
+	if f := p.Forecast("q", 100*time.Millisecond, patience(run(0))-300*time.Millisecond, time.Second); f.Waited == 0 {
+		t.Errorf("a caller who asks again after 300 ms: %+v", f)
+	}
+}
+
 // Runs on a slow target and callers who ask again leave the line where it is; when
 // all callers change, a new one is learned.
 func TestPatienceKeepsItsLineUntilAllCallersChange(t *testing.T) {
--- a/internal/process/load/patience.go
+++ b/internal/process/load/patience.go
@@ -19,10 +19,11 @@
 	// lineOutliers is the number of such samples in a row after which the line
 	// itself is taken to be wrong.
 	lineOutliers = 40
-	// minRunShare is the share of the predicted run time below which the time
-	// that a caller has left does not stand for a shorter run any more, and
-	// maxRunShare the one above which it does not stand for a longer one.
-	minRunShare = 0.3
+	// baseShare is the share of the patience for the shortest run below which a
+	// caller has less time left than any run explains.
+	baseShare = 0.97
+	// maxRunShare is the share of the predicted run time above which the time that
+	// a caller has left does not stand for a longer run any more.
 	maxRunShare = 6
 	// overdueShare is the share of the usual time below which a caller has been
 	// waiting for long, where that time says nothing of the run.
@@ -83,9 +84,9 @@
 // which stands for the usual patience until callers have been seen.
 func (p *Patience) Forecast(queue string, predicted, left, timeout time.Duration) Forecast {
 	if line, ok := p.line(queue); ok {
-		run := line.run(left)
+		run := max(line.run(left), 0)
 		switch {
-		case float64(run) < minRunShare*float64(predicted):
+		case ms(left) < baseShare*line.BaseMS:
 			return Forecast{RunTime: predicted, Waited: max(line.patience(predicted)-left, 0)}
 		case run > maxRunShare*predicted:
 			return Forecast{RunTime: predicted}
