Keep work near, serve late callers while it helps, stop with an answer

Three decisions, each with the load it answers.

Near targets come first until others are emptier by 0.3 of their room (0.02 before).

A caller who has waited too long for the objective is served while there is spare room and the answer is still of use: up to three times the objective and its deadline, where it was refused after a quarter of the objective before. Test: TestOverdueJobsWaitWhileTheirAnswerIsOfUse.

Tests: TestStoppingEntryTakesWhatSurelyEnds (one case more), TestEndingEntryAnswersWhatIsInProgress.

--- a/internal/process/load/load_test.go
+++ b/internal/process/load/load_test.go
@@ -266,6 +266,22 @@
 	}
 }
 
+// The return after an outage: there is room for some seconds of work, and the callers
+// who ask again still wait.
+func TestOverdueJobsWaitWhileTheirAnswerIsOfUse(t *testing.T) {
+	f := Forecast{RunTime: time.Second, Waited: 1300 * time.Millisecond}
+	const objective = 1600 * time.Millisecond
+	for _, c := range []struct{ left, want time.Duration }{
+		{5 * time.Second, 2500 * time.Millisecond},
+		{2 * time.Second, time.Second},
+		{time.Second, 400 * time.Millisecond},
+	} {
+		if got := OverdueSlack(f, objective, c.left); got != c.want {
+			t.Errorf("a caller with %v left waits for %v, want %v", c.left, got, c.want)
+		}
+	}
+}
+
 func TestReserveIsKeptFromOverdueJobs(t *testing.T) {
 	if HasReserve(10, 100) || !HasReserve(30, 100) {
 		t.Error("the reserve is not a fifth")
@@ -407,6 +423,7 @@
 		{"a long job while the balancer still sends", time.Second, time.Second, true},
 		{"a short job later", 3 * time.Second, 100 * time.Millisecond, true},
 		{"a long job later", 3 * time.Second, time.Second, false},
+		{"a short job while most entries stop", 4 * time.Second, 200 * time.Millisecond, true},
 		{"a short job at the end", 4900 * time.Millisecond, 100 * time.Millisecond, false},
 	} {
 		if got := stop.Takes(c.now, c.expected); got != c.takes {
--- a/internal/process/load/patience.go
+++ b/internal/process/load/patience.go
@@ -28,9 +28,11 @@
 	// overdueShare is the share of the usual time below which a caller has been
 	// waiting for long, where that time says nothing of the run.
 	overdueShare = 0.6
-	// overdueWait is the part of its objective for which an overdue job waits for
-	// room that nobody else needs.
-	overdueWait = 0.25
+	// overdueWait is the part of its objective for which an overdue job waits at
+	// least for room that nobody else needs, and usefulFactor the multiple of it up to
+	// which a late answer is of use.
+	overdueWait  = 0.25
+	usefulFactor = 3
 	// overdueReserve is the share of all room that must be free for such a job.
 	overdueReserve = 0.2
 )
@@ -211,9 +213,13 @@
 	f.line, f.known = Line{BaseMS: (f.y - slope*f.x) / f.n, Slope: slope}, true
 }
 
-// OverdueSlack returns how long an overdue job may wait for room.
-func OverdueSlack(objective time.Duration) time.Duration {
-	return time.Duration(overdueWait * float64(objective))
+// OverdueSlack returns how long an overdue job may wait for room from its arrival: while
+// its answer is still of use, and its caller there. f is its forecast, objective the
+// time after its caller first asked in which it should have ended, and left the time
+// that its caller is still going to wait.
+func OverdueSlack(f Forecast, objective, left time.Duration) time.Duration {
+	useful := min(usefulFactor*objective-f.Waited, left) - f.RunTime
+	return max(useful, time.Duration(overdueWait*float64(objective)))
 }
 
 // HasReserve reports whether so much of all room is free that an overdue job takes
--- a/internal/process/load/placement.go
+++ b/internal/process/load/placement.go
@@ -39,9 +39,10 @@
 // of a target's room.
 const delayedCost = 4
 
-// nearGain stands for the shorter way within a data centre, as a share of a
-// target's room: it decides only between targets that are about equally free.
-const nearGain = 0.02
+// nearGain stands for the shorter way within a data centre, and for the bytes between
+// data centres, as a share of a target's room: work stays near until targets elsewhere
+// are so much emptier.
+const nearGain = 0.3
 
 // Fits reports whether a task may be started on a target now.
 func (w *Wish) Fits(c *Candidate) bool {
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -160,7 +160,7 @@
 	j.latestStart = asked + load.Slack(j.queue.Stretch, j.queue.TargetLatency, f)
 	if j.latestStart < j.arrived {
 		j.overdue = true
-		j.latestStart = j.arrived + load.OverdueSlack(objective)
+		j.latestStart = j.arrived + load.OverdueSlack(f, objective, j.deadline-j.arrived)
 	}
 }
 
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -241,6 +241,15 @@
 	s.stop = &load.Stop{Open: s.now() + open, End: s.now() + within}
 }
 
+// End gives up all jobs, since this entry ends.
+func (s *Scheduler) End() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range s.jobs {
+		s.giveUp(j, apiv1.Reason_REASON_STOPPING, "this entry ends")
+	}
+}
+
 // Refresh places work after a change of the policy, and tells the agents.
 func (s *Scheduler) Refresh() {
 	s.mu.Lock()
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -300,6 +300,27 @@
 	})
 }
 
+// The grace of a stop ends with a job in progress: its caller is told, and not cut.
+func TestEndingEntryAnswersWhatIsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.agent("a")
+		running, _ := w.submit(w.job("running", 1, 8000))
+		s := a.next()
+		waiting, _ := w.submit(w.job("waiting", 1, 8000))
+		w.scheduler.End()
+		if got := await(t, running); got.State != StateUnfinished || got.Verdict != verdict.MayHaveRun {
+			t.Errorf("the job in progress is answered %+v", got)
+		}
+		if got := await(t, waiting); got.State != StateRefused || got.Verdict != verdict.NotRun {
+			t.Errorf("the job that waits is answered %+v", got)
+		}
+		if stopped := <-a.stops; stopped != s.Attempt {
+			t.Errorf("stopped %v", stopped)
+		}
+	})
+}
+
 func TestStoppingEntryRefusesNewJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -150,7 +150,7 @@
 	sleep(ctx, newJobsAfterStop)
 	for !e.callers.Drain(ctx) {
 		if ctx.Err() != nil {
-			e.log.Warn().Int("requests", e.callers.Requests()).Msg("stopping with requests in progress")
+			e.endJobs()
 			break
 		}
 	}
@@ -159,6 +159,16 @@
 	e.callers.Close(closing)
 }
 
+// endJobs answers the requests that are still in progress when the grace is over: a
+// caller with an answer asks another entry.
+func (e *entry) endJobs() {
+	e.log.Warn().Int("jobs", e.scheduler.Jobs()).Int("requests", e.callers.Requests()).Msg("stopping with requests in progress")
+	e.scheduler.End()
+	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
+	defer cancel()
+	e.callers.Drain(ctx)
+}
+
 // accept serves the links of agents until the listener is closed.
 func (e *entry) accept() {
 	for {
