--- a/internal/process/load/patience.go
+++ b/internal/process/load/patience.go
@@ -19,17 +19,20 @@
 	// lineOutliers is the number of such samples in a row after which the line
 	// itself is taken to be wrong.
 	lineOutliers = 40
-	// minRunShare is the share of the predicted run time below which the time
-	// that a caller has left does not stand for a shorter run any more, and
-	// maxRunShare the one above which it does not stand for a longer one.
-	minRunShare = 0.3
+	// baseShare is the share of the patience for the shortest run below which a
+	// caller has less time left than any run explains.
+	baseShare = 0.97
+	// maxRunShare is the share of the predicted run time above which the time that
+	// a caller has left does not stand for a longer run any more.
 	maxRunShare = 6
 	// overdueShare is the share of the usual time below which a caller has been
 	// waiting for long, where that time says nothing of the run.
 	overdueShare = 0.6
-	// overdueWait is the part of its objective for which an overdue job waits for
-	// room that nobody else needs.
-	overdueWait = 0.25
+	// overdueWait is the part of its objective for which an overdue job waits at
+	// least for room that nobody else needs, and usefulFactor the multiple of it up to
+	// which a late answer is of use.
+	overdueWait  = 0.25
+	usefulFactor = 3
 	// overdueReserve is the share of all room that must be free for such a job.
 	overdueReserve = 0.2
 )
@@ -83,9 +86,9 @@
 // which stands for the usual patience until callers have been seen.
 func (p *Patience) Forecast(queue string, predicted, left, timeout time.Duration) Forecast {
 	if line, ok := p.line(queue); ok {
-		run := line.run(left)
+		run := max(line.run(left), 0)
 		switch {
-		case float64(run) < minRunShare*float64(predicted):
+		case ms(left) < baseShare*line.BaseMS:
 			return Forecast{RunTime: predicted, Waited: max(line.patience(predicted)-left, 0)}
 		case run > maxRunShare*predicted:
 			return Forecast{RunTime: predicted}
@@ -210,9 +213,13 @@
 	f.line, f.known = Line{BaseMS: (f.y - slope*f.x) / f.n, Slope: slope}, true
 }
 
-// OverdueSlack returns how long an overdue job may wait for room.
-func OverdueSlack(objective time.Duration) time.Duration {
-	return time.Duration(overdueWait * float64(objective))
+// OverdueSlack returns how long an overdue job may wait for room from its arrival: while
+// its answer is still of use, and its caller there. f is its forecast, objective the
+// time after its caller first asked in which it should have ended, and left the time
+// that its caller is still going to wait.
+func OverdueSlack(f Forecast, objective, left time.Duration) time.Duration {
+	useful := min(usefulFactor*objective-f.Waited, left) - f.RunTime
+	return max(useful, time.Duration(overdueWait*float64(objective)))
 }
 
 // HasReserve reports whether so much of all room is free that an overdue job takes
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -102,6 +102,9 @@
 // LatestStart implements load.Waiting.
 func (it *item) LatestStart() time.Duration { return it.job.latestStart }
 
+// Priority implements load.Waiting.
+func (it *item) Priority() int { return it.job.queue.Priority }
+
 // Begun implements load.Waiting.
 func (it *item) Begun() bool { return it.job.begun }
 
@@ -157,7 +160,7 @@
 	j.latestStart = asked + load.Slack(j.queue.Stretch, j.queue.TargetLatency, f)
 	if j.latestStart < j.arrived {
 		j.overdue = true
-		j.latestStart = j.arrived + load.OverdueSlack(objective)
+		j.latestStart = j.arrived + load.OverdueSlack(f, objective, j.deadline-j.arrived)
 	}
 }
 
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -17,8 +16,6 @@
 	// and maxPassed how many tasks of theirs.
 	misfits   = 8
 	maxPassed = 100
-	// noStart is before the latest start of any task.
-	noStart = math.MinInt64
 )
 
 // maxMoves bounds the moves of one task.
@@ -85,8 +82,7 @@
 	if it.Overdue() {
 		return load.HasReserve(s.room(r))
 	}
-	_, begun := s.queue.Ahead(noStart)
-	missing := s.missing(it.job, begun, r)
+	missing := s.missing(it.job, s.queue.Begun()+s.reserved(it.job, r), r)
 	if missing <= 0 {
 		return true
 	}
@@ -94,6 +90,12 @@
 	return s.releases.Len() == 0 || s.releases.ShouldBegin(r.now, it.job.latestStart, missing)
 }
 
+// reserved returns the processors that a job leaves free for more urgent queues.
+func (s *Scheduler) reserved(j *job, r round) int64 {
+	_, all := s.room(r)
+	return s.reserve.For(j.queue.Priority, r.now, all, s.opts.Entries())
+}
+
 // missing returns how many processors a job needs to begin, behind tasks that need
 // others before, beyond those that are free. It looks no further once nothing is
 // missing.
@@ -172,7 +174,7 @@
 	bestScore := 0.0
 	candidates := 0
 	for _, t := range s.targets {
-		if !r.isEligible(t, it.job.queue) || (r.trusted && t.probation && !t.probe) {
+		if !r.isEligible(t, it.job.queue) || (r.trusted && t.probation && !(t.probe && it.mayProbe())) {
 			continue
 		}
 		c := t.candidate()
@@ -194,6 +196,10 @@
 	return best
 }
 
+// mayProbe reports whether a task can be risked on a target in doubt: one more failure
+// must not be its last.
+func (it *item) mayProbe() bool { return it.failures == 0 && it.job.queue.MaxAttempts > 1 }
+
 // room returns the processors free and in all at targets that can be used.
 func (s *Scheduler) room(r round) (free, all int64) {
 	for _, t := range s.targets {
