Link agents with twelve entries, and let entries tell them of the others

Cause: each agent linked with each entry and told it its room, and each read the list of all entries from the store every 1.5 s, so links, frames and bytes grew with the size of the fleet. An entry that was away was called some 25 times a second by every agent, for as long as it was listed.

Change, one rule and no setting: - internal/version/entries: an agent links with all entries, or with twelve where there are more, half of them of its own data centre, by rendezvous hashing. - An entry follows the list of entries by a watch, with a read of all each ten seconds, and tells it to the agents that ask; each agent asks one of its entries, another one each half minute, and turns away from one whose list is older than what it knows. A key that has gone is forgotten after three seconds. - An agent asks the store only while no entry is linked, with a growing pause and jitter. - Calls of an entry that does not answer: 10 to 40 ms apart for one second, then up to 500 ms, with jitter; at once when its new process is known. - An entry that is no longer chosen gets no new work from its side, and its link ends when nothing of it is left. - A cancel at an entry that does not hold the job is passed on by the agents, also to entries that the first one has no target in common with. Before, the holder took the stopped attempts for lost and started them again.

--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -35,8 +35,30 @@
 	Accepted uint64     `cbor:"12,keyasint,omitempty"`
 	Progress []Progress `cbor:"13,keyasint,omitempty"`
 	// CancelJobs names jobs that callers cancelled at an entry that does not
-	// hold them.
+	// hold them. An agent passes them on to its other entries.
 	CancelJobs []string `cbor:"14,keyasint,omitempty"`
+	// Follow asks an entry for all entries, and for each change of them from then on.
+	Follow bool `cbor:"15,keyasint,omitempty"`
+	// Entries answers Follow.
+	Entries *Entries `cbor:"16,keyasint,omitempty"`
+}
+
+// Entry is one entry as agents reach it.
+type Entry struct {
+	Name        string `cbor:"1,keyasint"`
+	Address     string `cbor:"2,keyasint"`
+	DataCentre  string `cbor:"3,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"4,keyasint"`
+}
+
+// Entries says which entries there are, or what has changed.
+type Entries struct {
+	// Revision is that of the latest change known of any of them; a lower one is older.
+	Revision uint64 `cbor:"1,keyasint"`
+	// Whole is set where Present is all there are, and not only changes.
+	Whole   bool     `cbor:"2,keyasint,omitempty"`
+	Present []Entry  `cbor:"3,keyasint,omitempty"`
+	Gone    []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Hello opens a link.
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,6 +86,25 @@
 		f.Progress = o.Progress
 	}
 	f.CancelJobs = append(f.CancelJobs, o.CancelJobs...)
+	f.Follow = f.Follow || o.Follow
+	f.Entries = f.Entries.merge(o.Entries)
+}
+
+// merge returns e followed by a later o.
+func (e *Entries) merge(o *Entries) *Entries {
+	if e == nil || o == nil || o.Whole {
+		return later(e, o)
+	}
+	return &Entries{
+		Revision: o.Revision,
+		Whole:    e.Whole,
+		Present:  append(withoutNames(e.Present, o.Gone), o.Present...),
+		Gone:     append(e.Gone, o.Gone...),
+	}
+}
+
+func withoutNames(entries []Entry, names []string) []Entry {
+	return slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return slices.Contains(names, e.Name) })
 }
 
 func later[T any](a, b *T) *T {
--- a/internal/process/runs/keeper.go
+++ b/internal/process/runs/keeper.go
@@ -28,6 +28,8 @@
 	Announced func(Announcement)
 	// TargetLease is how long a target runs what is not renewed.
 	TargetLease time.Duration
+	// Retired is called once nothing runs for an entry that is let go; nil for nobody.
+	Retired func(address string)
 }
 
 // Keeper holds the runs at one target. It is safe for concurrent use.
@@ -244,8 +246,8 @@
 	return room
 }
 
-// descriptionLocked returns the target as entries see it.
-func (k *Keeper) descriptionLocked() *peer.Target {
+// descriptionLocked returns the target as an entry sees it.
+func (k *Keeper) descriptionLocked(o *owner) *peer.Target {
 	if k.life == nil {
 		return &peer.Target{}
 	}
@@ -257,7 +259,7 @@
 		DataCentre:  a.DataCentre,
 		Capacity:    a.Capacity,
 		Labels:      a.Labels,
-		Available:   k.availableLocked(),
+		Available:   k.availableLocked() && !o.retiring,
 	}
 }
 
@@ -265,7 +267,7 @@
 func (k *Keeper) describeLocked() {
 	for _, o := range k.owners {
 		if o.link != nil {
-			o.link.Send(peer.Frame{Target: k.descriptionLocked()})
+			o.link.Send(peer.Frame{Target: k.descriptionLocked(o)})
 		}
 	}
 }
--- a/internal/process/runs/keeper_test.go
+++ b/internal/process/runs/keeper_test.go
@@ -245,10 +245,11 @@
 	}()
 	var mu sync.Mutex
 	var heard int64
+	var taken uint64
 	w.entry = peer.NewLink(there, func(f *peer.Frame) {
 		mu.Lock()
 		defer mu.Unlock()
-		f.Echo = heard
+		f.Echo, f.Taken = heard, taken
 	})
 	w.t.Cleanup(w.entry.Close)
 	entry := w.entry
@@ -260,6 +261,9 @@
 			}
 			mu.Lock()
 			heard = max(heard, f.Sent)
+			for _, r := range f.Results {
+				taken = max(taken, r.Number)
+			}
 			mu.Unlock()
 			select {
 			case <-w.silent:
@@ -673,3 +677,44 @@
 		}
 	})
 }
+
+// The agent turns from one entry to another: the former one sends nothing new, and is
+// let go once what runs for it has ended and it has the result.
+func TestRetiredEntryIsLetGoAfterItsLastRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		retired := make(chan string, 1)
+		w.keeper.opts.Retired = func(address string) { retired <- address }
+		a := w.start(0, 1, task.Resources{CPU: 1000})
+		w.started(a)
+		w.keeper.Retire("entry:1")
+		w.waitFor(func(f *peer.Frame) bool { return f.Target != nil && !f.Target.Available })
+		b := w.start(1, 1, task.Resources{CPU: 1000})
+		if r := w.outcome(b, peer.OutcomeRefused); r.Refusal != peer.RefusalUnavailable {
+			t.Errorf("refused for %q", r.Refusal)
+		}
+		time.Sleep(time.Second)
+		if len(retired) > 0 {
+			t.Fatal("let go while a task of it runs")
+		}
+		w.target.end(a, peer.OutcomeDone)
+		w.outcome(a, peer.OutcomeDone)
+		if address := <-retired; address != "entry:1" {
+			t.Errorf("retired %s", address)
+		}
+	})
+}
+
+// A job is cancelled at an entry that does not hold it and has no link with the one
+// that does: the agents pass the word on.
+func TestCancelIsPassedOnToTheOtherEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.connect(8)
+		w.entry.Send(peer.Frame{CancelJobs: []string{"j"}})
+		f := w.waitFor(func(f *peer.Frame) bool { return len(f.CancelJobs) > 0 })
+		if !slices.Equal(f.CancelJobs, []string{"j"}) {
+			t.Errorf("passed on %v", f.CancelJobs)
+		}
+	})
+}
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -53,7 +53,7 @@
 func (k *Keeper) refusalLocked(o *owner, s peer.Start) peer.Refusal {
 	present := k.runs[s.Attempt.Key]
 	switch {
-	case !k.availableLocked(), s.Incarnation != k.life.Incarnation:
+	case !k.availableLocked(), o.retiring, s.Incarnation != k.life.Incarnation:
 		return peer.RefusalUnavailable
 	case k.isOutLocked():
 		return peer.RefusalOut
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -50,6 +50,9 @@
 	roomDirty bool
 	// echo is the latest Sent that arrived from the entry.
 	echo int64
+	// retiring is set while the entry is let go: it may send nothing new. released is
+	// set once nothing of it is left here.
+	retiring, released bool
 }
 
 // IsReady reports whether the target has said what runs there.
@@ -95,12 +98,13 @@
 		k.owners[hello.Incarnation] = o
 	}
 	o.address, o.link, o.lost, o.accepted = address, link, time.Time{}, 0
+	o.retiring, o.released = false, false
 	o.heard = k.clock()
 	k.opts.Log.Info().Str("entry", o.name).Uint64("incarnation", o.incarnation).
 		Int("runs", o.attempts).Int("results", len(o.results)).Msg("entry linked")
 	link.Send(peer.Frame{
 		Hello:   &peer.Hello{Name: k.opts.Name, Incarnation: k.opts.Incarnation, DataCentre: k.opts.DataCentre, Runs: k.runsForLocked(o)},
-		Target:  k.descriptionLocked(),
+		Target:  k.descriptionLocked(o),
 		Results: append([]peer.Result(nil), o.results...),
 		Policy:  k.policyLocked(),
 	})
@@ -178,9 +182,7 @@
 	for _, a := range f.Stops {
 		k.stopLocked(a, "ordered by its entry")
 	}
-	for _, job := range f.CancelJobs {
-		k.cancelJobLocked(job)
-	}
+	k.cancelJobsLocked(o, f.CancelJobs)
 }
 
 // taken forgets the results that the entry has.
@@ -207,6 +209,22 @@
 	}
 }
 
+// cancelJobsLocked ends jobs that were cancelled at an entry which does not hold them,
+// and may have no link with the one that does.
+func (k *Keeper) cancelJobsLocked(from *owner, jobs []string) {
+	if len(jobs) == 0 {
+		return
+	}
+	for _, o := range k.owners {
+		if o != from && o.link != nil {
+			o.link.Send(peer.Frame{CancelJobs: jobs})
+		}
+	}
+	for _, job := range jobs {
+		k.cancelJobLocked(job)
+	}
+}
+
 // cancelJobLocked stops the runs of a job, whichever entry sent them.
 func (k *Keeper) cancelJobLocked(job string) {
 	for key, r := range k.runs {
@@ -234,6 +252,7 @@
 		}
 		k.heartbeatLocked(o, now)
 	}
+	k.retireLocked()
 	for _, r := range k.runs {
 		if r.owner == 0 && now.Sub(r.since) > orphanLease {
 			k.stopLocked(r.attempt, "claimed by no entry")
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -176,12 +176,20 @@
 	for _, t := range s.targets {
 		t.send(peer.Frame{CancelJobs: []string{id}})
 	}
+	if s.cancelHere(id) {
+		s.pump()
+		return true
+	}
+	return s.answers.cancel(id, s.now())
+}
+
+// cancelHere ends a job that was cancelled, if it is in progress here.
+func (s *Scheduler) cancelHere(id string) bool {
 	j := s.jobs[id]
 	if j == nil {
-		return s.answers.cancel(id, s.now())
+		return false
 	}
 	s.finish(j, Answer{State: StateCancelled, Verdict: j.verdict(), Reason: apiv1.Reason_REASON_CANCELLED, Message: "cancelled"})
-	s.pump()
 	return true
 }
 
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -344,3 +344,23 @@
 		}
 	})
 }
+
+// A job is cancelled at another entry: the agents tell, and its tasks that were stopped
+// are not started again.
+func TestJobCancelledAtAnotherEntryIsNotStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.agent("a")
+		answered, _ := w.submit(w.job("j", 1, 1000))
+		s := a.next()
+		a.link.Send(peer.Frame{CancelJobs: []string{"j"}})
+		a.report(s.Attempt, s.Need, peer.OutcomeStopped, "")
+		if got := await(t, answered); got.State != StateCancelled {
+			t.Errorf("answer %+v", got)
+		}
+		time.Sleep(time.Second)
+		if len(a.starts) > 0 {
+			t.Error("a task of a cancelled job was started again")
+		}
+	})
+}
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -181,6 +181,9 @@
 	if f.Hello != nil {
 		s.reconcile(t, f.Hello)
 	}
+	for _, id := range f.CancelJobs {
+		s.cancelHere(id)
+	}
 	if f.Policy != nil && f.Policy.Revision > s.opts.View.Outages().Revision {
 		s.opts.Behind(f.Policy)
 	}
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
@@ -15,19 +16,14 @@
 )
 
 const (
-	// rosterFast is the time between looks at the roster while no entry is
-	// linked, rosterSlow otherwise.
-	rosterFast = 60 * time.Millisecond
-	rosterSlow = 1500 * time.Millisecond
-	// dialBackoff and dialBackoffMax space the calls of an entry that does not
-	// answer.
-	dialBackoff    = 10 * time.Millisecond
-	dialBackoffMax = 40 * time.Millisecond
+	// listFast and listSlow bound the time between looks at the store's list of
+	// entries while none is linked. Later the linked ones tell of the others.
+	listFast = 60 * time.Millisecond
+	listSlow = time.Second
+	// linkCheck is the time between looks at whether an entry is still linked.
+	linkCheck = 250 * time.Millisecond
 	// patientDial is the number of calls of which one has the long timeout.
 	patientDial = 4
-	// entryMemory is how long an entry that the roster no longer names is
-	// called: its key may have lapsed while the store was away.
-	entryMemory = 10 * time.Second
 )
 
 // agent is the role beside a target.
@@ -37,25 +33,17 @@
 	store  rosterStore
 	record *record
 	status *caller.Server
-	// dialers are the entries being called or linked, by address.
-	dialers map[string]*dialer
-	lost    bool
-}
-
-// dialer keeps a link with one entry.
-type dialer struct {
-	cancel context.CancelFunc
-	// named is when the roster, or a link, last showed the entry.
-	named time.Time
+	links  *links
+	lost   bool
 }
 
 func (p *Server) newAgent() error {
 	kv := platform.NewStore(p.node.Store, p.node.IP)
 	a := &agent{
-		Server:  p,
-		store:   kv,
-		record:  newRecord(kv, p.log, p.settings.Name),
-		dialers: make(map[string]*dialer),
+		Server: p,
+		store:  kv,
+		record: newRecord(kv, p.log, p.settings.Name),
+		links:  newLinks(p.settings.Name, p.settings.DataCentre, p.log),
 	}
 	p.run = a.serve
 	a.keeper = runs.New(runs.Options{
@@ -66,10 +54,14 @@
 		Counters:    p.counters,
 		TargetLease: p.node.TargetLease.Std(),
 		Announced:   a.record.changed,
+		Retired:     a.links.retired,
 		Dial: func(announced runs.Announcement) runs.Target {
 			return platform.NewRunner(announced, p.node.IP, p.node.TargetLease.Std())
 		},
 	})
+	a.links.dial = a.dial
+	a.links.retire = a.keeper.Retire
+	a.links.resume = a.keeper.Resume
 	announcements := &platform.Announcements{Targets: a.keeper}
 	var err error
 	a.status, err = caller.Listen(caller.Options{
@@ -93,7 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go a.keeper.Run(ctx.Done())
-	go a.followRoster(ctx)
+	go a.findEntries(ctx)
 	go a.keepRecord(ctx)
 	<-stop
 	a.log.Info().Msg("stopping")
@@ -113,47 +105,47 @@
 	a.record.run(ctx)
 }
 
-// followRoster keeps a link with each entry of the roster. Seeds stand in for it
-// until it has been read.
-func (a *agent) followRoster(ctx context.Context) {
+// findEntries looks for entries in the store while none is linked. Seeds stand in for
+// the store until it has been read.
+func (a *agent) findEntries(ctx context.Context) {
 	seeded := false
-	for {
-		addresses, err := a.listEntries(ctx)
-		if err != nil && !seeded {
-			addresses, seeded = a.seeds(), true
+	pause := listFast
+	for ctx.Err() == nil {
+		if a.links.count() > 0 {
+			pause = listFast
+			a.links.turn()
+			sleep(ctx, linkCheck)
+			continue
 		}
-		a.noteRoster(err)
-		a.call(ctx, addresses)
-		pause := rosterSlow
-		if a.keeper.Links() == 0 {
-			pause = rosterFast
-		}
-		if !sleep(ctx, pause) {
-			return
+		err := a.listEntries(ctx)
+		if err != nil && !seeded {
+			a.links.call(ctx, a.seeds())
+			seeded = true
 		}
+		a.noteList(err)
+		// Agents that lost all of their entries together don't ask together.
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, listSlow)
 	}
 }
 
-func (a *agent) noteRoster(err error) {
+func (a *agent) noteList(err error) {
 	switch {
 	case err != nil && !a.lost:
-		a.log.Warn().Err(err).Msg("roster not read")
+		a.log.Warn().Err(err).Msg("entries not read")
 	case err == nil && a.lost:
-		a.log.Info().Msg("roster read again")
+		a.log.Info().Msg("entries read again")
 	}
 	a.lost = err != nil
 }
 
-func (a *agent) listEntries(ctx context.Context) ([]string, error) {
+func (a *agent) listEntries(ctx context.Context) error {
 	listing, err := a.store.ListStale(ctx, rosterPrefix)
 	if err != nil {
-		return nil, err
-	}
-	var addresses []string
-	for _, r := range decodeRoster(listing, a.log) {
-		addresses = append(addresses, r.Address)
+		return err
 	}
-	return addresses, nil
+	a.links.listed(ctx, decodeEntries(listing.Values, a.log), latestOf(listing.Values))
+	return nil
 }
 
 func (a *agent) seeds() []string {
@@ -166,57 +158,46 @@
 	return addresses
 }
 
-// call starts a dialer for each new address and ends those of entries that have
-// been neither named nor linked for long.
-func (a *agent) call(ctx context.Context, addresses []string) {
-	now := time.Now()
-	for _, address := range addresses {
-		d := a.dialers[address]
-		if d == nil {
-			dialing, cancel := context.WithCancel(ctx)
-			d = &dialer{cancel: cancel}
-			a.dialers[address] = d
-			go a.dial(dialing, address)
-		}
-		d.named = now
-	}
-	for address, d := range a.dialers {
-		if a.keeper.IsLinked(address) {
-			d.named = now
-		}
-		if now.Sub(d.named) > entryMemory {
-			d.cancel()
-			delete(a.dialers, address)
-		}
-	}
-}
-
 // dial keeps a link with one entry until ctx ends.
-func (a *agent) dial(ctx context.Context, address string) {
-	backoff := dialBackoff
+func (a *agent) dial(ctx context.Context, d *dialer) {
+	var pace redial
 	for try := 0; ctx.Err() == nil; try++ {
 		timeout := peer.QuickDialTimeout
 		if try%patientDial == patientDial-1 {
 			timeout = peer.DialTimeout
 		}
-		begun := time.Now()
-		if err := a.link(ctx, address, timeout); err != nil {
-			a.log.Debug().Err(err).Str("entry", address).Msg("entry not linked")
+		linked, err := a.link(ctx, d.address, timeout)
+		if err != nil {
+			a.log.Debug().Err(err).Str("entry", d.address).Msg("entry not linked")
 		}
-		if time.Since(begun) > peer.DialTimeout {
-			backoff = dialBackoff
+		if linked {
+			pace.answered()
 		}
-		if !sleep(ctx, backoff) {
-			return
+		if d.await(ctx, pace.next(time.Now(), rand.Float64())) {
+			pace.answered()
 		}
-		backoff = min(2*backoff, dialBackoffMax)
 	}
 }
 
-// link serves one link until it breaks.
-func (a *agent) link(ctx context.Context, address string, timeout time.Duration) error {
+// await waits for a time, or until the entry is known to have started anew, which it
+// reports.
+func (d *dialer) await(ctx context.Context, wait time.Duration) (news bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return false
+	case <-d.news:
+		return true
+	}
+}
+
+// link serves one link until it breaks, and reports whether there was one.
+func (a *agent) link(ctx context.Context, address string, timeout time.Duration) (linked bool, err error) {
 	if !a.keeper.IsReady() {
-		return eris.New("no target yet")
+		return false, eris.New("no target yet")
 	}
 	var incarnation incarnationOf
 	link, err := peer.Dial(address, a.localAddr(), timeout, func(f *peer.Frame) {
@@ -225,7 +206,7 @@
 		}
 	})
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer link.Close()
 	go func() {
@@ -237,18 +218,23 @@
 	}()
 	f, err := link.Receive()
 	if err != nil {
-		return err
+		return false, err
 	}
 	if f.Hello == nil {
-		return eris.New("entry said no hello")
+		return false, eris.New("entry said no hello")
 	}
 	id := f.Hello.Incarnation
 	incarnation.set(id)
 	a.keeper.Connect(f.Hello, address, link)
+	a.links.opened(address, link)
 	for err == nil {
+		if f.Entries != nil {
+			a.links.told(ctx, address, f.Entries)
+		}
 		a.keeper.Receive(id, f)
 		f, err = link.Receive()
 	}
+	a.links.closed(address, link)
 	a.keeper.Disconnect(id, link, err)
-	return err
+	return true, err
 }
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -13,6 +13,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/connection/caller"
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/scheduler"
+	"github.com/rosemarybay/rosemarybay/internal/version/entries"
 	"github.com/rosemarybay/rosemarybay/internal/version/policy"
 	"github.com/rosemarybay/rosemarybay/platform"
 )
@@ -31,6 +32,7 @@
 	view      *policy.View
 	follower  *follower
 	registrar *registrar
+	directory *directory
 	learned   *learned
 	scheduler *scheduler.Scheduler
 	callers   *caller.Server
@@ -51,8 +53,9 @@
 		store: kv,
 		log:   p.log,
 		key:   rosterPrefix + p.settings.Name,
-		value: registration{Address: advertised, Incarnation: p.incarnation},
+		value: registration{Address: advertised, DataCentre: p.settings.DataCentre, Incarnation: p.incarnation},
 	}
+	e.directory = newDirectory(kv, p.log)
 	e.scheduler = scheduler.New(scheduler.Options{
 		DataCentre:  p.settings.DataCentre,
 		Log:         p.log,
@@ -61,7 +64,7 @@
 		TargetLease: p.node.TargetLease.Std(),
 		Random:      rand.Float64,
 		Behind:      e.behind,
-		Entries:     func() int { return int(e.registrar.entries.Load()) },
+		Entries:     func() int { return min(e.directory.Len(), entries.MaxLinks) },
 	})
 	e.learned = &learned{store: kv, log: p.log, patience: e.scheduler}
 	e.follower = &follower{store: kv, log: p.log, view: e.view, changed: e.scheduler.Refresh}
@@ -129,6 +132,7 @@
 	defer cancel()
 	go e.follower.run(ctx)
 	go e.registrar.run(ctx)
+	go e.directory.run(ctx)
 	go e.learned.run(ctx)
 	go e.scheduler.Run(ctx.Done())
 	go e.accept()
@@ -204,6 +208,9 @@
 	e.scheduler.Connect(f.Hello, link)
 	name.Store(&agent)
 	for err == nil {
+		if f.Follow {
+			e.directory.follow(link, func(changes peer.Entries) { link.Send(peer.Frame{Entries: &changes}) })
+		}
 		e.scheduler.Receive(agent, link, f)
 		f, err = link.Receive()
 	}
--- a/internal/process/server/roster.go
+++ b/internal/process/server/roster.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"errors"
 	"slices"
-	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,6 +36,7 @@
 // registration is the value of an entry's key.
 type registration struct {
 	Address     string `json:"address"`
+	DataCentre  string `json:"data_centre"`
 	Incarnation uint64 `json:"incarnation"`
 }
 
@@ -50,8 +49,6 @@
 	lease uint64
 	// written is the revision of the key.
 	written uint64
-	// entries is the number of entries in the latest listing.
-	entries atomic.Int64
 	lost    bool
 }
 
@@ -127,13 +124,13 @@
 	return nil
 }
 
-// check looks for the key in a listing that is newer than it.
+// check looks for the key in a listing that is newer than it. The listing holds
+// little else: keys that begin as this one does.
 func (r *registrar) check(ctx context.Context) error {
-	listing, err := r.store.ListStale(ctx, rosterPrefix)
+	listing, err := r.store.ListStale(ctx, r.key)
 	if err != nil {
 		return err
 	}
-	r.entries.Store(int64(len(listing.Values)))
 	present := slices.ContainsFunc(listing.Values, func(v store.Value) bool { return v.Key == r.key })
 	if present || listing.Revision < r.written {
 		return nil
@@ -151,18 +148,3 @@
 		r.log.Warn().Err(err).Msg("registration not withdrawn; it lapses by itself")
 	}
 }
-
-// decodeRoster returns the addresses of the entries in a listing by name. A key
-// that cannot be read names no entry.
-func decodeRoster(listing store.Listing, log zerolog.Logger) map[string]registration {
-	entries := make(map[string]registration, len(listing.Values))
-	for _, v := range listing.Values {
-		var r registration
-		if err := json.Unmarshal(v.Data, &r); err != nil || r.Address == "" {
-			log.Warn().Err(err).Str("key", v.Key).Msg("registration not read")
-			continue
-		}
-		entries[strings.TrimPrefix(v.Key, rosterPrefix)] = r
-	}
-	return entries
-}
--- a/internal/process/server/server_test.go
+++ b/internal/process/server/server_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
 	"github.com/rosemarybay/rosemarybay/internal/process/runs"
 	"github.com/rosemarybay/rosemarybay/internal/version/policy"
@@ -30,6 +31,12 @@
 	compacted bool
 	// deaf keeps watches from seeing events.
 	deaf bool
+	// calls counts lists and watches.
+	calls int
+	// stale, if set, is what a stale list returns, and oldest the revision up to which
+	// the history is gone.
+	stale  *store.Listing
+	oldest uint64
 }
 
 func newFakeStore() *fakeStore {
@@ -64,6 +71,7 @@
 func (f *fakeStore) List(_ context.Context, prefix string) (store.Listing, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calls++
 	if f.down {
 		return store.Listing{}, errDown
 	}
@@ -77,6 +85,12 @@
 }
 
 func (f *fakeStore) ListStale(ctx context.Context, prefix string) (store.Listing, error) {
+	f.mu.Lock()
+	stale := f.stale
+	f.mu.Unlock()
+	if stale != nil {
+		return *stale, nil
+	}
 	return f.List(ctx, prefix)
 }
 
@@ -130,7 +144,8 @@
 	if f.down || ctx.Err() != nil {
 		return store.Listing{}, errDown
 	}
-	if f.compacted {
+	f.calls++
+	if f.compacted || after < f.oldest {
 		f.compacted = false
 		return store.Listing{Compacted: true}, nil
 	}
@@ -177,8 +192,9 @@
 			t.Fatal(err)
 		}
 		listing, _ := f.List(ctx, rosterPrefix)
-		if got := decodeRoster(listing, zerolog.Nop()); got["e"] != r.value {
-			t.Errorf("%s: roster %v", c.name, got)
+		want := peer.Entry{Name: "e", Address: r.value.Address, DataCentre: r.value.DataCentre, Incarnation: r.value.Incarnation}
+		if got := decodeEntries(listing.Values, zerolog.Nop()); !slices.Equal(got, []peer.Entry{want}) {
+			t.Errorf("%s: entries %v", c.name, got)
 		}
 	}
 }
@@ -198,13 +214,13 @@
 
 // A key in the roster that another wrote names no entry, and harms no other.
 func TestUnreadableRegistrationIsPassedOver(t *testing.T) {
-	l := store.Listing{Values: []store.Value{
+	values := []store.Value{
 		{Key: rosterPrefix + "a", Data: []byte("{")},
 		{Key: rosterPrefix + "b", Data: []byte("{}")},
 		{Key: rosterPrefix + "c", Data: []byte(`{"address":"10.0.0.2:1"}`)},
-	}}
-	if got := decodeRoster(l, zerolog.Nop()); len(got) != 1 || got["c"].Address != "10.0.0.2:1" {
-		t.Errorf("roster %v", got)
+	}
+	if got := decodeEntries(values, zerolog.Nop()); len(got) != 1 || got[0].Name != "c" || got[0].Address != "10.0.0.2:1" {
+		t.Errorf("entries %v", got)
 	}
 }
 
@@ -309,8 +325,8 @@
 }
 
 func TestRegistrationIsPlainJSON(t *testing.T) {
-	b, err := json.Marshal(registration{Address: "10.0.0.1:7720", Incarnation: 9})
-	if err != nil || string(b) != `{"address":"10.0.0.1:7720","incarnation":9}` {
+	b, err := json.Marshal(registration{Address: "10.0.0.1:7720", DataCentre: "z1", Incarnation: 9})
+	if err != nil || string(b) != `{"address":"10.0.0.1:7720","data_centre":"z1","incarnation":9}` {
 		t.Errorf("%s, %v", b, err)
 	}
 }
--- a/internal/version/roster/subset.go
+++ b/internal/version/roster/subset.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		distant := e.GetDataCentre() != dataCentre
-		ranked = append(ranked, candidate{entry: e, distant: distant, score: score(node, e.GetName())})
+		ranked = append(ranked, candidate{entry: e, distant: distant, score: Score(node, e.GetName())})
 	}
 	slices.SortStableFunc(ranked, func(a, b candidate) int {
 		if a.distant != b.distant {
@@ -78,9 +78,9 @@
 	return entries
 }
 
-// score hashes a pair of names. FNV alone leaves near names with near values, so
+// Score is the rank of an entry for a node: a hash of their names. FNV alone leaves near names with near values, so
 // the finalizer of SplitMix64 spreads them.
-func score(node, entry string) uint64 {
+func Score(node, entry string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(node))
 	_, _ = h.Write([]byte{0})
