--- /dev/null
+++ b/internal/connection/peer/fuzz_test.go
@@ -0,0 +1,60 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+// FuzzReceive gives a link any bytes: it returns frames or an error.
+func FuzzReceive(f *testing.F) {
+	for _, frame := range []Frame{
+		{},
+		{Hello: &Hello{Name: "a", Incarnation: 1, Runs: []task.Attempt{{Key: task.Key{Job: "j"}, Run: 1}}}},
+		{Entries: &Entries{Revision: 3, Whole: true, Present: []Entry{{Name: "e", Address: "10.0.0.1:1"}}}},
+		{Starts: []Start{{Attempt: task.Attempt{Key: task.Key{Job: "j"}, Run: 1}}}, Results: []Result{{Number: 1, Outcome: OutcomeDone}}},
+	} {
+		body, err := cbor.Marshal(&frame)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body)
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff}, []byte("x"))
+	f.Fuzz(func(t *testing.T, head, body []byte) {
+		link := &Link{conn: &bytesConn{}, done: make(chan struct{})}
+		link.reader = newReader(bytes.NewReader(append(head, body...)))
+		for {
+			if _, err := link.Receive(); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// FuzzMerge merges two frames of any content; frames that wait together lose nothing.
+func FuzzMerge(f *testing.F) {
+	f.Add([]byte{0xa0}, []byte{0xa0})
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		var a, b Frame
+		if cbor.Unmarshal(first, &a) != nil || cbor.Unmarshal(second, &b) != nil {
+			return
+		}
+		starts, results := len(a.Starts)+len(b.Starts), len(a.Results)+len(b.Results)
+		a.merge(b)
+		if len(a.Starts) != starts || len(a.Results) != results {
+			t.Errorf("%d starts and %d results, want %d and %d", len(a.Starts), len(a.Results), starts, results)
+		}
+	})
+}
+
+// bytesConn is a connection of which only the deadline is used.
+type bytesConn struct{ net.Conn }
+
+func (*bytesConn) SetReadDeadline(time.Time) error { return nil }
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -41,7 +41,7 @@
 func NewLink(conn net.Conn, stamp func(*Frame)) *Link {
 	l := &Link{
 		conn:   conn,
-		reader: bufio.NewReaderSize(conn, bufferBytes),
+		reader: newReader(conn),
 		wake:   make(chan struct{}, 1),
 		done:   make(chan struct{}),
 		stamp:  stamp,
@@ -50,6 +50,8 @@
 	return l
 }
 
+func newReader(r io.Reader) *bufio.Reader { return bufio.NewReaderSize(r, bufferBytes) }
+
 // Dial opens a link to an entry from a local address.
 func Dial(address string, local net.Addr, timeout time.Duration, stamp func(*Frame)) (*Link, error) {
 	dialer := net.Dialer{Timeout: timeout, LocalAddr: local, KeepAlive: -1}
