--- a/cmd/rosemarybay-bench/main.go
+++ b/cmd/rosemarybay-bench/main.go
@@ -34,6 +34,8 @@
   budget        measure the control cost of an idle fleet
   restart       restart a third of an entry's agents at once under load
   slopes        measure what one more link, task, change and so on costs
+  bound SITE REPORT..
+                what could have been served on days of the users' bench
 `
 
 func main() {
@@ -67,6 +69,8 @@
 		return runBudget(ctx, args[1:])
 	case "restart":
 		return runRestart(ctx, args[1:])
+	case "bound":
+		return runBound(args[1:])
 	case "slopes":
 		return runSlopes(ctx, args[1:])
 	default:
