--- a/internal/process/load/health.go
+++ b/internal/process/load/health.go
@@ -101,6 +101,12 @@
 // Sound reports whether a target may be given work freely.
 func (h *Health) Sound() bool { return h.failures == 0 && !h.slow }
 
+// Failures returns the number of failures in a row, of different jobs.
+func (h *Health) Failures() int { return h.failures }
+
+// Proofs returns the number of runs that still must end well.
+func (h *Health) Proofs() int { return h.proofs }
+
 // MayProbe reports whether a target on probation should be given one task.
 func (h *Health) MayProbe(now time.Duration) bool {
 	interval := probeInterval
--- a/internal/process/runs/look.go
+++ b/internal/process/runs/look.go
@@ -203,7 +203,7 @@
 	if is := l.health.Sound(); is == l.doubted {
 		l.doubted = !is
 		k.opts.Log.Warn().Str("target", l.ID).Bool("sound", is).Float64("pace", mean).
-			Int("jobs", len(paces)).Msg("target judged")
+			Int("jobs", len(paces)).Int("failures", l.health.Failures()).Int("proofs", l.health.Proofs()).Msg("target judged")
 		k.opts.Counters.Counter("target_judgements").Inc(1)
 		k.describeLocked()
 	}
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -69,20 +69,24 @@
 func (s *Scheduler) predictRoom(j *job, now time.Duration) roomPrediction {
 	work, cpu := s.queue.Ahead(j.queue.Priority, j.latestStart)
 	r := s.newRound()
-	missing := s.missing(j, cpu+s.reserved(j, r), r)
-	if missing <= 0 {
-		return roomPrediction{missing: missing, known: true}
+	p := roomPrediction{reserved: s.reserved(j, r), known: true}
+	p.missing = s.missing(j, cpu+p.reserved, r)
+	if p.missing <= 0 {
+		return p
 	}
 	s.releases.Reset()
 	s.collectReleases(j.queue, r)
 	if s.releases.Len() == 0 {
-		return roomPrediction{missing: missing, wait: s.drain.Wait(now, work, s.shareOfCapacity()), known: true}
+		p.wait = s.drain.Wait(now, work, s.shareOfCapacity())
+		return p
 	}
-	at, ok := s.releases.When(now, missing)
+	at, ok := s.releases.When(now, p.missing)
 	if !ok {
-		return roomPrediction{missing: missing, wait: s.drain.Wait(now, s.queue.Total(), s.shareOfCapacity())}
+		p.wait, p.known = s.drain.Wait(now, s.queue.Total(), s.shareOfCapacity()), false
+		return p
 	}
-	return roomPrediction{missing: missing, wait: at - now, known: true}
+	p.wait = at - now
+	return p
 }
 
 // shareOfCapacity returns the processors of all targets in service divided by
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -52,6 +52,8 @@
 	// missing is what its tasks and those before them needed beyond the room that
 	// was free, in thousandths of a core.
 	missing int64
+	// reserved is the part of missing that is left free for more urgent queues.
+	reserved int64
 	// wait is how long until so much becomes free; known is false if the runs in
 	// progress do not free so much.
 	wait  time.Duration
@@ -234,7 +236,7 @@
 		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.forecast.RunTime).
 		Dur("waited", j.forecast.Waited).Bool("certain", j.forecast.Certain).
 		Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).
-		Int64("missing_cpu", j.room.missing).Dur("predicted_wait", j.room.wait).
+		Int64("missing_cpu", j.room.missing).Int64("reserved_cpu", j.room.reserved).Dur("predicted_wait", j.room.wait).
 		Dur("retry_after", a.RetryAfter).Int("tasks_left", j.left).Int("unresolved", j.live).
 		Int("waiting", s.queue.Len()).Uint64("config_version", s.version()).Msg("job not completed")
 }
