--- a/internal/process/model/world_test.go
+++ b/internal/process/model/world_test.go
@@ -31,6 +31,8 @@
 	callerPatience = 4 * time.Second
 	sweepInterval  = 10 * time.Millisecond
 	redialInterval = 20 * time.Millisecond
+	// unfinished is the answer after which a caller asks again.
+	unfinished = scheduler.StateUnfinished
 )
 
 // process is what entries and agents have in common: it is killed, started and paused.
@@ -145,12 +147,8 @@
 }
 
 func (a *agent) start() {
-	a.mu.Lock()
-	a.number++
-	a.alive, a.died = true, make(chan struct{})
-	number := a.number
-	a.mu.Unlock()
-	a.keeper = runs.New(runs.Options{
+	number := a.next()
+	keeper := runs.New(runs.Options{
 		Name:        a.name,
 		Incarnation: a.world.ids.Add(1),
 		DataCentre:  "dc",
@@ -159,8 +157,8 @@
 		TargetLease: targetLease,
 		Dial:        func(runs.Announcement) runs.Target { return &conn{target: a.target, agent: a, process: number} },
 	})
+	a.begin(number, func() { a.keeper = keeper })
 	a.announce()
-	keeper := a.keeper
 	go func() {
 		for a.awaken(number) && !a.world.over.Load() {
 			keeper.Sweep()
@@ -173,6 +171,22 @@
 	}()
 }
 
+// next returns the number of the next process.
+func (p *process) next() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.number + 1
+}
+
+// begin starts a process whose parts set puts in place: nobody must reach those of the
+// former one by its number.
+func (p *process) begin(number int, set func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	set()
+	p.number, p.alive, p.died = number, true, make(chan struct{})
+}
+
 func (p *process) kill() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -183,12 +197,8 @@
 }
 
 func (e *entry) start() {
-	e.mu.Lock()
-	e.number++
-	e.alive, e.died = true, make(chan struct{})
-	number := e.number
-	e.mu.Unlock()
-	e.scheduler = scheduler.New(scheduler.Options{
+	number := e.next()
+	s := scheduler.New(scheduler.Options{
 		DataCentre:  "dc",
 		Log:         zerolog.Nop(),
 		Counters:    metrics.New(),
@@ -198,7 +208,7 @@
 		Behind:      func(*peer.Policy) {},
 		Entries:     func() int { return len(e.world.entries) },
 	})
-	s := e.scheduler
+	e.begin(number, func() { e.scheduler = s })
 	go func() {
 		for e.awaken(number) && !e.world.over.Load() {
 			s.Sweep()
@@ -244,11 +254,14 @@
 	}
 	defer closeAll()
 	a.mu.Lock()
-	agentDied := a.died
+	agentDied, keeper, agentLives := a.died, a.keeper, a.number == agentNumber
 	a.mu.Unlock()
 	e.mu.Lock()
-	entryDied := e.died
+	entryDied, scheduler, entryLives := e.died, e.scheduler, e.number == entryNumber
 	e.mu.Unlock()
+	if !agentLives || !entryLives {
+		return
+	}
 	broken := make(chan struct{})
 	defer close(broken)
 	go func() {
@@ -261,8 +274,8 @@
 	}()
 	go a.relay(e, relayA, relayB)
 	go a.relay(e, relayB, relayA)
-	go e.serve(theirs, entryNumber)
-	a.serve(e, ours, agentNumber)
+	go e.serve(scheduler, theirs, entryNumber)
+	a.serve(keeper, e, ours, agentNumber)
 }
 
 // relay copies one way of a link. It stands still while the link is cut or one of the
@@ -293,8 +306,7 @@
 }
 
 // serve is the agent's side of a link.
-func (a *agent) serve(e *entry, c net.Conn, number int) {
-	keeper := a.keeper
+func (a *agent) serve(keeper *runs.Keeper, e *entry, c net.Conn, number int) {
 	var incarnation atomic.Uint64
 	link := peer.NewLink(c, func(f *peer.Frame) {
 		if id := incarnation.Load(); id != 0 {
@@ -320,8 +332,7 @@
 }
 
 // serve is the entry's side of a link.
-func (e *entry) serve(c net.Conn, number int) {
-	s := e.scheduler
+func (e *entry) serve(s *scheduler.Scheduler, c net.Conn, number int) {
 	var name atomic.Pointer[string]
 	link := peer.NewLink(c, func(f *peer.Frame) {
 		if n := name.Load(); n != nil {
@@ -367,10 +378,13 @@
 		return false
 	}
 	e.mu.Lock()
-	died := e.died
+	died, scheduler, lives := e.died, e.scheduler, e.number == number
 	e.mu.Unlock()
+	if !lives {
+		return false
+	}
 	w.ledger.asked(id)
-	answered, cancel := e.scheduler.Submit(&task.Job{
+	answered, cancel := scheduler.Submit(&task.Job{
 		ID:       id,
 		Queue:    "q",
 		Steps:    []task.Step{{Count: tasks, Need: task.Resources{CPU: 1000}, Estimate: 300 * time.Millisecond}},
@@ -380,7 +394,7 @@
 	select {
 	case a := <-answered:
 		w.ledger.answered(id, a)
-		return a.State != scheduler.StateUnfinished
+		return a.State != unfinished
 	case <-died:
 		return false
 	case <-time.After(time.Until(deadline)):
