Link with eight entries, foresee less room that others take, repeat no list

Entries that see the same targets foresee the same room; jobs are begun for room that goes to others, and end late.

Change: eight links in place of twelve (six would leave an entry some two dozen targets, and half of that with its data centre out of service). And the share of the starts that find their room taken says how much room must become free for an entry to get what it needs (load.Contention).

Also: an agent that turns to another entry says what it knows, and is told a whole list only if that differs; entries read the whole list each 30 s, not 10.

--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -37,12 +37,19 @@
 	// CancelJobs names jobs that callers cancelled at an entry that does not
 	// hold them. An agent passes them on to its other entries.
 	CancelJobs []string `cbor:"14,keyasint,omitempty"`
-	// Follow asks an entry for all entries, and for each change of them from then on.
-	Follow bool `cbor:"15,keyasint,omitempty"`
+	// Follow asks an entry for all entries, unless it knows as many at the same
+	// revision, and for each change of them from then on.
+	Follow *Follow `cbor:"15,keyasint,omitempty"`
 	// Entries answers Follow.
 	Entries *Entries `cbor:"16,keyasint,omitempty"`
 }
 
+// Follow says what an agent knows of the entries.
+type Follow struct {
+	Revision uint64 `cbor:"1,keyasint,omitempty"`
+	Count    int    `cbor:"2,keyasint,omitempty"`
+}
+
 // Entry is one entry as agents reach it.
 type Entry struct {
 	Name        string `cbor:"1,keyasint"`
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -88,7 +88,7 @@
 		f.Progress = o.Progress
 	}
 	f.CancelJobs = append(f.CancelJobs, o.CancelJobs...)
-	f.Follow = f.Follow || o.Follow
+	f.Follow = later(f.Follow, o.Follow)
 	f.Entries = f.Entries.merge(o.Entries)
 }
 
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -80,7 +80,7 @@
 		p.wait = s.drain.Wait(now, work, s.shareOfCapacity())
 		return p
 	}
-	at, ok := s.releases.When(now, p.missing)
+	at, ok := s.releases.When(now, s.contention.Wanted(now, p.missing))
 	if !ok {
 		p.wait, p.known = s.drain.Wait(now, s.queue.Total(), s.shareOfCapacity()), false
 		return p
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -93,7 +93,8 @@
 		return true
 	}
 	s.collectReleases(it.job.queue, r)
-	return s.releases.Len() == 0 || s.releases.ShouldBegin(r.now, it.job.latestStart, missing)
+	wanted := s.contention.Wanted(r.now, missing)
+	return s.releases.Len() == 0 || s.releases.ShouldBegin(r.now, it.job.latestStart, wanted)
 }
 
 // reserved returns the processors that a job leaves free for more urgent queues.
--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -66,6 +66,7 @@
 	if outcome != peer.OutcomeRefused {
 		j.ran = true
 	}
+	s.contention.Observe(s.now(), outcome == peer.OutcomeRefused && refusal == peer.RefusalRoom)
 	s.logResolved(at, outcome, refusal)
 	if j.ended {
 		s.settleEnded(j)
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -54,6 +54,8 @@
 	estimate *load.Estimator
 	patience *load.Patience
 	reserve  *load.Reserve
+	// contention is that with other entries for room.
+	contention load.Contention
 	// delays are those of starts by data centre.
 	delays *load.Delays
 	// releases is that of the present round of placement, for one pool.
--- a/internal/process/server/directory.go
+++ b/internal/process/server/directory.go
@@ -21,7 +21,7 @@
 	directoryWatch = 2 * time.Second
 	// directoryRead is the time after which all entries are read again, since a watch
 	// may miss what happens.
-	directoryRead = 10 * time.Second
+	directoryRead = 30 * time.Second
 	// directoryRetry is the pause after a call that failed.
 	directoryRetry = 200 * time.Millisecond
 	// entryGrace is how long an entry is kept whose key has gone: one that lapsed while
@@ -62,15 +62,19 @@
 }
 
 // follow calls tell with all entries, once they have been read, and then with each
-// change until the link is closed.
-func (d *directory) follow(link *peer.Link, tell func(peer.Entries)) {
+// change until the link is closed. A follower that knows them is told so.
+func (d *directory) follow(link *peer.Link, known peer.Follow, tell func(peer.Entries)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, ok := d.followers[link]; !ok {
 		go d.forget(link)
 	}
 	d.followers[link] = tell
-	if d.watched > 0 {
+	switch {
+	case d.watched == 0:
+	case known.Revision == d.changed && known.Count == d.set.Len():
+		tell(peer.Entries{Revision: d.changed})
+	default:
 		tell(d.wholeLocked())
 	}
 }
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -209,8 +209,8 @@
 	defer func() { e.scheduler.Disconnect(agent, link, err) }()
 	name.Store(&agent)
 	for err == nil {
-		if f.Follow {
-			e.directory.follow(link, func(changes peer.Entries) { link.Send(peer.Frame{Entries: &changes}) })
+		if f.Follow != nil {
+			e.directory.follow(link, *f.Follow, func(changes peer.Entries) { link.Send(peer.Frame{Entries: &changes}) })
 		}
 		e.scheduler.Receive(agent, link, f)
 		f, err = link.Receive()
--- a/internal/process/server/links.go
+++ b/internal/process/server/links.go
@@ -151,7 +151,7 @@
 		if l.source == "" || address != other {
 			l.source = address
 			if address != other {
-				link.Send(peer.Frame{Follow: true})
+				link.Send(peer.Frame{Follow: &peer.Follow{Revision: l.revision, Count: l.set.Len()}})
 				break
 			}
 		}
--- a/internal/version/entries/choose.go
+++ b/internal/version/entries/choose.go
@@ -10,8 +10,9 @@
 
 // MaxLinks is the number of entries that an agent links with where there are more.
 // What an agent and an entry do for each other then stays the same however large the
-// fleet is, while each entry still sees several dozen targets.
-const MaxLinks = 12
+// fleet is, while each entry still sees some dozens of targets, and shares each of them
+// with few others: those who foresee the same room take it from each other.
+const MaxLinks = 8
 
 // nearLinks is how many of them are of the agent's own data centre, if there are so
 // many. The others keep every entry in reach of targets elsewhere when its own data
