runs: check the permission to start before each start order

Cause: an agent checked the lease of an entry, the target's availability and the data centre only when it accepted a start. Paused between sending the order and the target's answer, it sent the order again afterwards, when the entry had already given the attempt up and may have started the task elsewhere.

Ruled out: the fence of the resolving poll. It protects the report of an unanswered start, but the repeated order carried a fresh token and a fresh lease.

Change: startPermit checks lease, availability and data centre before each order. A permit also carries when it was checked, and the lease in a start or poll counts from that moment, so that a pause between check and write shortens the lease instead of extending it. A start that loses its permission before any order was unanswered is refused; otherwise it is resolved by the fencing poll.

--- a/internal/process/model/target_test.go
+++ b/internal/process/model/target_test.go
@@ -147,19 +147,19 @@
 	process int
 }
 
-func (c *conn) leaseEndFromNow() time.Time {
-	return time.Now().Add(time.Duration(float64(targetLease) * (1 + c.drift)))
+func (c *conn) leaseEndAfter(from time.Time) time.Time {
+	return from.Add(time.Duration(float64(targetLease) * (1 + c.drift)))
 }
 
-func (c *conn) Start(ctx context.Context, token uint64, s peer.Start) (runs.Answer, error) {
-	leaseEnd := c.leaseEndFromNow()
+func (c *conn) Start(ctx context.Context, permit runs.Permit, s peer.Start) (runs.Answer, error) {
+	leaseEnd := c.leaseEndAfter(permit.IssuedAt)
 	if !c.agent.waitRunnable(c.process) {
 		return 0, errUnanswered
 	}
 	return c.order(ctx, func() runs.Answer {
 		a := s.Attempt
 		switch {
-		case c.fencedLocked(token):
+		case c.fencedLocked(permit.Token):
 			return runs.AnswerFenced
 		case time.Now().After(leaseEnd):
 			return runs.AnswerLeaseExpired
@@ -197,7 +197,7 @@
 }
 
 func (c *conn) Poll(ctx context.Context, request runs.PollRequest) (runs.Report, error) {
-	leaseEnd := c.leaseEndFromNow()
+	leaseEnd := c.leaseEndAfter(request.IssuedAt)
 	if !c.agent.waitRunnable(c.process) {
 		return runs.Report{}, errUnanswered
 	}
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -86,6 +86,11 @@
 	unconfirmed bool
 }
 
+// permit returns a permit that is issued now.
+func (t *targetIncarnation) permit() Permit {
+	return Permit{Token: t.token, IssuedAt: time.Now()}
+}
+
 // phase is the state of a run in the agent.
 type phase int
 
--- a/internal/process/runs/manager_test.go
+++ b/internal/process/runs/manager_test.go
@@ -38,6 +38,8 @@
 	delayedStarts           []func()
 	starts                  []task.Attempt
 	renewals                int
+	// beforeStart, if set, is called before each start order is executed.
+	beforeStart func()
 	// calls counts the orders and polls received while unresponsive.
 	calls int
 	// pollsByOther is set while another incarnation than the intended one answers polls,
@@ -57,9 +59,12 @@
 	return false
 }
 
-func (f *fakeTarget) Start(_ context.Context, token uint64, s peer.Start) (Answer, error) {
+func (f *fakeTarget) Start(_ context.Context, permit Permit, s peer.Start) (Answer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.beforeStart != nil {
+		f.beforeStart()
+	}
 	if f.unresponsive {
 		f.calls++
 		return 0, errSilent
@@ -67,13 +72,13 @@
 	if f.startsToLeaveUnanswered > 0 {
 		f.startsToLeaveUnanswered--
 		if f.delayStarts {
-			f.delayedStarts = append(f.delayedStarts, func() { f.startLocked(token, s) })
+			f.delayedStarts = append(f.delayedStarts, func() { f.startLocked(permit.Token, s) })
 		} else {
-			f.startLocked(token, s)
+			f.startLocked(permit.Token, s)
 		}
 		return 0, errSilent
 	}
-	answer := f.startLocked(token, s)
+	answer := f.startLocked(permit.Token, s)
 	if f.startsByOther && answer == AnswerDone {
 		return AnswerDoneByOtherIncarnation, nil
 	}
@@ -280,6 +285,16 @@
 	}()
 }
 
+// expireOwnerLease sets the clocks as after a pause of the agent that is longer than the
+// lease of its entries, before any frame is read.
+func (h *harness) expireOwnerLease() {
+	const pause = 2 * peer.OwnerLease
+	h.manager.mu.Lock()
+	defer h.manager.mu.Unlock()
+	h.manager.epoch = h.manager.epoch.Add(-pause)
+	h.manager.lastSweep = h.manager.lastSweep.Add(-pause)
+}
+
 func (h *harness) start(index int, run uint64, need task.Resources) task.Attempt {
 	a := task.Attempt{Key: task.Key{Job: "j", Index: index}, Run: run}
 	h.entry.Send(peer.Frame{Starts: []peer.Start{{Attempt: a, Need: need, Incarnation: 1, Expected: 100 * time.Millisecond}}})
@@ -750,6 +765,51 @@
 	})
 }
 
+// The agent is paused between sending a start order and the target's answer, which is
+// lost. The entry's lease has expired meanwhile and the entry may have started the task
+// elsewhere, so the order must not be sent again.
+func TestStartIsNotRepeatedAfterTheLeaseOfItsEntryHasExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() {
+			h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true
+			h.target.beforeStart = func() {
+				h.target.beforeStart = nil
+				h.expireOwnerLease()
+			}
+		})
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		r := h.waitOutcome(a, peer.OutcomeRefused)
+		if n := h.target.startsOf(a); n > 0 {
+			t.Errorf("started %d times after the lease had expired", n)
+		}
+		if r.Refusal != peer.RefusalUnanswered {
+			t.Errorf("refused as %q, want %q", r.Refusal, peer.RefusalUnanswered)
+		}
+	})
+}
+
+// The data centre is taken out of service between a start order and its repetition.
+func TestStartIsNotRepeatedInDataCentreOutOfService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() {
+			h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true
+			h.target.beforeStart = func() {
+				h.target.beforeStart = nil
+				h.manager.mu.Lock()
+				defer h.manager.mu.Unlock()
+				h.manager.policy.Out = []string{"dc1"}
+			}
+		})
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitOutcome(a, peer.OutcomeRefused)
+		if n := h.target.startsOf(a); n > 0 {
+			t.Errorf("started %d times in a data centre out of service", n)
+		}
+	})
+}
+
 // An entry fails while the agent is paused. Its runs must still end before its caller
 // retries at another entry.
 func TestRunsOfEntryThatFailedDuringPauseAreStopped(t *testing.T) {
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -53,12 +53,11 @@
 
 func (m *Manager) refusalLocked(o *owner, s peer.Start) peer.Refusal {
 	present := m.runs[s.Attempt.Key]
+	refusal := m.permissionLocked(o)
 	switch {
-	case !m.availableLocked(), o.retiring, s.Incarnation != m.target.Incarnation:
-		return peer.RefusalUnavailable
-	case m.isDataCentreOutLocked():
-		return peer.RefusalDataCentreOut
-	case m.clock()-o.lastEcho > peer.OwnerLease:
+	case refusal != peer.RefusalNone:
+		return refusal
+	case o.retiring, s.Incarnation != m.target.Incarnation:
 		return peer.RefusalUnavailable
 	case present != nil && present.attempt.Run >= s.Attempt.Run:
 		return peer.RefusalStaleRun
@@ -68,22 +67,41 @@
 	return peer.RefusalNone
 }
 
-// start sends a start order. It is safe to repeat an unanswered one: the target confirms
-// an attempt that runs and refuses one that has ended.
+// permissionLocked returns why no start order of an entry may be sent to the target now.
+func (m *Manager) permissionLocked(o *owner) peer.Refusal {
+	if !m.availableLocked() || o == nil {
+		return peer.RefusalUnavailable
+	}
+	if _, expired := o.leaseExpired(m.clock(), time.Now()); expired {
+		return peer.RefusalUnavailable
+	}
+	if m.isDataCentreOutLocked() {
+		return peer.RefusalDataCentreOut
+	}
+	return peer.RefusalNone
+}
+
+// start sends a start order. It is safe to repeat an unanswered one while its entry's
+// lease is valid: the target confirms an attempt that runs and refuses one that has ended.
 func (m *Manager) start(t *targetIncarnation, r *run, s peer.Start) {
 	var retry backoff
+	unanswered := false
 	for range startTries {
-		token, ok := m.startToken(t, r)
-		if !ok {
+		permit, refusal := m.startPermit(t, r)
+		if refusal != peer.RefusalNone && !unanswered {
+			m.startRefused(r, refusal)
+			return
+		}
+		if refusal != peer.RefusalNone {
 			break
 		}
-		sent := time.Now()
 		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
-		answer, err := t.client.Start(ctx, token, s)
+		answer, err := t.client.Start(ctx, permit, s)
 		cancel()
 		if err != nil {
+			unanswered = true
 			m.orderUnanswered(t, "start", s.Attempt, err)
-			retry.sleep(t.ctx, sent)
+			retry.sleep(t.ctx, permit.IssuedAt)
 			continue
 		}
 		m.targetAnswered(t)
@@ -92,7 +110,7 @@
 			return
 		}
 		if answer == AnswerFenced {
-			m.raiseToken(t, token, tokenStep)
+			m.raiseToken(t, permit.Token, tokenStep)
 			continue
 		}
 		if answer == AnswerDoneByOtherIncarnation {
@@ -107,16 +125,21 @@
 	m.resolveStart(t, r)
 }
 
-// startToken returns the token for the next start order of r. It returns false if r has
-// ended or is to be stopped.
-func (m *Manager) startToken(t *targetIncarnation, r *run) (uint64, bool) {
+// startPermit checks the permission to start r before each order, since it may have
+// lapsed after the start was accepted. It returns the permit, or why there is none.
+func (m *Manager) startPermit(t *targetIncarnation, r *run) (Permit, peer.Refusal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.runs[r.attempt.Key] != r || r.stopRequested {
-		return 0, false
+		return Permit{}, peer.RefusalStopped
+	}
+	if refusal := m.permissionLocked(m.owners[r.owner]); refusal != peer.RefusalNone {
+		m.opts.Counters.Counter("start_permits_lapsed").Inc(1)
+		return Permit{}, refusal
 	}
-	t.renewedAt = time.Now()
-	return t.token, true
+	permit := t.permit()
+	t.renewedAt = permit.IssuedAt
+	return permit, peer.RefusalNone
 }
 
 // raiseToken raises the token, unless another call has already replaced the one used.
@@ -203,7 +226,7 @@
 		return PollRequest{}, false
 	}
 	t.token++
-	return PollRequest{Token: t.token, LastSeen: t.lastSeen}, true
+	return PollRequest{Permit: t.permit(), LastSeen: t.lastSeen}, true
 }
 
 func (m *Manager) startResolved(t *targetIncarnation, r *run, report Report) {
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -50,9 +50,9 @@
 func (m *Manager) nextPoll(t *targetIncarnation, wait time.Duration) PollRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	poll := PollRequest{Token: t.token, LastSeen: t.lastSeen, Wait: wait, Renew: !t.unresponsive}
+	poll := PollRequest{Permit: t.permit(), LastSeen: t.lastSeen, Wait: wait, Renew: !t.unresponsive}
 	if poll.Renew {
-		t.renewedAt = time.Now()
+		t.renewedAt = poll.IssuedAt
 	}
 	return poll
 }
--- a/internal/process/runs/target.go
+++ b/internal/process/runs/target.go
@@ -37,7 +37,7 @@
 type TargetClient interface {
 	// Start runs an attempt, or returns the reason why it does not. It succeeds if the
 	// attempt already runs.
-	Start(ctx context.Context, token uint64, start peer.Start) (Answer, error)
+	Start(ctx context.Context, permit Permit, start peer.Start) (Answer, error)
 	// Stop ends an attempt, or prevents its start if it has not started.
 	Stop(ctx context.Context, token uint64, attempt task.Attempt) (Answer, error)
 	// Poll acknowledges ended runs up to LastSeen and returns the running and ended ones.
@@ -47,9 +47,18 @@
 	Close()
 }
 
+// Permit is the permission to send one order that extends the target's lease.
+type Permit struct {
+	// Token is the fencing token of the order.
+	Token uint64
+	// IssuedAt is when the permission was checked. The lease in the order counts from it, so
+	// that the target rejects or ends what a pause of this process has delayed too long.
+	IssuedAt time.Time
+}
+
 // PollRequest is a request for the state of the runs at a target.
 type PollRequest struct {
-	Token uint64
+	Permit
 	// LastSeen is the highest number of an ended run that has been processed.
 	LastSeen uint64
 	// Wait is how long the target may delay its answer until a run ends.
--- a/internal/process/server/server_test.go
+++ b/internal/process/server/server_test.go
@@ -334,7 +334,7 @@
 // fakeTargetClient is the client of a target without running tasks.
 type fakeTargetClient struct{}
 
-func (fakeTargetClient) Start(context.Context, uint64, peer.Start) (runs.Answer, error) {
+func (fakeTargetClient) Start(context.Context, runs.Permit, peer.Start) (runs.Answer, error) {
 	return 0, nil
 }
 func (fakeTargetClient) Stop(context.Context, uint64, task.Attempt) (runs.Answer, error) {
