Check each number from outside against a named range

Other decoded numbers (processor and memory, estimates, times and weights of the configuration, a target's clock, capacities in frames and stored values, some settings) had a lower bound only, or none.

Change: package bounds holds ranges; Check names field, value and range. Configurations, heartbeats, frames, stored announcements and settings out of range are refused as malformed ones were. The expected run time that an entry sends stays within the range that agents accept.

--- a/internal/connection/peer/fuzz_test.go
+++ b/internal/connection/peer/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -19,6 +20,8 @@
 		{Hello: &Hello{Name: "a", Incarnation: 1, Runs: []task.Attempt{{Key: task.Key{Job: "j"}, Run: 1}}}},
 		{Entries: &Entries{Revision: 3, Complete: true, Present: []Entry{{Name: "e", Address: "10.0.0.1:1"}}}},
 		{Starts: []Start{{Attempt: task.Attempt{Key: task.Key{Job: "j"}, Run: 1}}}, Results: []Result{{Number: 1, Outcome: OutcomeDone}}},
+		{Starts: []Start{{Need: task.Resources{CPU: math.MaxInt64, MemoryMB: -1}, Expected: -1}}},
+		{Target: &Target{Capacity: task.Resources{CPU: math.MaxInt64}}, Room: &Room{Free: task.Resources{CPU: math.MinInt64}}},
 	} {
 		body, err := cbor.Marshal(&frame)
 		if err != nil {
@@ -31,9 +34,15 @@
 		link := &Link{conn: &bytesConn{}, done: make(chan struct{})}
 		link.reader = newReader(bytes.NewReader(append(head, body...)))
 		for {
-			if _, err := link.Receive(); err != nil {
+			frame, err := link.Receive()
+			if err != nil {
 				return
 			}
+			for _, s := range frame.Starts {
+				if s.Need.Validate() != nil || s.Expected < 0 {
+					t.Errorf("received the start %+v", s)
+				}
+			}
 		}
 	})
 }
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -140,6 +140,9 @@
 	if err := cbor.Unmarshal(body, f); err != nil {
 		return nil, eris.Wrap(err, "decode frame")
 	}
+	if err := f.validate(); err != nil {
+		return nil, eris.Wrap(err, "validate frame")
+	}
 	return f, nil
 }
 
--- /dev/null
+++ b/internal/connection/peer/validate.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+// validate returns an error if a number of the frame is out of its range. Sums over many
+// frames then cannot overflow.
+func (f *Frame) validate() error {
+	for i := range f.Starts {
+		if err := f.Starts[i].validate(); err != nil {
+			return eris.Wrapf(err, "start %d", i)
+		}
+	}
+	if f.Claims != nil {
+		for i := range f.Claims.Attempts {
+			if err := f.Claims.Attempts[i].Need.Validate(); err != nil {
+				return eris.Wrapf(err, "claim %d", i)
+			}
+		}
+	}
+	if f.Target != nil {
+		if err := f.Target.Capacity.Validate(); err != nil {
+			return eris.Wrap(err, "target")
+		}
+	}
+	if f.Room != nil {
+		return eris.Wrap(validateFree(f.Room.Free), "free capacity")
+	}
+	return nil
+}
+
+func (s *Start) validate() error {
+	return errors.Join(s.Need.Validate(), bounds.RunTime.Check("expected run time", s.Expected))
+}
+
+// validateFree checks a free capacity, which is negative while runs use more than a
+// target's capacity.
+func validateFree(free task.Resources) error {
+	cpu, memory, accelerators := bounds.CPU, bounds.MemoryMB, bounds.Accelerators
+	cpu.Min, memory.Min, accelerators.Min = -cpu.Max, -memory.Max, -accelerators.Max
+	return errors.Join(
+		cpu.Check("cpu", free.CPU),
+		memory.Check("memory", free.MemoryMB),
+		accelerators.Check("accelerators", free.Accelerators),
+	)
+}
--- a/internal/process/jobs/validate.go
+++ b/internal/process/jobs/validate.go
@@ -1,13 +1,18 @@
 package jobs
 
 import (
+	"errors"
 	"time"
 	"unicode/utf8"
 
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
+// cpusRange is the range of a task's number of cores.
+var cpusRange = bounds.Range[float64]{Min: 0, Max: float64(bounds.CPU.Max) / 1000}
+
 // Validate checks a submission. Its errors are NotRun.
 func Validate(r *apiv1.SubmitRequest) *verdict.Error {
 	if err := ValidateOwner(r.GetDepartment(), r.GetOwner()); err != nil {
@@ -42,8 +47,8 @@
 	if len(t.GetPayload()) > MaxPayloadBytes {
 		return invalid("task %d has a payload of %d bytes, the limit is %d", index, len(t.GetPayload()), MaxPayloadBytes)
 	}
-	if cpus := t.GetSize().GetCpus(); cpus < 0 || cpus != cpus {
-		return invalid("task %d has an invalid number of cpus", index)
+	if err := validateSize(t.GetSize()); err != nil {
+		return invalid("task %d: %v", index, err)
 	}
 	if len(t.GetKind()) > MaxNameBytes {
 		return invalid("task %d has a kind longer than %d bytes", index, MaxNameBytes)
@@ -51,6 +56,14 @@
 	return nil
 }
 
+func validateSize(size *apiv1.Size) error {
+	return errors.Join(
+		cpusRange.Check("cpus", size.GetCpus()),
+		bounds.MemoryMB.Check("memory_mb", int64(size.GetMemoryMb())),
+		bounds.Accelerators.Check("accelerators", int64(size.GetAccelerators())),
+	)
+}
+
 func invalid(format string, args ...any) *verdict.Error {
 	return verdict.NotRunError(apiv1.Reason_REASON_INVALID_ARGUMENT, format, args...)
 }
--- a/internal/process/load/patience.go
+++ b/internal/process/load/patience.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 )
 
 const (
@@ -56,6 +58,16 @@
 	Slope  float64 `json:"slope"`
 }
 
+// Ranges of a model that another process has stored.
+var (
+	baseRange  = bounds.Range[float64]{Min: -ms(bounds.MaxRunTime), Max: ms(bounds.MaxRunTime)}
+	slopeRange = bounds.Range[float64]{Min: 0.001, Max: 1000}
+)
+
+func (l PatienceLine) valid() bool {
+	return baseRange.Contains(l.BaseMS) && slopeRange.Contains(l.Slope)
+}
+
 func (l PatienceLine) patience(run time.Duration) time.Duration {
 	return time.Duration((l.BaseMS + l.Slope*ms(run)) * float64(time.Millisecond))
 }
@@ -114,10 +126,13 @@
 }
 
 // Restore loads models fitted by another process. They apply until a queue has a fit
-// of its own.
+// of its own. A model out of range is ignored.
 func (p *Patience) Restore(lines map[string]PatienceLine) {
 	for queue, line := range lines {
-		if fit := p.fit(queue); line.Slope > 0 && !fit.known {
+		if !line.valid() {
+			continue
+		}
+		if fit := p.fit(queue); !fit.known {
 			fit.line, fit.known = line, true
 		}
 	}
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -6,6 +6,7 @@
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
+	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 	"github.com/rosemarybay/rosemarybay/internal/version/policy"
@@ -142,6 +143,7 @@
 		declared := &spec.Steps[i]
 		expected := s.estimate.Predict(queue.Name, declared.Estimate)
 		expected = time.Duration(float64(expected) * float64(j.forecast.RunTime) / float64(max(predicted, 1)))
+		expected = bounds.RunTime.Clamp(expected)
 		items := make([]*item, declared.Count)
 		for n := range items {
 			items[n] = &item{
--- a/internal/process/server/targetrecord.go
+++ b/internal/process/server/targetrecord.go
@@ -81,6 +81,10 @@
 		r.log.Warn().Err(err).Str("key", r.key).Msg("stored announcement of the target is invalid")
 		return nil
 	}
+	if err := stored.Capacity.Validate(); err != nil {
+		r.log.Warn().Err(err).Str("key", r.key).Msg("stored announcement of the target is invalid")
+		return nil
+	}
 	stored.Sequence = 0 // each announcement of the running target counts as newer
 	r.log.Info().Str("target", stored.ID).Int64("incarnation", stored.Incarnation).Uint64("revision", value.Revision).
 		Msg("stored announcement of the target read")
--- a/internal/process/settings/callers.go
+++ b/internal/process/settings/callers.go
@@ -33,9 +33,6 @@
 func (e *Entry) AcceptsWithoutToken() bool { return len(e.Callers) == 0 }
 
 func (e *Entry) validateCallers() error {
-	if e.CallerRate <= 0 || e.CallerIdle <= 0 || e.CallerConnections <= 0 {
-		return eris.New("entry.caller_rate, entry.caller_idle and entry.caller_connections must be positive")
-	}
 	if t := e.CallerTLS; t != nil && (t.Cert == "" || t.Key == "") {
 		return eris.New("entry.caller_tls needs cert and key")
 	}
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 )
 
 // Node holds the settings of a process that gets the rest of its configuration from the
@@ -40,7 +42,10 @@
 }
 
 // minTargetLease leaves time for several renewals within one lease.
-const minTargetLease = Duration(400 * time.Millisecond)
+const minTargetLease = 400 * time.Millisecond
+
+// targetLeaseRange is the range of Node.TargetLease.
+var targetLeaseRange = bounds.Range[time.Duration]{Min: minTargetLease, Max: time.Hour}
 
 // SeedIPs returns the hosts in Seeds.
 func (n *Node) SeedIPs() []string {
@@ -66,11 +71,11 @@
 	if n.PeerPort == 0 {
 		return eris.New("node.peer_port is 0, expected a port")
 	}
-	if n.TargetLease < minTargetLease {
-		return eris.Errorf("node.target_lease is %s, expected at least %s", n.TargetLease.Std(), minTargetLease.Std())
+	if err := targetLeaseRange.Check("node.target_lease", n.TargetLease.Std()); err != nil {
+		return err
 	}
-	if n.MemoryMB <= 0 {
-		return eris.Errorf("node.memory_mb is %d, expected a positive number", n.MemoryMB)
+	if err := memoryRange.Check("node.memory_mb", n.MemoryMB); err != nil {
+		return err
 	}
 	if n.PeerAdvertise != "" {
 		if err := validateAddress("node.peer_advertise", n.PeerAdvertise); err != nil {
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -1,12 +1,15 @@
 package settings
 
 import (
+	"errors"
 	"net/netip"
 	"net/url"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 )
 
 // Defaults of settings that are not given.
@@ -29,6 +32,17 @@
 // MaxSlots is the largest number of slots of a target.
 const MaxSlots = 4096
 
+// Ranges of the settings.
+var (
+	durationRange     = bounds.Range[time.Duration]{Min: time.Millisecond, Max: 7 * 24 * time.Hour}
+	countRange        = bounds.Range[int]{Min: 1, Max: 100_000_000}
+	memoryRange       = bounds.Range[int]{Min: 1, Max: int(bounds.MemoryMB.Max)}
+	slotsRange        = bounds.Range[int]{Min: 1, Max: MaxSlots}
+	linksRange        = bounds.Range[int]{Min: 0, Max: 100_000}
+	cpusRange         = bounds.Range[float64]{Min: 0.001, Max: float64(bounds.CPU.Max) / 1000}
+	acceleratorsRange = bounds.Range[int]{Min: 0, Max: int(bounds.Accelerators.Max)}
+)
+
 func (s *Settings) setDefaults() {
 	setDefault(&s.LogLevel, defaultLogLevel)
 	setDefault(&s.StopTimeout, Duration(defaultStopTimeout))
@@ -67,8 +81,8 @@
 	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
 		return eris.Errorf("log_level %q is not a log level", s.LogLevel)
 	}
-	if s.StopTimeout <= 0 {
-		return eris.New("stop_timeout must be positive")
+	if err := durationRange.Check("stop_timeout", s.StopTimeout.Std()); err != nil {
+		return err
 	}
 	if s.Node != nil {
 		return s.Node.validate(s.Role)
@@ -103,17 +117,8 @@
 	if err := validateURL("entry.store_url", e.StoreURL); err != nil {
 		return err
 	}
-	if e.Lease <= 0 || e.TicketLifetime <= 0 || e.Permit <= 0 {
-		return eris.New("entry.lease, entry.ticket_lifetime and entry.permit must be positive")
-	}
-	if e.HandshakeRate <= 0 {
-		return eris.New("entry.handshake_rate must be positive")
-	}
-	if e.AnswerMemoryMB <= 0 {
-		return eris.New("entry.answer_memory_mb must be positive")
-	}
-	if e.QueueLimit <= 0 {
-		return eris.New("entry.queue_limit must be positive")
+	if err := e.validateNumbers(); err != nil {
+		return err
 	}
 	for _, address := range e.Peers {
 		if err := validateAddress("entry.peers", address); err != nil {
@@ -123,6 +128,20 @@
 	return e.validateCallers()
 }
 
+func (e *Entry) validateNumbers() error {
+	return errors.Join(
+		durationRange.Check("entry.lease", e.Lease.Std()),
+		durationRange.Check("entry.ticket_lifetime", e.TicketLifetime.Std()),
+		durationRange.Check("entry.permit", e.Permit.Std()),
+		countRange.Check("entry.handshake_rate", e.HandshakeRate),
+		memoryRange.Check("entry.answer_memory_mb", e.AnswerMemoryMB),
+		countRange.Check("entry.queue_limit", e.QueueLimit),
+		countRange.Check("entry.caller_rate", e.CallerRate),
+		durationRange.Check("entry.caller_idle", e.CallerIdle.Std()),
+		countRange.Check("entry.caller_connections", e.CallerConnections),
+	)
+}
+
 func (s *Settings) validateAgent() error {
 	a := s.Agent
 	if a == nil || s.Entry != nil {
@@ -139,8 +158,8 @@
 	if err := validateAddress("agent.status_listen", a.StatusListen); err != nil {
 		return err
 	}
-	if a.Links < 0 {
-		return eris.New("agent.links must not be negative")
+	if err := linksRange.Check("agent.links", a.Links); err != nil {
+		return err
 	}
 	return a.Target.validate()
 }
@@ -149,14 +168,14 @@
 	if t.Name == "" {
 		return eris.New("agent.target.name is missing")
 	}
-	if t.Slots <= 0 || t.Slots > MaxSlots {
-		return eris.Errorf("agent.target.slots must be between 1 and %d", MaxSlots)
-	}
-	if t.MaxConnections <= 0 {
-		return eris.New("agent.target.max_connections must be positive")
-	}
-	if t.CPUs <= 0 || t.MemoryMB <= 0 || t.Accelerators < 0 {
-		return eris.New("agent.target.cpus and agent.target.memory_mb must be positive and agent.target.accelerators not negative")
+	if err := errors.Join(
+		slotsRange.Check("agent.target.slots", t.Slots),
+		countRange.Check("agent.target.max_connections", t.MaxConnections),
+		cpusRange.Check("agent.target.cpus", t.CPUs),
+		memoryRange.Check("agent.target.memory_mb", t.MemoryMB),
+		acceleratorsRange.Check("agent.target.accelerators", t.Accelerators),
+	); err != nil {
+		return err
 	}
 	return validateURL("agent.target.url", t.URL)
 }
