Mend what was found by reading: flush, welcome, SIGHUP, overlapping faults of the soak

- link.Flush returned while the writer was still blocked on a batch that it had taken from the queue; a link closed after it lost those frames.
It now waits for the batch too (TestFlushWaitsForTheBatchBeingWritten fails with the former condition).
- An entry that dialled another waited for its Welcome without a deadline, holding the lock of that peer, as long as the peer kept the connection alive.
The dial timeout now covers it (TestReceiveWithinEndsWithItsContext).
- SIGHUP on the users' platform logged "settings reloaded" and applied nothing.
It now applies log_level, stop_timeout and node.memory_mb and names what waits for a restart (TestReloadAppliesWhatCanChange).
- The end of one fault of the soak's store, target or link ended the others at that component.
Faults now overlay each other (TestEndOfOneFaultKeepsTheOthersInForce).

--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -35,12 +35,17 @@
 // linkFault puts a random entry's proxy into the given state.
 func linkFault(state linkState) func(*soak, *rand.Rand) func() {
 	return func(s *soak, r *rand.Rand) func() {
-		p := pick(r, s.proxies)
-		p.setState(state)
-		return func() { p.setState(linkHealthy) }
+		return pick(r, s.proxies).faults.begin(state)
 	}
 }
 
+// scopedStoreFault is a fault of the store towards some clients, or towards all if clients
+// is empty.
+type scopedStoreFault struct {
+	fault   standin.StoreFault
+	clients []string
+}
+
 // storeFault makes the store misbehave, towards three randomly chosen nodes or, if
 // someClients is false, towards all.
 func storeFault(f standin.StoreFault, someClients bool) func(*soak, *rand.Rand) func() {
@@ -49,22 +54,19 @@
 		if someClients {
 			clients = append(clients, pick(r, s.ips), pick(r, s.ips), pick(r, s.ips))
 		}
-		s.store.SetFault(f, clients...)
-		return func() { s.store.SetFault(standin.StoreHealthy) }
+		return s.storeFaults.begin(scopedStoreFault{fault: f, clients: clients})
 	}
 }
 
 // targetFault makes a random target misbehave.
 func targetFault(f standin.TargetFault) func(*soak, *rand.Rand) func() {
 	return func(s *soak, r *rand.Rand) func() {
-		t := pick(r, s.targets)
-		t.SetFault(f)
-		return func() { t.SetFault(standin.TargetHealthy) }
+		return pick(r, s.targetFaults).begin(f)
 	}
 }
 
-// faultKinds lists all kinds. Different kinds may be in force at once; injectUntil keeps
-// one kind from overlapping with itself.
+// faultKinds lists all kinds. Different kinds may be in force at once, at one component
+// too; injectUntil keeps one kind from overlapping with itself.
 var faultKinds = []fault{
 	{"entry_killed", func(s *soak, r *rand.Rand) func() { return restart(s, pick(r, s.entries), (*node).kill) }},
 	{"entry_stopped", func(s *soak, r *rand.Rand) func() { return restart(s, pick(r, s.entries), (*node).stop) }},
--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -33,6 +33,7 @@
 type proxy struct {
 	listener net.Listener
 	to       string // address of the entry
+	faults   *overlay[linkState]
 
 	mu    sync.Mutex
 	state linkState
@@ -45,6 +46,7 @@
 		return nil, err
 	}
 	p := &proxy{listener: listener, to: to, conns: make(map[net.Conn]bool)}
+	p.faults = &overlay[linkState]{apply: p.setState}
 	go p.accept()
 	return p, nil
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -66,12 +66,15 @@
 	store   *standin.Store
 	ledger  *standin.Ledger
 	targets []*standin.Target
-	entries []*node
-	agents  []*node
-	proxies []*proxy
-	callers *callers
-	ips     []string // of all entries and agents
-	version uint64   // of the configuration last stored
+	// storeFaults and targetFaults are the faults in force, the latter in the order of targets.
+	storeFaults  *overlay[scopedStoreFault]
+	targetFaults []*overlay[standin.TargetFault]
+	entries      []*node
+	agents       []*node
+	proxies      []*proxy
+	callers      *callers
+	ips          []string // of all entries and agents
+	version      uint64   // of the configuration last stored
 
 	mu          sync.Mutex
 	outages     []outage
@@ -94,6 +97,7 @@
 		faultCounts: make(map[string]int),
 		version:     1,
 	}
+	s.storeFaults = &overlay[scopedStoreFault]{apply: func(f scopedStoreFault) { s.store.SetFault(f.fault, f.clients...) }}
 	defer s.close()
 	if err := s.start(); err != nil {
 		return nil, err
@@ -232,6 +236,7 @@
 	}
 	go t.Run(s.done)
 	s.targets = append(s.targets, t)
+	s.targetFaults = append(s.targetFaults, &overlay[standin.TargetFault]{apply: t.SetFault})
 	s.ips = append(s.ips, ip)
 	n, err := newNode(s.dir, config)
 	if err != nil {
--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -198,12 +198,22 @@
 	_ = l.conn.CloseWithError(errorCodeClosed, "")
 }
 
-// Flush waits until the queue is empty, the link is closed or ctx ends.
+// ReceiveWithin returns the next frame like Receive, but closes the link if ctx ends first.
+func (l *Link) ReceiveWithin(ctx context.Context) (*peerv1.Frame, error) {
+	stop := context.AfterFunc(ctx, l.Close)
+	f, err := l.Receive()
+	if !stop() && err == nil {
+		return nil, context.Cause(ctx)
+	}
+	return f, err
+}
+
+// Flush waits until all frames are written, the link is closed or ctx ends.
 func (l *Link) Flush(ctx context.Context) {
 	const interval = time.Millisecond
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	for l.queueLen() > 0 {
+	for l.hasUnwritten() {
 		select {
 		case <-ctx.Done():
 			return
@@ -214,10 +224,11 @@
 	}
 }
 
-func (l *Link) queueLen() int {
+// hasUnwritten reports whether a frame is queued or being written.
+func (l *Link) hasUnwritten() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.queue)
+	return len(l.queue) > 0 || l.writing
 }
 
 // writeQueued writes queued frames until the connection ends. It writes all frames in the
--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -113,6 +113,57 @@
 	}
 }
 
+// Flush returned while the writer was still blocked on a batch that it had taken from the
+// queue, so that the last frames were lost when the link was closed after it.
+func TestFlushWaitsForTheBatchBeingWritten(t *testing.T) {
+	agent, entry := linkPair(t)
+	state := func() (queued int, writing bool) {
+		agent.mu.Lock()
+		defer agent.mu.Unlock()
+		return len(agent.queue), agent.writing
+	}
+	var sent uint64 = 1
+	for queued, writing := state(); queued > 0 || !writing; queued, writing = state() {
+		if queued > 0 {
+			time.Sleep(time.Millisecond) // the writer is about to take the batch
+			continue
+		}
+		sent++
+		send(t, agent, sent)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	agent.Flush(ctx)
+	if ctx.Err() == nil {
+		t.Error("flush returned before the batch was written")
+	}
+	for i := uint64(2); i <= sent; i++ {
+		receive(t, entry, i)
+	}
+	agent.Flush(t.Context())
+}
+
+// A peer that keeps the connection open and sends nothing must not hold up its caller.
+func TestReceiveWithinEndsWithItsContext(t *testing.T) {
+	agent, entry := linkPair(t)
+	keepAlive := time.NewTicker(IdleTimeout / 10)
+	defer keepAlive.Stop()
+	go func() {
+		for range keepAlive.C {
+			if agent.Send(heartbeat(9)) != nil {
+				return
+			}
+		}
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := agent.ReceiveWithin(ctx); err == nil {
+		t.Error("a frame was received")
+	}
+	<-agent.Done()
+	entry.Close()
+}
+
 func TestSendAfterCloseIsRefused(t *testing.T) {
 	agent, _ := linkPair(t)
 	agent.Close()
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -32,7 +32,7 @@
 type node interface {
 	// Run serves until stop is closed.
 	Run(stop <-chan struct{})
-	// Reload applies the keys and callers of new settings without a restart.
+	// Reload applies the settings that can change without a restart.
 	Reload(*settings.Settings) error
 }
 
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -109,7 +109,7 @@
 		Incarnation:    e.incarnation,
 		ConfigRevision: e.config.Load().Revision(),
 	}}})
-	f, err := l.Receive()
+	f, err := l.ReceiveWithin(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -90,7 +90,7 @@
 	go a.syncRecord(ctx)
 	<-stop
 	a.log.Info().Msg("stopping")
-	draining, cancelDraining := context.WithTimeout(context.Background(), a.settings.StopTimeout.Std()-stopReserve)
+	draining, cancelDraining := context.WithTimeout(context.Background(), a.stopTimeout().Std()-stopReserve)
 	defer cancelDraining()
 	a.runs.Drain(draining)
 	closing, cancelClosing := context.WithTimeout(context.Background(), stopReserve/2)
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -144,7 +144,7 @@
 // drain waits for the requests in progress and closes the caller port. During
 // acceptAfterStop every job is accepted, later only one that ends before the deadline.
 func (e *entry) drain() {
-	grace := e.settings.StopTimeout.Std() - stopReserve
+	grace := e.stopTimeout().Std() - stopReserve
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	e.scheduler.Stop(acceptAfterStop, grace)
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -49,6 +50,10 @@
 	guard       guard.Guard
 	incarnation uint64
 	run         func(stop <-chan struct{})
+
+	mu sync.Mutex
+	// live are the settings in force of those that can change.
+	live liveSettings
 }
 
 // New returns a process in the role that the settings select. Its ports are open.
@@ -65,11 +70,13 @@
 		lines:       lines,
 		counters:    counters,
 		incarnation: rand.Uint64(),
+		live:        liveSettingsOf(s),
 	}
+	zerolog.SetGlobalLevel(level)
 	zerolog.TimeFieldFormat = logTimeFormat
-	p.log = zerolog.New(lines).Level(level).With().Timestamp().Str("node", s.Name).Str("role", string(s.Role)).Logger()
+	p.log = zerolog.New(lines).With().Timestamp().Str("node", s.Name).Str("role", string(s.Role)).Logger()
 	p.guard = guard.Guard{Log: p.log, Counters: counters}
-	debug.SetMemoryLimit(int64(s.Node.MemoryMB) << 20 * memoryLimitPercent / 100)
+	debug.SetMemoryLimit(memoryLimit(s.Node.MemoryMB))
 	if s.Role == settings.RoleEntry {
 		err = p.newEntry()
 	} else {
@@ -87,19 +94,6 @@
 	p.lines.Close(logFlushTimeout)
 }
 
-// Reload checks new settings. It applies none of them: a change takes effect at the
-// next start.
-func (p *Server) Reload(s *settings.Settings) error {
-	if s.Node == nil || s.Role != p.settings.Role || s.Node.IP != p.node.IP {
-		return eris.New("role and addresses cannot change without a restart")
-	}
-	if *s.Node != *p.node {
-		p.log.Warn().Msg("changed settings take effect at the next start")
-	}
-	p.log.Info().Msg("settings reloaded")
-	return nil
-}
-
 func (p *Server) localAddr() net.Addr { return &net.TCPAddr{IP: net.ParseIP(p.node.IP)} }
 
 // address joins the IP address of this node and a port.
