--- a/cmd/rosemarybay-bench/main.go
+++ b/cmd/rosemarybay-bench/main.go
@@ -36,6 +36,8 @@
   slopes        measure what one more link, task, change and so on costs
   bound SITE REPORT..
                 what could have been served on days of the users' bench
+  compare [FLAGS] OLD NEW SITE
+                run days of the users' bench with two versions in pairs; -h lists the flags
 `
 
 func main() {
@@ -71,6 +73,8 @@
 		return runRestart(ctx, args[1:])
 	case "bound":
 		return runBound(args[1:])
+	case "compare":
+		return runCompare(ctx, args[1:])
 	case "slopes":
 		return runSlopes(ctx, args[1:])
 	default:
