Replay a load in virtual time through the real schedulers and run managers

Package loadreplay runs the schedulers of some entries and the run managers of some agents in virtual time, against targets that guard their capacity, under a drawn mix of short wide, narrow and long jobs. With one entry the view of the free capacity is exact; the difference to three entries is what a better view is worth.

--- a/internal/bench/replay/check.go
+++ b/internal/bench/replay/check.go
@@ -51,10 +51,15 @@
 	return c.violations
 }
 
-// logCounters prints the non-zero counters of refusals and retries by reason.
+// silentBrokersCounter is the name of the counter of slot requests that a broker did not
+// answer. Tasks are then placed without it, so that targets may refuse them as full.
+const silentBrokersCounter = "brokers_silent"
+
+// logCounters prints the non-zero counters of refusals and retries by reason, and of
+// brokers that did not answer.
 func (c *checker) logCounters() {
 	for _, name := range slices.Sorted(maps.Keys(c.counters)) {
-		isReason := strings.HasPrefix(name, "refused_") || strings.HasPrefix(name, "retried_")
+		isReason := strings.HasPrefix(name, "refused_") || strings.HasPrefix(name, "retried_") || name == silentBrokersCounter
 		if v := c.counters[name]; v > 0 && isReason {
 			c.player.logf("%s %d", name, v)
 		}
--- /dev/null
+++ b/internal/process/loadreplay/replay_test.go
@@ -0,0 +1,260 @@
+// Package loadreplay replays a load in virtual time. It runs the production schedulers of
+// some entries and the production run managers of some agents, connected by links with a
+// delay, against simulated targets. A seed gives the same load to each policy that is
+// compared.
+package loadreplay
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/process/runs"
+	"github.com/rosemarybay/rosemarybay/internal/process/scheduler"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/version/policy"
+)
+
+// setup describes a fleet and the load on it.
+type setup struct {
+	kinds   []kind
+	entries int
+	// linkDelay is the one-way delay between entries and agents.
+	linkDelay time.Duration
+	// speeds has one element for each target.
+	speeds []float64
+	// load is the work that arrives, as a share of the capacity of all targets.
+	load   float64
+	length time.Duration
+	seed   uint64
+}
+
+const targetCPU = 32_000
+
+// overloaded is a fleet that has lost a part of its targets.
+func overloaded(load float64, seed uint64) setup {
+	return setup{
+		kinds: desk, entries: 3, linkDelay: time.Millisecond,
+		speeds: []float64{0.8, 1, 1.25, 0.8, 1, 1.25, 1},
+		load:   load, length: 15 * time.Second, seed: seed,
+	}
+}
+
+// tally counts the jobs of one kind by outcome.
+type tally struct {
+	inTime, late, refused, other int
+}
+
+func (t tally) all() int { return t.inTime + t.late + t.refused + t.other }
+
+func (t tally) inTimeShare() float64 { return float64(t.inTime) / float64(max(t.all(), 1)) }
+
+func (t tally) String() string {
+	return fmt.Sprintf("%d in time, %d late, %d refused, %d other", t.inTime, t.late, t.refused, t.other)
+}
+
+// result is the outcome of a replay.
+type result struct {
+	byKind map[string]tally
+	// refusedStarts counts the starts that agents refused for lack of capacity.
+	refusedStarts int64
+	// wasted is the work of stopped runs, in core seconds.
+	wasted float64
+	// inTimeWork is the share of the submitted work whose job ended in time.
+	inTimeWork float64
+}
+
+// replay runs a load against a fleet.
+func replay(t *testing.T, c setup) (r result) {
+	synctest.Test(t, func(t *testing.T) {
+		var capacity float64
+		for _, speed := range c.speeds {
+			capacity += targetCPU * speed
+		}
+		w := newWorkload(c.kinds, c.seed, c.load*capacity, c.length)
+		f := newFleet(c, w)
+		time.Sleep(500 * time.Millisecond)
+		r = f.play(w)
+		f.close()
+	})
+	return r
+}
+
+// fleet holds the processes of a replay.
+type fleet struct {
+	entries  []*scheduler.Scheduler
+	targets  []*target
+	counters *metrics.Counters
+	done     chan struct{}
+	links    []*peer.Link
+	mu       sync.Mutex
+}
+
+func newFleet(c setup, w *workload) *fleet {
+	f := &fleet{done: make(chan struct{}), counters: metrics.New()}
+	view := &policy.View{}
+	view.Apply(&policy.Snapshot{Version: 1, Queues: w.queues})
+	var jitter atomic.Uint64
+	for range c.entries {
+		s := scheduler.New(scheduler.Options{
+			DataCentre:  "dc",
+			Log:         zerolog.Nop(),
+			Counters:    f.counters,
+			View:        view,
+			TargetLease: time.Second,
+			// A fixed sequence that is spread over [0, 1).
+			Random:        func() float64 { return float64(jitter.Add(618_033_989)%1_000_000_000) / 1e9 },
+			OnNewerPolicy: func(*peer.Policy) {},
+			Entries:       func() int { return c.entries },
+		})
+		f.entries = append(f.entries, s)
+		go s.Run(f.done)
+	}
+	for i, speed := range c.speeds {
+		f.addTarget(i, newTarget(w, targetCPU, speed), c.linkDelay)
+	}
+	return f
+}
+
+// addTarget starts the agent of a target and links it with all entries.
+func (f *fleet) addTarget(index int, t *target, delay time.Duration) {
+	f.targets = append(f.targets, t)
+	name := fmt.Sprintf("agent-%d", index)
+	m := runs.New(runs.Options{
+		Name: name, Incarnation: uint64(index + 1), DataCentre: "dc", Log: zerolog.Nop(), Counters: f.counters,
+		TargetLease: time.Second,
+		Dial:        func(runs.Announcement) runs.TargetClient { return t },
+	})
+	m.Announce(runs.Announcement{ID: name, Incarnation: 1, Sequence: 1, Pool: "p", DataCentre: "dc", Capacity: task.Resources{CPU: t.capacity}})
+	go m.Run(f.done)
+	time.Sleep(5 * time.Millisecond)
+	for i, s := range f.entries {
+		f.link(m, s, name, uint64(i+1), delay)
+	}
+}
+
+// link connects an agent and an entry.
+func (f *fleet) link(m *runs.Manager, s *scheduler.Scheduler, agent string, entry uint64, delay time.Duration) {
+	agentSide, a := net.Pipe()
+	b, entrySide := net.Pipe()
+	go forward(a, b, delay)
+	go forward(b, a, delay)
+	agentLink := peer.NewLink(agentSide, func(frame *peer.Frame) { m.Stamp(entry, frame) })
+	entryLink := peer.NewLink(entrySide, func(frame *peer.Frame) { s.Stamp(agent, frame) })
+	f.links = append(f.links, agentLink, entryLink)
+	s.Connect(&peer.Hello{Name: agent, Incarnation: 1}, entryLink)
+	m.Connect(&peer.Hello{Name: fmt.Sprint("entry-", entry), Incarnation: entry}, fmt.Sprint("entry:", entry), agentLink)
+	go func() {
+		for frame, err := agentLink.Receive(); err == nil; frame, err = agentLink.Receive() {
+			m.Receive(entry, frame)
+		}
+	}()
+	go func() {
+		for frame, err := entryLink.Receive(); err == nil; frame, err = entryLink.Receive() {
+			s.Receive(agent, entryLink, frame)
+		}
+	}()
+}
+
+// delayed is a piece of a stream that is due at a time.
+type delayed struct {
+	due  time.Time
+	data []byte
+}
+
+// forward copies one direction of a link with a delay.
+func forward(from, to net.Conn, delay time.Duration) {
+	const maxInTransit = 10_000
+	pieces := make(chan delayed, maxInTransit)
+	go func() {
+		for p := range pieces {
+			time.Sleep(time.Until(p.due))
+			if _, err := to.Write(p.data); err != nil {
+				_ = from.Close()
+			}
+		}
+		_ = to.Close()
+	}()
+	defer close(pieces)
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		pieces <- delayed{due: time.Now().Add(delay), data: append([]byte(nil), buffer[:n]...)}
+	}
+}
+
+// play submits all arrivals, each to one entry, and waits for the answers.
+func (f *fleet) play(w *workload) result {
+	r := result{byKind: make(map[string]tally)}
+	start := time.Now()
+	var all sync.WaitGroup
+	var work, inTimeWork float64
+	for i, a := range w.arrivals {
+		all.Go(func() {
+			time.Sleep(time.Until(start.Add(a.at)))
+			state, took := f.submit(w, a, f.entries[i%len(f.entries)])
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			var jobWork float64
+			for n := range a.job.Steps[0].Count {
+				jobWork += float64(a.job.Steps[0].Need.CPU) * w.work(task.Key{Job: a.job.ID, Index: n}).Seconds()
+			}
+			work += jobWork
+			t := r.byKind[a.kind.name]
+			switch {
+			case state == scheduler.StateComplete && took <= a.objective():
+				t.inTime++
+				inTimeWork += jobWork
+			case state == scheduler.StateComplete:
+				t.late++
+			case state == scheduler.StateRefused:
+				t.refused++
+			default:
+				t.other++
+			}
+			r.byKind[a.kind.name] = t
+		})
+	}
+	all.Wait()
+	r.inTimeWork = inTimeWork / work
+	for _, t := range f.targets {
+		r.wasted += t.wastedCPU / 1000
+	}
+	r.refusedStarts = f.counters.Counter("starts_refused_room").Count()
+	return r
+}
+
+// submit returns the state of a job's answer and when it arrived.
+func (f *fleet) submit(w *workload, a *arrival, entry *scheduler.Scheduler) (scheduler.State, time.Duration) {
+	job := a.job
+	job.Arrived = time.Now()
+	job.Deadline = job.Arrived.Add(patience + 4*a.work)
+	answered, cancel := entry.Submit(&job, w.queues[a.kind.name])
+	select {
+	case answer := <-answered:
+		return answer.State, time.Since(job.Arrived)
+	case <-time.After(time.Until(job.Deadline)):
+		cancel()
+		return scheduler.StateAbandoned, 0
+	}
+}
+
+// close ends all processes, and waits until their timers have expired.
+func (f *fleet) close() {
+	close(f.done)
+	for _, l := range f.links {
+		l.Close()
+	}
+	time.Sleep(time.Minute)
+}
--- /dev/null
+++ b/internal/process/loadreplay/target_test.go
@@ -0,0 +1,116 @@
+package loadreplay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/runs"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+// orderDelay is the round trip between an agent and the target on the same machine.
+const orderDelay = 300 * time.Microsecond
+
+// target simulates a target that guards its capacity and runs each task at its speed. It
+// implements runs.TargetClient.
+type target struct {
+	workload *workload
+	capacity int64
+	speed    float64
+
+	mu      sync.Mutex
+	used    int64
+	running map[task.Attempt]*activeRun
+	ended   []runs.EndedRun
+	// changed is closed and replaced whenever a run ends.
+	changed chan struct{}
+	noRoom  int
+	// wastedCPU is the work of stopped runs, in thousandths of a core times seconds.
+	wastedCPU float64
+}
+
+type activeRun struct {
+	cpu     int64
+	started time.Time
+	length  time.Duration
+	timer   *time.Timer
+}
+
+func newTarget(w *workload, capacity int64, speed float64) *target {
+	return &target{workload: w, capacity: capacity, speed: speed, running: make(map[task.Attempt]*activeRun), changed: make(chan struct{})}
+}
+
+func (t *target) Start(_ context.Context, _ runs.Permit, s peer.Start) (runs.Answer, error) {
+	time.Sleep(orderDelay)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.used+s.Need.CPU > t.capacity {
+		return runs.AnswerNoRoom, nil
+	}
+	r := &activeRun{cpu: s.Need.CPU, started: time.Now(), length: time.Duration(float64(t.workload.work(s.Attempt.Key)) / t.speed)}
+	t.used += r.cpu
+	t.running[s.Attempt] = r
+	r.timer = time.AfterFunc(r.length, func() { t.end(s.Attempt, peer.OutcomeDone) })
+	return runs.AnswerDone, nil
+}
+
+func (t *target) Stop(_ context.Context, _ uint64, a task.Attempt) (runs.Answer, error) {
+	time.Sleep(orderDelay)
+	t.end(a, peer.OutcomeStopped)
+	return runs.AnswerDone, nil
+}
+
+func (t *target) end(a task.Attempt, outcome peer.Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.running[a]
+	if r == nil {
+		return
+	}
+	r.timer.Stop()
+	delete(t.running, a)
+	t.used -= r.cpu
+	if outcome == peer.OutcomeStopped {
+		t.wastedCPU += float64(r.cpu) * time.Since(r.started).Seconds()
+	}
+	t.ended = append(t.ended, runs.EndedRun{Number: uint64(len(t.ended) + 1), Attempt: a, Outcome: outcome})
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+func (t *target) Poll(ctx context.Context, request runs.PollRequest) (runs.Report, error) {
+	time.Sleep(orderDelay)
+	timeout := time.NewTimer(request.Wait)
+	defer timeout.Stop()
+	for {
+		report, changed := t.report(request.LastSeen)
+		if len(report.Ended) > 0 {
+			return report, nil
+		}
+		select {
+		case <-ctx.Done():
+			return runs.Report{}, errors.New("no answer")
+		case <-timeout.C:
+			report, _ = t.report(request.LastSeen)
+			return report, nil
+		case <-changed:
+		}
+	}
+}
+
+func (t *target) report(lastSeen uint64) (runs.Report, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var report runs.Report
+	for a, r := range t.running {
+		percent := int(100 * time.Since(r.started) / max(r.length, 1))
+		report.Running = append(report.Running, runs.ActiveRun{Attempt: a, Percent: min(percent, 99)})
+	}
+	report.Ended = append(report.Ended, t.ended[min(lastSeen, uint64(len(t.ended))):]...)
+	return report, t.changed
+}
+
+func (t *target) Close() {}
--- /dev/null
+++ b/internal/process/loadreplay/workload_test.go
@@ -0,0 +1,118 @@
+package loadreplay
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/version/policy"
+)
+
+// kind is one kind of job of a workload.
+type kind struct {
+	name     string
+	priority int
+	// width is the mean number of tasks, run their mean run time at speed 1.
+	width float64
+	run   time.Duration
+	// share is the part of all work that jobs of this kind bring.
+	share float64
+}
+
+// desk is a mix of short wide urgent jobs, narrow ones and long ones.
+var desk = []kind{
+	{name: "short", priority: 0, width: 8, run: 60 * time.Millisecond, share: 0.21},
+	{name: "narrow", priority: 1, width: 2, run: 200 * time.Millisecond, share: 0.51},
+	{name: "long", priority: 2, width: 4, run: 900 * time.Millisecond, share: 0.28},
+}
+
+const (
+	taskCPU       = 3100 // thousandths of a core, on average
+	cpuSpread     = 0.2
+	lengthSpread  = 0.4
+	widthSpread   = 0.4
+	estimateError = 0.4
+	taskSpread    = 0.15
+	patience      = 1500 * time.Millisecond
+	stretch       = 1.6
+	latency       = 60 * time.Millisecond
+)
+
+// arrival is one job of a workload. Its random properties depend only on the seed.
+type arrival struct {
+	kind *kind
+	at   time.Duration
+	// work is the longest run time of its tasks at speed 1.
+	work time.Duration
+	job  task.Job
+}
+
+func (a *arrival) objective() time.Duration {
+	return time.Duration(stretch*float64(a.work)) + latency
+}
+
+// workload is a sequence of arrivals.
+type workload struct {
+	arrivals []*arrival
+	queues   map[string]*policy.Queue
+
+	mu    sync.Mutex
+	works map[task.Key]time.Duration
+}
+
+// newWorkload draws arrivals of the given mean rate of work, in thousandths of a core, for
+// a duration. A tenth of that duration is a warm-up at half the rate.
+func newWorkload(kinds []kind, seed uint64, rate float64, length time.Duration) *workload {
+	w := &workload{queues: make(map[string]*policy.Queue), works: make(map[task.Key]time.Duration)}
+	random := rand.New(rand.NewPCG(seed, 0))
+	for i := range kinds {
+		k := &kinds[i]
+		w.queues[k.name] = &policy.Queue{
+			Name: k.name, Pool: "p", Priority: k.priority, MaxAttempts: 4,
+			Stretch: stretch, TargetLatency: latency, Timeout: 6 * time.Second,
+		}
+		perSecond := rate * k.share / (k.width * taskCPU * k.run.Seconds())
+		for at := time.Duration(0); ; {
+			factor := 1.0
+			if at < length/10 {
+				factor = 0.5
+			}
+			at += time.Duration(random.ExpFloat64() / perSecond / factor * float64(time.Second))
+			if at >= length {
+				break
+			}
+			w.arrivals = append(w.arrivals, w.draw(k, at, random))
+		}
+	}
+	return w
+}
+
+// draw returns a job of a kind. Its run time, declared run time, width and cores vary.
+func (w *workload) draw(k *kind, at time.Duration, random *rand.Rand) *arrival {
+	vary := func(spread float64) float64 { return math.Exp(random.NormFloat64()*spread - spread*spread/2) }
+	length := float64(k.run) * vary(lengthSpread)
+	count := max(int(math.Round(k.width*vary(widthSpread))), 1)
+	a := &arrival{kind: k, at: at}
+	id := fmt.Sprintf("%s-%d", k.name, len(w.arrivals))
+	for i := range count {
+		work := time.Duration(length * vary(taskSpread))
+		w.works[task.Key{Job: id, Index: i}] = work
+		a.work = max(a.work, work)
+	}
+	a.job = task.Job{ID: id, Queue: k.name, Steps: []task.Step{{
+		Count:    count,
+		Need:     task.Resources{CPU: int64(taskCPU * vary(cpuSpread))},
+		Estimate: time.Duration(length * vary(estimateError)),
+	}}}
+	return a
+}
+
+// work returns the run time of a task at speed 1.
+func (w *workload) work(k task.Key) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.works[k]
+}
