Let less urgent jobs yield to urgent tasks that wait at other entries

Hypothesis: under want of capacity it is not the forecast of free capacity that costs most, but that each entry orders only its own tasks. An entry whose urgent jobs are placed gives capacity that becomes free to its less urgent ones while urgent tasks wait at another entry.

Change: entries send the capacity that their waiting tasks need, by priority, to the agents, each its part, and agents report the sum of the other entries. A job that has not begun leaves the free capacity to more urgent tasks elsewhere. The reserve for urgent queues goes, since capacity no longer has to stay empty for them. A job is refused on arrival only if the forecast of its wait is over twice its slack.

--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -40,6 +40,9 @@
 	Subscribe *Subscribe `cbor:"15,keyasint,omitempty"`
 	// Entries is the list of entries, or a change of it, sent to subscribers.
 	Entries *Entries `cbor:"16,keyasint,omitempty"`
+	// Demand is the capacity that the entry's waiting tasks need of the agent's target, by
+	// priority. The entry sets it on every frame.
+	Demand task.Demand `cbor:"17,keyasint,omitempty"`
 }
 
 // Subscribe is a subscription to the list of entries, with the revision and the number of
@@ -97,6 +100,8 @@
 	Probation bool `cbor:"2,keyasint,omitempty"`
 	// Probe is set while the receiving entry may send one task to a target on probation.
 	Probe bool `cbor:"3,keyasint,omitempty"`
+	// Demand is what the waiting tasks of other entries need of the target, by priority.
+	Demand task.Demand `cbor:"4,keyasint,omitempty"`
 }
 
 // Start asks an agent to run one attempt.
--- a/internal/connection/peer/validate.go
+++ b/internal/connection/peer/validate.go
@@ -29,8 +29,20 @@
 			return eris.Wrap(err, "target")
 		}
 	}
+	if err := validateDemand(f.Demand); err != nil {
+		return err
+	}
 	if f.Room != nil {
-		return eris.Wrap(validateFree(f.Room.Free), "free capacity")
+		return errors.Join(eris.Wrap(validateFree(f.Room.Free), "free capacity"), validateDemand(f.Room.Demand))
+	}
+	return nil
+}
+
+func validateDemand(demand task.Demand) error {
+	for _, d := range demand {
+		if err := bounds.CPU.Check("demand", d.CPU); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/internal/process/load/admission.go
+++ b/internal/process/load/admission.go
@@ -58,6 +58,16 @@
 	return time.Duration(int64(backlog)/rate) * time.Millisecond
 }
 
+// forecastMargin is the factor by which a forecast of the wait for capacity may be too
+// long: the ends of runs are known only from declared or learned run times, and other
+// entries' runs not at all.
+const forecastMargin = 2
+
+// IsSurelyTooLate reports whether a job should be refused on its arrival: even if the
+// forecast of its wait is too long, it would wait past the slack that it has. A job that
+// might still be served waits, since others may end sooner or leave.
+func IsSurelyTooLate(wait, slack time.Duration) bool { return wait > forecastMargin*slack }
+
 // RetryAfter returns the delay after which a refused caller should retry: the time
 // until the work queued now has been started, plus a random part, with share in [0, 1),
 // so that callers refused together do not retry together.
--- a/internal/process/model/simulation_test.go
+++ b/internal/process/model/simulation_test.go
@@ -31,6 +31,8 @@
 	// callerTimeout is the deadline of a job, counted from its first submission.
 	callerTimeout  = 4 * time.Second
 	sweepInterval  = 10 * time.Millisecond
+	// queues is the number of queues; each has another priority.
+	queues = 2
 	redialInterval = 20 * time.Millisecond
 	// unfinished is the state in an answer after which a caller retries.
 	unfinished = scheduler.StateUnfinished
@@ -98,14 +100,22 @@
 	finished     atomic.Bool
 	incarnations atomic.Uint64
 	cuts         sync.Map // by linkKey: end of the latest cut of the link
-	queue        *policy.Queue
+	queues       []*policy.Queue // in the order of their priority
 	view         *policy.View
 }
 
 func newSimulation(agents, entries int) *simulation {
 	sim := &simulation{checker: newChecker(), view: &policy.View{}}
-	sim.queue = &policy.Queue{Name: "q", Pool: "p", MaxAttempts: 3, Stretch: 1.6, TargetLatency: 60 * time.Millisecond, Timeout: callerTimeout}
-	sim.view.Apply(&policy.Snapshot{Version: 1, Queues: map[string]*policy.Queue{"q": sim.queue}})
+	byName := make(map[string]*policy.Queue)
+	for priority := range queues {
+		q := &policy.Queue{
+			Name: fmt.Sprint("q", priority), Pool: "p", Priority: priority, MaxAttempts: 3,
+			Stretch: 1.6, TargetLatency: 60 * time.Millisecond, Timeout: callerTimeout,
+		}
+		sim.queues = append(sim.queues, q)
+		byName[q.Name] = q
+	}
+	sim.view.Apply(&policy.Snapshot{Version: 1, Queues: byName})
 	for i := range agents {
 		a := &agent{sim: sim, name: fmt.Sprintf("agent-%d", i)}
 		a.restartTarget()
@@ -369,7 +379,7 @@
 	deadline := time.Now().Add(callerTimeout)
 	for try := first; time.Now().Before(deadline); try++ {
 		e := sim.entries[try%len(sim.entries)]
-		if sim.submit(e, id, tasks, deadline) {
+		if sim.submit(e, sim.queues[first%queues], id, tasks, deadline) {
 			return
 		}
 		time.Sleep(callerRetry)
@@ -378,7 +388,7 @@
 
 // submit sends a job to an entry. It reports whether the caller is done: it has a final
 // answer or its deadline has passed.
-func (sim *simulation) submit(e *entry, id string, tasks int, deadline time.Time) bool {
+func (sim *simulation) submit(e *entry, q *policy.Queue, id string, tasks int, deadline time.Time) bool {
 	number, alive, _ := e.state()
 	if !alive || !e.waitRunnable(number) {
 		return false
@@ -392,11 +402,11 @@
 	sim.checker.submitted(id)
 	answered, cancel := scheduler.Submit(&task.Job{
 		ID:       id,
-		Queue:    "q",
+		Queue:    q.Name,
 		Steps:    []task.Step{{Count: tasks, Need: task.Resources{CPU: 1000}, Estimate: 300 * time.Millisecond}},
 		Arrived:  time.Now(),
 		Deadline: deadline,
-	}, sim.queue)
+	}, q)
 	select {
 	case a := <-answered:
 		sim.checker.answered(id, a)
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -254,7 +254,7 @@
 
 // roomLocked returns the free capacity and health of the target for an entry.
 func (m *Manager) roomLocked(o *owner) *peer.Room {
-	room := &peer.Room{Free: m.freeLocked()}
+	room := &peer.Room{Free: m.freeLocked(), Demand: m.demandOfOthersLocked(o)}
 	if t := m.target; t != nil && !t.health.Healthy() {
 		room.Probation = true
 		room.Probe = t.prober == o.incarnation && t.health.MayProbe(m.clock())
--- a/internal/process/runs/manager_test.go
+++ b/internal/process/runs/manager_test.go
@@ -200,6 +200,8 @@
 	frames  chan *peer.Frame
 	// entrySilent, once closed, stops the entry's answers.
 	entrySilent chan struct{}
+	// demand is sent with each frame of the entries that are connected later.
+	demand task.Demand
 }
 
 func newHarness(t *testing.T) *harness {
@@ -253,10 +255,12 @@
 	var mu sync.Mutex
 	var echo int64
 	var acked uint64
+	demand := h.demand
 	h.entry = peer.NewLink(there, func(f *peer.Frame) {
 		mu.Lock()
 		defer mu.Unlock()
 		f.Echo, f.AckedResults = echo, acked
+		f.Demand = demand
 	})
 	h.t.Cleanup(h.entry.Close)
 	entry := h.entry
@@ -831,3 +835,43 @@
 		}
 	})
 }
+
+// What the waiting tasks of one entry need is reported to the others, and no longer once
+// the entry is disconnected or silent.
+func TestDemandIsReportedToOtherEntries(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(h *harness, entry *peer.Link)
+	}{
+		{"link lost", func(_ *harness, entry *peer.Link) { entry.Close() }},
+		{"silent", func(h *harness, _ *peer.Link) { close(h.entrySilent) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.demand = task.Demand{}.Add(0, 6200).Add(2, 3100)
+				h.connect(8)
+				demanding := h.entry
+				demanding.Send(peer.Frame{})
+				time.Sleep(50 * time.Millisecond)
+				if got := h.othersDemand(7); got.Before(2) != 6200 || got.Before(3) != 9300 {
+					t.Errorf("the other entry has the demand %v", got)
+				}
+				if got := h.othersDemand(8); len(got) > 0 {
+					t.Errorf("the entry has its own demand %v", got)
+				}
+				c.end(h, demanding)
+				time.Sleep(2 * peer.SuspectAfter)
+				if got := h.othersDemand(7); len(got) > 0 {
+					t.Errorf("the other entry still has the demand %v", got)
+				}
+			})
+		})
+	}
+}
+
+func (h *harness) othersDemand(incarnation uint64) task.Demand {
+	h.manager.mu.Lock()
+	defer h.manager.mu.Unlock()
+	return h.manager.demandOfOthersLocked(h.manager.owners[incarnation])
+}
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -57,6 +57,9 @@
 	freeCapacityDirty bool
 	// echo is the latest Sent received from the entry.
 	echo int64
+	// demand is what the entry's waiting tasks need of the target, received at demandAt.
+	demand   task.Demand
+	demandAt time.Duration
 	// retiring is set while the entry must send no new work, retired once it has no runs
 	// and no unacknowledged results left here.
 	retiring, retired bool
@@ -176,6 +179,7 @@
 	o.lastEcho = max(o.lastEcho, time.Duration(f.Echo))
 	o.echo = f.Sent
 	o.acknowledge(f.AckedResults)
+	m.updateDemandLocked(o, f.Demand)
 	if f.Policy != nil {
 		m.applyPolicyLocked(f.Policy, o.name)
 	}
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -26,7 +26,6 @@
 // admit decides whether a job may be queued, and returns its refusal if not.
 func (s *Scheduler) admit(j *job) (Answer, bool) {
 	now := s.now()
-	s.reserve.RecordArrival(j.queue.Priority, now, j.initialCPU(), j.forecast.RunTime)
 	if s.stop != nil && !s.stop.Admits(now, j.forecast.RunTime) {
 		return refuse(apiv1.Reason_REASON_STOPPING, stoppingRetry, "this entry stops"), false
 	}
@@ -34,7 +33,7 @@
 		return refuse(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, noTargetRetry, message), false
 	}
 	j.capacity = s.predictCapacity(j, now)
-	if !j.capacity.known || now+j.capacity.wait > j.latestStart {
+	if load.IsSurelyTooLate(j.capacity.wait, j.latestStart-now) {
 		retry := load.RetryAfter(j.capacity.wait, s.opts.Random())
 		return refuse(apiv1.Reason_REASON_OVERLOAD, retry, "would wait past its objective"), false
 	}
@@ -71,8 +70,7 @@
 func (s *Scheduler) predictCapacity(j *job, now time.Duration) capacityPrediction {
 	work, cpu := s.queue.WorkAhead(j.queue.Priority, j.latestStart)
 	r := s.newRound()
-	p := capacityPrediction{reserved: s.reservedCPU(j, r), known: true}
-	p.missing = s.missingCPU(j, cpu+p.reserved, r)
+	p := capacityPrediction{missing: s.missingCPU(j, cpu, r)}
 	if p.missing <= 0 {
 		return p
 	}
@@ -84,7 +82,7 @@
 	}
 	at, ok := s.releases.FreeAt(now, s.contention.RequiredCPU(now, p.missing))
 	if !ok {
-		p.wait, p.known = s.drain.EstimateWait(now, s.queue.TotalWork(), s.shareOfCapacity()), false
+		p.wait = s.drain.EstimateWait(now, s.queue.TotalWork(), s.shareOfCapacity())
 		return p
 	}
 	p.wait = at - now
--- a/internal/process/scheduler/cluster_test.go
+++ b/internal/process/scheduler/cluster_test.go
@@ -35,6 +35,21 @@
 	number   uint64
 	free     task.Resources
 	claims   []peer.Claim
+	// others is the demand that the agent reports, received that of the entry.
+	others, received task.Demand
+}
+
+func (a *fakeAgent) setDemand(d task.Demand) {
+	a.mu.Lock()
+	a.others = d
+	a.mu.Unlock()
+	a.link.Send(peer.Frame{})
+}
+
+func (a *fakeAgent) demand() task.Demand {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.received
 }
 
 // testCluster is a scheduler with fake agents.
@@ -86,7 +101,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		f.Accepted = a.accepted
-		f.Room = &peer.Room{Free: a.free}
+		f.Room = &peer.Room{Free: a.free, Demand: a.others}
 		f.Sent = time.Now().UnixNano()
 	})
 	tc.t.Cleanup(a.link.Close)
@@ -129,6 +144,7 @@
 		}
 		a.mu.Lock()
 		a.accepted += uint64(len(f.Starts))
+		a.received = f.Demand
 		if f.Claims != nil {
 			a.claims = append(a.claims, f.Claims.Attempts...)
 		}
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -38,6 +38,8 @@
 	tasksLeft int
 	// unresolved is the number of attempts sent whose outcome is not known.
 	unresolved int
+	// yielded is set once the job has left free capacity to tasks of other entries.
+	yielded bool
 	// begun is set once an attempt has been sent.
 	begun bool
 	// ran is set once an attempt of the job or of its predecessor is known to have
@@ -57,13 +59,8 @@
 	// missing is the capacity that the job and the tasks ahead of it needed beyond what
 	// was free, in thousandths of a core.
 	missing int64
-	// reserved is the part of missing that is left free for more urgent queues.
-	reserved int64
-	// wait is the time until the missing capacity becomes free. known is false if the
-	// runs in progress free less than the missing capacity; wait is then estimated from
-	// the drain rate.
-	wait  time.Duration
-	known bool
+	// wait is the time until the missing capacity becomes free.
+	wait time.Duration
 }
 
 // step is the state of one step of a job.
@@ -243,7 +240,7 @@
 		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.forecast.RunTime).
 		Dur("waited", j.forecast.Waited).Bool("certain", j.forecast.Certain).
 		Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).
-		Int64("missing_cpu", j.capacity.missing).Int64("reserved_cpu", j.capacity.reserved).Dur("predicted_wait", j.capacity.wait).
+		Int64("missing_cpu", j.capacity.missing).Bool("yielded", j.yielded).Dur("predicted_wait", j.capacity.wait).
 		Dur("retry_after", a.RetryAfter).Int("tasks_left", j.tasksLeft).Int("unresolved", j.unresolved).
 		Int("waiting", s.queue.Len()).Uint64("config_version", s.configVersion()).Msg("job not completed")
 }
--- a/internal/process/scheduler/overload_test.go
+++ b/internal/process/scheduler/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -151,3 +152,95 @@
 		}
 	})
 }
+
+// waitForDemand waits until the entry knows that the waiting tasks of other entries need cpu of
+// a target.
+func (tc *testCluster) waitForDemand(name string, cpu int64) {
+	tc.t.Helper()
+	for deadline := time.Now().Add(time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		tc.scheduler.mu.Lock()
+		known := tc.scheduler.targets[name].othersDemand.Before(math.MaxInt)
+		tc.scheduler.mu.Unlock()
+		if known == cpu {
+			return
+		}
+	}
+	tc.t.Fatal("the demand of other entries has not arrived")
+}
+
+// Urgent tasks wait at another entry. Capacity that is free must be left to them by less
+// urgent jobs, but not by equally urgent ones, and only as long as they wait.
+func TestLessUrgentJobYieldsToUrgentTasksOfOtherEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t)
+		a := tc.agent("a")
+		a.setDemand(task.Demand{}.Add(0, 7000))
+		tc.waitForDemand("a", 7000)
+		less := *tc.queue
+		less.Priority = 1
+		lessUrgent := tc.job("less-urgent", 1, 2000)
+		lessUrgent.Steps[0].Estimate = time.Second
+		answered, _ := tc.scheduler.Submit(lessUrgent, &less)
+		equal, _ := tc.submit(tc.job("equal", 1, 2000))
+		s := a.nextStart()
+		if s.Attempt.Key.Job != "equal" {
+			t.Errorf("%v was started first", s.Attempt)
+		}
+		a.done(s)
+		if got := await(t, equal); got.State != StateComplete {
+			t.Errorf("answer %+v", got)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if len(a.starts) > 0 {
+			t.Fatal("the less urgent job took capacity that urgent tasks need")
+		}
+		a.setDemand(nil)
+		a.done(a.nextStart())
+		if got := await(t, answered); got.State != StateComplete {
+			t.Errorf("answer %+v", got)
+		}
+	})
+}
+
+// The agents learn what the waiting tasks of this entry need, each its part, and that they
+// no longer wait.
+func TestDemandOfWaitingTasksIsSentToAgents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t)
+		a, b := tc.agent("a"), tc.agent("b")
+		long := tc.job("long", 8, 2000)
+		long.Steps[0].Estimate = 100 * time.Millisecond
+		tc.submit(long)
+		agents := []*fakeAgent{a, b}
+		var begun []peer.Start
+		var at []*fakeAgent
+		for range 8 {
+			agent, s := nextStartOfAny(t, agents)
+			agent.report(s.Attempt, s.Need, peer.OutcomeStarted, "")
+			begun, at = append(begun, s), append(at, agent)
+		}
+		urgent := *tc.queue
+		waiting := tc.job("waiting", 2, 2000)
+		waiting.Steps[0].Estimate = time.Second
+		tc.scheduler.Submit(waiting, &urgent)
+		time.Sleep(50 * time.Millisecond)
+		for _, agent := range agents {
+			if got := agent.demand(); got.Before(1) != 2000 {
+				t.Errorf("%s has the demand %v, want its half of 4000", agent.name, got)
+			}
+		}
+		for i, s := range begun {
+			at[i].report(s.Attempt, s.Need, peer.OutcomeDone, "")
+		}
+		for range 2 {
+			agent, s := nextStartOfAny(t, agents)
+			agent.done(s)
+		}
+		time.Sleep(50 * time.Millisecond)
+		for _, agent := range agents {
+			if got := agent.demand(); len(got) > 0 {
+				t.Errorf("%s still has the demand %v", agent.name, got)
+			}
+		}
+	})
+}
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -45,6 +45,7 @@
 
 // placeQueued starts tasks from the head of the queue while there is capacity.
 func (s *Scheduler) placeQueued() {
+	defer s.updateDemand()
 	if s.queue.Len() == 0 {
 		return
 	}
@@ -76,6 +77,9 @@
 
 // tryStart starts a task if a target has capacity for it and its job may begin.
 func (s *Scheduler) tryStart(it *item, r placementRound) bool {
+	if s.mustYield(it, r) {
+		return false
+	}
 	t := s.choose(it, r)
 	if t == nil || (!it.Begun() && !s.mayBegin(it, r)) {
 		return false
@@ -89,7 +93,7 @@
 	if it.Overdue() {
 		return load.HasSpareCapacity(s.usableCPU(r))
 	}
-	missing := s.missingCPU(it.job, s.queue.BegunCPU()+s.reservedCPU(it.job, r), r)
+	missing := s.missingCPU(it.job, s.queue.BegunCPU(), r)
 	if missing <= 0 {
 		return true
 	}
@@ -98,12 +102,6 @@
 	return s.releases.Len() == 0 || s.releases.ShouldBegin(r.now, it.job.latestStart, required)
 }
 
-// reservedCPU returns the capacity that a job leaves free for more urgent queues.
-func (s *Scheduler) reservedCPU(j *job, r placementRound) int64 {
-	_, all := s.usableCPU(r)
-	return s.reserve.ReservedCPU(j.queue.Priority, r.now, all, s.opts.Entries())
-}
-
 // missingCPU returns how much capacity a job lacks to begin, in thousandths of a core,
 // if ahead is the capacity needed by tasks ahead of it. It stops early with a value of
 // at most 0 as soon as nothing is missing.
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -54,7 +54,6 @@
 	drain    load.DrainRate
 	estimate *load.Estimator
 	patience *load.Patience
-	reserve  *load.Reserve
 	// contention measures how often other entries take the capacity first.
 	contention load.Contention
 	// delays tracks delayed starts by data centre.
@@ -62,6 +61,12 @@
 	// releases is valid for the current round of placement and for releasesPool.
 	releases     load.Releases
 	releasesPool string
+	// demands is what the waiting tasks need, by pool; demandUnsent is set while an agent
+	// may have an older one. demandedTargets is the number of targets of which waiting tasks
+	// of other entries need a part.
+	demands         map[string]*poolDemand
+	demandUnsent    bool
+	demandedTargets int
 	// stop is set once a planned stop of this entry has been requested.
 	stop *load.PlannedStop
 }
@@ -77,7 +82,6 @@
 		answers:  newAnswerCache(),
 		estimate: load.NewEstimator(),
 		patience: load.NewPatience(),
-		reserve:  load.NewReserve(),
 		delays:   load.NewStartDelays(),
 	}
 }
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -39,6 +39,9 @@
 	// sentEcho is the echo in the latest frame sent, lastSentAt the time it was sent.
 	sentEcho   int64
 	lastSentAt time.Duration
+	// sentDemand is the demand in the latest frame sent, othersDemand that of the other
+	// entries in the latest frame received.
+	sentDemand, othersDemand task.Demand
 }
 
 func (t *target) send(f peer.Frame) {
@@ -114,6 +117,8 @@
 	t.link, t.unaccounted, t.startsSent = link, nil, 0
 	t.lastFrameAt = s.now()
 	t.reportedFree = task.Resources{}
+	t.sentDemand = nil
+	s.updateOthersDemand(t, nil)
 	t.lastResult = 0
 	link.Send(peer.Frame{Policy: s.policy()})
 }
@@ -128,6 +133,7 @@
 		return
 	}
 	t.link = nil
+	s.updateOthersDemand(t, nil)
 	s.opts.Log.Info().Err(err).Str("agent", name).Int("attempts", len(t.attempts)).
 		Dur("silent", s.now()-t.lastFrameAt).Msg("agent lost")
 	s.placeQueued()
@@ -156,6 +162,8 @@
 	}
 	f.Echo, f.AckedResults = t.echo, t.lastResult
 	f.Sent = int64(s.now())
+	f.Demand = s.demandFor(t)
+	t.sentDemand = f.Demand
 	t.sentEcho, t.lastSentAt = t.echo, s.now()
 }
 
@@ -176,6 +184,7 @@
 	if f.Room != nil {
 		t.reportedFree = f.Room.Free
 		t.probation, t.probe = f.Room.Probation, f.Room.Probe
+		s.updateOthersDemand(t, f.Room.Demand)
 	}
 	for _, r := range f.Results {
 		s.handleResult(t, r)
