--- a/internal/process/model/simulation_test.go
+++ b/internal/process/model/simulation_test.go
@@ -29,10 +29,10 @@
 	// connection broke or the answer was that the job did not finish.
 	callerRetry = 1300 * time.Millisecond
 	// callerTimeout is the deadline of a job, counted from its first submission.
-	callerTimeout  = 4 * time.Second
-	sweepInterval  = 10 * time.Millisecond
+	callerTimeout = 4 * time.Second
+	sweepInterval = 10 * time.Millisecond
 	// queues is the number of queues; each has another priority.
-	queues = 2
+	queues         = 2
 	redialInterval = 20 * time.Millisecond
 	// unfinished is the state in an answer after which a caller retries.
 	unfinished = scheduler.StateUnfinished
@@ -99,7 +99,7 @@
 	entries      []*entry
 	finished     atomic.Bool
 	incarnations atomic.Uint64
-	cuts         sync.Map // by linkKey: end of the latest cut of the link
+	cuts         sync.Map        // by linkKey: end of the latest cut of the link
 	queues       []*policy.Queue // in the order of their priority
 	view         *policy.View
 }
