Let overdue callers wait for spare capacity for one objective

Hypothesis: after an outage of all entries the callers of short jobs have waited for several objectives. They are refused after a quarter of another one, before the jobs that were begun first have ended, though most of them still wait and capacity is spare soon.

Change: an overdue job waits for spare capacity for one objective if its caller waits that long. It still goes after all other jobs and takes spare capacity only.

TestOverdueShortJobsWaitForOneObjective fails before.

--- a/internal/process/load/load_test.go
+++ b/internal/process/load/load_test.go
@@ -282,6 +282,23 @@
 	}
 }
 
+// The callers of short jobs have waited for several objectives when all entries are back,
+// and most of them still wait. They were refused after a quarter of an objective, before
+// the jobs that were begun first had ended.
+func TestOverdueShortJobsWaitForOneObjective(t *testing.T) {
+	f := Forecast{RunTime: 60 * time.Millisecond, Waited: 1300 * time.Millisecond}
+	const objective = 156 * time.Millisecond
+	for _, c := range []struct{ left, want time.Duration }{
+		{time.Second, objective},
+		{160 * time.Millisecond, 100 * time.Millisecond},
+		{60 * time.Millisecond, objective / 4},
+	} {
+		if got := OverdueSlack(f, objective, c.left); got != c.want {
+			t.Errorf("a caller with %v left waits for %v, want %v", c.left, got, c.want)
+		}
+	}
+}
+
 func TestOverdueJobsLeaveAFifthFree(t *testing.T) {
 	if HasSpareCapacity(10, 100) || !HasSpareCapacity(30, 100) {
 		t.Error("the share left free is not a fifth")
--- a/internal/process/load/patience.go
+++ b/internal/process/load/patience.go
@@ -233,13 +233,16 @@
 	f.line, f.known = PatienceLine{BaseMS: (f.y - slope*f.x) / f.n, Slope: slope}, true
 }
 
-// OverdueSlack returns how long after its arrival an overdue job may wait for capacity:
-// while its answer is still useful and its caller still waits. objective is the
+// OverdueSlack returns how long after its arrival an overdue job may wait for spare
+// // capacity: while its answer is still useful, or for one more objective if its caller waits
+// that long. After an outage of all entries, spare capacity is back only when the jobs that
+// began first have ended. objective is the
 // duration, from the caller's first request, within which the job should have ended,
 // and left the time until its caller gives up.
 func OverdueSlack(f Forecast, objective, left time.Duration) time.Duration {
 	useful := min(usefulAnswerFactor*objective-f.Waited, left) - f.RunTime
-	return max(useful, time.Duration(minOverdueWaitShare*float64(objective)))
+	again := min(objective, left-f.RunTime)
+	return max(useful, again, time.Duration(minOverdueWaitShare*float64(objective)))
 }
 
 // HasSpareCapacity reports whether enough of all capacity is free that an overdue job
