--- /dev/null
+++ b/internal/process/runs/result.go
@@ -0,0 +1,48 @@
+package runs
+
+import (
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+// sendResultLocked reports the outcome of an attempt to its entry, and keeps the result
+// until the entry acknowledges it. With incarnation 0 the owner is unknown and all
+// entries get it.
+func (m *Manager) sendResultLocked(incarnation uint64, a task.Attempt, outcome peer.Outcome, refusal peer.Refusal) {
+	m.resultsSent++
+	result := peer.Result{Number: m.resultsSent, Attempt: a, Outcome: outcome, Refusal: refusal}
+	for id, o := range m.owners {
+		if id != incarnation && incarnation != 0 {
+			continue
+		}
+		o.results = append(o.results, result)
+		if o.link != nil {
+			o.link.Send(peer.Frame{Results: []peer.Result{result}})
+		}
+	}
+}
+
+// finishLocked removes a run that has ended or never started, and reports the outcome.
+func (m *Manager) finishLocked(r *run, outcome peer.Outcome, refusal peer.Refusal) {
+	delete(m.runs, r.attempt.Key)
+	if o := m.owners[r.owner]; o != nil {
+		o.runCount--
+	}
+	m.sendResultLocked(r.owner, r.attempt, outcome, refusal)
+	m.markFreeCapacityDirtyLocked()
+	event := m.opts.Log.Info()
+	if outcome == peer.OutcomeFailed || outcome == peer.OutcomeLost {
+		event = m.opts.Log.Warn()
+	}
+	event.Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
+		Stringer("outcome", outcome).Str("refusal", string(refusal)).
+		Dur("after", time.Since(r.confirmedAt)).Msg("run ended")
+}
+
+func (m *Manager) markFreeCapacityDirtyLocked() {
+	for _, o := range m.owners {
+		o.freeCapacityDirty = true
+	}
+}
--- /dev/null
+++ b/internal/process/runs/start.go
@@ -0,0 +1,219 @@
+package runs
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+)
+
+// startTries is how often a start order is sent before its outcome is resolved by a poll.
+const startTries = 5
+
+// startLocked checks a start order and either refuses it or begins to execute it.
+func (m *Manager) startLocked(o *owner, s peer.Start) {
+	if refusal := m.refusalLocked(o, s); refusal != peer.RefusalNone {
+		m.sendResultLocked(o.incarnation, s.Attempt, peer.OutcomeRefused, refusal)
+		m.opts.Counters.Counter("starts_refused_" + string(refusal)).Inc(1)
+		m.opts.Log.Info().Str("job", s.Attempt.Key.Job).Stringer("task", s.Attempt.Key).Uint64("run", s.Attempt.Run).
+			Str("entry", o.name).Str("refusal", string(refusal)).Int64("free_cpu", m.freeLocked().CPU).
+			Uint64("policy_revision", m.policy.Revision).Msg("start refused")
+		return
+	}
+	r := &run{
+		attempt:     s.Attempt,
+		owner:       o.incarnation,
+		need:        s.Need,
+		confirmedAt: time.Now(),
+		orderedAt:   m.clock(),
+		expected:    s.Expected,
+	}
+	if !m.target.health.Healthy() {
+		m.target.health.RecordProbe(r.orderedAt)
+		m.target.prober = 0
+	}
+	m.runs[s.Attempt.Key] = r
+	o.runCount++
+	m.markFreeCapacityDirtyLocked()
+	go m.start(m.target, r, s)
+}
+
+func (m *Manager) refusalLocked(o *owner, s peer.Start) peer.Refusal {
+	present := m.runs[s.Attempt.Key]
+	refusal := m.permissionLocked(o)
+	switch {
+	case refusal != peer.RefusalNone:
+		return refusal
+	case o.retiring, s.Incarnation != m.target.Incarnation:
+		return peer.RefusalUnavailable
+	case present != nil && present.attempt.Run >= s.Attempt.Run:
+		return peer.RefusalStaleRun
+	case present != nil, !s.Need.FitsIn(m.freeLocked()):
+		return peer.RefusalNoCapacity
+	}
+	return peer.RefusalNone
+}
+
+// permissionLocked returns why no start order of an entry may be sent to the target now.
+func (m *Manager) permissionLocked(o *owner) peer.Refusal {
+	if !m.availableLocked() || o == nil {
+		return peer.RefusalUnavailable
+	}
+	if _, expired := o.leaseExpired(m.clock(), time.Now()); expired {
+		return peer.RefusalUnavailable
+	}
+	if m.isDataCentreOutLocked() {
+		return peer.RefusalDataCentreOut
+	}
+	return peer.RefusalNone
+}
+
+// start sends a start order. It is safe to repeat an unanswered one while its entry's
+// lease is valid: the target confirms an attempt that runs and refuses one that has ended.
+func (m *Manager) start(t *targetIncarnation, r *run, s peer.Start) {
+	var retry backoff
+	unanswered := false
+	for range startTries {
+		permit, refusal := m.startPermit(t, r)
+		if refusal != peer.RefusalNone && !unanswered {
+			m.startRefused(r, refusal)
+			return
+		}
+		if refusal != peer.RefusalNone {
+			break
+		}
+		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+		answer, err := t.client.Start(ctx, permit, s)
+		cancel()
+		if err != nil {
+			unanswered = true
+			m.orderUnanswered(t, "start", s.Attempt, err)
+			retry.sleep(t.ctx, permit.IssuedAt)
+			continue
+		}
+		m.targetAnswered(t)
+		if answer == AnswerDone {
+			m.startConfirmed(r)
+			return
+		}
+		if answer == AnswerFenced {
+			m.raiseToken(t, permit.Token, tokenStep)
+			continue
+		}
+		if answer == AnswerDoneByOtherIncarnation {
+			m.startedByOtherIncarnation(r)
+			return
+		}
+		if refusal, ok := refusals[answer]; ok {
+			m.startRefused(r, refusal)
+			return
+		}
+	}
+	m.resolveStart(t, r)
+}
+
+// startPermit checks the permission to start r before each order, since it may have
+// lapsed after the start was accepted. It returns the permit, or why there is none.
+func (m *Manager) startPermit(t *targetIncarnation, r *run) (Permit, peer.Refusal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.runs[r.attempt.Key] != r || r.stopRequested {
+		return Permit{}, peer.RefusalStopped
+	}
+	if refusal := m.permissionLocked(m.owners[r.owner]); refusal != peer.RefusalNone {
+		m.opts.Counters.Counter("start_permits_lapsed").Inc(1)
+		return Permit{}, refusal
+	}
+	permit := t.permit()
+	t.renewedAt = permit.IssuedAt
+	return permit, peer.RefusalNone
+}
+
+func (m *Manager) startConfirmed(r *run) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.runs[r.attempt.Key] != r {
+		return
+	}
+	r.phase, r.confirmedAt = phaseRunning, time.Now()
+	r.pace.Start(m.clock())
+	m.opts.Log.Info().Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
+		Str("target", m.target.ID).Int64("free_cpu", m.freeLocked().CPU).Msg("run started")
+	m.sendResultLocked(r.owner, r.attempt, peer.OutcomeStarted, peer.RefusalNone)
+	if r.stopRequested {
+		m.beginStopLocked(r)
+	}
+}
+
+func (m *Manager) startRefused(r *run, refusal peer.Refusal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.runs[r.attempt.Key] == r {
+		m.finishLocked(r, peer.OutcomeRefused, refusal)
+	}
+}
+
+// resolveStart determines whether an attempt runs whose start orders were not answered.
+// It polls with a higher token, so that those orders can no longer take effect. One
+// attempt is resolved at a time: while the target does not answer, further polls give no
+// more information than one.
+func (m *Manager) resolveStart(t *targetIncarnation, r *run) {
+	select {
+	case t.resolving <- struct{}{}:
+	case <-t.ctx.Done():
+		return
+	}
+	defer func() { <-t.resolving }()
+	var retry backoff
+	for t.ctx.Err() == nil {
+		poll, ok := m.resolvingPoll(t, r)
+		if !ok {
+			return
+		}
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+		report, err := t.client.Poll(ctx, poll)
+		cancel()
+		if err == nil && report.Answer == AnswerDone {
+			m.startResolved(t, r, report)
+			return
+		}
+		m.orderUnanswered(t, "look", r.attempt, err)
+		if m.expireTargetLease(t) {
+			return
+		}
+		retry.sleep(t.ctx, sent)
+	}
+}
+
+// resolvingPoll returns a poll with a higher token than all orders so far, or false if r
+// has ended.
+func (m *Manager) resolvingPoll(t *targetIncarnation, r *run) (PollRequest, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.runs[r.attempt.Key] != r {
+		return PollRequest{}, false
+	}
+	t.token++
+	return PollRequest{Permit: t.permit(), LastSeen: t.lastSeen}, true
+}
+
+func (m *Manager) startResolved(t *targetIncarnation, r *run, report Report) {
+	m.targetAnswered(t)
+	for _, running := range report.Running {
+		if running.Attempt == r.attempt {
+			m.startConfirmed(r)
+			return
+		}
+	}
+	for _, ended := range report.Ended {
+		if ended.Attempt == r.attempt {
+			return // pollTarget processes the end
+		}
+	}
+	if r.stopRequested {
+		m.startRefused(r, peer.RefusalStopped)
+		return
+	}
+	m.startRefused(r, peer.RefusalUnanswered)
+}
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -64,43 +64,6 @@
 	return false
 }
 
-// predictCapacity predicts how long the job's last task waits for capacity behind the
-// work ahead of it in the queue. Without running tasks to predict from, it uses the
-// drain rate.
-func (s *Scheduler) predictCapacity(j *job, now time.Duration) capacityPrediction {
-	work, cpu := s.queue.WorkAhead(j.queue.Priority, j.latestStart)
-	r := s.newRound()
-	p := capacityPrediction{missing: s.missingCPU(j, cpu, r)}
-	if p.missing <= 0 {
-		return p
-	}
-	s.releases.Reset()
-	s.collectReleases(j.queue, r)
-	if s.releases.Len() == 0 {
-		p.wait = s.drain.EstimateWait(now, work, s.shareOfCapacity())
-		return p
-	}
-	at, ok := s.releases.FreeAt(now, s.contention.RequiredCPU(now, p.missing))
-	if !ok {
-		p.wait = s.drain.EstimateWait(now, s.queue.TotalWork(), s.shareOfCapacity())
-		return p
-	}
-	p.wait = at - now
-	return p
-}
-
-// shareOfCapacity returns the capacity of all targets in service, in thousandths of a
-// core, divided by the number of entries that share them.
-func (s *Scheduler) shareOfCapacity() int64 {
-	var cpu int64
-	for _, t := range s.targets {
-		if t.info.Available {
-			cpu += t.info.Capacity.CPU
-		}
-	}
-	return cpu / int64(max(s.opts.Entries(), 1))
-}
-
 func (s *Scheduler) retryAfter() time.Duration {
 	wait := s.drain.EstimateWait(s.now(), s.queue.TotalWork(), s.shareOfCapacity())
 	return load.RetryAfter(wait, s.opts.Random())
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
@@ -18,9 +17,6 @@
 	maxSkippedTasks = 100
 )
 
-// maxMoves bounds how often one task is moved.
-const maxMoves = 2
-
 // scoreJitter keeps entries with the same information from choosing the same target.
 const scoreJitter = 0.05
 
@@ -102,67 +98,6 @@
 	return s.releases.Len() == 0 || s.releases.ShouldBegin(r.now, it.job.latestStart, required)
 }
 
-// missingCPU returns how much capacity a job lacks to begin, in thousandths of a core,
-// if ahead is the capacity needed by tasks ahead of it. It stops early with a value of
-// at most 0 as soon as nothing is missing.
-func (s *Scheduler) missingCPU(j *job, ahead int64, r placementRound) int64 {
-	first := j.initialCPU()
-	missing := ahead + first
-	var capacity int64
-	for _, t := range s.targets {
-		if !r.isEligible(t, j.queue) || t.probation {
-			continue
-		}
-		capacity += t.info.Capacity.CPU
-		missing -= wholeTasks(t.free().CPU, j.spec.Steps[0].Need.CPU)
-		if missing <= 0 {
-			return missing
-		}
-	}
-	return missing - first + load.FirstWave(first, capacity)
-}
-
-// wholeTasks returns the part of a target's free capacity that tasks of one size can
-// use.
-func wholeTasks(free, size int64) int64 {
-	size = max(size, 1)
-	return max(free, 0) / size * size
-}
-
-// initialCPU returns the capacity that the steps without dependencies need together.
-func (j *job) initialCPU() int64 {
-	var cpu int64
-	for _, st := range j.spec.Steps {
-		if len(st.After) == 0 {
-			cpu += int64(st.Count) * st.Need.CPU
-		}
-	}
-	return cpu
-}
-
-// collectReleases records the expected ends of the attempts in progress in the pool of
-// a queue. It does so once per round and pool.
-func (s *Scheduler) collectReleases(q *policy.Queue, r placementRound) {
-	if s.releases.Len() > 0 && s.releasesPool == q.Pool {
-		return
-	}
-	s.releases.Reset()
-	s.releasesPool = q.Pool
-	var own, used int64
-	for _, t := range s.targets {
-		if !r.isEligible(t, q) || t.probation {
-			continue
-		}
-		used += t.info.Capacity.CPU - t.free().CPU
-		for _, at := range t.attempts {
-			cpu := at.item.step.Need.CPU
-			own += cpu
-			s.releases.Add(load.Release{At: at.startTime() + at.item.expected, CPU: cpu}, at.item.expected)
-		}
-	}
-	s.releases.AddOthers(used - own)
-}
-
 func (s *Scheduler) requirements(st *task.Step) load.Requirements {
 	return load.Requirements{
 		Need:         st.Need,
@@ -206,58 +141,6 @@
 // must not exhaust its attempts.
 func (it *item) mayProbe() bool { return it.failures == 0 && it.job.queue.MaxAttempts > 1 }
 
-// usableCPU returns the free and the total capacity of all usable targets.
-func (s *Scheduler) usableCPU(r placementRound) (free, all int64) {
-	for _, t := range s.targets {
-		if t.usable(r.now) && !t.probation && !r.outages.Has(t.info.DataCentre) {
-			free += max(t.free().CPU, 0)
-			all += t.info.Capacity.CPU
-		}
-	}
-	return free, all
-}
-
-// mostAreHealthy reports whether more of the usable targets are healthy than on probation.
-// If half of them are on probation, the cause is not in the targets.
-func (s *Scheduler) mostAreHealthy(now time.Duration) bool {
-	healthy, onProbation := 0, 0
-	for _, t := range s.targets {
-		switch {
-		case !t.usable(now):
-		case t.probation:
-			onProbation++
-		default:
-			healthy++
-		}
-	}
-	return healthy > onProbation
-}
-
-// handleProgress moves a run that hangs or is too slow, if another target has capacity.
-func (s *Scheduler) handleProgress(t *target, p peer.Progress) {
-	at := t.attempts[p.Attempt]
-	if at == nil || at.stopping || at.item.job.ended {
-		return
-	}
-	it := at.item
-	now := s.now()
-	remaining := load.Remaining(p.Percent, float64(p.Pace)/100, it.expected)
-	slow := t.probation || it.job.forecast.Certain
-	if it.moves >= maxMoves || !load.ShouldMove(now, it.job.objective, remaining, it.expected, slow) {
-		return
-	}
-	it.avoid = t.name
-	if other := s.choose(it, s.newRound()); other == nil || other == t {
-		return
-	}
-	it.moves++
-	s.opts.Counters.CountRetry(apiv1.Reason_REASON_STRAGGLER)
-	s.opts.Log.Info().Str("job", it.key.Job).Stringer("task", it.key).Uint64("run", at.id.Run).Str("target", t.info.ID).
-		Int("percent", p.Percent).Int("pace", p.Pace).Dur("after", now-at.sentAt).Dur("expected", it.expected).
-		Dur("objective_in", it.job.objective-now).Msg("attempt moved")
-	s.stopAttempt(at)
-}
-
 // isEligible reports whether tasks of a queue may be started on a target.
 func (r placementRound) isEligible(t *target, q *policy.Queue) bool {
 	return t.usable(r.now) && t.info.Pool == q.Pool && !r.outages.Has(t.info.DataCentre)
