Yield to the most urgent queue only

Hypothesis: only the jobs of the most urgent queue can wait so little that the other entries' order costs them; queues below it need no precedence over each other across entries.

Change: a job yields only to tasks of the most urgent priority that arrives in its pool.

--- a/internal/process/load/yield_test.go
+++ b/internal/process/load/yield_test.go
@@ -1,6 +1,9 @@
 package load
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func TestTaskYieldsOnlyCapacityThatUrgentTasksNeed(t *testing.T) {
 	for _, c := range []struct {
@@ -18,3 +21,21 @@
 		}
 	}
 }
+
+func TestTopPriorityFollowsTheArrivals(t *testing.T) {
+	var top TopPriority
+	for _, c := range []struct {
+		at       time.Duration
+		priority int
+		want     int
+	}{
+		{0, 2, 2},
+		{time.Second, 1, 1},
+		{2 * time.Second, 2, 1},
+		{2*time.Second + topPriorityRetention, 2, 2},
+	} {
+		if top.Observe(c.at, c.priority); top.Priority() != c.want {
+			t.Errorf("at %v: %d, want %d", c.at, top.Priority(), c.want)
+		}
+	}
+}
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -26,6 +26,7 @@
 // admit decides whether a job may be queued, and returns its refusal if not.
 func (s *Scheduler) admit(j *job) (Answer, bool) {
 	now := s.now()
+	s.topPriority(j.queue.Pool).Observe(now, j.queue.Priority)
 	if s.stop != nil && !s.stop.Admits(now, j.forecast.RunTime) {
 		return refuse(apiv1.Reason_REASON_STOPPING, stoppingRetry, "this entry stops"), false
 	}
--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -75,18 +75,17 @@
 	}
 }
 
-// mustYield reports whether a task leaves the free capacity to more urgent tasks of other
-// entries.
+// mustYield reports whether a task leaves the free capacity to tasks of the pool's most
+// urgent queue at other entries.
 func (s *Scheduler) mustYield(it *item, r placementRound) bool {
 	if s.demandedTargets == 0 || it.Begun() {
 		return false
 	}
 	p := s.contended(it.job.queue, r)
-	urgent := p.urgent.Before(it.Priority())
-	if !load.MustYield(p.free, urgent, it.CPU()) {
+	if it.Priority() <= p.topPriority || !load.MustYield(p.free, p.urgent, it.CPU()) {
 		return false
 	}
-	s.logYield(it.job, p.free, urgent)
+	s.logYield(it.job, p.free, p.urgent)
 	return true
 }
 
@@ -102,12 +101,13 @@
 }
 
 // contendedPool is the free capacity of the healthy targets of a pool, and what the waiting
-// tasks of other entries need of them. It is valid for the current round of placement.
+// tasks of its most urgent queue need of them at other entries, in thousandths of a core. It
+// is valid for the current round of placement.
 type contendedPool struct {
-	known  bool
-	name   string
-	free   int64
-	urgent task.Demand
+	known        bool
+	name         string
+	topPriority  int
+	free, urgent int64
 }
 
 // contended returns the state of a queue's pool. It is computed once per round and pool.
@@ -116,15 +116,23 @@
 	if p.known && p.name == q.Pool {
 		return p
 	}
-	*p = contendedPool{known: true, name: q.Pool, urgent: p.urgent[:0]}
+	*p = contendedPool{known: true, name: q.Pool, topPriority: s.topPriority(q.Pool).Priority()}
 	for _, t := range s.targets {
 		if !r.isEligible(t, q) || t.probation {
 			continue
 		}
 		p.free += max(t.free().CPU, 0)
-		for _, d := range t.othersDemand {
-			p.urgent = p.urgent.Add(d.Priority, d.CPU)
-		}
+		p.urgent += t.othersDemand.UpTo(p.topPriority)
 	}
 	return p
 }
+
+// topPriority returns the tracker of the most urgent priority of a pool.
+func (s *Scheduler) topPriority(pool string) *load.TopPriority {
+	top := s.topPriorities[pool]
+	if top == nil {
+		top = &load.TopPriority{}
+		s.topPriorities[pool] = top
+	}
+	return top
+}
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -67,6 +67,8 @@
 	demandUpdatedAt time.Duration
 	demandUnsent    bool
 	demandedTargets int
+	// topPriorities tracks the most urgent priority by pool.
+	topPriorities map[string]*load.TopPriority
 	// contendedPool is valid for the current round of placement.
 	contendedPool contendedPool
 	// stop is set once a planned stop of this entry has been requested.
@@ -76,15 +78,16 @@
 // New returns a scheduler without targets.
 func New(opts Options) *Scheduler {
 	return &Scheduler{
-		opts:     opts,
-		epoch:    time.Now(),
-		targets:  make(map[string]*target),
-		jobs:     make(map[string]*job),
-		closing:  make(map[string]*job),
-		answers:  newAnswerCache(),
-		estimate: load.NewEstimator(),
-		patience: load.NewPatience(),
-		delays:   load.NewStartDelays(),
+		opts:          opts,
+		epoch:         time.Now(),
+		targets:       make(map[string]*target),
+		jobs:          make(map[string]*job),
+		closing:       make(map[string]*job),
+		answers:       newAnswerCache(),
+		estimate:      load.NewEstimator(),
+		patience:      load.NewPatience(),
+		delays:        load.NewStartDelays(),
+		topPriorities: make(map[string]*load.TopPriority),
 	}
 }
 
--- a/internal/request/task/demand.go
+++ b/internal/request/task/demand.go
@@ -25,11 +25,11 @@
 	return d
 }
 
-// Before returns the capacity that tasks more urgent than a priority need.
-func (d Demand) Before(priority int) int64 {
+// UpTo returns the capacity that tasks of a priority and more urgent ones need.
+func (d Demand) UpTo(priority int) int64 {
 	var cpu int64
 	for _, p := range d {
-		if p.Priority < priority {
+		if p.Priority <= priority {
 			cpu += p.CPU
 		}
 	}
