--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, to: to, conns: make(map[net.Conn]bool)}
+	p := &proxy{listener: listener, to: to, state: linkHealthy, conns: make(map[net.Conn]bool)}
 	p.faults = &overlay[linkState]{apply: p.setState}
 	go p.accept()
 	return p, nil
--- a/internal/process/loadreplay/target_test.go
+++ b/internal/process/loadreplay/target_test.go
@@ -27,7 +27,6 @@
 	ended   []runs.EndedRun
 	// changed is closed and replaced whenever a run ends.
 	changed chan struct{}
-	noRoom  int
 	// wastedCPU is the work of stopped runs, in thousandths of a core times seconds.
 	wastedCPU float64
 }
