Do not leave capacity free for tasks that only some targets can run

The demand that entries exchange counted tasks with a label, a bound for each target or accelerators. While such a task waits for its targets, less urgent jobs would leave capacity of all others free that it cannot use. TestTaskForFewTargetsIsNoDemand fails before.

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -52,11 +52,12 @@
 	}
 }
 
-// demandByPool returns what the waiting tasks need of each pool.
+// demandByPool returns what the waiting tasks need of each pool. Tasks that only some
+// targets can run do not count: capacity that is left free elsewhere would not help them.
 func (s *Scheduler) demandByPool() map[string]task.Demand {
 	demands := make(map[string]task.Demand)
 	s.queue.All(func(it *item) {
-		if !it.Overdue() {
+		if !it.Overdue() && it.step.RunsAnywhere() {
 			pool := it.job.queue.Pool
 			demands[pool] = demands[pool].Add(it.Priority(), it.CPU())
 		}
--- a/internal/process/scheduler/overload_test.go
+++ b/internal/process/scheduler/overload_test.go
@@ -247,3 +247,27 @@
 		}
 	})
 }
+
+// An urgent task waits for one of the few targets with its label. The other targets' capacity
+// must not be left free for it.
+func TestTaskForFewTargetsIsNoDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t)
+		a, b := tc.agent("a"), tc.agent("b")
+		full := tc.job("full", 1, 8000)
+		full.Steps[0].Label = "a"
+		full.Steps[0].Estimate = time.Second
+		tc.submit(full)
+		a.nextStart()
+		waiting := tc.job("waiting", 1, 2000)
+		waiting.Steps[0].Label = "a"
+		waiting.Steps[0].Estimate = 2 * time.Second
+		tc.submit(waiting)
+		time.Sleep(50 * time.Millisecond)
+		for _, agent := range []*fakeAgent{a, b} {
+			if got := agent.demand(); len(got) > 0 {
+				t.Errorf("%s has the demand %v", agent.name, got)
+			}
+		}
+	})
+}
--- a/internal/request/task/task.go
+++ b/internal/request/task/task.go
@@ -76,6 +76,11 @@
 	MaxPerTarget int
 }
 
+// RunsAnywhere reports whether each target with enough cores and memory can run the tasks.
+func (s *Step) RunsAnywhere() bool {
+	return s.Label == "" && s.MaxPerTarget == 0 && s.Need.Accelerators == 0
+}
+
 // Job is a caller's request: steps of parallel tasks that get one answer.
 type Job struct {
 	// ID is chosen by the caller; requests with the same ID are the same job.
