--- a/cmd/rosemarybay-bench/compare.go
+++ b/cmd/rosemarybay-bench/compare.go
@@ -15,6 +15,7 @@
 	"github.com/rosemarybay/rosemarybay/platform/report"
 )
 
+// standardDays are the days with trouble of each site of the users.
 const standardDays = "trouble-1,scale-1,trouble-2,scale-2,trouble-3"
 
 // runCompare runs days of the users' bench with two versions of the sources.
@@ -43,14 +44,19 @@
 		_, _ = fmt.Fprintln(os.Stderr, "rosemarybay-bench:", err)
 		return exitUsage
 	}
-	bench := &report.Bench{Program: *program, Site: flags.Arg(2), Why: *why, ChargeProcessor: *processor}
+	paths, err := absolute(*program, *reports, flags.Arg(0), flags.Arg(1), flags.Arg(2))
+	if err != nil {
+		return exitStatus(err)
+	}
+	programPath, reportDir, oldDir, newDir, site := paths[0], paths[1], paths[2], paths[3], paths[4]
+	bench := &report.Bench{Program: programPath, Site: site, Why: *why, ChargeProcessor: *processor}
 	pairs, err := compare.Do(ctx, compare.Options{
-		Old:         compare.Tree{Name: filepath.Base(flags.Arg(0)), Dir: flags.Arg(0)},
-		New:         compare.Tree{Name: filepath.Base(flags.Arg(1)), Dir: flags.Arg(1)},
+		Old:         compare.Tree{Name: filepath.Base(oldDir), Dir: oldDir},
+		New:         compare.Tree{Name: filepath.Base(newDir), Dir: newDir},
 		Days:        strings.Split(*days, ","),
 		Seeds:       seedList,
 		Jobs:        *jobs,
-		ReportDir:   *reports,
+		ReportDir:   reportDir,
 		Build:       bench.Build,
 		Play:        bench.Play,
 		ReadOutcome: report.ReadOutcome,
@@ -64,6 +70,19 @@
 	return exitStatus(err)
 }
 
+// absolute returns the absolute form of paths, since the bench runs in another directory.
+func absolute(paths ...string) ([]string, error) {
+	var out []string
+	for _, path := range paths {
+		abs, err := filepath.Abs(path)
+		if err != nil {
+			return nil, eris.Wrap(err, "resolve path")
+		}
+		out = append(out, abs)
+	}
+	return out, nil
+}
+
 // maxSeeds bounds the seeds of one comparison.
 const maxSeeds = 1000
 
--- a/internal/bench/compare/compare.go
+++ b/internal/bench/compare/compare.go
@@ -6,7 +6,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
@@ -30,14 +29,11 @@
 }
 
 // Estimate is a mean difference with its 95 % confidence interval of Mean ± HalfWidth.
+// HalfWidth is infinite for a single pair.
 type Estimate struct {
-	Pairs          int
-	OldMean        float64
-	NewMean        float64
-	Mean           float64
-	HalfWidth      float64
-	LargestLoss    float64
-	LargestBenefit float64
+	Pairs            int
+	OldMean, NewMean float64
+	Mean, HalfWidth  float64
 }
 
 // confidence is the probability that the interval of an Estimate contains the true mean.
@@ -53,13 +49,11 @@
 	}
 	mean, deviation := stat.MeanStdDev(differences, nil)
 	e := Estimate{
-		Pairs:          len(pairs),
-		OldMean:        stat.Mean(before, nil),
-		NewMean:        stat.Mean(after, nil),
-		Mean:           mean,
-		HalfWidth:      math.Inf(1),
-		LargestLoss:    slices.Min(differences),
-		LargestBenefit: slices.Max(differences),
+		Pairs:     len(pairs),
+		OldMean:   stat.Mean(before, nil),
+		NewMean:   stat.Mean(after, nil),
+		Mean:      mean,
+		HalfWidth: math.Inf(1),
 	}
 	if n := len(pairs); n > 1 {
 		t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(n - 1)}
--- a/internal/bench/compare/compare_test.go
+++ b/internal/bench/compare/compare_test.go
@@ -76,6 +76,15 @@
 	}
 }
 
+func TestVersionsOfOneNameAreRefused(t *testing.T) {
+	var played atomic.Int64
+	o := testOptions(t, &played, func(Run) bool { return false })
+	o.New = o.Old
+	if _, err := Do(t.Context(), o); err == nil || played.Load() > 0 {
+		t.Errorf("%d runs, error %v", played.Load(), err)
+	}
+}
+
 func TestRunsWithAReportAreNotRepeated(t *testing.T) {
 	var played atomic.Int64
 	failing := true
--- a/internal/bench/compare/run.go
+++ b/internal/bench/compare/run.go
@@ -10,7 +10,8 @@
 	"github.com/rotisserie/eris"
 )
 
-// Tree is one version of the sources, in a directory of its own.
+// Tree is one version of the sources, in a directory of its own. The names of the two trees
+// of a comparison differ.
 type Tree struct{ Name, Dir string }
 
 // Run is one run of a day with one version.
@@ -42,6 +43,9 @@
 // Do runs all days and seeds with both versions and returns the pairs in the order of the
 // options.
 func Do(ctx context.Context, o Options) ([]Pair, error) {
+	if o.Old.Name == o.New.Name {
+		return nil, eris.Errorf("both versions have the name %q", o.Old.Name)
+	}
 	if err := os.MkdirAll(o.ReportDir, 0o755); err != nil {
 		return nil, eris.Wrap(err, "create directory of reports")
 	}
@@ -65,6 +69,7 @@
 	return pairs, nil
 }
 
+// run returns the run of a day, named by its tree in the directory of reports.
 func (o *Options) run(t Tree, day string, seed uint64) Run {
 	name := fmt.Sprintf("%s-%s-%d.json", t.Name, filepath.Base(day), seed)
 	return Run{Tree: t, Day: day, Seed: seed, ReportPath: filepath.Join(o.ReportDir, name)}
