Log and count the crash of a target with the runs that were on it

An agent notes a crash when the target's address refuses connections within 250 ms of its latest answer, or a new incarnation announces itself that soon; not for a draining target or after a longer silence. It logs each run that was there with its job, queue and age, and withdraws the crash if the same incarnation answers again.

--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -43,6 +43,8 @@
 	// Demand is the capacity that the entry's waiting tasks need of the agent's target, by
 	// priority. The entry sets it on every frame.
 	Demand task.Demand `cbor:"17,keyasint,omitempty"`
+	// Crashes are reports of crashed targets that the receiver may not have.
+	Crashes []Crash `cbor:"18,keyasint,omitempty"`
 }
 
 // Subscribe is a subscription to the list of entries, with the revision and the number of
@@ -113,6 +115,8 @@
 	Incarnation int64 `cbor:"4,keyasint"`
 	// Expected is the predicted run time on a healthy target.
 	Expected time.Duration `cbor:"5,keyasint,omitempty"`
+	// Queue is the queue of the job, for reports about the run.
+	Queue string `cbor:"6,keyasint,omitempty"`
 }
 
 // Outcome is the state of an attempt, as reported by an agent.
--- a/internal/connection/peer/validate.go
+++ b/internal/connection/peer/validate.go
@@ -17,6 +17,11 @@
 			return eris.Wrapf(err, "start %d", i)
 		}
 	}
+	for i := range f.Crashes {
+		if err := f.Crashes[i].validate(); err != nil {
+			return eris.Wrapf(err, "crash %d", i)
+		}
+	}
 	if f.Claims != nil {
 		for i := range f.Claims.Attempts {
 			if err := f.Claims.Attempts[i].Need.Validate(); err != nil {
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -84,6 +84,8 @@
 	// announcement of another incarnation is then accepted even if its number is lower,
 	// because clocks were set back before the target restarted.
 	unconfirmed bool
+	// crashed is set once the target appears to have ended without notice.
+	crashed bool
 }
 
 // permit returns a permit that is issued now.
@@ -106,6 +108,8 @@
 // run is one attempt at the target.
 type run struct {
 	attempt task.Attempt
+	// queue is the queue of its job; empty if an earlier process of this agent started it.
+	queue string
 	// owner is the incarnation of the entry that sent the attempt; 0 if unknown.
 	owner uint64
 	need  task.Resources
@@ -160,6 +164,7 @@
 // of the runs of the former one.
 func (m *Manager) replaceTargetLocked(a Announcement) {
 	if m.target != nil {
+		m.noteCrashLocked(m.target, "a new incarnation announces itself")
 		m.endTargetLocked("new lifetime", true)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
@@ -94,6 +95,9 @@
 	}
 	m.opts.Counters.Counter("looks_unanswered").Inc(1)
 	m.mu.Lock()
+	if errors.Is(err, ErrRefused) {
+		m.noteCrashLocked(t, "its address refuses connections")
+	}
 	silent := time.Since(t.answeredAt)
 	if silent > unresponsiveAfter && !t.unresponsive {
 		t.unresponsive, t.unconfirmed = true, true
@@ -125,6 +129,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t.answeredAt = time.Now()
+	m.withdrawCrashLocked(t)
 	if t.unresponsive {
 		t.unresponsive = false
 		m.opts.Log.Info().Str("target", t.ID).Msg("target answers again")
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -22,6 +22,7 @@
 	}
 	r := &run{
 		attempt:     s.Attempt,
+		queue:       s.Queue,
 		owner:       o.incarnation,
 		need:        s.Need,
 		confirmedAt: time.Now(),
--- a/internal/process/runs/target.go
+++ b/internal/process/runs/target.go
@@ -12,6 +12,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
@@ -32,6 +34,9 @@
 	Draining bool
 }
 
+// ErrRefused means that nothing listens at the target's address any more.
+var ErrRefused = eris.New("target refuses connections")
+
 // TargetClient executes orders at a target. An error means that no answer arrived: the
 // order may still be executed, unless a higher token reaches the target first.
 type TargetClient interface {
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -181,6 +181,7 @@
 		Need:        it.step.Need,
 		Incarnation: t.info.Incarnation,
 		Expected:    it.expected,
+		Queue:       it.job.queue.Name,
 	}}})
 }
 
