Reproduce: tasks that crash targets take the whole fleet, in a replay (red)

The replay of a load gets tasks that crash each target that starts them; a crashed target refuses connections and is back after 3 s. Callers retry a job that did not end, 1.3 s later at the next entry.

--- /dev/null
+++ b/internal/process/loadreplay/crash_test.go
@@ -0,0 +1,44 @@
+package loadreplay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// desks is a fleet of eleven targets at two thirds of its capacity, where from the fourth to
+// the twelfth second some jobs of one kind crash each target that starts them.
+func desks(kind string, share, part float64, seed uint64) setup {
+	return setup{
+		kinds: desk, entries: 3, linkDelay: time.Millisecond,
+		speeds: []float64{0.8, 1, 1.25, 0.8, 1, 1.25, 1, 1, 0.8, 1.25, 1},
+		load:   0.66, length: 16 * time.Second, seed: seed,
+		killers: &killers{kind: kind, share: share, from: 4 * time.Second, to: 12 * time.Second, part: part},
+	}
+}
+
+// Jobs of one queue have a task that crashes its targets. The other queues must be served
+// almost as without them, and no task may crash more than three targets.
+func TestTasksThatCrashTargetsDoNotTakeTheFleet(t *testing.T) {
+	for _, c := range []struct {
+		kind        string
+		share, part float64
+	}{{"short", 0.1, 0.12}, {"short", 0.4, 0.12}, {"narrow", 0.1, 0.05}, {"long", 0.1, 0.01}, {"long", 0.4, 0.01}, {"short", 0.02, 0.5}} {
+		t.Run(fmt.Sprintf("%s-%g", c.kind, c.share), func(t *testing.T) {
+			with := desks(c.kind, c.share, c.part, 1)
+			without := with
+			without.killers = nil
+			got, calm := replay(t, with), replay(t, without)
+			t.Logf("%d crashes, %d runs lost, at most %d by one task; %v", got.crashes, got.lostRuns, got.mostCrashes, got.byKind)
+			for kind, tally := range got.byKind {
+				const allowedLoss = 0.1
+				if kind != c.kind && tally.servedShare() < calm.byKind[kind].servedShare()-allowedLoss {
+					t.Errorf("%s: %.3f served, %.3f without killers", kind, tally.servedShare(), calm.byKind[kind].servedShare())
+				}
+			}
+			if got.mostCrashes > 3 {
+				t.Errorf("one task crashed %d targets", got.mostCrashes)
+			}
+		})
+	}
+}
--- a/internal/process/loadreplay/replay_test.go
+++ b/internal/process/loadreplay/replay_test.go
@@ -35,10 +35,19 @@
 	load   float64
 	length time.Duration
 	seed   uint64
+	// killers, if set, adds jobs that crash their targets.
+	killers *killers
 }
 
 const targetCPU = 32_000
 
+// restartTime is how long a crashed target takes to come back.
+const restartTime = 3 * time.Second
+
+// callerRetry is the delay before a caller submits its job again, at the next entry, after
+// an answer that it did not end.
+const callerRetry = 1300 * time.Millisecond
+
 // overloaded is a fleet that has lost a part of its targets.
 func overloaded(load float64, seed uint64) setup {
 	return setup{
@@ -51,10 +60,15 @@
 // tally counts the jobs of one kind by outcome.
 type tally struct {
 	inTime, late, refused, other int
+	// doomed counts the jobs with a task that crashes its targets; they are not counted
+	// elsewhere.
+	doomed int
 }
 
 func (t tally) all() int { return t.inTime + t.late + t.refused + t.other }
 
+func (t tally) servedShare() float64 { return float64(t.inTime+t.late) / float64(max(t.all(), 1)) }
+
 func (t tally) inTimeShare() float64 { return float64(t.inTime) / float64(max(t.all(), 1)) }
 
 func (t tally) String() string {
@@ -70,6 +84,9 @@
 	wasted float64
 	// inTimeWork is the share of the submitted work whose job ended in time.
 	inTimeWork float64
+	// crashes is the number of crashes of targets, lostRuns that of the runs on them, and
+	// mostCrashes the highest number of crashes by one task.
+	crashes, lostRuns, mostCrashes int
 }
 
 // replay runs a load against a fleet.
@@ -80,6 +97,9 @@
 			capacity += targetCPU * speed
 		}
 		w := newWorkload(c.kinds, c.seed, c.load*capacity, c.length)
+		if c.killers != nil {
+			w.addKillers(*c.killers, c.seed)
+		}
 		f := newFleet(c, w)
 		time.Sleep(500 * time.Millisecond)
 		r = f.play(w)
@@ -128,12 +148,30 @@
 func (f *fleet) addTarget(index int, t *target, delay time.Duration) {
 	f.targets = append(f.targets, t)
 	name := fmt.Sprintf("agent-%d", index)
+	current := t
 	m := runs.New(runs.Options{
 		Name: name, Incarnation: uint64(index + 1), DataCentre: "dc", Log: zerolog.Nop(), Counters: f.counters,
 		TargetLease: time.Second,
-		Dial:        func(runs.Announcement) runs.TargetClient { return t },
+		Dial:        func(runs.Announcement) runs.TargetClient { return current },
 	})
-	m.Announce(runs.Announcement{ID: name, Incarnation: 1, Sequence: 1, Pool: "p", DataCentre: "dc", Capacity: task.Resources{CPU: t.capacity}})
+	incarnation := int64(0)
+	var announce func(*target)
+	announce = func(next *target) {
+		incarnation++
+		current = next
+		next.onCrash = func() {
+			time.AfterFunc(restartTime, func() {
+				if !f.closed() {
+					announce(newTarget(t.workload, t.capacity, t.speed))
+				}
+			})
+		}
+		m.Announce(runs.Announcement{
+			ID: name, Incarnation: incarnation, Sequence: 1, Pool: "p", DataCentre: "dc",
+			Capacity: task.Resources{CPU: t.capacity},
+		})
+	}
+	announce(t)
 	go m.Run(f.done)
 	time.Sleep(5 * time.Millisecond)
 	for i, s := range f.entries {
@@ -203,7 +241,7 @@
 	for i, a := range w.arrivals {
 		all.Go(func() {
 			time.Sleep(time.Until(start.Add(a.at)))
-			state, took := f.submit(w, a, f.entries[i%len(f.entries)])
+			state, took := f.call(w, a, i)
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			var jobWork float64
@@ -213,6 +251,8 @@
 			work += jobWork
 			t := r.byKind[a.kind.name]
 			switch {
+			case w.isDoomed(&a.job):
+				t.doomed++
 			case state == scheduler.StateComplete && took <= a.objective():
 				t.inTime++
 				inTimeWork += jobWork
@@ -231,22 +271,51 @@
 	for _, t := range f.targets {
 		r.wasted += t.wastedCPU / 1000
 	}
+	for _, n := range w.crashesBy {
+		r.crashes += n
+		r.mostCrashes = max(r.mostCrashes, n)
+	}
+	r.lostRuns = w.lostRuns
 	r.refusedStarts = f.counters.Counter("starts_refused_room").Count()
 	return r
 }
 
-// submit returns the state of a job's answer and when it arrived.
-func (f *fleet) submit(w *workload, a *arrival, entry *scheduler.Scheduler) (scheduler.State, time.Duration) {
+// call submits a job until it has ended or its caller's patience does, each time at another
+// entry. It returns the last state and the time from the first submission.
+func (f *fleet) call(w *workload, a *arrival, first int) (scheduler.State, time.Duration) {
+	begun := time.Now()
+	deadline := begun.Add(patience + 4*a.work)
+	for try := first; ; try++ {
+		state := f.submit(w, a, deadline, f.entries[try%len(f.entries)])
+		if state != scheduler.StateUnfinished || time.Until(deadline) < callerRetry {
+			return state, time.Since(begun)
+		}
+		time.Sleep(callerRetry)
+	}
+}
+
+// submit returns the state of a job's answer.
+func (f *fleet) submit(w *workload, a *arrival, deadline time.Time, entry *scheduler.Scheduler) scheduler.State {
 	job := a.job
 	job.Arrived = time.Now()
-	job.Deadline = job.Arrived.Add(patience + 4*a.work)
+	job.Deadline = deadline
 	answered, cancel := entry.Submit(&job, w.queues[a.kind.name])
 	select {
 	case answer := <-answered:
-		return answer.State, time.Since(job.Arrived)
+		return answer.State
 	case <-time.After(time.Until(job.Deadline)):
 		cancel()
-		return scheduler.StateAbandoned, 0
+		return scheduler.StateAbandoned
+	}
+}
+
+// closed reports whether close has been called.
+func (f *fleet) closed() bool {
+	select {
+	case <-f.done:
+		return true
+	default:
+		return false
 	}
 }
 
--- a/internal/process/loadreplay/target_test.go
+++ b/internal/process/loadreplay/target_test.go
@@ -25,6 +25,9 @@
 	used    int64
 	running map[task.Attempt]*activeRun
 	ended   []runs.EndedRun
+	// crashed is set once a task has crashed this incarnation; onCrash is called then.
+	crashed bool
+	onCrash func()
 	// changed is closed and replaced whenever a run ends.
 	changed chan struct{}
 	// wastedCPU is the work of stopped runs, in thousandths of a core times seconds.
@@ -46,6 +49,9 @@
 	time.Sleep(orderDelay)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.crashed {
+		return 0, runs.ErrRefused
+	}
 	if t.used+s.Need.CPU > t.capacity {
 		return runs.AnswerNoRoom, nil
 	}
@@ -53,9 +59,30 @@
 	t.used += r.cpu
 	t.running[s.Attempt] = r
 	r.timer = time.AfterFunc(r.length, func() { t.end(s.Attempt, peer.OutcomeDone) })
+	if after, ok := t.workload.crashes(s.Attempt.Key); ok {
+		time.AfterFunc(after, func() { t.crash(s.Attempt) })
+	}
 	return runs.AnswerDone, nil
 }
 
+// crash ends the target if a killer still runs on it.
+func (t *target) crash(killer task.Attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.crashed || t.running[killer] == nil {
+		return
+	}
+	t.crashed = true
+	for _, r := range t.running {
+		r.timer.Stop()
+	}
+	t.workload.recordCrash(killer.Key, len(t.running))
+	clear(t.running)
+	close(t.changed)
+	t.changed = make(chan struct{})
+	t.onCrash()
+}
+
 func (t *target) Stop(_ context.Context, _ uint64, a task.Attempt) (runs.Answer, error) {
 	time.Sleep(orderDelay)
 	t.end(a, peer.OutcomeStopped)
@@ -85,7 +112,10 @@
 	timeout := time.NewTimer(request.Wait)
 	defer timeout.Stop()
 	for {
-		report, changed := t.report(request.LastSeen)
+		report, changed, crashed := t.report(request.LastSeen)
+		if crashed {
+			return runs.Report{}, runs.ErrRefused
+		}
 		if len(report.Ended) > 0 {
 			return report, nil
 		}
@@ -93,23 +123,22 @@
 		case <-ctx.Done():
 			return runs.Report{}, errors.New("no answer")
 		case <-timeout.C:
-			report, _ = t.report(request.LastSeen)
+			report, _, _ = t.report(request.LastSeen)
 			return report, nil
 		case <-changed:
 		}
 	}
 }
 
-func (t *target) report(lastSeen uint64) (runs.Report, <-chan struct{}) {
+func (t *target) report(lastSeen uint64) (report runs.Report, changed <-chan struct{}, crashed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var report runs.Report
 	for a, r := range t.running {
 		percent := int(100 * time.Since(r.started) / max(r.length, 1))
 		report.Running = append(report.Running, runs.ActiveRun{Attempt: a, Percent: min(percent, 99)})
 	}
 	report.Ended = append(report.Ended, t.ended[min(lastSeen, uint64(len(t.ended))):]...)
-	return report, t.changed
+	return report, t.changed, t.crashed
 }
 
 func (t *target) Close() {}
--- a/internal/process/loadreplay/workload_test.go
+++ b/internal/process/loadreplay/workload_test.go
@@ -61,12 +61,69 @@
 
 	mu    sync.Mutex
 	works map[task.Key]time.Duration
+	// killers are the tasks that crash each target that starts them, and how long after.
+	killers map[task.Key]time.Duration
+	// crashesBy counts the crashes by killer, lostRuns the runs that were on the targets.
+	crashesBy map[task.Key]int
+	lostRuns  int
+}
+
+// isDoomed reports whether a task of the job crashes its targets.
+func (w *workload) isDoomed(job *task.Job) bool {
+	for n := range job.Steps[0].Count {
+		if _, ok := w.crashes(task.Key{Job: job.ID, Index: n}); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *workload) crashes(k task.Key) (after time.Duration, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	after, ok = w.killers[k]
+	return after, ok
+}
+
+func (w *workload) recordCrash(k task.Key, lost int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashesBy[k]++
+	w.lostRuns += lost
+}
+
+// addKillers makes one task of a share of the jobs of a kind crash each target that starts
+// it, a fixed part of its run time after its start.
+func (w *workload) addKillers(k killers, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	for _, a := range w.arrivals {
+		if a.kind.name != k.kind || a.at < k.from || a.at >= k.to || random.Float64() >= k.share {
+			continue
+		}
+		index := random.IntN(a.job.Steps[0].Count)
+		key := task.Key{Job: a.job.ID, Index: index}
+		w.killers[key] = time.Duration(k.part * float64(w.works[key]))
+	}
+}
+
+// killers describes jobs with a task that crashes its target.
+type killers struct {
+	kind     string
+	share    float64
+	from, to time.Duration
+	// part is the part of its run time after which a killer crashes its target.
+	part float64
 }
 
 // newWorkload draws arrivals of the given mean rate of work, in thousandths of a core, for
 // a duration. A tenth of that duration is a warm-up at half the rate.
 func newWorkload(kinds []kind, seed uint64, rate float64, length time.Duration) *workload {
-	w := &workload{queues: make(map[string]*policy.Queue), works: make(map[task.Key]time.Duration)}
+	w := &workload{
+		queues:    make(map[string]*policy.Queue),
+		works:     make(map[task.Key]time.Duration),
+		killers:   make(map[task.Key]time.Duration),
+		crashesBy: make(map[task.Key]int),
+	}
 	random := rand.New(rand.NewPCG(seed, 0))
 	for i := range kinds {
 		k := &kinds[i]
