--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
 
@@ -44,7 +45,7 @@
 	// priority. The entry sets it on every frame.
 	Demand task.Demand `cbor:"17,keyasint,omitempty"`
 	// Crashes are reports of crashed targets that the receiver may not have.
-	Crashes []Crash `cbor:"18,keyasint,omitempty"`
+	Crashes []crash.Report `cbor:"18,keyasint,omitempty"`
 }
 
 // Subscribe is a subscription to the list of entries, with the revision and the number of
@@ -104,6 +105,11 @@
 	Probe bool `cbor:"3,keyasint,omitempty"`
 	// Demand is what the waiting tasks of other entries need of the target, by priority.
 	Demand task.Demand `cbor:"4,keyasint,omitempty"`
+	// Shared is set while runs that are not isolated are on the target, Isolated while
+	// isolated ones are. Exclusive is set while one of these keeps out all other jobs.
+	Shared    bool `cbor:"5,keyasint,omitempty"`
+	Isolated  bool `cbor:"6,keyasint,omitempty"`
+	Exclusive bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Start asks an agent to run one attempt.
@@ -117,6 +123,12 @@
 	Expected time.Duration `cbor:"5,keyasint,omitempty"`
 	// Queue is the queue of the job, for reports about the run.
 	Queue string `cbor:"6,keyasint,omitempty"`
+	// Isolated asks for a run apart from those of other jobs: the agent refuses it while
+	// others run, and refuses others while it runs.
+	Isolated bool `cbor:"7,keyasint,omitempty"`
+	// ExclusiveFor is the age up to which an isolated run keeps out isolated runs of other
+	// jobs; 0 means until its end.
+	ExclusiveFor time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // Outcome is the state of an attempt, as reported by an agent.
@@ -170,6 +182,8 @@
 	RefusalUnanswered Refusal = "unanswered"
 	// RefusalStopped: the attempt was stopped before it started.
 	RefusalStopped Refusal = "stopped"
+	// RefusalIsolation: the attempt or a run at the target must be kept apart from others.
+	RefusalIsolation Refusal = "isolation"
 )
 
 // Result reports the outcome of an attempt to the entry that sent it.
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -89,6 +89,7 @@
 		f.Progress = o.Progress
 	}
 	f.CancelJobs = append(f.CancelJobs, o.CancelJobs...)
+	f.Crashes = append(f.Crashes, o.Crashes...)
 	f.Subscribe = latest(f.Subscribe, o.Subscribe)
 	f.Entries = f.Entries.merge(o.Entries)
 }
--- a/internal/connection/peer/validate.go
+++ b/internal/connection/peer/validate.go
@@ -18,7 +18,7 @@
 		}
 	}
 	for i := range f.Crashes {
-		if err := f.Crashes[i].validate(); err != nil {
+		if err := f.Crashes[i].Validate(); err != nil {
 			return eris.Wrapf(err, "crash %d", i)
 		}
 	}
@@ -53,7 +53,11 @@
 }
 
 func (s *Start) validate() error {
-	return errors.Join(s.Need.Validate(), bounds.RunTime.Check("expected run time", s.Expected))
+	return errors.Join(
+		s.Need.Validate(),
+		bounds.RunTime.Check("expected run time", s.Expected),
+		bounds.RunTime.Check("exclusive run time", s.ExclusiveFor),
+	)
 }
 
 // validateFree checks a free capacity, which is negative while runs use more than a
--- /dev/null
+++ b/internal/process/load/cause.go
@@ -0,0 +1,112 @@
+package load
+
+import (
+	"math"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/crash"
+)
+
+const (
+	// causeWindow is the age up to which crashes are explained together.
+	causeWindow = 10 * time.Second
+	// sameMoment is the time between crashes that have one cause outside the targets, as a
+	// loss of power, and count as one.
+	sameMoment = 30 * time.Millisecond
+	// causeRounds is the number of rounds in which the shares of the queues are refined.
+	causeRounds = 3
+)
+
+// startRates measures how often runs of each queue are started.
+type startRates struct {
+	byQueue map[string]*startRate
+}
+
+type startRate struct {
+	count float64
+	at    time.Duration
+}
+
+// startRateWindow is the time constant of the measured rates.
+const startRateWindow = 10 * time.Second
+
+func (s *startRates) record(now time.Duration, queue string) {
+	if s.byQueue == nil {
+		s.byQueue = make(map[string]*startRate)
+	}
+	r := s.byQueue[queue]
+	if r == nil {
+		r = &startRate{at: now}
+		s.byQueue[queue] = r
+	}
+	r.count = r.count*math.Exp(-float64(now-r.at)/float64(startRateWindow)) + 1
+	r.at = now
+}
+
+// relative returns the rate of a queue, in starts within startRateWindow, and 1 if it is
+// unknown.
+func (s *startRates) relative(now time.Duration, queue string) float64 {
+	r := s.byQueue[queue]
+	if r == nil {
+		return 1
+	}
+	return r.count*math.Exp(-float64(now-r.at)/float64(startRateWindow)) + 1
+}
+
+// mainCause returns the queue that explains most of the recent crashes, and how many of them.
+// Each crash is shared between the queues of its runs: a run counts the more the younger it
+// is and the rarer runs of its queue are, since a young run of a rare queue is seldom there
+// by chance. It also counts by the number of crashes that its queue explains in the round
+// before, so that a queue that is present at each crash gains on the others.
+func mainCause(now time.Duration, reports []crash.Report, rates *startRates) (queue string, score float64) {
+	scores := make(map[string]float64)
+	for range causeRounds {
+		scores = refineCause(now, reports, rates, scores)
+	}
+	for name, s := range scores {
+		if s > score || (s == score && name < queue) {
+			queue, score = name, s
+		}
+	}
+	return queue, score
+}
+
+func refineCause(now time.Duration, reports []crash.Report, rates *startRates, before map[string]float64) map[string]float64 {
+	scores := make(map[string]float64)
+	for i := range reports {
+		r := &reports[i]
+		if r.Withdrawn || r.Age > causeWindow {
+			continue
+		}
+		weights := make(map[string]float64)
+		var sum float64
+		for _, run := range r.Runs {
+			w := 1 / max(run.Age, minRunAge).Seconds() / rates.relative(now, run.Queue)
+			if len(before) > 0 {
+				w *= before[run.Queue]
+			}
+			weights[run.Queue] += w
+			sum += w
+		}
+		if sum == 0 {
+			continue
+		}
+		for name, w := range weights {
+			if name != "" {
+				scores[name] += w / sum / float64(crashesAt(reports, r.Age))
+			}
+		}
+	}
+	return scores
+}
+
+// crashesAt returns the number of crashes at about the same moment.
+func crashesAt(reports []crash.Report, age time.Duration) int {
+	n := 0
+	for i := range reports {
+		if !reports[i].Withdrawn && (reports[i].Age-age).Abs() <= sameMoment {
+			n++
+		}
+	}
+	return max(n, 1)
+}
--- /dev/null
+++ b/internal/process/load/confinement.go
@@ -0,0 +1,235 @@
+package load
+
+import (
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/crash"
+)
+
+const (
+	// cleanJobs is the number of isolated jobs of a confined queue that must end without a
+	// crash before its jobs run beside others again. It doubles with each relapse within
+	// relapsePeriod, up to maxCleanJobs.
+	cleanJobs     = 30
+	maxCleanJobs  = 240
+	relapsePeriod = 10 * time.Second
+	// maxConfinement ends the confinement of a queue without crashes and with too few jobs
+	// to prove it harmless.
+	maxConfinement = 10 * time.Second
+	// dangerFactor and dangerMargin give the age from which a run of a confined queue no
+	// longer keeps others out, from the highest age at which one has crashed its target.
+	dangerFactor = 2
+	dangerMargin = 10 * time.Millisecond
+	// scoreToPutApart is the number of crashes that a queue must explain to be put apart.
+	scoreToPutApart = 2
+)
+
+// Separation is how far a job is kept apart from others.
+type Separation int
+
+// The separations.
+const (
+	// Shared: the job runs beside all others.
+	Shared Separation = iota
+	// Apart: the job runs on targets that are set apart, beside others of its kind.
+	Apart
+	// Isolated: the job runs on targets that are set apart, and shares one with no other job
+	// until its own runs have proved harmless.
+	Isolated
+)
+
+// String returns the name used in logs.
+func (s Separation) String() string { return [...]string{"shared", "apart", "isolated"}[s] }
+
+// Confinement decides how far the jobs of a queue are kept apart, so that their crashes take
+// no other queue's runs and only a part of the targets with them. It follows from the crashes
+// alone, never from the name of a queue: the queue that explains most of several crashes is
+// put apart. If a target crashes then with runs of this queue only, or with those of a
+// suspect that was isolated, the queue is to blame, and its jobs are isolated.
+//
+// Load pattern: a tenth of the jobs of one queue crash their targets, several each second.
+// More targets would be down than are left if each of these jobs crashed only one, and by
+// the time that the first of them can be started again most targets are down.
+type Confinement struct {
+	queues map[string]*confinedQueue
+	rates  startRates
+}
+
+// RecordStart records the start of a run of a queue.
+func (c *Confinement) RecordStart(now time.Duration, queue string) { c.rates.record(now, queue) }
+
+type confinedQueue struct {
+	separation Separation
+	// lastCrash is when the latest crash was, releasedAt when the latest confinement ended.
+	lastCrash, releasedAt time.Duration
+	clean, required       int
+	// dangerAge is the highest age of a run that has crashed its target; 0 if unknown.
+	dangerAge time.Duration
+}
+
+// Observe takes a crash into account. reports are all reports of crashes, with this one, and
+// suspects those derived from them. It returns the queue whose separation is raised, if any.
+func (c *Confinement) Observe(now time.Duration, r *crash.Report, reports []crash.Report, suspects Suspects) (queue string, raised bool) {
+	if r.Withdrawn || len(r.Runs) == 0 {
+		return "", false
+	}
+	name, score := mainCause(now, reports, &c.rates)
+	c.releaseOthers(now, name)
+	only, single := onlyQueue(r)
+	switch {
+	case single && c.Separation(only) != Shared, single && r.Runs[0].Isolated && suspects[r.Runs[0].Task.Job].Crashes >= crashesBeforeGivingUp:
+		q := c.queue(only)
+		if r.IsAlone() {
+			q.dangerAge = max(q.dangerAge, oldestRun(r))
+		}
+		return only, q.raise(now, Isolated)
+	case score >= scoreToPutApart:
+		return name, c.queue(name).raise(now, Apart)
+	}
+	return "", false
+}
+
+// releaseOthers ends the separation of queues that were only suspected, and no longer explain
+// most crashes.
+func (c *Confinement) releaseOthers(now time.Duration, suspect string) {
+	for name, q := range c.queues {
+		if name != suspect && q.separation == Apart {
+			q.release(now)
+		}
+	}
+}
+
+// raise raises the separation of a queue because of a crash. It reports whether this changes
+// it.
+func (q *confinedQueue) raise(now time.Duration, to Separation) bool {
+	q.lastCrash, q.clean = now, 0
+	if q.separation == Shared {
+		q.required = cleanJobs
+		if q.releasedAt > 0 && now-q.releasedAt < relapsePeriod {
+			q.required = min(2*q.required, maxCleanJobs)
+		}
+	}
+	raised := to > q.separation
+	q.separation = max(q.separation, to)
+	return raised
+}
+
+// onlyQueue returns the queue of all runs of a report, if they have the same.
+func onlyQueue(r *crash.Report) (string, bool) {
+	for i := range r.Runs {
+		if r.Runs[i].Queue != r.Runs[0].Queue {
+			return "", false
+		}
+	}
+	return r.Runs[0].Queue, r.Runs[0].Queue != ""
+}
+
+func oldestRun(r *crash.Report) time.Duration {
+	var oldest time.Duration
+	for _, run := range r.Runs {
+		oldest = max(oldest, run.Age)
+	}
+	return oldest
+}
+
+// RecordClean records that an isolated job of a queue has ended without a crash. It reports
+// whether this ends the confinement of the queue.
+func (c *Confinement) RecordClean(now time.Duration, queue string) bool {
+	q := c.queues[queue]
+	if q == nil || q.separation == Shared {
+		return false
+	}
+	if q.clean++; q.clean < q.required {
+		return false
+	}
+	q.release(now)
+	return true
+}
+
+// Expire ends the confinement of the queues that have had no crash for long, and returns
+// them.
+func (c *Confinement) Expire(now time.Duration) (released []string) {
+	for name, q := range c.queues {
+		if q.separation != Shared && now-q.lastCrash > maxConfinement {
+			q.release(now)
+			released = append(released, name)
+		}
+	}
+	return released
+}
+
+func (q *confinedQueue) release(now time.Duration) {
+	q.separation, q.releasedAt = Shared, now
+}
+
+// Separation returns how far the jobs of a queue are kept apart.
+func (c *Confinement) Separation(queue string) Separation {
+	if q := c.queues[queue]; q != nil {
+		return q.separation
+	}
+	return Shared
+}
+
+// Any reports whether the jobs of any queue are kept apart.
+func (c *Confinement) Any() bool {
+	for _, q := range c.queues {
+		if q.separation != Shared {
+			return true
+		}
+	}
+	return false
+}
+
+// HarmlessAge returns the age from which an isolated run of a queue is taken to be harmless,
+// or false if that is not known.
+func (c *Confinement) HarmlessAge(queue string) (time.Duration, bool) {
+	q := c.queues[queue]
+	if q == nil || q.dangerAge == 0 {
+		return 0, false
+	}
+	return dangerFactor*q.dangerAge + dangerMargin, true
+}
+
+func (c *Confinement) queue(name string) *confinedQueue {
+	if c.queues == nil {
+		c.queues = make(map[string]*confinedQueue)
+	}
+	q := c.queues[name]
+	if q == nil {
+		q = &confinedQueue{}
+		c.queues[name] = q
+	}
+	return q
+}
+
+const (
+	// apartShare is the part of a pool that may be at stake: one in apartShare targets,
+	// rounded up.
+	apartShare = 4
+	// minApart is the number of targets for a queue that is only suspected, and for single
+	// suspects.
+	minApart = 2
+	// minPool is the size of a pool from which targets are set apart.
+	minPool = 2
+)
+
+// TargetsApart returns how many targets of a pool are set apart, of size targets of which
+// down have crashed and are not back. highest is the highest separation of a queue of the
+// pool, Shared if only single suspects are kept apart.
+//
+// Targets that have crashed count towards the part at stake. Before a queue is known to be
+// the cause, a few more are set apart, as long as half of the pool is left.
+func TargetsApart(size, down int, highest Separation) int {
+	if size < minPool {
+		return 0
+	}
+	left := max((size+apartShare-1)/apartShare-down, 0)
+	switch highest {
+	case Isolated:
+		return left
+	case Apart:
+		return min(max(left, minApart), max(size/2-down, 0))
+	default:
+		return min(1, max(size/2-down, 0))
+	}
+}
--- a/internal/process/loadreplay/replay_test.go
+++ b/internal/process/loadreplay/replay_test.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -123,10 +124,10 @@
 	view := &policy.View{}
 	view.Apply(&policy.Snapshot{Version: 1, Queues: w.queues})
 	var jitter atomic.Uint64
-	for range c.entries {
+	for i := range c.entries {
 		s := scheduler.New(scheduler.Options{
 			DataCentre:  "dc",
-			Log:         zerolog.Nop(),
+			Log:         replayLog(fmt.Sprint("entry-", i+1)),
 			Counters:    f.counters,
 			View:        view,
 			TargetLease: time.Second,
@@ -144,13 +145,23 @@
 	return f
 }
 
+// replayLog returns the log of a process, which is written only if -replay.log is set.
+func replayLog(process string) zerolog.Logger {
+	if !*reportLog {
+		return zerolog.Nop()
+	}
+	return zerolog.New(os.Stdout).Hook(zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
+		e.Time("time", time.Now())
+	})).With().Str("process", process).Logger()
+}
+
 // addTarget starts the agent of a target and links it with all entries.
 func (f *fleet) addTarget(index int, t *target, delay time.Duration) {
 	f.targets = append(f.targets, t)
 	name := fmt.Sprintf("agent-%d", index)
 	current := t
 	m := runs.New(runs.Options{
-		Name: name, Incarnation: uint64(index + 1), DataCentre: "dc", Log: zerolog.Nop(), Counters: f.counters,
+		Name: name, Incarnation: uint64(index + 1), DataCentre: "dc", Log: replayLog(name), Counters: f.counters,
 		TargetLease: time.Second,
 		Dial:        func(runs.Announcement) runs.TargetClient { return current },
 	})
--- a/internal/process/loadreplay/report_test.go
+++ b/internal/process/loadreplay/report_test.go
@@ -13,6 +13,7 @@
 	reportFirst   = flag.Uint64("replay.first", 1, "first seed")
 	reportLoads   = flag.String("replay.loads", "0.85,0.95,1.1", "loads, as shares of the capacity")
 	reportEntries = flag.String("replay.entries", "1,3", "numbers of entries; one entry knows the free capacity exactly")
+	reportLog     = flag.Bool("replay.log", false, "write the logs of all processes")
 )
 
 // TestReport prints the mean results of replays over some seeds.
--- a/internal/process/runs/crash.go
+++ b/internal/process/runs/crash.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
+	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 )
 
 // crashEvidenceWindow is how long after its latest answer a target that is gone counts as
@@ -22,26 +23,28 @@
 		return
 	}
 	t.crashed = true
-	crash := m.crashLocked(t)
+	report := m.crashLocked(t)
 	m.opts.Counters.Counter("targets_crashed").Inc(1)
-	m.logCrash(&crash, evidence, silent)
+	m.logCrash(&report, evidence, silent)
+	m.shareCrashLocked(report, 0)
+	m.broadcastTargetLocked()
 }
 
 // crashLocked returns the report of a crash of the target, the youngest run first.
-func (m *Manager) crashLocked(t *targetIncarnation) peer.Crash {
-	c := peer.Crash{ID: peer.CrashID{Target: t.ID, Incarnation: t.Incarnation}, Agent: m.opts.Name}
+func (m *Manager) crashLocked(t *targetIncarnation) crash.Report {
+	c := crash.Report{ID: crash.ID{Target: t.ID, Incarnation: t.Incarnation}, Agent: m.opts.Name}
 	for _, r := range m.runs {
 		if r.phase != phaseMisdirected {
-			c.Runs = append(c.Runs, peer.CrashedRun{Task: r.attempt.Key, Queue: r.queue, Age: bounds.RunTime.Clamp(m.clock() - r.orderedAt)})
+			c.Runs = append(c.Runs, crash.Run{Task: r.attempt.Key, Queue: r.queue, Isolated: r.isolated, Age: bounds.RunTime.Clamp(m.clock() - r.orderedAt)})
 		}
 	}
-	slices.SortFunc(c.Runs, func(a, b peer.CrashedRun) int { return cmp.Compare(a.Age, b.Age) })
-	c.Runs = c.Runs[:min(len(c.Runs), peer.MaxCrashRuns)]
+	slices.SortFunc(c.Runs, func(a, b crash.Run) int { return cmp.Compare(a.Age, b.Age) })
+	c.Runs = c.Runs[:min(len(c.Runs), crash.MaxRuns)]
 	return c
 }
 
 // logCrash logs a crash and each run that was on the target.
-func (m *Manager) logCrash(c *peer.Crash, evidence string, silent time.Duration) {
+func (m *Manager) logCrash(c *crash.Report, evidence string, silent time.Duration) {
 	m.opts.Log.Warn().Str("target", c.ID.Target).Int64("incarnation", c.ID.Incarnation).Str("evidence", evidence).
 		Dur("silent", silent).Int("runs", len(c.Runs)).Msg("target crashed")
 	for i, r := range c.Runs {
@@ -56,6 +59,60 @@
 		return
 	}
 	t.crashed = false
+	m.shareCrashLocked(crash.Report{ID: crash.ID{Target: t.ID, Incarnation: t.Incarnation}, Agent: m.opts.Name, Withdrawn: true}, 0)
+	m.broadcastTargetLocked()
 	m.opts.Counters.Counter("crashes_withdrawn").Inc(1)
 	m.opts.Log.Info().Str("target", t.ID).Int64("incarnation", t.Incarnation).Msg("target has not crashed: it answers")
 }
+
+// shareCrashLocked keeps a report and sends it to all entries but the one that it came from.
+func (m *Manager) shareCrashLocked(r crash.Report, from uint64) {
+	if !m.crashes.Add(m.clock(), r) {
+		return
+	}
+	for incarnation, o := range m.owners {
+		if incarnation != from && o.link != nil {
+			o.link.Send(peer.Frame{Crashes: []crash.Report{r}})
+		}
+	}
+	if m.opts.Crashed != nil {
+		m.opts.Crashed(m.crashes.Reports(m.clock()))
+	}
+}
+
+// RestoreCrashes adds reports that an earlier process of this agent has stored.
+func (m *Manager) RestoreCrashes(reports []crash.Report) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range reports {
+		m.shareCrashLocked(r, 0)
+	}
+}
+
+// isolationAllowsLocked reports whether a start order keeps the isolation of its own run and
+// of those at the target.
+func (m *Manager) isolationAllowsLocked(s peer.Start) bool {
+	for _, r := range m.runs {
+		if r.attempt.Key.Job == s.Attempt.Key.Job {
+			continue
+		}
+		if r.isolated != s.Isolated || m.isExclusiveLocked(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// isExclusiveLocked reports whether an isolated run keeps out all other jobs.
+func (m *Manager) isExclusiveLocked(r *run) bool {
+	return r.isolated && (r.exclusiveFor == 0 || m.clock()-r.orderedAt < r.exclusiveFor)
+}
+
+// describeIsolationLocked sets what a target's room says about isolated runs.
+func (m *Manager) describeIsolationLocked(room *peer.Room) {
+	for _, r := range m.runs {
+		room.Shared = room.Shared || !r.isolated
+		room.Isolated = room.Isolated || r.isolated
+		room.Exclusive = room.Exclusive || m.isExclusiveLocked(r)
+	}
+}
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -10,6 +10,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
 
@@ -28,6 +29,9 @@
 	Announced func(Announcement)
 	// TargetLease is how long the target continues its runs without a renewal.
 	TargetLease time.Duration
+	// Crashed is called with all reports of crashes that are kept when one is added. It must
+	// not block. Optional.
+	Crashed func([]crash.Report)
 	// Retired is called once a retiring entry has no runs and results left here.
 	// Optional.
 	Retired func(address string)
@@ -43,6 +47,8 @@
 	policy peer.Policy
 	owners map[uint64]*owner
 	runs   map[task.Key]*run
+	// crashes holds the crashes of this target and those reported by other agents.
+	crashes crash.Log
 	// resultsSent is the number of the latest result.
 	resultsSent uint64
 	// stopping is set once the process is shutting down: no run is started any more.
@@ -110,6 +116,10 @@
 	attempt task.Attempt
 	// queue is the queue of its job; empty if an earlier process of this agent started it.
 	queue string
+	// isolated is set if the run is kept apart from those of other jobs, exclusiveFor is the
+	// age up to which it keeps out other isolated ones, or 0 for all of its time.
+	isolated     bool
+	exclusiveFor time.Duration
 	// owner is the incarnation of the entry that sent the attempt; 0 if unknown.
 	owner uint64
 	need  task.Resources
@@ -242,7 +252,7 @@
 // availableLocked reports whether the target may be given work.
 func (m *Manager) availableLocked() bool {
 	t := m.target
-	return t != nil && t.reported && !t.Draining && !t.unresponsive && !t.unconfirmed && !m.stopping
+	return t != nil && t.reported && !t.Draining && !t.unresponsive && !t.unconfirmed && !t.crashed && !m.stopping
 }
 
 // freeLocked returns the free capacity. Runs that are being stopped still count as used.
@@ -260,6 +270,7 @@
 // roomLocked returns the free capacity and health of the target for an entry.
 func (m *Manager) roomLocked(o *owner) *peer.Room {
 	room := &peer.Room{Free: m.freeLocked(), Demand: m.demandOfOthersLocked(o)}
+	m.describeIsolationLocked(room)
 	if t := m.target; t != nil && !t.health.Healthy() {
 		room.Probation = true
 		room.Probe = t.prober == o.incarnation && t.health.MayProbe(m.clock())
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -90,6 +90,7 @@
 		Target:  m.descriptionLocked(o),
 		Results: append([]peer.Result(nil), o.results...),
 		Policy:  m.policyLocked(),
+		Crashes: m.crashes.Reports(m.clock()),
 	})
 }
 
@@ -159,6 +160,9 @@
 	if f.Claims != nil {
 		m.claimLocked(o, f.Claims)
 	}
+	for _, r := range f.Crashes {
+		m.shareCrashLocked(r, incarnation)
+	}
 	for _, s := range f.Starts {
 		o.accepted++
 		m.startLocked(o, s)
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -21,13 +21,15 @@
 		return
 	}
 	r := &run{
-		attempt:     s.Attempt,
-		queue:       s.Queue,
-		owner:       o.incarnation,
-		need:        s.Need,
-		confirmedAt: time.Now(),
-		orderedAt:   m.clock(),
-		expected:    s.Expected,
+		attempt:      s.Attempt,
+		queue:        s.Queue,
+		isolated:     s.Isolated,
+		exclusiveFor: s.ExclusiveFor,
+		owner:        o.incarnation,
+		need:         s.Need,
+		confirmedAt:  time.Now(),
+		orderedAt:    m.clock(),
+		expected:     s.Expected,
 	}
 	if !m.target.health.Healthy() {
 		m.target.health.RecordProbe(r.orderedAt)
@@ -49,6 +51,8 @@
 		return peer.RefusalUnavailable
 	case present != nil && present.attempt.Run >= s.Attempt.Run:
 		return peer.RefusalStaleRun
+	case !m.isolationAllowsLocked(s):
+		return peer.RefusalIsolation
 	case present != nil, !s.Need.FitsIn(m.freeLocked()):
 		return peer.RefusalNoCapacity
 	}
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -30,6 +30,12 @@
 	if s.stop != nil && !s.stop.Admits(now, j.forecast.RunTime) {
 		return refuse(apiv1.Reason_REASON_STOPPING, stoppingRetry, "this entry stops"), false
 	}
+	if j.suspicion.MustGiveUp() {
+		return crashedAnswer(), false
+	}
+	if j.separation == load.Isolated {
+		return s.admitIsolated(j, now)
+	}
 	if message, ok := s.canEverRun(j); !ok && now > warmUpPeriod {
 		return refuse(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, noTargetRetry, message), false
 	}
@@ -55,7 +61,7 @@
 func (s *Scheduler) hasTarget(j *job, step int, r placementRound) bool {
 	req := s.requirements(&j.spec.Steps[step])
 	for _, t := range s.targets {
-		if !r.isEligible(t, j.queue) {
+		if !r.isEligible(t, j) {
 			continue
 		}
 		if c := t.candidate(); req.CanRun(&c) {
@@ -79,6 +85,7 @@
 	for _, t := range s.targets {
 		s.sweepTarget(t, now)
 	}
+	s.sweepConfinement(now)
 	for _, j := range s.jobs {
 		s.sweepJob(j, now)
 	}
@@ -89,6 +96,8 @@
 	switch {
 	case now >= j.deadline:
 		s.giveUp(j, apiv1.Reason_REASON_DEADLINE_EXCEEDED, "its caller's deadline has passed")
+	case j.separation == load.Isolated && s.waitedTooLongApart(j, now):
+		s.giveUp(j, apiv1.Reason_REASON_TARGET_CRASHED, messageMustBeLone)
 	case s.isTooLate(j, now):
 		s.giveUp(j, apiv1.Reason_REASON_OVERLOAD, messageNoCapacity)
 	}
--- a/internal/process/scheduler/capacity.go
+++ b/internal/process/scheduler/capacity.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
-	"github.com/rosemarybay/rosemarybay/internal/version/policy"
 )
 
 // missingCPU returns how much capacity a job lacks to begin, in thousandths of a core,
@@ -15,7 +14,7 @@
 	missing := ahead + first
 	var capacity int64
 	for _, t := range s.targets {
-		if !r.isEligible(t, j.queue) || t.probation {
+		if !r.isEligible(t, j) || t.probation {
 			continue
 		}
 		capacity += t.info.Capacity.CPU
@@ -46,16 +45,16 @@
 }
 
 // collectReleases records the expected ends of the attempts in progress in the pool of
-// a queue. It does so once per round and pool.
-func (s *Scheduler) collectReleases(q *policy.Queue, r placementRound) {
-	if s.releases.Len() > 0 && s.releasesPool == q.Pool {
+// a job's queue. It does so once per round and pool.
+func (s *Scheduler) collectReleases(j *job, r placementRound) {
+	if s.releases.Len() > 0 && s.releasesPool == j.queue.Pool && s.releasesApart == j.isApart() {
 		return
 	}
 	s.releases.Reset()
-	s.releasesPool = q.Pool
+	s.releasesPool, s.releasesApart = j.queue.Pool, j.isApart()
 	var own, used int64
 	for _, t := range s.targets {
-		if !r.isEligible(t, q) || t.probation {
+		if !r.isEligible(t, j) || t.probation {
 			continue
 		}
 		used += t.info.Capacity.CPU - t.free().CPU
@@ -71,7 +70,7 @@
 // usableCPU returns the free and the total capacity of all usable targets.
 func (s *Scheduler) usableCPU(r placementRound) (free, all int64) {
 	for _, t := range s.targets {
-		if t.usable(r.now) && !t.probation && !r.outages.Has(t.info.DataCentre) {
+		if t.usable(r.now) && !t.setApart && !t.probation && !r.outages.Has(t.info.DataCentre) {
 			free += max(t.free().CPU, 0)
 			all += t.info.Capacity.CPU
 		}
@@ -99,14 +98,14 @@
 // work ahead of it in the queue. Without running tasks to predict from, it uses the
 // drain rate.
 func (s *Scheduler) predictCapacity(j *job, now time.Duration) capacityPrediction {
-	work, cpu := s.queue.WorkAhead(j.queue.Priority, j.latestStart)
+	work, cpu := s.queueOf(j).WorkAhead(j.queue.Priority, j.latestStart)
 	r := s.newRound()
 	p := capacityPrediction{missing: s.missingCPU(j, cpu, r)}
 	if p.missing <= 0 {
 		return p
 	}
 	s.releases.Reset()
-	s.collectReleases(j.queue, r)
+	s.collectReleases(j, r)
 	if s.releases.Len() == 0 {
 		p.wait = s.drain.EstimateWait(now, work, s.shareOfCapacity())
 		return p
@@ -125,7 +124,7 @@
 func (s *Scheduler) shareOfCapacity() int64 {
 	var cpu int64
 	for _, t := range s.targets {
-		if t.info.Available {
+		if t.info.Available && !t.setApart {
 			cpu += t.info.Capacity.CPU
 		}
 	}
--- /dev/null
+++ b/internal/process/scheduler/crashes.go
@@ -0,0 +1,192 @@
+package scheduler
+
+import (
+	"time"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/load"
+	"github.com/rosemarybay/rosemarybay/internal/request/crash"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+// maxForwards is how many other agents a new report of a crash is sent to, so that an entry
+// that starts later learns it although the agent that reported it is lost.
+const maxForwards = 3
+
+const (
+	messageCrashed    = "targets have crashed under one of its tasks"
+	messageMustBeLone = "it must run apart from other jobs, and no target is free for that"
+)
+
+// receiveCrashes takes the reports of a frame into account.
+func (s *Scheduler) receiveCrashes(from *target, reports []crash.Report) {
+	now := s.now()
+	for _, r := range reports {
+		if !s.crashes.Add(now, r) {
+			continue
+		}
+		s.forwardCrash(from, r)
+		s.suspects = load.NewSuspects(s.crashes.Reports(now))
+		s.observeCrash(now, &r)
+		s.applySuspicion(now)
+	}
+}
+
+func (s *Scheduler) forwardCrash(from *target, r crash.Report) {
+	sent := 0
+	for _, t := range s.targets {
+		if t == from || t.link == nil || t.name == r.Agent {
+			continue
+		}
+		t.send(peer.Frame{Crashes: []crash.Report{r}})
+		if sent++; sent == maxForwards {
+			return
+		}
+	}
+}
+
+// observeCrash records which target has crashed, and confines the queue that is to blame.
+func (s *Scheduler) observeCrash(now time.Duration, r *crash.Report) {
+	s.opts.Counters.Counter("crashes_reported").Inc(1)
+	s.opts.Log.Warn().Str("target", r.ID.Target).Int64("incarnation", r.ID.Incarnation).Str("agent", r.Agent).Dur("age", r.Age).
+		Int("runs", len(r.Runs)).Bool("alone", r.IsAlone()).Bool("withdrawn", r.Withdrawn).Msg("crash of a target reported")
+	if t := s.targets[r.Agent]; t != nil && t.info.ID == r.ID.Target && t.info.Incarnation == r.ID.Incarnation {
+		t.recordCrash(now, r)
+	}
+	s.expectSuspects(now, r)
+	if queue, raised := s.confinement.Observe(now, r, s.crashes.Reports(now), s.suspects); raised {
+		s.logConfinement(queue)
+	}
+}
+
+// recordCrash records the time of a crash of the target, or that there was none.
+func (t *target) recordCrash(now time.Duration, r *crash.Report) {
+	t.lastCrash, t.crashedPool = 0, t.info.Pool
+	if !r.Withdrawn {
+		t.lastCrash = max(now-r.Age, 1)
+	}
+}
+
+// expectSuspects keeps a target set apart for the suspects of a crash until their runs have
+// certainly ended and been started again.
+func (s *Scheduler) expectSuspects(now time.Duration, r *crash.Report) {
+	for _, run := range r.Runs {
+		if s.suspects[run.Task.Job].MustIsolate() {
+			s.suspectsUntil = max(s.suspectsUntil, now-r.Age+s.opts.TargetLease+2*isolationWait)
+			return
+		}
+	}
+}
+
+func (s *Scheduler) logConfinement(queue string) {
+	s.opts.Counters.Counter("queue_confinements").Inc(1)
+	age, known := s.confinement.HarmlessAge(queue)
+	s.opts.Log.Warn().Str("queue", queue).Stringer("separation", s.confinement.Separation(queue)).Dur("harmless_age", age).Bool("age_known", known).
+		Int("waiting_apart", s.apartQueue.Len()).Msg("separation of a queue changed")
+}
+
+// applySuspicion gives up, isolates or releases the jobs in progress as the crashes reported
+// so far require.
+func (s *Scheduler) applySuspicion(now time.Duration) {
+	s.assignTargetsApart(now)
+	for _, j := range s.jobs {
+		s.applySuspicionTo(j, now)
+	}
+}
+
+func (s *Scheduler) applySuspicionTo(j *job, now time.Duration) {
+	suspicion, known := s.suspects[j.spec.ID]
+	if known && suspicion != j.suspicion {
+		j.suspicion = suspicion
+		s.opts.Log.Info().Str("job", j.spec.ID).Int("crashes", suspicion.Crashes).Int("alone", suspicion.Alone).
+			Float64("share", suspicion.Share).Bool("isolate", suspicion.MustIsolate()).Msg("job suspected")
+	}
+	switch {
+	case suspicion.MustGiveUp():
+		s.failCrashed(j)
+	case suspicion.Alone > 0 && j.begun:
+		// Its caller may return; until then the targets set apart serve others.
+		s.giveUp(j, apiv1.Reason_REASON_TARGET_CRASHED, messageCrashed)
+	default:
+		s.setSeparation(j, s.separationOf(j), now)
+	}
+}
+
+// suspectOnArrival applies what is known of earlier attempts of a job, at any entry, to a
+// new request for it. A job that has crashed a target alone comes after all others.
+func (s *Scheduler) suspectOnArrival(j *job) {
+	if suspicion, ok := s.suspects[j.spec.ID]; ok {
+		j.suspicion = suspicion
+		j.ran = true
+		j.overdue = j.overdue || suspicion.Alone > 0
+	}
+	j.separation = s.separationOf(j)
+}
+
+// failCrashed ends a job whose tasks have crashed as many targets as is allowed.
+func (s *Scheduler) failCrashed(j *job) {
+	s.opts.Counters.Counter("jobs_given_up_after_crashes").Inc(1)
+	s.finish(j, crashedAnswer())
+}
+
+// crashedAnswer is the answer to a job that must not be started again.
+func crashedAnswer() Answer {
+	return Answer{
+		State:   StateFailed,
+		Verdict: verdict.Ran,
+		Reason:  apiv1.Reason_REASON_TARGET_CRASHED,
+		Message: messageCrashed,
+	}
+}
+
+// separationOf returns how far the tasks of a job that are not started yet are kept apart. A
+// job that began before its queue was confined goes on.
+func (s *Scheduler) separationOf(j *job) load.Separation {
+	switch {
+	case !s.canSetApart(j.queue.Pool):
+		return load.Shared
+	case j.suspicion.MustIsolate():
+		return load.Isolated
+	case j.begun && j.separation == load.Shared:
+		return load.Shared
+	}
+	return s.confinement.Separation(j.queue.Name)
+}
+
+// setSeparation moves the waiting tasks of a job to the queue for its separation.
+func (s *Scheduler) setSeparation(j *job, to load.Separation, now time.Duration) {
+	if j.separation == to {
+		return
+	}
+	var waiting []*item
+	for i := range j.steps {
+		for _, it := range j.steps[i].items {
+			if it.position >= 0 {
+				s.queueOf(j).Remove(it)
+				waiting = append(waiting, it)
+			}
+		}
+	}
+	j.separation = to
+	if to == load.Isolated && j.begun {
+		j.latestStart = max(j.latestStart, now+s.opts.TargetLease+isolationWait)
+	}
+	for _, it := range waiting {
+		s.queueOf(j).Push(it)
+	}
+}
+
+// releaseQueue lets the jobs of a queue run beside others again.
+func (s *Scheduler) releaseQueue(queue string) {
+	s.logConfinement(queue)
+	s.applySuspicion(s.now())
+}
+
+// sweepConfinement ends confinements by time and keeps the targets set apart up to date.
+func (s *Scheduler) sweepConfinement(now time.Duration) {
+	for _, queue := range s.confinement.Expire(now) {
+		s.releaseQueue(queue)
+	}
+	s.assignTargetsApart(now)
+}
--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -7,7 +7,6 @@
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
-	"github.com/rosemarybay/rosemarybay/internal/version/policy"
 )
 
 // minDemandInterval and demandIntervalPerTarget limit how often the demand is computed and,
@@ -82,7 +81,7 @@
 	if s.demandedTargets == 0 || it.Begun() {
 		return false
 	}
-	p := s.contended(it.job.queue, r)
+	p := s.contended(it.job, r)
 	if it.Priority() <= p.topPriority || !load.MustYield(p.free, p.urgent, it.CPU()) {
 		return false
 	}
@@ -105,21 +104,21 @@
 // tasks of its most urgent queue need of them at other entries, in thousandths of a core. It
 // is valid for the current round of placement.
 type contendedPool struct {
-	known        bool
+	known, apart bool
 	name         string
 	topPriority  int
 	free, urgent int64
 }
 
-// contended returns the state of a queue's pool. It is computed once per round and pool.
-func (s *Scheduler) contended(q *policy.Queue, r placementRound) *contendedPool {
-	p := &s.contendedPool
-	if p.known && p.name == q.Pool {
+// contended returns the state of the pool of a job's queue. It is computed once per round and pool.
+func (s *Scheduler) contended(j *job, r placementRound) *contendedPool {
+	p, q := &s.contendedPool, j.queue
+	if p.known && p.name == q.Pool && p.apart == j.isApart() {
 		return p
 	}
-	*p = contendedPool{known: true, name: q.Pool, topPriority: s.topPriority(q.Pool).Priority()}
+	*p = contendedPool{known: true, name: q.Pool, apart: j.isApart(), topPriority: s.topPriority(q.Pool).Priority()}
 	for _, t := range s.targets {
-		if !r.isEligible(t, q) || t.probation {
+		if !r.isEligible(t, j) || t.probation {
 			continue
 		}
 		p.free += max(t.free().CPU, 0)
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -47,6 +47,11 @@
 	ran bool
 	// ended is set once the job has been answered.
 	ended bool
+	// suspicion is what the crashes reported say about the job. separation is how far its
+	// tasks are kept apart from those of other jobs, isolatedAt the target to itself.
+	suspicion  load.Suspicion
+	separation load.Separation
+	isolatedAt *target
 	// predecessor is an answered job of the same ID of which attempts may still run, or
 	// nil.
 	predecessor *job
@@ -103,6 +108,9 @@
 	startNumber uint64
 	// stopping is set once a stop order for the attempt has been sent.
 	stopping bool
+	// isolated and exclusiveFor are those of the start order.
+	isolated     bool
+	exclusiveFor time.Duration
 }
 
 // LatestStart implements load.QueuedTask.
@@ -196,7 +204,7 @@
 	j.ended = true
 	for i := range j.steps {
 		for _, it := range j.steps[i].items {
-			s.queue.Remove(it)
+			s.queueOf(j).Remove(it)
 			if it.attempt != nil {
 				s.stopAttempt(it.attempt)
 			}
@@ -240,7 +248,9 @@
 		Dur("took", took).Dur("objective", j.objective-j.arrived).Dur("expected", j.forecast.RunTime).
 		Dur("waited", j.forecast.Waited).Bool("certain", j.forecast.Certain).
 		Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).
-		Int64("missing_cpu", j.capacity.missing).Bool("yielded", j.yielded).Dur("predicted_wait", j.capacity.wait).
+		Int64("missing_cpu", j.capacity.missing).Bool("yielded", j.yielded).
+		Stringer("separation", j.separation).Int("crashes", j.suspicion.Crashes).Int("crashes_alone", j.suspicion.Alone).
+		Float64("suspicion", j.suspicion.Share).Dur("predicted_wait", j.capacity.wait).
 		Dur("retry_after", a.RetryAfter).Int("tasks_left", j.tasksLeft).Int("unresolved", j.unresolved).
 		Int("waiting", s.queue.Len()).Uint64("config_version", s.configVersion()).Msg("job not completed")
 }
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -42,23 +42,29 @@
 // placeQueued starts tasks from the head of the queue while there is capacity.
 func (s *Scheduler) placeQueued() {
 	defer s.updateDemand()
-	if s.queue.Len() == 0 {
+	if s.queue.Len() == 0 && s.apartQueue.Len() == 0 {
 		return
 	}
 	r := s.newRound()
 	s.releases.Reset()
 	s.contendedPool.known = false
+	s.placeFrom(&s.queue, r, s.tryStart)
+	s.placeFrom(&s.apartQueue, r, s.tryStartApart)
+}
+
+// placeFrom starts tasks from the head of one queue.
+func (s *Scheduler) placeFrom(queue *load.Queue[*item], r placementRound, tryStart func(*item, placementRound) bool) {
 	var skippedTasks []*item
 	var skippedJobs []*job
-	for s.queue.Len() > 0 && len(skippedJobs) < maxSkippedJobs && len(skippedTasks) < maxSkippedTasks {
-		it := s.queue.Pop()
+	for queue.Len() > 0 && len(skippedJobs) < maxSkippedJobs && len(skippedTasks) < maxSkippedTasks {
+		it := queue.Pop()
 		// After a pause of this process the deadline may have passed without a sweep.
 		s.sweepJob(it.job, r.now)
 		switch {
 		case it.job.ended:
 			continue
 		case slices.Contains(skippedJobs, it.job):
-		case s.tryStart(it, r):
+		case tryStart(it, r):
 			continue
 		default:
 			skippedJobs = append(skippedJobs, it.job)
@@ -67,7 +73,7 @@
 	}
 	for _, it := range skippedTasks {
 		if !it.job.ended {
-			s.queue.Push(it)
+			queue.Push(it)
 		}
 	}
 }
@@ -90,11 +96,11 @@
 	if it.Overdue() {
 		return load.HasSpareCapacity(s.usableCPU(r))
 	}
-	missing := s.missingCPU(it.job, s.queue.BegunCPU(), r)
+	missing := s.missingCPU(it.job, s.queueOf(it.job).BegunCPU(), r)
 	if missing <= 0 {
 		return true
 	}
-	s.collectReleases(it.job.queue, r)
+	s.collectReleases(it.job, r)
 	required := s.contention.RequiredCPU(r.now, missing)
 	return s.releases.Len() == 0 || s.releases.ShouldBegin(r.now, it.job.latestStart, required)
 }
@@ -116,7 +122,7 @@
 	bestScore := 0.0
 	candidates := 0
 	for _, t := range s.targets {
-		if !r.isEligible(t, it.job.queue) || (r.healthReliable && t.probation && !(t.probe && it.mayProbe())) {
+		if !r.isEligible(t, it.job) || (r.healthReliable && t.probation && !(t.probe && it.mayProbe())) {
 			continue
 		}
 		c := t.candidate()
@@ -142,9 +148,10 @@
 // must not exhaust its attempts.
 func (it *item) mayProbe() bool { return it.failures == 0 && it.job.queue.MaxAttempts > 1 }
 
-// isEligible reports whether tasks of a queue may be started on a target.
-func (r placementRound) isEligible(t *target, q *policy.Queue) bool {
-	return t.info.Pool == q.Pool && r.isInService(t)
+// isEligible reports whether tasks of a job may be started on a target.
+func (r placementRound) isEligible(t *target, j *job) bool {
+	return t.info.Pool == j.queue.Pool && t.setApart == j.isApart() &&
+		(j.separation == load.Isolated || !t.isolated) && r.isInService(t)
 }
 
 // isInService reports whether a target may be given work of its pool.
@@ -163,6 +170,9 @@
 		target: t,
 		sentAt: now,
 	}
+	if it.job.separation == load.Isolated {
+		at.isolated, at.exclusiveFor = true, s.exclusiveFor(it)
+	}
 	it.attempt = at
 	it.job.unresolved++
 	if !it.job.begun {
@@ -170,18 +180,21 @@
 		s.fixOrder(it.job)
 	}
 	s.drain.RecordStart(now, it.Work())
+	s.confinement.RecordStart(now, it.job.queue.Name)
 	s.opts.Counters.Counter("attempts_sent").Inc(1)
 	s.opts.Log.Info().Str("job", it.key.Job).Stringer("task", it.key).Uint64("run", it.run).Str("target", t.info.ID).
-		Int64("free_cpu", t.free().CPU).Dur("room_age", now-t.lastFrameAt).Msg("attempt sent")
+		Int64("free_cpu", t.free().CPU).Dur("room_age", now-t.lastFrameAt).Bool("isolated", at.isolated).Msg("attempt sent")
 	t.addAttempt(at)
 	s.contendedPool.free -= it.step.Need.CPU
 	t.send(peer.Frame{Starts: []peer.Start{{
-		Attempt:     at.id,
-		Spec:        it.job.spec.Spec,
-		Need:        it.step.Need,
-		Incarnation: t.info.Incarnation,
-		Expected:    it.expected,
-		Queue:       it.job.queue.Name,
+		Attempt:      at.id,
+		Spec:         it.job.spec.Spec,
+		Need:         it.step.Need,
+		Incarnation:  t.info.Incarnation,
+		Expected:     it.expected,
+		Queue:        it.job.queue.Name,
+		Isolated:     at.isolated,
+		ExclusiveFor: at.exclusiveFor,
 	}}})
 }
 
@@ -189,7 +202,7 @@
 func (s *Scheduler) fixOrder(j *job) {
 	for i := range j.steps {
 		for _, it := range j.steps[i].items {
-			s.queue.Fix(it)
+			s.queueOf(j).Fix(it)
 		}
 	}
 }
--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -22,6 +22,7 @@
 	peer.RefusalInvalid:       apiv1.Reason_REASON_INVALID_ARGUMENT,
 	peer.RefusalUnanswered:    apiv1.Reason_REASON_FENCED,
 	peer.RefusalStopped:       apiv1.Reason_REASON_CANCELLED,
+	peer.RefusalIsolation:     apiv1.Reason_REASON_TARGET_CRASHED,
 }
 
 // handleResult handles a result reported by an agent. A result of an attempt that is
@@ -84,7 +85,7 @@
 	default:
 		it.avoid = at.target.name
 		s.opts.Counters.CountRetry(apiv1.Reason_REASON_AGENT_LOST)
-		s.queue.Push(it)
+		s.queueOf(j).Push(it)
 	}
 }
 
@@ -142,6 +143,9 @@
 			s.patience.Observe(j.queue.Name, j.criticalRun(), j.deadline-j.arrived)
 		}
 		s.finish(j, Answer{State: StateComplete, Verdict: verdict.Ran})
+		if j.isApart() && s.confinement.RecordClean(s.now(), j.queue.Name) {
+			s.releaseQueue(j.queue.Name)
+		}
 		return
 	}
 	if st.left > 0 {
@@ -164,7 +168,7 @@
 		return
 	}
 	s.opts.Counters.CountRetry(apiv1.Reason_REASON_TARGET_FAILED)
-	s.queue.Push(it)
+	s.queueOf(it.job).Push(it)
 }
 
 // retryRefused requeues a task whose attempt was refused without having run.
@@ -177,7 +181,7 @@
 		return
 	case peer.RefusalStaleRun:
 		it.run += staleRunStep
-	case peer.RefusalNoCapacity:
+	case peer.RefusalNoCapacity, peer.RefusalIsolation:
 	default:
 		it.avoid = at.target.name
 	}
@@ -185,7 +189,7 @@
 		s.giveUp(it.job, apiv1.Reason_REASON_OVERLOAD, messageNoCapacity)
 		return
 	}
-	s.queue.Push(it)
+	s.queueOf(it.job).Push(it)
 }
 
 // startTime returns when the attempt started, or when it was sent if not yet confirmed.
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 	"github.com/rosemarybay/rosemarybay/internal/version/policy"
@@ -58,9 +59,11 @@
 	contention load.Contention
 	// delays tracks delayed starts by data centre.
 	delays *load.StartDelays
-	// releases is valid for the current round of placement and for releasesPool.
-	releases     load.Releases
-	releasesPool string
+	// releases is valid for the current round of placement and for the jobs
+	// of releasesPool that are, or are not, kept apart.
+	releases      load.Releases
+	releasesPool  string
+	releasesApart bool
 	// demandUpdatedAt is when the demand of the waiting tasks was computed; demandUnsent is
 	// set while an agent may have an older one. demandedTargets is the number of targets of
 	// which waiting tasks of other entries need a part.
@@ -71,6 +74,19 @@
 	topPriorities map[string]*load.TopPriority
 	// contendedPool is valid for the current round of placement.
 	contendedPool contendedPool
+	// crashes holds the crashes reported, suspects what they say about jobs, confinement
+	// what they say about queues.
+	crashes     crash.Log
+	suspects    load.Suspects
+	confinement load.Confinement
+	// apartQueue holds the waiting tasks of jobs that are kept apart.
+	apartQueue load.Queue[*item]
+	// targetsSetApart is set while targets may be set apart. suspectsUntil is when the
+	// latest single suspect no longer waits for one.
+	targetsSetApart bool
+	suspectsUntil   time.Duration
+	// restartTime is the time that crashed targets take to come back.
+	restartTime time.Duration
 	// stop is set once a planned stop of this entry has been requested.
 	stop *load.PlannedStop
 }
@@ -88,6 +104,7 @@
 		patience:      load.NewPatience(),
 		delays:        load.NewStartDelays(),
 		topPriorities: make(map[string]*load.TopPriority),
+		restartTime:   defaultRestartTime,
 	}
 }
 
@@ -109,6 +126,7 @@
 	if j == nil {
 		j = s.newJob(spec, queue)
 		j.predecessor = s.closing[spec.ID]
+		s.suspectOnArrival(j)
 		if refused, ok := s.admit(j); !ok {
 			s.logAnswer(j, refused)
 			waiter <- refused
@@ -131,7 +149,7 @@
 	s.opts.Log.Info().Str("job", j.spec.ID).Str("queue", j.queue.Name).Int("tasks", j.spec.Tasks()).
 		Dur("expected", j.forecast.RunTime).Bool("certain", j.forecast.Certain).Dur("waited", j.forecast.Waited).
 		Dur("objective", j.objective-j.arrived).Dur("deadline", j.deadline-j.arrived).Bool("overdue", j.overdue).
-		Int("waiting", s.queue.Len()).Msg("job admitted")
+		Stringer("separation", j.separation).Int("crashes", j.suspicion.Crashes).Int("waiting", s.queue.Len()).Msg("job admitted")
 	if j.predecessor == nil {
 		s.releaseSteps(j)
 	}
@@ -156,7 +174,7 @@
 	}
 	st.released = true
 	for _, it := range st.items {
-		s.queue.Push(it)
+		s.queueOf(j).Push(it)
 	}
 }
 
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -24,6 +24,13 @@
 	reportedFree task.Resources
 	// probation and probe are the values from the latest frame.
 	probation, probe bool
+	// shared, isolated and exclusive are what the latest frame said about isolated runs.
+	shared, isolated, exclusive bool
+	// setApart is set while the target is kept for isolated jobs.
+	setApart bool
+	// lastCrash is when the target crashed last, or 0; crashedPool is its pool at that time.
+	lastCrash   time.Duration
+	crashedPool string
 	// unaccounted holds the attempts sent that reportedFree does not include yet.
 	unaccounted []*attempt
 	// startsSent counts the starts sent on the current link.
@@ -178,6 +185,7 @@
 	}
 	t.lastFrameAt = s.now()
 	t.echo = max(t.echo, f.Sent)
+	s.receiveCrashes(t, f.Crashes)
 	if f.Target != nil {
 		s.describe(t, f.Target)
 	}
@@ -185,6 +193,7 @@
 	if f.Room != nil {
 		t.reportedFree = f.Room.Free
 		t.probation, t.probe = f.Room.Probation, f.Room.Probe
+		t.shared, t.isolated, t.exclusive = f.Room.Shared, f.Room.Isolated, f.Room.Exclusive
 		s.updateOthersDemand(t, f.Room.Demand)
 	}
 	for _, r := range f.Results {
@@ -214,7 +223,11 @@
 	s.opts.Log.Info().Str("agent", t.name).Str("target", info.ID).Int64("incarnation", info.Incarnation).
 		Bool("available", info.Available).Int64("cpu", info.Capacity.CPU).Str("data_centre", info.DataCentre).
 		Msg("target described")
+	if info.Available && t.isDown(s.now()) {
+		s.recordRestart(t, s.now())
+	}
 	t.info = *info
+	s.assignTargetsApart(s.now())
 }
 
 // reconcile compares the attempts sent to an agent with those that the agent lists after
--- /dev/null
+++ b/internal/request/crash/log.go
@@ -0,0 +1,82 @@
+package crash
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// Retention is how long a report is kept: longer than the callers of its tasks retry.
+	Retention = time.Minute
+	// maxReports bounds the reports kept, of some 40 bytes for each run.
+	maxReports = 256
+)
+
+// Log keeps recent reports, one for each crash. Its times are durations since the start of
+// the process. It is not safe for concurrent use.
+type Log struct {
+	kept map[ID]*kept
+}
+
+// kept is a report with the time of its crash, which may be before the process started.
+type kept struct {
+	report Report
+	at     time.Duration
+}
+
+// Add keeps a report. It returns false if the report says nothing new.
+func (l *Log) Add(now time.Duration, r Report) bool {
+	l.expire(now)
+	if r.Age > Retention {
+		return false
+	}
+	if known := l.kept[r.ID]; known != nil {
+		changed := r.Withdrawn && !known.report.Withdrawn
+		known.report.Withdrawn = known.report.Withdrawn || r.Withdrawn
+		return changed
+	}
+	if l.kept == nil {
+		l.kept = make(map[ID]*kept)
+	}
+	l.kept[r.ID] = &kept{report: r, at: now - r.Age}
+	l.dropOldest()
+	return true
+}
+
+// Reports returns the reports kept, the latest crash first, with their present ages.
+func (l *Log) Reports(now time.Duration) []Report {
+	l.expire(now)
+	reports := make([]Report, 0, len(l.kept))
+	for _, k := range l.kept {
+		r := k.report
+		r.Age = now - k.at
+		reports = append(reports, r)
+	}
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.ID.Target, b.ID.Target))
+	})
+	return reports
+}
+
+func (l *Log) expire(now time.Duration) {
+	for id, k := range l.kept {
+		if now-k.at > Retention {
+			delete(l.kept, id)
+		}
+	}
+}
+
+func (l *Log) dropOldest() {
+	for len(l.kept) > maxReports {
+		var oldest ID
+		var at time.Duration
+		first := true
+		for id, k := range l.kept {
+			if first || k.at < at {
+				oldest, at, first = id, k.at, false
+			}
+		}
+		delete(l.kept, oldest)
+	}
+}
--- /dev/null
+++ b/internal/request/crash/report.go
@@ -0,0 +1,67 @@
+// Package crash defines the report of a target that crashed under its runs, and keeps such
+// reports for as long as the tasks concerned may be started again.
+package crash
+
+import (
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+// MaxRuns bounds the runs of one report.
+const MaxRuns = 512
+
+// ID identifies a crash: an incarnation of a target ends only once.
+type ID struct {
+	Target      string `cbor:"1,keyasint" json:"target"`
+	Incarnation int64  `cbor:"2,keyasint" json:"incarnation"`
+}
+
+// Report says that a target ended without notice, and which runs were on it. Agents and
+// entries forward reports to each other, so that the loss of one process loses none.
+type Report struct {
+	ID ID `cbor:"1,keyasint" json:"id"`
+	// Agent is the name of the agent beside the target.
+	Agent string `cbor:"2,keyasint" json:"agent"`
+	// Age is the time since the crash when the report was sent.
+	Age  time.Duration `cbor:"3,keyasint,omitempty" json:"age"`
+	Runs []Run         `cbor:"4,keyasint,omitempty" json:"runs"`
+	// Withdrawn is set once the same incarnation has answered again: it did not crash.
+	Withdrawn bool `cbor:"5,keyasint,omitempty" json:"withdrawn"`
+}
+
+// Run is a run that was on a target when it crashed.
+type Run struct {
+	Task  task.Key `cbor:"1,keyasint" json:"task"`
+	Queue string   `cbor:"2,keyasint,omitempty" json:"queue"`
+	// Age is the time since its start.
+	Age time.Duration `cbor:"3,keyasint,omitempty" json:"age"`
+	// Isolated is set if the run was kept apart from those of other jobs.
+	Isolated bool `cbor:"4,keyasint,omitempty" json:"isolated"`
+}
+
+// IsAlone reports whether only runs of one job were on the target.
+func (r *Report) IsAlone() bool {
+	for i := range r.Runs {
+		if r.Runs[i].Task.Job != r.Runs[0].Task.Job {
+			return false
+		}
+	}
+	return len(r.Runs) > 0
+}
+
+// Validate returns an error if a number of the report is out of its range.
+func (r *Report) Validate() error {
+	if len(r.Runs) > MaxRuns {
+		return eris.Errorf("crash report has %d runs, at most %d are allowed", len(r.Runs), MaxRuns)
+	}
+	errs := []error{bounds.RunTime.Check("age of crash", r.Age)}
+	for i := range r.Runs {
+		errs = append(errs, bounds.RunTime.Check("age of crashed run", r.Runs[i].Age))
+	}
+	return errors.Join(errs...)
+}
