Agree on the end of a confinement, and learn the dangerous age from the killer's part

An entry that found a queue harmless no longer set targets apart, while the others did: its work kept the isolated jobs out. The release now goes to all entries, with the latest crash it counts from. The age up to which a run keeps others out came from the oldest run of a crashed job, 105 ms where the killer was 10 ms old.

--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -46,6 +46,9 @@
 	Demand task.Demand `cbor:"17,keyasint,omitempty"`
 	// Crashes are reports of crashed targets that the receiver may not have.
 	Crashes []crash.Report `cbor:"18,keyasint,omitempty"`
+	// Released lists the queues whose jobs an entry no longer keeps apart. An agent forwards
+	// the list to its other entries.
+	Released []crash.Release `cbor:"19,keyasint,omitempty"`
 }
 
 // Subscribe is a subscription to the list of entries, with the revision and the number of
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -90,6 +90,7 @@
 	}
 	f.CancelJobs = append(f.CancelJobs, o.CancelJobs...)
 	f.Crashes = append(f.Crashes, o.Crashes...)
+	f.Released = append(f.Released, o.Released...)
 	f.Subscribe = latest(f.Subscribe, o.Subscribe)
 	f.Entries = f.Entries.merge(o.Entries)
 }
--- a/internal/process/load/confinement.go
+++ b/internal/process/load/confinement.go
@@ -60,8 +60,10 @@
 
 type confinedQueue struct {
 	separation Separation
-	// lastCrash is when the latest crash was, releasedAt when the latest confinement ended.
+	// lastCrash is when the latest crash was, and lastCrashID which. releasedAt is when the
+	// latest confinement ended.
 	lastCrash, releasedAt time.Duration
+	lastCrashID           crash.ID
 	clean, required       int
 	// dangerAge is the highest age of a run that has crashed its target; 0 if unknown.
 	dangerAge time.Duration
@@ -79,12 +81,12 @@
 	switch {
 	case single && c.Separation(only) != Shared, single && r.Runs[0].Isolated && suspects[r.Runs[0].Task.Job].Crashes >= crashesBeforeGivingUp:
 		q := c.queue(only)
-		if r.IsAlone() {
-			q.dangerAge = max(q.dangerAge, oldestRun(r))
+		if r.IsAlone() && r.Runs[0].Isolated {
+			q.dangerAge = max(q.dangerAge, youngestRun(r))
 		}
-		return only, q.raise(now, Isolated)
+		return only, q.raise(now, r.ID, Isolated)
 	case score >= scoreToPutApart:
-		return name, c.queue(name).raise(now, Apart)
+		return name, c.queue(name).raise(now, r.ID, Apart)
 	}
 	return "", false
 }
@@ -101,8 +103,8 @@
 
 // raise raises the separation of a queue because of a crash. It reports whether this changes
 // it.
-func (q *confinedQueue) raise(now time.Duration, to Separation) bool {
-	q.lastCrash, q.clean = now, 0
+func (q *confinedQueue) raise(now time.Duration, id crash.ID, to Separation) bool {
+	q.lastCrash, q.lastCrashID, q.clean = now, id, 0
 	if q.separation == Shared {
 		q.required = cleanJobs
 		if q.releasedAt > 0 && now-q.releasedAt < relapsePeriod {
@@ -124,12 +126,14 @@
 	return r.Runs[0].Queue, r.Runs[0].Queue != ""
 }
 
-func oldestRun(r *crash.Report) time.Duration {
-	var oldest time.Duration
+// youngestRun returns the lowest age of a run. The tasks of an isolated job are started in two
+// parts, of which the second one has the cause if it has begun.
+func youngestRun(r *crash.Report) time.Duration {
+	youngest := r.Runs[0].Age
 	for _, run := range r.Runs {
-		oldest = max(oldest, run.Age)
+		youngest = min(youngest, run.Age)
 	}
-	return oldest
+	return youngest
 }
 
 // RecordClean records that an isolated job of a queue has ended without a crash. It reports
@@ -146,6 +150,20 @@
 	return true
 }
 
+// LatestCrash returns the latest crash of which a queue is, or was, the suspected cause.
+func (c *Confinement) LatestCrash(queue string) crash.ID { return c.queue(queue).lastCrashID }
+
+// Release ends the confinement of a queue because another entry has ended it, unless a crash
+// later than latest is known here. It reports whether this ends it.
+func (c *Confinement) Release(now time.Duration, queue string, latest crash.ID) bool {
+	q := c.queues[queue]
+	if q == nil || q.separation == Shared || q.lastCrashID != latest {
+		return false
+	}
+	q.release(now)
+	return true
+}
+
 // Expire ends the confinement of the queues that have had no crash for long, and returns
 // them.
 func (c *Confinement) Expire(now time.Duration) (released []string) {
--- a/internal/process/runs/crash.go
+++ b/internal/process/runs/crash.go
@@ -80,6 +80,19 @@
 	}
 }
 
+// forwardReleasesLocked forwards the queues that an entry no longer keeps apart to the other
+// entries.
+func (m *Manager) forwardReleasesLocked(from *owner, released []crash.Release) {
+	if len(released) == 0 {
+		return
+	}
+	for _, o := range m.owners {
+		if o != from && o.link != nil {
+			o.link.Send(peer.Frame{Released: released})
+		}
+	}
+}
+
 // RestoreCrashes adds reports that an earlier process of this agent has stored.
 func (m *Manager) RestoreCrashes(reports []crash.Report) {
 	m.mu.Lock()
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -163,6 +163,7 @@
 	for _, r := range f.Crashes {
 		m.shareCrashLocked(r, incarnation)
 	}
+	m.forwardReleasesLocked(o, f.Released)
 	for _, s := range f.Starts {
 		o.accepted++
 		m.startLocked(o, s)
--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -183,6 +183,30 @@
 	s.applySuspicion(s.now())
 }
 
+// announceRelease makes the other entries release a queue as well: all must set the same
+// targets apart.
+func (s *Scheduler) announceRelease(queue string) {
+	released := []crash.Release{{Queue: queue, Latest: s.confinement.LatestCrash(queue)}}
+	sent := 0
+	for _, t := range s.targets {
+		if t.link == nil {
+			continue
+		}
+		t.send(peer.Frame{Released: released})
+		if sent++; sent == maxForwards {
+			return
+		}
+	}
+}
+
+func (s *Scheduler) receiveReleases(released []crash.Release) {
+	for _, r := range released {
+		if s.confinement.Release(s.now(), r.Queue, r.Latest) {
+			s.releaseQueue(r.Queue)
+		}
+	}
+}
+
 // sweepConfinement ends confinements by time and keeps the targets set apart up to date.
 func (s *Scheduler) sweepConfinement(now time.Duration) {
 	for _, queue := range s.confinement.Expire(now) {
--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -144,6 +144,7 @@
 		}
 		s.finish(j, Answer{State: StateComplete, Verdict: verdict.Ran})
 		if j.isApart() && s.confinement.RecordClean(s.now(), j.queue.Name) {
+			s.announceRelease(j.queue.Name)
 			s.releaseQueue(j.queue.Name)
 		}
 		return
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -186,6 +186,7 @@
 	t.lastFrameAt = s.now()
 	t.echo = max(t.echo, f.Sent)
 	s.receiveCrashes(t, f.Crashes)
+	s.receiveReleases(f.Released)
 	if f.Target != nil {
 		s.describe(t, f.Target)
 	}
--- a/internal/request/crash/report.go
+++ b/internal/request/crash/report.go
@@ -44,6 +44,14 @@
 	Isolated bool `cbor:"4,keyasint,omitempty" json:"isolated"`
 }
 
+// Release says that the jobs of a queue have proved harmless since a crash, so that they are
+// no longer kept apart.
+type Release struct {
+	Queue string `cbor:"1,keyasint"`
+	// Latest is the latest crash that the sender knows of which the queue was the cause.
+	Latest ID `cbor:"2,keyasint"`
+}
+
 // IsAlone reports whether only runs of one job were on the target.
 func (r *Report) IsAlone() bool {
 	for i := range r.Runs {
