Blame a queue by its share of all recent crashes and the size of the fleet

The number of crashes grows with the fleet. The first task of an isolated job keeps others out until the rest has followed, not until its end.

--- a/internal/process/load/cause.go
+++ b/internal/process/load/cause.go
@@ -53,22 +53,23 @@
 	return r.count*math.Exp(-float64(now-r.at)/float64(startRateWindow)) + 1
 }
 
-// mainCause returns the queue that explains most of the recent crashes, and how many of them.
-// Each crash is shared between the queues of its runs: a run counts the more the younger it
+// mainCause returns the queue that explains most of the recent crashes, and how many of them
+// and all queues explain. Each crash is shared between the queues of its runs: a run counts the more the younger it
 // is and the rarer runs of its queue are, since a young run of a rare queue is seldom there
 // by chance. It also counts by the number of crashes that its queue explains in the round
 // before, so that a queue that is present at each crash gains on the others.
-func mainCause(now time.Duration, reports []crash.Report, rates *startRates) (queue string, score float64) {
+func mainCause(now time.Duration, reports []crash.Report, rates *startRates) (queue string, score, total float64) {
 	scores := make(map[string]float64)
 	for range causeRounds {
 		scores = refineCause(now, reports, rates, scores)
 	}
 	for name, s := range scores {
+		total += s
 		if s > score || (s == score && name < queue) {
 			queue, score = name, s
 		}
 	}
-	return queue, score
+	return queue, score, total
 }
 
 func refineCause(now time.Duration, reports []crash.Report, rates *startRates, before map[string]float64) map[string]float64 {
--- a/internal/process/load/confinement.go
+++ b/internal/process/load/confinement.go
@@ -20,8 +20,15 @@
 	// longer keeps others out, from the highest age at which one has crashed its target.
 	dangerFactor = 2
 	dangerMargin = 10 * time.Millisecond
-	// scoreToPutApart is the number of crashes that a queue must explain to be put apart.
-	scoreToPutApart = 2
+	// minScore is the number of recent crashes that a queue must explain to be put apart, and
+	// scoreShare their number as a part of all targets: in a large fleet a few targets always
+	// crash for other reasons.
+	minScore   = 2
+	scoreShare = 1.0 / 8
+	// isolateFactor and isolateShare are the factor on that number, and the part of all recent
+	// crashes, from which a queue that explains them is isolated.
+	isolateFactor = 1.75
+	isolateShare  = 0.8
 )
 
 // Separation is how far a job is kept apart from others.
@@ -70,13 +77,15 @@
 }
 
 // Observe takes a crash into account. reports are all reports of crashes, with this one, and
-// suspects those derived from them. It returns the queue whose separation is raised, if any.
-func (c *Confinement) Observe(now time.Duration, r *crash.Report, reports []crash.Report, suspects Suspects) (queue string, raised bool) {
+// suspects those derived from them; size is the number of targets. It returns the queue whose
+// separation is raised, if any.
+func (c *Confinement) Observe(now time.Duration, r *crash.Report, reports []crash.Report, suspects Suspects, size int) (queue string, raised bool) {
 	if r.Withdrawn || len(r.Runs) == 0 {
 		return "", false
 	}
-	name, score := mainCause(now, reports, &c.rates)
+	name, score, total := mainCause(now, reports, &c.rates)
 	c.releaseOthers(now, name)
+	required := max(minScore, scoreShare*float64(size))
 	only, single := onlyQueue(r)
 	switch {
 	case single && c.Separation(only) != Shared, single && r.Runs[0].Isolated && suspects[r.Runs[0].Task.Job].Crashes >= crashesBeforeGivingUp:
@@ -85,7 +94,9 @@
 			q.dangerAge = max(q.dangerAge, youngestRun(r))
 		}
 		return only, q.raise(now, r.ID, Isolated)
-	case score >= scoreToPutApart:
+	case score >= isolateFactor*required && score >= isolateShare*total:
+		return name, c.queue(name).raise(now, r.ID, Isolated)
+	case score >= required:
 		return name, c.queue(name).raise(now, r.ID, Apart)
 	}
 	return "", false
--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -55,7 +55,7 @@
 		t.recordCrash(now, r)
 	}
 	s.expectSuspects(now, r)
-	if queue, raised := s.confinement.Observe(now, r, s.crashes.Reports(now), s.suspects); raised {
+	if queue, raised := s.confinement.Observe(now, r, s.crashes.Reports(now), s.suspects, len(s.targets)); raised {
 		s.logConfinement(queue)
 	}
 }
--- a/internal/process/scheduler/isolation.go
+++ b/internal/process/scheduler/isolation.go
@@ -14,6 +14,9 @@
 	// isolationWait is how long a suspect waits for a target of its own once its lost run
 	// has certainly ended.
 	isolationWait = 500 * time.Millisecond
+	// followUpTime is the time that the other tasks of an isolated job take to follow the
+	// first one once it has proved harmless.
+	followUpTime = 2*sweepInterval + 10*time.Millisecond
 	// maxCrashedTime is how long a crashed target counts as one that will be back.
 	maxCrashedTime = 10 * time.Second
 	// defaultRestartTime is the expected time until a crashed target is back while none has
@@ -287,12 +290,12 @@
 }
 
 // exclusiveFor returns the age up to which the next task of an isolated job keeps out other
-// jobs: until its end while further tasks of the job are to follow.
+// jobs, 0 if until its end. The first task does so until the others have been sent.
 func (s *Scheduler) exclusiveFor(it *item) time.Duration {
-	if it.job.firstAttempt() == nil && it.job.tasksLeft > 1 {
-		return 0
+	age, known := s.confinement.HarmlessAge(it.job.queue.Name)
+	if known && it.job.firstAttempt() == nil && it.job.tasksLeft > 1 {
+		return age + followUpTime
 	}
-	age, _ := s.confinement.HarmlessAge(it.job.queue.Name)
 	return age
 }
 
