Store the crashes of a target, and test what counts as one

Crashes were known to processes only: a loss of power of all of them would have lost the counts. The agent writes the recent crashes of its own target, one write a crash, and restores them at its start. Tests of the agent's judgement: a planned stop, a restart behind a cut and a target that answers again are no crashes; a crash known by a new incarnation counts once; an entry that links later learns of it.

--- /dev/null
+++ b/internal/process/load/confinement_test.go
@@ -0,0 +1,172 @@
+package load
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/crash"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+// crashedRun returns a run of a job named "queue-n".
+func crashedRun(queue string, n int, age time.Duration) crash.Run {
+	return crash.Run{Task: task.Key{Job: fmt.Sprint(queue, "-", n)}, Queue: queue, Age: age}
+}
+
+// crashes feeds crashes to a Confinement as an entry does.
+type crashes struct {
+	confinement Confinement
+	log         crash.Log
+	number      int64
+	suspects    Suspects
+}
+
+func (c *crashes) observe(now time.Duration, runs ...crash.Run) {
+	c.number++
+	r := crash.Report{ID: crash.ID{Target: fmt.Sprint("t", c.number), Incarnation: 1}, Runs: runs}
+	c.log.Add(now, r)
+	reports := c.log.Reports(now)
+	c.suspects = NewSuspects(reports)
+	const targets = 11
+	c.confinement.Observe(now, &r, reports, c.suspects, targets)
+}
+
+// One task of queue k crashes a target beside a dozen runs of others each time.
+func (c *crashes) mixed(now time.Duration, job int) {
+	runs := []crash.Run{crashedRun("k", job, 9*time.Millisecond)}
+	for n := range 5 {
+		runs = append(runs, crashedRun("a", 100*job+n, time.Duration(30+40*n)*time.Millisecond))
+		runs = append(runs, crashedRun("b", 100*job+n, time.Duration(50+150*n)*time.Millisecond))
+	}
+	c.observe(now, runs...)
+}
+
+func TestMainSuspectIsIsolatedAndOthersAreNot(t *testing.T) {
+	var c crashes
+	c.mixed(0, 1)
+	if s := c.suspects["k-1"]; !s.MustIsolate() || s.MustGiveUp() {
+		t.Errorf("the killer: %+v", s)
+	}
+	for job, s := range c.suspects {
+		if job != "k-1" && s.MustIsolate() {
+			t.Errorf("%s: %+v", job, s)
+		}
+	}
+}
+
+func TestTaskIsGivenUpAfterTwoCrashesIfOneWasAlone(t *testing.T) {
+	var c crashes
+	c.mixed(0, 1)
+	c.observe(time.Second, crashedRun("k", 1, 9*time.Millisecond))
+	if s := c.suspects["k-1"]; !s.MustGiveUp() || s.Crashes != 2 || s.Alone != 1 {
+		t.Errorf("the killer: %+v", s)
+	}
+}
+
+// An old run of another job was on two crashed targets by chance.
+func TestTaskIsGivenUpAfterThreeCrashesBesideOthers(t *testing.T) {
+	var c crashes
+	for n := range 3 {
+		c.observe(time.Duration(n)*time.Second, crashedRun("k", n, 9*time.Millisecond), crashedRun("a", 1, 500*time.Millisecond))
+		if s := c.suspects["a-1"]; s.MustGiveUp() != (n == 2) {
+			t.Errorf("after %d crashes: %+v", n+1, s)
+		}
+	}
+}
+
+func TestWithdrawnCrashMakesNoSuspect(t *testing.T) {
+	r := crash.Report{Runs: []crash.Run{crashedRun("k", 1, 0)}, Withdrawn: true}
+	if s := NewSuspects([]crash.Report{r}); len(s) > 0 {
+		t.Errorf("suspects %+v", s)
+	}
+}
+
+// Jobs of queue k crash a target every 300 ms, beside runs of queues a and b.
+func TestQueueThatCrashesTargetsIsPutApartThenIsolated(t *testing.T) {
+	var c crashes
+	for n := range 3 {
+		c.mixed(time.Duration(n)*300*time.Millisecond, n)
+	}
+	if got := c.confinement.Separation("k"); got != Apart {
+		t.Fatalf("after three crashes it is %v", got)
+	}
+	c.observe(time.Second, crashedRun("k", 7, 9*time.Millisecond), crashedRun("k", 8, 30*time.Millisecond))
+	if got := c.confinement.Separation("k"); got != Isolated {
+		t.Errorf("after a crash of its own targets it is %v", got)
+	}
+	for _, other := range []string{"a", "b"} {
+		if got := c.confinement.Separation(other); got != Shared {
+			t.Errorf("%s is %v", other, got)
+		}
+	}
+}
+
+// Half of the targets lose power at the same moment.
+func TestCrashesAtOneMomentBlameNoQueue(t *testing.T) {
+	var c crashes
+	for n := range 6 {
+		c.mixed(time.Duration(n)*time.Millisecond, n)
+	}
+	if c.confinement.Any() {
+		t.Error("a queue is kept apart")
+	}
+}
+
+func TestQueueIsReleasedAfterHarmlessJobs(t *testing.T) {
+	var c crashes
+	for n := range 3 {
+		c.mixed(time.Duration(n)*300*time.Millisecond, n)
+	}
+	for n := 1; n < cleanJobs; n++ {
+		if c.confinement.RecordClean(time.Second, "k") {
+			t.Fatalf("released after %d jobs", n)
+		}
+	}
+	if !c.confinement.RecordClean(time.Second, "k") || c.confinement.Separation("k") != Shared {
+		t.Error("not released")
+	}
+}
+
+// Another entry has counted from a crash before the latest one.
+func TestReleaseFromBeforeTheLatestCrashIsIgnored(t *testing.T) {
+	var c crashes
+	for n := range 3 {
+		c.mixed(time.Duration(n)*300*time.Millisecond, n)
+	}
+	before := c.confinement.LatestCrash("k")
+	c.mixed(time.Second, 9)
+	if c.confinement.Release(2*time.Second, "k", before) {
+		t.Error("released")
+	}
+	if !c.confinement.Release(2*time.Second, "k", c.confinement.LatestCrash("k")) {
+		t.Error("not released")
+	}
+}
+
+func TestConfinementWithoutCrashesExpires(t *testing.T) {
+	var c crashes
+	for n := range 3 {
+		c.mixed(time.Duration(n)*300*time.Millisecond, n)
+	}
+	if got := c.confinement.Expire(maxConfinement + time.Second); len(got) != 1 || got[0] != "k" {
+		t.Errorf("released %v", got)
+	}
+}
+
+// However many jobs crash targets, most of the fleet must be left to others.
+func TestPartAtStakeIsBounded(t *testing.T) {
+	for _, c := range []struct {
+		size, down int
+		highest    Separation
+		want       int
+	}{
+		{11, 0, Isolated, 3}, {11, 2, Isolated, 1}, {11, 3, Isolated, 0}, {11, 5, Isolated, 0},
+		{11, 3, Apart, 2}, {11, 5, Apart, 0}, {11, 3, Shared, 1}, {11, 5, Shared, 0},
+		{69, 0, Isolated, 18}, {1, 0, Isolated, 0}, {3, 0, Isolated, 1},
+	} {
+		if got := TargetsApart(c.size, c.down, c.highest); got != c.want {
+			t.Errorf("%d targets, %d down, %v: %d set apart, want %d", c.size, c.down, c.highest, got, c.want)
+		}
+	}
+}
--- a/internal/process/runs/crash.go
+++ b/internal/process/runs/crash.go
@@ -75,11 +75,17 @@
 			o.link.Send(peer.Frame{Crashes: []crash.Report{r}})
 		}
 	}
-	if m.opts.Crashed != nil {
-		m.opts.Crashed(m.crashes.Reports(m.clock()))
+	if r.Agent == m.opts.Name && m.opts.Crashed != nil {
+		m.opts.Crashed(m.ownCrashesLocked())
 	}
 }
 
+// ownCrashesLocked returns the reports about this agent's target.
+func (m *Manager) ownCrashesLocked() []crash.Report {
+	reports := m.crashes.Reports(m.clock())
+	return slices.DeleteFunc(reports, func(r crash.Report) bool { return r.Agent != m.opts.Name })
+}
+
 // forwardReleasesLocked forwards the queues that an entry no longer keeps apart to the other
 // entries.
 func (m *Manager) forwardReleasesLocked(from *owner, released []crash.Release) {
--- /dev/null
+++ b/internal/process/runs/crash_test.go
@@ -0,0 +1,195 @@
+package runs
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/crash"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+// refuse makes the target end without notice: its runs are gone and nothing listens.
+func (h *harness) refuse() {
+	h.target.set(func() {
+		h.target.refuses = true
+		clear(h.target.running)
+	})
+}
+
+func (h *harness) waitCrash() crash.Report {
+	h.t.Helper()
+	f := h.waitFor(func(f *peer.Frame) bool { return len(f.Crashes) > 0 })
+	return f.Crashes[0]
+}
+
+// noCrashWithin fails the test if a crash is reported.
+func (h *harness) noCrashWithin(d time.Duration) {
+	h.t.Helper()
+	time.Sleep(d)
+	for {
+		select {
+		case f := <-h.frames:
+			if len(f.Crashes) > 0 {
+				h.t.Fatalf("a crash is reported: %+v", f.Crashes)
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (h *harness) startIsolated(job string, exclusiveFor time.Duration) task.Attempt {
+	a := task.Attempt{Key: task.Key{Job: job}, Run: 1}
+	h.entry.Send(peer.Frame{Starts: []peer.Start{{
+		Attempt: a, Need: task.Resources{CPU: 1000}, Incarnation: 1, Isolated: true, ExclusiveFor: exclusiveFor,
+	}}})
+	return a
+}
+
+// A task crashes its target: the report must be out long before the lease of the runs has
+// expired, and before the task can be started again.
+func TestCrashIsReportedWithItsRunsBeforeTheyAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		old := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(old)
+		time.Sleep(100 * time.Millisecond)
+		young := h.start(1, 1, task.Resources{CPU: 1000})
+		h.waitStarted(young)
+		crashed := time.Now()
+		h.refuse()
+		r := h.waitCrash()
+		if took := time.Since(crashed); took > 100*time.Millisecond {
+			t.Errorf("reported after %v", took)
+		}
+		if r.ID != (crash.ID{Target: "t1", Incarnation: 1}) || len(r.Runs) != 2 || r.Runs[0].Task != young.Key || r.Runs[1].Task != old.Key {
+			t.Errorf("report is %+v", r)
+		}
+		if r.Runs[1].Age < 100*time.Millisecond || r.Runs[0].Age > 100*time.Millisecond {
+			t.Errorf("ages are %v and %v", r.Runs[0].Age, r.Runs[1].Age)
+		}
+		h.waitOutcome(young, peer.OutcomeLost)
+	})
+}
+
+// The crash shows only by a new incarnation, and then by a late refusal too: it counts once.
+func TestCrashKnownByNewIncarnationCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		h.target.set(func() { clear(h.target.running) })
+		h.announce(Announcement{Incarnation: 2, Sequence: 1})
+		if r := h.waitCrash(); r.ID.Incarnation != 1 || len(r.Runs) != 1 {
+			t.Errorf("report is %+v", r)
+		}
+		h.noCrashWithin(time.Second)
+	})
+}
+
+// A target that drains ends as planned.
+func TestPlannedStopIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.waitStarted(h.start(0, 1, task.Resources{CPU: 1000}))
+		h.announce(Announcement{Incarnation: 1, Sequence: 2, Draining: true})
+		h.refuse()
+		h.noCrashWithin(time.Second)
+	})
+}
+
+// The path to the target is cut and its lease ends the runs; then it restarts. Its tasks have
+// not crashed it.
+func TestRestartBehindACutIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.waitStarted(h.start(0, 1, task.Resources{CPU: 1000}))
+		h.target.set(func() { h.target.unresponsive = true })
+		time.Sleep(2 * unresponsiveAfter)
+		h.refuse()
+		time.Sleep(unresponsiveAfter)
+		h.announce(Announcement{Incarnation: 2, Sequence: 1})
+		h.noCrashWithin(time.Second)
+	})
+}
+
+// A cut refuses connections for a moment, and the same incarnation answers again.
+func TestCrashIsWithdrawnWhenTheTargetAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.waitStarted(h.start(0, 1, task.Resources{CPU: 1000}))
+		h.target.set(func() { h.target.refuses = true })
+		first := h.waitCrash()
+		h.target.set(func() { h.target.refuses = false })
+		if second := h.waitCrash(); !second.Withdrawn || second.ID != first.ID {
+			t.Errorf("report is %+v", second)
+		}
+	})
+}
+
+// The entry that started a task is killed right after a crash. The one that its caller turns
+// to links later, and must learn of the crash.
+func TestEntryThatLinksLaterLearnsOfCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.waitStarted(h.start(0, 1, task.Resources{CPU: 1000}))
+		h.refuse()
+		want := h.waitCrash()
+		h.entry.Close()
+		h.connect(8)
+		if got := h.waitCrash(); got.ID != want.ID || len(got.Runs) != 1 {
+			t.Errorf("report is %+v", got)
+		}
+	})
+}
+
+// A suspect must not take runs of others with it.
+func TestIsolatedRunIsKeptApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		shared := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(shared)
+		if r := h.waitOutcome(h.startIsolated("suspect", 0), peer.OutcomeRefused); r.Refusal != peer.RefusalIsolation {
+			t.Errorf("beside a shared run: refused for %q", r.Refusal)
+		}
+		h.target.end(shared, peer.OutcomeDone)
+		h.waitOutcome(shared, peer.OutcomeDone)
+		h.waitStarted(h.startIsolated("suspect", 50*time.Millisecond))
+		if r := h.waitOutcome(h.start(1, 1, task.Resources{CPU: 1000}), peer.OutcomeRefused); r.Refusal != peer.RefusalIsolation {
+			t.Errorf("shared beside isolated: refused for %q", r.Refusal)
+		}
+		if r := h.waitOutcome(h.startIsolated("early", 0), peer.OutcomeRefused); r.Refusal != peer.RefusalIsolation {
+			t.Errorf("beside a young isolated run: refused for %q", r.Refusal)
+		}
+		time.Sleep(50 * time.Millisecond)
+		h.waitStarted(h.startIsolated("late", 0))
+	})
+}
+
+// The target's capacity shrinks below what runs there and grows again. A late announcement of
+// the former capacity must not bring it over the present one.
+func TestNoStartOverACapacityThatHasShrunk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := h.start(0, 1, task.Resources{CPU: 4000})
+		h.waitStarted(a)
+		h.waitStarted(h.start(1, 1, task.Resources{CPU: 2000}))
+		shrunk := Announcement{ID: "t1", DataCentre: "dc1", Incarnation: 1, Sequence: 5, Capacity: task.Resources{CPU: 4000}}
+		h.manager.Announce(shrunk)
+		late := shrunk
+		late.Sequence, late.Capacity = 4, testCapacity
+		h.manager.Announce(late)
+		if r := h.waitOutcome(h.start(2, 1, task.Resources{CPU: 1000}), peer.OutcomeRefused); r.Refusal != peer.RefusalNoCapacity {
+			t.Errorf("refused for %q", r.Refusal)
+		}
+		h.target.end(a, peer.OutcomeDone)
+		h.waitOutcome(a, peer.OutcomeDone)
+		h.waitStarted(h.start(3, 1, task.Resources{CPU: 2000}))
+		grown := shrunk
+		grown.Sequence, grown.Capacity = 6, task.Resources{CPU: 6000}
+		h.manager.Announce(grown)
+		h.waitStarted(h.start(4, 1, task.Resources{CPU: 2000}))
+	})
+}
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -29,8 +29,8 @@
 	Announced func(Announcement)
 	// TargetLease is how long the target continues its runs without a renewal.
 	TargetLease time.Duration
-	// Crashed is called with all reports of crashes that are kept when one is added. It must
-	// not block. Optional.
+	// Crashed is called with the reports of this target's recent crashes when one is added. It
+	// must not block. Optional.
 	Crashed func([]crash.Report)
 	// Retired is called once a retiring entry has no runs and results left here.
 	// Optional.
--- a/internal/process/runs/manager_test.go
+++ b/internal/process/runs/manager_test.go
@@ -33,6 +33,8 @@
 	// number of next starts without an answer; they are executed at once, or put into
 	// delayedStarts if delayStarts is set.
 	unresponsive            bool
+	// refuses is set while nothing listens at the target's address.
+	refuses bool
 	startsToLeaveUnanswered int
 	delayStarts             bool
 	delayedStarts           []func()
@@ -65,6 +67,9 @@
 	if f.beforeStart != nil {
 		f.beforeStart()
 	}
+	if f.refuses {
+		return 0, ErrRefused
+	}
 	if f.unresponsive {
 		f.calls++
 		return 0, errSilent
@@ -104,6 +109,9 @@
 func (f *fakeTarget) Stop(_ context.Context, token uint64, a task.Attempt) (Answer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.refuses {
+		return 0, ErrRefused
+	}
 	if f.unresponsive {
 		f.calls++
 		return 0, errSilent
@@ -122,6 +130,9 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.refuses {
+		return Report{}, ErrRefused
+	}
 	if f.unresponsive {
 		f.calls++
 		return Report{}, errSilent
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -33,6 +33,7 @@
 	runs        *runs.Manager
 	store       registryStore
 	record      *targetRecord
+	crashes     *crashRecord
 	httpServer  *caller.Server
 	links       *links
 	listFailing bool
@@ -41,10 +42,11 @@
 func (p *Server) newAgent() error {
 	kv := platform.NewStore(p.node.Store, p.node.IP)
 	a := &agent{
-		Server: p,
-		store:  kv,
-		record: newTargetRecord(kv, p.log, p.settings.Name),
-		links:  newLinks(p.settings.Name, p.settings.DataCentre, p.log),
+		Server:  p,
+		store:   kv,
+		record:  newTargetRecord(kv, p.log, p.settings.Name),
+		crashes: newCrashRecord(kv, p.log, p.settings.Name),
+		links:   newLinks(p.settings.Name, p.settings.DataCentre, p.log),
 	}
 	p.run = a.serve
 	a.runs = runs.New(runs.Options{
@@ -56,6 +58,7 @@
 		TargetLease: p.node.TargetLease.Std(),
 		Announced:   a.record.queue,
 		Retired:     a.links.linkRetired,
+		Crashed:     a.crashes.queue,
 		Dial: func(announced runs.Announcement) runs.TargetClient {
 			return platform.NewTargetClient(announced, p.node.IP, p.node.TargetLease.Std())
 		},
@@ -88,6 +91,7 @@
 	go a.runs.Run(ctx.Done())
 	go a.findEntries(ctx)
 	go a.syncRecord(ctx)
+	go a.syncCrashes(ctx)
 	<-stop
 	a.log.Info().Msg("stopping")
 	draining, cancelDraining := context.WithTimeout(context.Background(), a.stopTimeout().Std()-stopReserve)
@@ -107,6 +111,16 @@
 	a.record.run(ctx)
 }
 
+// syncCrashes restores the stored crashes of the target, then stores each new one.
+func (a *agent) syncCrashes(ctx context.Context) {
+	reports, err := a.crashes.load(ctx)
+	if err != nil {
+		a.log.Warn().Err(err).Msg("cannot read the stored crashes of the target")
+	}
+	a.runs.RestoreCrashes(reports)
+	a.crashes.run(ctx)
+}
+
 // findEntries reads the list of entries from the store while none is linked. If the store
 // does not answer, the seed addresses from the settings are dialled once.
 func (a *agent) findEntries(ctx context.Context) {
