An entry takes a target as gone with the report of its crash

The description of the target as unavailable follows later or, if frames are lost with their link, never: a suspect was started again on the target that it had crashed. Tests of the count at other entries, of the truth of the answers and of the isolation.

--- a/internal/process/runs/manager_test.go
+++ b/internal/process/runs/manager_test.go
@@ -32,9 +32,9 @@
 	// unresponsive drops all orders and polls without an answer. startsToLeaveUnanswered is the
 	// number of next starts without an answer; they are executed at once, or put into
 	// delayedStarts if delayStarts is set.
-	unresponsive            bool
+	unresponsive bool
 	// refuses is set while nothing listens at the target's address.
-	refuses bool
+	refuses                 bool
 	startsToLeaveUnanswered int
 	delayStarts             bool
 	delayedStarts           []func()
--- a/internal/process/scheduler/cluster_test.go
+++ b/internal/process/scheduler/cluster_test.go
@@ -35,6 +35,8 @@
 	number   uint64
 	free     task.Resources
 	claims   []peer.Claim
+	// crashes is the number of reports of crashes received.
+	crashes int
 	// others is the demand that the agent reports, received that of the entry.
 	others, received task.Demand
 }
@@ -46,6 +48,12 @@
 	a.link.Send(peer.Frame{})
 }
 
+func (a *fakeAgent) crashCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.crashes
+}
+
 func (a *fakeAgent) demand() task.Demand {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -145,6 +153,7 @@
 		a.mu.Lock()
 		a.accepted += uint64(len(f.Starts))
 		a.received = f.Demand
+		a.crashes += len(f.Crashes)
 		if f.Claims != nil {
 			a.claims = append(a.claims, f.Claims.Attempts...)
 		}
--- /dev/null
+++ b/internal/process/scheduler/crash_test.go
@@ -0,0 +1,187 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/load"
+	"github.com/rosemarybay/rosemarybay/internal/request/crash"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+// reportCrash reports a crash of the agent's target under some runs.
+func (a *fakeAgent) reportCrash(incarnation int64, runs ...crash.Run) {
+	a.link.Send(peer.Frame{Crashes: []crash.Report{{
+		ID: crash.ID{Target: a.name, Incarnation: incarnation}, Agent: a.name, Runs: runs,
+	}}})
+	time.Sleep(10 * time.Millisecond)
+}
+
+// crashed returns the run of a start order for a report.
+func crashed(s peer.Start) crash.Run {
+	return crash.Run{Task: s.Attempt.Key, Queue: s.Queue, Age: 8 * time.Millisecond, Isolated: s.Isolated}
+}
+
+func clusterOf(t *testing.T, n int) (*testCluster, []*fakeAgent) {
+	tc := newTestCluster(t)
+	var agents []*fakeAgent
+	for i := range n {
+		agents = append(agents, tc.agent(fmt.Sprint("a", i)))
+	}
+	return tc, agents
+}
+
+// A task crashes the target that starts it, and the next one. The job must fail at once, and
+// its task must not be started a third time.
+func TestTaskThatCrashesTargetsIsStartedTwiceOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, agents := clusterOf(t, 6)
+		answered, _ := tc.submit(tc.job("j", 1, 1000))
+		a, s := nextStartOfAny(t, agents)
+		a.report(s.Attempt, s.Need, peer.OutcomeStarted, "")
+		a.reportCrash(1, crashed(s), crash.Run{Queue: "other", Age: time.Second})
+		a.report(s.Attempt, s.Need, peer.OutcomeLost, "")
+		b, second := nextStartOfAny(t, agents)
+		if !second.Isolated || b == a {
+			t.Errorf("started again on %s, isolated %v", b.name, second.Isolated)
+		}
+		b.report(second.Attempt, second.Need, peer.OutcomeStarted, "")
+		begun := time.Now()
+		b.reportCrash(1, crashed(second))
+		if got := await(t, answered); got.State != StateFailed || got.Verdict != verdict.Ran {
+			t.Errorf("answer %+v", got)
+		}
+		if took := time.Since(begun); took > 20*time.Millisecond {
+			t.Errorf("answered after %v", took)
+		}
+		b.report(second.Attempt, second.Need, peer.OutcomeLost, "")
+		time.Sleep(time.Second)
+		for _, a := range agents {
+			if len(a.starts) > 0 {
+				t.Error("the task is started again")
+			}
+		}
+	})
+}
+
+// A job has crashed targets at another entry, and its caller turns to this one.
+func TestCrashesAtAnotherEntryCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, agents := clusterOf(t, 6)
+		run := crash.Run{Task: task.Key{Job: "j"}, Queue: "q", Isolated: true}
+		agents[0].reportCrash(1, run)
+		agents[1].reportCrash(1, run)
+		answered, _ := tc.submit(tc.job("j", 1, 1000))
+		if got := await(t, answered); got.State != StateFailed {
+			t.Errorf("answer %+v", got)
+		}
+		for _, a := range agents {
+			if len(a.starts) > 0 {
+				t.Error("the task is started")
+			}
+		}
+	})
+}
+
+// A job that has crashed a target at another entry cannot be run apart now. It must not be
+// said not to have run.
+func TestJobThatHasCrashedATargetIsNotSaidNotToHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, agents := clusterOf(t, 2)
+		agents[0].reportCrash(1, crash.Run{Task: task.Key{Job: "j"}, Queue: "q", Isolated: true})
+		agents[0].link.Close()
+		tc.submit(tc.job("other", 4, 2000))
+		for range 4 {
+			agents[1].nextStart()
+		}
+		answered, _ := tc.submit(tc.job("j", 1, 1000))
+		if got := await(t, answered); got.State == StateRefused || got.Verdict == verdict.NotRun {
+			t.Errorf("answer %+v", got)
+		}
+	})
+}
+
+// A new report is passed on, so that it survives the agent that made it.
+func TestReportOfACrashIsForwarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, agents := clusterOf(t, 5)
+		agents[0].reportCrash(1, crash.Run{Task: task.Key{Job: "j"}, Queue: "q"})
+		informed := 0
+		for _, a := range agents[1:] {
+			informed += a.crashCount()
+		}
+		if informed != maxForwards || agents[0].crashCount() != 0 {
+			t.Errorf("%d other agents are informed", informed)
+		}
+	})
+}
+
+// The first task of an isolated job goes ahead: if it crashes the target, nothing else of the
+// job is lost.
+func TestFirstTaskOfAnIsolatedJobGoesAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, agents := clusterOf(t, 8)
+		tc.isolateQueue()
+		answered, _ := tc.submit(tc.job("j", 3, 1000))
+		a, first := nextStartOfAny(t, agents)
+		a.report(first.Attempt, first.Need, peer.OutcomeStarted, "")
+		time.Sleep(20 * time.Millisecond)
+		for _, b := range agents {
+			if len(b.starts) > 0 {
+				t.Fatal("a second task is started")
+			}
+		}
+		a.report(first.Attempt, first.Need, peer.OutcomeDone, "")
+		for range 2 {
+			b, s := nextStartOfAny(t, agents)
+			if b != a || !s.Isolated {
+				t.Errorf("started on %s, isolated %v", b.name, s.Isolated)
+			}
+			b.done(s)
+		}
+		if got := await(t, answered); got.State != StateComplete {
+			t.Errorf("answer %+v", got)
+		}
+	})
+}
+
+// isolateQueue makes the entry isolate the jobs of its queue.
+func (tc *testCluster) isolateQueue() {
+	s := tc.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := range int64(8) {
+		run := crash.Run{Task: task.Key{Job: fmt.Sprint("killer-", n)}, Queue: tc.queue.Name}
+		r := crash.Report{ID: crash.ID{Target: "gone", Incarnation: n}, Runs: []crash.Run{run}, Age: time.Duration(n) * time.Second}
+		s.receiveCrashes(nil, []crash.Report{r})
+	}
+	if got := s.confinement.Separation(tc.queue.Name); got != load.Isolated {
+		tc.t.Fatalf("the queue is %v", got)
+	}
+}
+
+// While all targets set apart are down, a job that must be isolated is refused at once.
+func TestIsolatedJobIsRefusedAtOnceWithoutATarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, agents := clusterOf(t, 8)
+		tc.isolateQueue()
+		for _, a := range agents[:2] {
+			a.reportCrash(1, crash.Run{Queue: "q", Isolated: true})
+			a.link.Send(peer.Frame{Target: &peer.Target{ID: a.name, Incarnation: 1, Pool: "p"}})
+		}
+		time.Sleep(50 * time.Millisecond)
+		begun := time.Now()
+		answered, _ := tc.submit(tc.job("j", 1, 1000))
+		got := await(t, answered)
+		if got.State != StateRefused || got.Verdict != verdict.NotRun || got.RetryAfter <= 0 {
+			t.Errorf("answer %+v", got)
+		}
+		if took := time.Since(begun); took > 10*time.Millisecond {
+			t.Errorf("refused after %v", took)
+		}
+	})
+}
--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -62,8 +62,8 @@
 
 // recordCrash records the time of a crash of the target, or that there was none.
 func (t *target) recordCrash(now time.Duration, r *crash.Report) {
-	t.lastCrash, t.crashedPool = 0, t.info.Pool
-	if !r.Withdrawn {
+	t.crashed, t.lastCrash, t.crashedPool = !r.Withdrawn, 0, t.info.Pool
+	if t.crashed {
 		t.lastCrash = max(now-r.Age, 1)
 	}
 }
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -28,7 +28,9 @@
 	shared, isolated, exclusive bool
 	// setApart is set while the target is kept for isolated jobs.
 	setApart bool
-	// lastCrash is when the target crashed last, or 0; crashedPool is its pool at that time.
+	// crashed is set while the incarnation described has crashed. lastCrash is when the target
+	// crashed last, or 0; crashedPool is its pool at that time.
+	crashed     bool
 	lastCrash   time.Duration
 	crashedPool string
 	// unaccounted holds the attempts sent that reportedFree does not include yet.
@@ -60,7 +62,7 @@
 
 // usable reports whether the target may be given work.
 func (t *target) usable(now time.Duration) bool {
-	return t.link != nil && t.info.Available && now-t.lastFrameAt < peer.SuspectAfter
+	return t.link != nil && t.info.Available && !t.crashed && now-t.lastFrameAt < peer.SuspectAfter
 }
 
 // free returns the free capacity less that of starts still in transit.
@@ -224,10 +226,14 @@
 	s.opts.Log.Info().Str("agent", t.name).Str("target", info.ID).Int64("incarnation", info.Incarnation).
 		Bool("available", info.Available).Int64("cpu", info.Capacity.CPU).Str("data_centre", info.DataCentre).
 		Msg("target described")
-	if info.Available && t.isDown(s.now()) {
-		s.recordRestart(t, s.now())
+	if info.ID != t.info.ID || info.Incarnation != t.info.Incarnation {
+		t.crashed = false
 	}
+	restarted := t.isDown(s.now())
 	t.info = *info
+	if restarted && t.usable(s.now()) {
+		s.recordRestart(t, s.now())
+	}
 	s.assignTargetsApart(s.now())
 }
 
