--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -141,14 +141,14 @@
 }
 
 // separationOf returns how far the tasks of a job that are not started yet are kept apart. A
-// job that began before its queue was confined goes on.
+// job that began before its queue was confined goes on, unless it has been at a crash.
 func (s *Scheduler) separationOf(j *job) load.Separation {
 	switch {
 	case !s.canSetApart(j.queue.Pool):
 		return load.Shared
 	case j.suspicion.MustIsolate():
 		return load.Isolated
-	case j.begun && j.separation == load.Shared:
+	case j.begun && j.separation == load.Shared && j.suspicion.Crashes == 0:
 		return load.Shared
 	}
 	return s.confinement.Separation(j.queue.Name)
