--- a/internal/process/load/cause.go
+++ b/internal/process/load/cause.go
@@ -82,7 +82,7 @@
 		weights := make(map[string]float64)
 		var sum float64
 		for _, run := range r.Runs {
-			w := 1 / max(run.Age, minRunAge).Seconds() / rates.relative(now, run.Queue)
+			w := 1 / max(run.Age, minRunAge).Seconds() / math.Sqrt(rates.relative(now, run.Queue))
 			if len(before) > 0 {
 				w *= before[run.Queue]
 			}
