--- a/internal/process/load/cause.go
+++ b/internal/process/load/cause.go
@@ -59,9 +59,10 @@
 // is seldom there by chance. It also counts by the number of crashes that its queue explains in
 // the round before, so that a queue that is present at each crash gains on the others.
 func mainCause(now time.Duration, reports []crash.Report, rates *startRates) (queue string, score, total float64) {
+	recent := recentCrashes(reports)
 	scores := make(map[string]float64)
 	for range causeRounds {
-		scores = refineCause(now, reports, rates, scores)
+		scores = refineCause(now, recent, rates, scores)
 	}
 	for name, s := range scores {
 		total += s
@@ -72,28 +73,34 @@
 	return queue, score, total
 }
 
-func refineCause(now time.Duration, reports []crash.Report, rates *startRates, before map[string]float64) map[string]float64 {
-	scores := make(map[string]float64)
+// recentCrashes returns the crashes that tasks may have caused. reports are in the order of
+// their ages.
+func recentCrashes(reports []crash.Report) []*crash.Report {
+	var valid []*crash.Report
 	for i := range reports {
-		r := &reports[i]
-		if r.Withdrawn || r.Age > causeWindow || crashesAt(reports, r.Age) > 1 {
-			continue
-		}
-		weights := make(map[string]float64)
-		var sum float64
-		for _, run := range r.Runs {
-			w := 1 / max(run.Age, minRunAge).Seconds() / math.Sqrt(rates.relative(now, run.Queue))
-			if len(before) > 0 {
-				w *= before[run.Queue]
-			}
-			weights[run.Queue] += w
-			sum += w
+		if r := &reports[i]; !r.Withdrawn && r.Age <= causeWindow {
+			valid = append(valid, r)
 		}
-		if sum == 0 {
-			continue
+	}
+	var recent []*crash.Report
+	for i, r := range valid {
+		younger := i > 0 && r.Age-valid[i-1].Age <= sameMoment
+		older := i+1 < len(valid) && valid[i+1].Age-r.Age <= sameMoment
+		if !younger && !older {
+			recent = append(recent, r)
 		}
+	}
+	return recent
+}
+
+// refineCause returns the number of crashes that each queue explains, given those of the round
+// before.
+func refineCause(now time.Duration, recent []*crash.Report, rates *startRates, before map[string]float64) map[string]float64 {
+	scores := make(map[string]float64)
+	for _, r := range recent {
+		weights, sum := queueWeights(now, r, rates, before)
 		for name, w := range weights {
-			if name != "" {
+			if name != "" && sum > 0 {
 				scores[name] += w / sum
 			}
 		}
@@ -101,13 +108,16 @@
 	return scores
 }
 
-// crashesAt returns the number of crashes at about the same moment.
-func crashesAt(reports []crash.Report, age time.Duration) int {
-	n := 0
-	for i := range reports {
-		if !reports[i].Withdrawn && (reports[i].Age-age).Abs() <= sameMoment {
-			n++
+// queueWeights returns the weight of each queue in the explanation of one crash, and their sum.
+func queueWeights(now time.Duration, r *crash.Report, rates *startRates, before map[string]float64) (weights map[string]float64, sum float64) {
+	weights = make(map[string]float64)
+	for _, run := range r.Runs {
+		w := 1 / max(run.Age, minRunAge).Seconds() / math.Sqrt(rates.relative(now, run.Queue))
+		if len(before) > 0 {
+			w *= before[run.Queue]
 		}
+		weights[run.Queue] += w
+		sum += w
 	}
-	return n
+	return weights, sum
 }
