--- a/internal/process/load/confinement.go
+++ b/internal/process/load/confinement.go
@@ -232,9 +232,9 @@
 }
 
 const (
-	// apartShare is the part of a pool that may be at stake: one in apartShare targets,
+	// stakeShare is the part of a pool that may be at stake: one in stakeShare targets,
 	// rounded up.
-	apartShare = 4
+	stakeShare = 3
 	// minApart is the number of targets for a queue that is only suspected, and for single
 	// suspects.
 	minApart = 2
@@ -252,7 +252,7 @@
 	if size < minPool {
 		return 0
 	}
-	left := max((size+apartShare-1)/apartShare-down, 0)
+	left := max((size+stakeShare-1)/stakeShare-down, 0)
 	switch highest {
 	case Isolated:
 		return left
