--- a/internal/process/scheduler/crash_test.go
+++ b/internal/process/scheduler/crash_test.go
@@ -169,7 +169,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		tc, agents := clusterOf(t, 8)
 		tc.isolateQueue()
-		for _, a := range agents[:2] {
+		for _, a := range agents[:load.TargetsApart(len(agents), 0, load.Isolated)] {
 			a.reportCrash(1, crash.Run{Queue: "q", Isolated: true})
 			a.link.Send(peer.Frame{Target: &peer.Target{ID: a.name, Incarnation: 1, Pool: "p"}})
 		}
