Release a confined queue after 15 harmless jobs at one entry, not 30

The first of the entries to count them releases the queue at all; three entries have then seen some 40.

--- a/internal/process/load/confinement.go
+++ b/internal/process/load/confinement.go
@@ -10,7 +10,7 @@
 	// cleanJobs is the number of isolated jobs of a confined queue that must end without a
 	// crash before its jobs run beside others again. It doubles with each relapse within
 	// relapsePeriod, up to maxCleanJobs.
-	cleanJobs     = 30
+	cleanJobs     = 15
 	maxCleanJobs  = 240
 	relapsePeriod = 10 * time.Second
 	// maxConfinement ends the confinement of a queue without crashes and with too few jobs
