Crashes of several targets at one moment make no suspects

A task crashes one target at a time, so crashes within 15 ms of each other are no evidence. TestCrashesAtOneMomentBlameNoQueue asks for this as well and fails without.

--- a/internal/process/load/confinement_test.go
+++ b/internal/process/load/confinement_test.go
@@ -125,6 +125,11 @@
 	if c.confinement.Any() {
 		t.Error("a queue is kept apart")
 	}
+	for job, s := range c.suspects {
+		if s.MustIsolate() {
+			t.Errorf("%s is isolated: %+v", job, s)
+		}
+	}
 }
 
 func TestQueueIsReleasedAfterHarmlessJobs(t *testing.T) {
--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -54,7 +54,7 @@
 	if t := s.targets[r.Agent]; t != nil && t.info.ID == r.ID.Target && t.info.Incarnation == r.ID.Incarnation {
 		t.recordCrash(now, r)
 	}
-	s.expectSuspects(now, r)
+	s.expectSuspects(now)
 	if queue, raised := s.confinement.Observe(now, r, s.crashes.Reports(now), s.suspects, len(s.targets)); raised {
 		s.logConfinement(queue)
 	}
@@ -70,13 +70,22 @@
 
 // expectSuspects keeps a target set apart for the suspects of a crash until their runs have
 // certainly ended and been started again.
-func (s *Scheduler) expectSuspects(now time.Duration, r *crash.Report) {
+func (s *Scheduler) expectSuspects(now time.Duration) {
+	s.suspectsUntil = 0
+	for _, r := range s.crashes.Reports(now) {
+		if s.hasSuspects(&r) {
+			s.suspectsUntil = max(s.suspectsUntil, now-r.Age+s.opts.TargetLease+2*isolationWait)
+		}
+	}
+}
+
+func (s *Scheduler) hasSuspects(r *crash.Report) bool {
 	for _, run := range r.Runs {
 		if s.suspects[run.Task.Job].MustIsolate() {
-			s.suspectsUntil = max(s.suspectsUntil, now-r.Age+s.opts.TargetLease+2*isolationWait)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 func (s *Scheduler) logConfinement(queue string) {
