--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -15,8 +15,8 @@
 const maxForwards = 3
 
 const (
-	messageCrashed    = "targets have crashed under one of its tasks"
-	messageMustBeLone = "it must run apart from other jobs, and no target is free for that"
+	messageCrashed       = "targets have crashed under one of its tasks"
+	messageNoTargetApart = "it must run apart from other jobs, and no target is free for that"
 )
 
 // receiveCrashes takes the reports of a frame into account.
