Find the queue that crashes targets by the chance of its young runs being there

Cause: each crash was divided between the queues by the ages of their runs and the root of their rates. A queue with two hundred starts a second has a young run on every target that crashes, and gathered a share of each crash until it was isolated. Nothing weighed the explanation "by chance", and a queue once isolated was never cleared by crashes without it.

Change: for each queue and each range of ages, the number of its jobs on the crashed target is compared with that expected by chance from the measured rate at which its jobs begin on a target. The product over the crashes, against the explanation that no task is the cause, is a probability: put apart from 0.75, isolated from 0.97, released below 0.2 once another is likely. Crashes with the runs of one queue only say nothing of the others.

--- /dev/null
+++ b/internal/process/load/cause_test.go
@@ -0,0 +1,117 @@
+package load
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/request/crash"
+)
+
+// traffic is the runs of one queue on a target.
+type traffic struct {
+	queue string
+	// perSecond is how many jobs of the queue begin on one target each second.
+	perSecond float64
+	run       time.Duration
+}
+
+var deskTraffic = []traffic{
+	{"short", 18, 60 * time.Millisecond},
+	{"narrow", 18, 200 * time.Millisecond},
+	{"long", 2, 900 * time.Millisecond},
+}
+
+func startRateOf(queue string) float64 {
+	for _, t := range deskTraffic {
+		if t.queue == queue {
+			return t.perSecond
+		}
+	}
+	return minStartRate
+}
+
+// drawCrash draws the runs that are on a target by chance, and a killer of one queue at about
+// the given age.
+func drawCrash(random *rand.Rand, killer string, age, ago time.Duration) crash.Report {
+	r := crash.Report{Age: ago}
+	job := 0
+	for _, t := range deskTraffic {
+		for at := random.ExpFloat64() / t.perSecond; at < t.run.Seconds(); at += random.ExpFloat64() / t.perSecond {
+			job++
+			r.Runs = append(r.Runs, crashedRun(t.queue, job, time.Duration(at*float64(time.Second))))
+		}
+	}
+	if killer != "" {
+		r.Runs = append(r.Runs, crashedRun(killer, 0, time.Duration((0.7+0.6*random.Float64())*float64(age))))
+	}
+	slices.SortFunc(r.Runs, func(a, b crash.Run) int { return int(a.Age - b.Age) })
+	return r
+}
+
+// outcomeOfCauses counts how often each queue is taken for the likely and the certain cause of
+// a number of crashes.
+func outcomeOfCauses(crashes int, draw func(*rand.Rand, time.Duration) crash.Report) (likely, certain map[string]float64) {
+	const draws = 1000
+	random := rand.New(rand.NewPCG(1, 2))
+	likely, certain = make(map[string]float64), make(map[string]float64)
+	for range draws {
+		var reports []crash.Report
+		for n := range crashes {
+			reports = append(reports, draw(random, time.Duration(n+1)*300*time.Millisecond))
+		}
+		queue, cause := FindCauses(reports, startRateOf).MostLikely()
+		if cause.Probability >= likelyCause {
+			likely[queue] += 1.0 / draws
+		}
+		if cause.Probability >= certainCause {
+			certain[queue] += 1.0 / draws
+		}
+	}
+	return likely, certain
+}
+
+// Runs of two busy queues are on each target that crashes, so that a young run of an innocent
+// queue is there at most crashes by chance.
+func TestBusyQueueIsNotBlamedForTasksOfAnother(t *testing.T) {
+	for _, c := range []struct {
+		killer  string
+		age     time.Duration
+		crashes int
+		// found is how often the killer's queue must be the likely cause.
+		found float64
+	}{
+		{"short", 8 * time.Millisecond, 3, 0.6}, {"short", 8 * time.Millisecond, 5, 0.9},
+		{"narrow", 10 * time.Millisecond, 3, 0.6}, {"narrow", 10 * time.Millisecond, 5, 0.9},
+		{"long", 9 * time.Millisecond, 2, 0.9}, {"short", 30 * time.Millisecond, 8, 0.5},
+	} {
+		likely, certain := outcomeOfCauses(c.crashes, func(random *rand.Rand, ago time.Duration) crash.Report {
+			return drawCrash(random, c.killer, c.age, ago)
+		})
+		t.Logf("%s at %v, %d crashes: likely %.3v, certain %.3v", c.killer, c.age, c.crashes, likely, certain)
+		if likely[c.killer] < c.found {
+			t.Errorf("%s at %v is found after %d crashes in %.3f of the draws", c.killer, c.age, c.crashes, likely[c.killer])
+		}
+		for queue, share := range certain {
+			if queue != c.killer && share > 0.01 {
+				t.Errorf("%s at %v: %s is the certain cause in %.3f of the draws", c.killer, c.age, queue, share)
+			}
+		}
+	}
+}
+
+// Targets crash one after the other for a reason that has nothing to do with their tasks.
+func TestCrashesFromOutsideBlameNoQueue(t *testing.T) {
+	for _, crashes := range []int{2, 4, 8} {
+		likely, certain := outcomeOfCauses(crashes, func(random *rand.Rand, ago time.Duration) crash.Report {
+			return drawCrash(random, "", 0, ago)
+		})
+		t.Logf("%d crashes: likely %.3v, certain %.3v", crashes, likely, certain)
+		for queue := range likely {
+			if likely[queue] > 0.05 || certain[queue] > 0.01 {
+				t.Errorf("%d crashes: %s is blamed in %.3f of the draws, for certain in %.3f", crashes, queue, likely[queue], certain[queue])
+			}
+		}
+	}
+}
--- a/internal/process/load/confinement.go
+++ b/internal/process/load/confinement.go
@@ -20,15 +20,16 @@
 	// longer keeps others out, from the highest age at which one has crashed its target.
 	dangerFactor = 2
 	dangerMargin = 10 * time.Millisecond
-	// minScore is the number of recent crashes that a queue must explain to be put apart, and
-	// scoreShare their number as a part of all targets: in a large fleet a few targets always
-	// crash for other reasons.
-	minScore   = 2
-	scoreShare = 1.0 / 8
-	// isolateFactor and isolateShare are the factor on that number, and the part of all recent
-	// crashes, from which a queue that explains them is isolated.
-	isolateFactor = 1.75
-	isolateShare  = 0.8
+	// minExplained is the number of recent crashes that a queue must explain to be put apart,
+	// and explainedShare their number as a part of all targets: in a large fleet a few targets
+	// always crash for other reasons.
+	minExplained   = 2
+	explainedShare = 1.0 / 8
+	// likelyCause and certainCause are the probabilities of being the cause from which a queue
+	// is put apart, and isolated. Below unlikelyCause it is released.
+	likelyCause   = 0.75
+	certainCause  = 0.97
+	unlikelyCause = 0.2
 )
 
 // Separation is how far a job is kept apart from others.
@@ -62,7 +63,7 @@
 	rates  startRates
 }
 
-// RecordStart records the start of a run of a queue.
+// RecordStart records that a job of a queue begins on a target.
 func (c *Confinement) RecordStart(now time.Duration, queue string) { c.rates.record(now, queue) }
 
 type confinedQueue struct {
@@ -77,39 +78,48 @@
 }
 
 // Observe takes a crash into account. reports are all reports of crashes, with this one, and
-// suspects those derived from them; size is the number of targets. It returns the queue whose
-// separation is raised, if any.
-func (c *Confinement) Observe(now time.Duration, r *crash.Report, reports []crash.Report, suspects Suspects, size int) (queue string, raised bool) {
+// suspects those derived from them; size is the number of targets, entries that of the entries
+// that share them. It returns the most likely cause, and whether a separation has changed.
+func (c *Confinement) Observe(now time.Duration, r *crash.Report, reports []crash.Report, suspects Suspects, size, entries int) (queue string, cause Cause, changed bool) {
 	if r.Withdrawn || len(r.Runs) == 0 {
-		return "", false
+		return "", Cause{}, false
 	}
-	name, score, total := mainCause(now, reports, &c.rates)
-	c.releaseOthers(now, name)
-	required := max(minScore, scoreShare*float64(size))
+	causes := FindCauses(reports, func(queue string) float64 {
+		return c.rates.perSecond(now, queue) * float64(max(entries, 1)) / float64(max(size, 1))
+	})
+	queue, cause = causes.MostLikely()
+	required := max(minExplained, int(explainedShare*float64(size)))
 	only, single := onlyQueue(r)
 	switch {
 	case single && c.Separation(only) != Shared, single && suspects[r.Runs[0].Task.Job].Proven:
+		queue, cause = only, causes[only]
 		q := c.queue(only)
 		if r.IsAlone() && r.Runs[0].Isolated {
 			q.dangerAge = max(q.dangerAge, youngestRun(r))
 		}
-		return only, q.raise(now, r.ID, Isolated)
-	case score >= isolateFactor*required && score >= isolateShare*total:
-		return name, c.queue(name).raise(now, r.ID, Isolated)
-	case score >= required:
-		return name, c.queue(name).raise(now, r.ID, Apart)
+		changed = q.raise(now, r.ID, Isolated)
+	case cause.Crashes < required:
+	case cause.Probability >= certainCause:
+		changed = c.queue(queue).raise(now, r.ID, Isolated)
+	case cause.Probability >= likelyCause:
+		changed = c.queue(queue).raise(now, r.ID, Apart)
 	}
-	return "", false
+	return queue, cause, c.releaseUnlikely(now, causes) || changed
 }
 
-// releaseOthers ends the separation of queues that were only suspected, and no longer explain
-// most crashes.
-func (c *Confinement) releaseOthers(now time.Duration, suspect string) {
+// releaseUnlikely ends the separation of queues that other queues have replaced as the likely
+// cause. It reports whether there was one.
+func (c *Confinement) releaseUnlikely(now time.Duration, causes Causes) (released bool) {
+	if _, cause := causes.MostLikely(); cause.Probability < likelyCause {
+		return false
+	}
 	for name, q := range c.queues {
-		if name != suspect && q.separation == Apart {
+		if q.separation != Shared && causes[name].Probability < unlikelyCause {
 			q.release(now)
+			released = true
 		}
 	}
+	return released
 }
 
 // raise raises the separation of a queue because of a crash. It reports whether this changes
@@ -129,6 +139,9 @@
 
 // onlyQueue returns the queue of all runs of a report, if they have the same.
 func onlyQueue(r *crash.Report) (string, bool) {
+	if len(r.Runs) == 0 {
+		return "", false
+	}
 	for i := range r.Runs {
 		if r.Runs[i].Queue != r.Runs[0].Queue {
 			return "", false
--- a/internal/process/loadreplay/crash_test.go
+++ b/internal/process/loadreplay/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 )
@@ -17,14 +19,24 @@
 	}
 }
 
+// crashCase is a kind of which a share of the jobs crashes its targets, a part of its run time
+// after the start.
+type crashCase struct {
+	kind        string
+	share, part float64
+}
+
+func (c crashCase) String() string { return fmt.Sprintf("%s-%g", c.kind, c.share) }
+
+var crashCases = []crashCase{
+	{"short", 0.1, 0.12}, {"short", 0.4, 0.12}, {"narrow", 0.1, 0.05}, {"long", 0.1, 0.01}, {"long", 0.4, 0.01}, {"short", 0.02, 0.5},
+}
+
 // Jobs of one queue have a task that crashes its targets. The other queues must be served
 // almost as without them, and no task may crash more than three targets.
 func TestTasksThatCrashTargetsDoNotTakeTheFleet(t *testing.T) {
-	for _, c := range []struct {
-		kind        string
-		share, part float64
-	}{{"short", 0.1, 0.12}, {"short", 0.4, 0.12}, {"narrow", 0.1, 0.05}, {"long", 0.1, 0.01}, {"long", 0.4, 0.01}, {"short", 0.02, 0.5}} {
-		t.Run(fmt.Sprintf("%s-%g", c.kind, c.share), func(t *testing.T) {
+	for _, c := range crashCases {
+		t.Run(c.String(), func(t *testing.T) {
 			with := desks(c.kind, c.share, c.part, 1)
 			without := with
 			without.killers = nil
@@ -42,3 +54,32 @@
 		})
 	}
 }
+
+// TestCrashReport prints what other kinds and the kind of the killers see, over some seeds.
+func TestCrashReport(t *testing.T) {
+	for _, c := range crashCases {
+		if *reportSeeds == 0 {
+			return
+		}
+		t.Run(c.String(), func(t *testing.T) {
+			var others []float64
+			var own, crashes, lost, most float64
+			for n := range uint64(*reportSeeds) {
+				r := replay(t, desks(c.kind, c.share, c.part, *reportFirst+n))
+				worst := 1.0
+				for _, kind := range slices.Sorted(maps.Keys(r.byKind)) {
+					if kind != c.kind {
+						worst = min(worst, r.byKind[kind].servedShare())
+					}
+				}
+				others = append(others, worst)
+				own += r.byKind[c.kind].servedShare()
+				crashes += float64(r.crashes)
+				lost += float64(r.lostRuns)
+				most = max(most, float64(r.mostCrashes))
+			}
+			seeds := float64(*reportSeeds)
+			t.Logf("other kinds served %.3f; own %.3f, crashes %.1f, runs lost %.0f, at most %.0f by one task", others, own/seeds, crashes/seeds, lost/seeds, most)
+		})
+	}
+}
--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -55,7 +55,9 @@
 		t.recordCrash(now, r)
 	}
 	s.expectSuspects(now)
-	if queue, raised := s.confinement.Observe(now, r, s.crashes.Reports(now), s.suspects, len(s.targets)); raised {
+	queue, cause, changed := s.confinement.Observe(now, r, s.crashes.Reports(now), s.suspects, len(s.targets), s.opts.Entries())
+	s.opts.Log.Info().Str("queue", queue).Float64("probability", cause.Probability).Int("explained", cause.Crashes).Msg("cause of crashes estimated")
+	if changed {
 		s.logConfinement(queue)
 	}
 }
