Do not repeat a start order over a capacity that has shrunk meanwhile

Found by reading: the agent checked a start against the target's capacity when it accepted the order, not before each sending. If the capacity shrank while an order had no answer, the repeated order brought a target that does not guard its capacity over it (LIMIT), the same class as a permission checked in one place and used in another.

TestStartIsNotRepeatedOverACapacityThatHasShrunk failed before: the order was repeated and ran. The check now stands in startPermit, which each sending passes; what is unanswered is resolved by a look with a higher token, so that "not run" stays true.

--- a/internal/process/runs/crash_test.go
+++ b/internal/process/runs/crash_test.go
@@ -193,3 +193,25 @@
 		h.waitStarted(h.start(4, 1, task.Resources{CPU: 2000}))
 	})
 }
+
+// The target's capacity shrinks between a start order without an answer and its repetition.
+func TestStartIsNotRepeatedOverACapacityThatHasShrunk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.waitStarted(h.start(0, 1, task.Resources{CPU: 4000}))
+		h.target.set(func() {
+			h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true
+			h.target.beforeStart = func() {
+				h.target.beforeStart = nil
+				h.manager.mu.Lock()
+				defer h.manager.mu.Unlock()
+				h.manager.target.Capacity = task.Resources{CPU: 5000}
+			}
+		})
+		a := h.start(1, 1, task.Resources{CPU: 2000})
+		h.waitOutcome(a, peer.OutcomeRefused)
+		if n := h.target.startsOf(a); n > 0 {
+			t.Errorf("started %d times over the capacity", n)
+		}
+	})
+}
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -117,15 +117,20 @@
 	m.resolveStart(t, r)
 }
 
-// startPermit checks the permission to start r before each order, since it may have
-// lapsed after the start was accepted. It returns the permit, or why there is none.
+// startPermit checks the permission to start r before each order: it may have lapsed, or the
+// target's capacity may have shrunk, after the start was accepted. It returns the permit, or
+// why there is none.
 func (m *Manager) startPermit(t *targetIncarnation, r *run) (Permit, peer.Refusal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.runs[r.attempt.Key] != r || r.stopRequested {
 		return Permit{}, peer.RefusalStopped
 	}
-	if refusal := m.permissionLocked(m.owners[r.owner]); refusal != peer.RefusalNone {
+	refusal := m.permissionLocked(m.owners[r.owner])
+	if refusal == peer.RefusalNone && !m.fitsLocked(r) {
+		refusal = peer.RefusalNoCapacity
+	}
+	if refusal != peer.RefusalNone {
 		m.opts.Counters.Counter("start_permits_lapsed").Inc(1)
 		return Permit{}, refusal
 	}
@@ -134,6 +139,9 @@
 	return permit, peer.RefusalNone
 }
 
+// fitsLocked reports whether the target's capacity is enough for a run and all others there.
+func (m *Manager) fitsLocked(r *run) bool { return r.need.FitsIn(m.freeLocked().Add(r.need)) }
+
 func (m *Manager) startConfirmed(r *run) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
