Let crashes of one moment count less, not nothing, when a queue is blamed

With thirteen tasks a second that crash targets, two crashes within 15 ms are common.

A crash with another one at its moment now has another cause with a probability of 0.5, with more of them 0.9, in place of 1. The likelihood ratio has a mean of one by chance whatever that share is, so that a loss of power blames no queue more often than before (TestCrashesAtOneMomentBlameNoQueue, TestCrashesFromOutsideBlameNoQueue unchanged).

--- a/internal/process/load/cause.go
+++ b/internal/process/load/cause.go
@@ -10,12 +10,9 @@
 const (
 	// causeWindow is the age up to which crashes are explained together.
 	causeWindow = 10 * time.Second
-	// sameMoment is the time between crashes that have a cause outside the targets, as a loss
-	// of power: tasks crash one target at a time.
+	// sameMoment is the time between crashes that are likely to have a cause outside the
+	// targets, as a loss of power: tasks crash one target at a time.
 	sameMoment = 15 * time.Millisecond
-	// otherCauseShare is the part of the crashes that may have another cause than the one
-	// assumed.
-	otherCauseShare = 0.1
 	// externalPrior is the assumed probability that no task is the cause of the crashes.
 	externalPrior = 0.25
 	// ageRangeFactor is the ratio of the ends of a range of ages: runs of one kind crash
@@ -27,6 +24,10 @@
 	maxLikelihoodRatio = 50
 )
 
+// otherCauseShare is the assumed part of the crashes with another cause than tasks of one
+// queue, by the number of other crashes at the same moment.
+var otherCauseShare = [...]float64{0.1, 0.5, 0.9}
+
 // Causes holds the queues that may be the cause of recent crashes.
 //
 // Load pattern: several queues have runs on each target that crashes, and some tasks of one
@@ -79,7 +80,7 @@
 
 // likelihood returns how many times as likely the crashes are if a queue is the cause as if
 // none is, as the mean over the ranges of ages. crashes is how many it explains.
-func likelihood(queue string, recent []*crash.Report, rate float64) (crashes int, mean float64) {
+func likelihood(queue string, recent []recentCrash, rate float64) (crashes int, mean float64) {
 	best := 0.0
 	from := minRunAge / 2
 	for range ageRanges {
@@ -87,11 +88,12 @@
 		expected := rate * (to - from).Seconds()
 		explained, product := 0, 1.0
 		for _, r := range recent {
-			if only, single := onlyQueue(r); single && only != queue {
+			if only, single := onlyQueue(r.Report); single && only != queue {
 				continue
 			}
-			n := jobsOfAge(r, queue, from, to)
-			product *= otherCauseShare + (1-otherCauseShare)*min(float64(n)/expected, maxLikelihoodRatio)
+			n := jobsOfAge(r.Report, queue, from, to)
+			other := otherCauseShare[min(r.atSameMoment, len(otherCauseShare)-1)]
+			product *= other + (1-other)*min(float64(n)/expected, maxLikelihoodRatio)
 			if n > 0 {
 				explained++
 			}
@@ -117,10 +119,10 @@
 	return len(jobs)
 }
 
-func queuesOf(reports []*crash.Report) []string {
+func queuesOf(recent []recentCrash) []string {
 	known := make(map[string]bool)
 	var queues []string
-	for _, r := range reports {
+	for _, r := range recent {
 		for i := range r.Runs {
 			if q := r.Runs[i].Queue; q != "" && !known[q] {
 				known[q] = true
@@ -131,24 +133,37 @@
 	return queues
 }
 
+// recentCrash is a crash that tasks may have caused.
+type recentCrash struct {
+	*crash.Report
+	// atSameMoment is the number of other crashes within sameMoment.
+	atSameMoment int
+}
+
 // recentCrashes returns the crashes that tasks may have caused. reports are in the order of
 // their ages.
-func recentCrashes(reports []crash.Report) []*crash.Report {
-	var valid []*crash.Report
+func recentCrashes(reports []crash.Report) []recentCrash {
+	var recent []recentCrash
 	for i := range reports {
 		if r := &reports[i]; !r.Withdrawn && len(r.Runs) > 0 && r.Age <= causeWindow {
-			valid = append(valid, r)
+			recent = append(recent, recentCrash{Report: r, atSameMoment: neighbours(reports, i)})
 		}
 	}
-	var recent []*crash.Report
-	for i, r := range valid {
-		younger := i > 0 && r.Age-valid[i-1].Age <= sameMoment
-		older := i+1 < len(valid) && valid[i+1].Age-r.Age <= sameMoment
-		if !younger && !older {
-			recent = append(recent, r)
+	return recent
+}
+
+// neighbours returns how many other targets crashed at the same moment as the i-th. reports
+// are in the order of their ages.
+func neighbours(reports []crash.Report, i int) int {
+	n := 0
+	for _, step := range []int{-1, 1} {
+		for at := i + step; at >= 0 && at < len(reports) && (reports[at].Age-reports[i].Age).Abs() <= sameMoment; at += step {
+			if !reports[at].Withdrawn {
+				n++
+			}
 		}
 	}
-	return recent
+	return n
 }
 
 // startRates measures how often this entry starts jobs of each queue on a target. A job counts
--- a/internal/process/load/suspects.go
+++ b/internal/process/load/suspects.go
@@ -72,8 +72,8 @@
 			continue
 		}
 		shares := suspicionShares(r)
-		if hasNeighbour(reports, i) {
-			clear(shares)
+		if neighbours(reports, i) > 0 {
+			clear(shares) // the cause is likely to be outside the targets
 		}
 		for _, run := range r.Runs {
 			crashes[run.Task] = append(crashes[run.Task], taskCrash{age: run.Age, alone: r.IsAlone()})
@@ -88,17 +88,6 @@
 	return suspects
 }
 
-// hasNeighbour reports whether another target crashed at the same moment: then the cause is not
-// in the runs. reports are in the order of their ages.
-func hasNeighbour(reports []crash.Report, i int) bool {
-	for _, n := range []int{i - 1, i + 1} {
-		if n >= 0 && n < len(reports) && !reports[n].Withdrawn && (reports[n].Age-reports[i].Age).Abs() <= sameMoment {
-			return true
-		}
-	}
-	return false
-}
-
 // with returns the suspicion with the crashes under one more task of the job.
 func (s Suspicion) with(crashes []taskCrash) Suspicion {
 	s.Crashes = max(s.Crashes, len(crashes))
