Start all jobs that were on a crashed target again only beside other suspects

A task that crashes its target half-way through its run does not stand out by its age, so that it was started again beside anybody and took a second target with other jobs' runs. Only the main suspect of a crash (0.3 of the suspicion) was kept apart.

Now each job with 0.05 or more of the suspicion for a crash is started again on targets that are set apart, beside other suspects only; those that end well are cleared, and a second crash takes no innocent with it. A job that finds no such target in time ends as one that must be isolated does, not at its deadline.

TestMinorSuspectIsNotStartedBesideOthers failed before: a new job was started beside it.

--- a/internal/process/load/suspects.go
+++ b/internal/process/load/suspects.go
@@ -16,6 +16,8 @@
 	// suspectShare is the share of the suspicion for one crash from which a job is kept
 	// apart from others.
 	suspectShare = 0.3
+	// minorShare is the share from which a job is started again only beside other suspects.
+	minorShare = 0.05
 	// minRunAge is the resolution of the ages of runs: the time that a crash takes to be
 	// noticed.
 	minRunAge = 5 * time.Millisecond
@@ -48,6 +50,9 @@
 	return s.Crashes >= crashesBeforeGivingUp || s.Alone || s.Share >= suspectShare
 }
 
+// MustKeepApart reports whether the job may be started only beside other suspects.
+func (s Suspicion) MustKeepApart() bool { return s.Share >= minorShare }
+
 // Suspects holds the suspicion against each job that was on a target when it crashed.
 //
 // Load pattern: a few tasks crash each target that starts them, and each crash has a dozen
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -96,7 +96,7 @@
 	switch {
 	case now >= j.deadline:
 		s.giveUp(j, apiv1.Reason_REASON_DEADLINE_EXCEEDED, "its caller's deadline has passed")
-	case j.separation == load.Isolated && s.waitedTooLongApart(j, now):
+	case j.isApart() && s.waitedTooLongApart(j, now):
 		s.giveUp(j, apiv1.Reason_REASON_TARGET_CRASHED, messageNoTargetApart)
 	case s.isTooLate(j, now):
 		s.giveUp(j, apiv1.Reason_REASON_OVERLOAD, messageNoCapacity)
--- a/internal/process/scheduler/crash_test.go
+++ b/internal/process/scheduler/crash_test.go
@@ -185,3 +185,28 @@
 		}
 	})
 }
+
+// A job of which a run was on a crashed target, but not the youngest one, is started again. It
+// may be the cause, and must not run beside jobs that are no suspects.
+func TestMinorSuspectIsNotStartedBesideOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, agents := clusterOf(t, 6)
+		tc.submit(tc.job("j", 1, 1000))
+		a, s := nextStartOfAny(t, agents)
+		a.report(s.Attempt, s.Need, peer.OutcomeStarted, "")
+		older := crashed(s)
+		older.Age = 30 * time.Millisecond
+		a.reportCrash(1, crash.Run{Task: task.Key{Job: "younger"}, Queue: "q", Age: 10 * time.Millisecond}, older)
+		a.report(s.Attempt, s.Need, peer.OutcomeLost, "")
+		b, second := nextStartOfAny(t, agents)
+		if second.Isolated || b == a {
+			t.Errorf("started again on %s, isolated %v", b.name, second.Isolated)
+		}
+		for n := range 8 {
+			tc.submit(tc.job(fmt.Sprint("innocent-", n), 1, 1000))
+			if c, _ := nextStartOfAny(t, agents); c == b {
+				t.Fatal("a job that is no suspect is started beside it")
+			}
+		}
+	})
+}
--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -83,7 +83,7 @@
 
 func (s *Scheduler) hasSuspects(r *crash.Report) bool {
 	for _, run := range r.Runs {
-		if s.suspects[run.Task.Job].MustIsolate() {
+		if suspicion := s.suspects[run.Task.Job]; suspicion.MustIsolate() || suspicion.MustKeepApart() {
 			return true
 		}
 	}
@@ -159,6 +159,8 @@
 		return load.Shared
 	case j.suspicion.MustIsolate():
 		return load.Isolated
+	case j.suspicion.MustKeepApart():
+		return max(load.Apart, s.confinement.Separation(j.queue.Name))
 	case j.begun && j.separation == load.Shared && j.suspicion.Crashes == 0:
 		return load.Shared
 	}
@@ -180,7 +182,7 @@
 		}
 	}
 	j.separation = to
-	if to == load.Isolated && j.begun {
+	if to != load.Shared && j.begun {
 		j.latestStart = max(j.latestStart, now+s.opts.TargetLease+isolationWait)
 	}
 	for _, it := range waiting {
--- a/internal/process/scheduler/isolation.go
+++ b/internal/process/scheduler/isolation.go
@@ -311,7 +311,7 @@
 	return age
 }
 
-// waitedTooLongApart reports whether an isolated job of which nothing is in progress can no
+// waitedTooLongApart reports whether a job that is kept apart and of which nothing is in progress can no
 // longer be started in time, or has no target left to wait for.
 func (s *Scheduler) waitedTooLongApart(j *job, now time.Duration) bool {
 	return j.unresolved == 0 && j.tasksLeft == j.spec.Tasks() && now > j.latestStart
