Confine a queue only after three crashes that it explains

Confinement is for the case that crashes come faster than targets return. So it now takes three explained crashes, also when a task is proven; suspects are kept apart from the first.

TestQueueIsNotConfinedForOneTask failed before: "its queue is isolated".

--- a/internal/process/load/confinement.go
+++ b/internal/process/load/confinement.go
@@ -23,7 +23,7 @@
 	// minExplained is the number of recent crashes that a queue must explain to be put apart,
 	// and explainedShare their number as a part of all targets: in a large fleet a few targets
 	// always crash for other reasons.
-	minExplained   = 2
+	minExplained   = 3
 	explainedShare = 1.0 / 8
 	// likelyCause and certainCause are the probabilities of being the cause from which a queue
 	// is put apart, and isolated. Below unlikelyCause it is released.
@@ -51,9 +51,9 @@
 
 // Confinement decides how far the jobs of a queue are kept apart, so that their crashes take
 // no other queue's runs and only a part of the targets with them. It follows from the crashes
-// alone, never from the name of a queue: the queue that explains most of several crashes is
-// put apart. If a target crashes then with runs of this queue only, or with those of a
-// suspect that was isolated, the queue is to blame, and its jobs are isolated.
+// alone, never from the name of a queue: the queue that is the likely cause of several crashes
+// is put apart. If it is certain, or a target crashes then with runs of this queue only, its
+// jobs are isolated. For a crash or two, it is enough that the suspects are kept apart.
 //
 // Load pattern: a tenth of the jobs of one queue crash their targets, several each second.
 // More targets would be down than are left if each of these jobs crashed only one, and by
@@ -88,16 +88,17 @@
 		return c.rates.perSecond(now, queue) * float64(max(entries, 1)) / float64(max(size, 1))
 	})
 	queue, cause = causes.MostLikely()
-	required := max(minExplained, int(explainedShare*float64(size)))
 	only, single := onlyQueue(r)
+	if single && r.IsAlone() && r.Runs[0].Isolated {
+		q := c.queue(only)
+		q.dangerAge = max(q.dangerAge, youngestRun(r))
+	}
+	proven := single && suspects[r.Runs[0].Task.Job].Proven
+	required := max(minExplained, int(explainedShare*float64(size)))
 	switch {
-	case single && c.Separation(only) != Shared, single && suspects[r.Runs[0].Task.Job].Proven:
+	case single && c.Separation(only) != Shared, proven && causes[only].Crashes >= required:
 		queue, cause = only, causes[only]
-		q := c.queue(only)
-		if r.IsAlone() && r.Runs[0].Isolated {
-			q.dangerAge = max(q.dangerAge, youngestRun(r))
-		}
-		changed = q.raise(now, r.ID, Isolated)
+		changed = c.queue(queue).raise(now, r.ID, Isolated)
 	case cause.Crashes < required:
 	case cause.Probability >= certainCause:
 		changed = c.queue(queue).raise(now, r.ID, Isolated)
--- a/internal/process/load/confinement_test.go
+++ b/internal/process/load/confinement_test.go
@@ -122,6 +122,17 @@
 	}
 }
 
+// One task of a queue with few runs crashes two targets, alone on the second. Its job is given
+// up, and the other jobs of its queue go on beside all.
+func TestQueueIsNotConfinedForOneTask(t *testing.T) {
+	var c crashes
+	c.mixed(0, 1)
+	c.observe(time.Second, crashedRun("k", 1, 9*time.Millisecond))
+	if !c.suspects["k-1"].MustGiveUp() || c.confinement.Any() {
+		t.Errorf("given up %v, its queue is %v", c.suspects["k-1"].MustGiveUp(), c.confinement.Separation("k"))
+	}
+}
+
 // Half of the targets lose power at the same moment.
 func TestCrashesAtOneMomentBlameNoQueue(t *testing.T) {
 	var c crashes
