Log each queue whose separation a crash changes, not only the most likely cause

A queue that was released because another one had replaced it as the likely cause left no line in the log, and one that a crash of its own targets had just isolated could be released in the same step. Observe returns all queues that changed, and never releases the one it blames. The likelihood for one range of ages is a function of its own.

--- a/internal/process/load/cause.go
+++ b/internal/process/load/cause.go
@@ -86,29 +86,34 @@
 	best := 0.0
 	from := minRunAge / 2
 	for range ageRanges {
-		to := ageRangeFactor * from
-		expected := rate * (to - from).Seconds()
-		explained, product := 0, 1.0
-		for _, r := range recent {
-			if len(r.ages) == 1 && len(r.ages[queue]) == 0 {
-				continue
-			}
-			n := countBetween(r.ages[queue], from, to)
-			other := otherCauseShare[min(r.atSameMoment, len(otherCauseShare)-1)]
-			product *= other + (1-other)*min(float64(n)/expected, maxLikelihoodRatio)
-			if n > 0 {
-				explained++
-			}
-		}
-		if product > best {
-			best, crashes = product, explained
+		explained, ratio := likelihoodForAges(queue, recent, rate, from, ageRangeFactor*from)
+		if ratio > best {
+			best, crashes = ratio, explained
 		}
-		mean += product / ageRanges
+		mean += ratio / ageRanges
 		from *= 2
 	}
 	return crashes, mean
 }
 
+// likelihoodForAges returns the same if the cause is a run with an age in [from, to).
+func likelihoodForAges(queue string, recent []recentCrash, rate float64, from, to time.Duration) (crashes int, ratio float64) {
+	expected := rate * (to - from).Seconds()
+	ratio = 1
+	for _, r := range recent {
+		if len(r.ages) == 1 && len(r.ages[queue]) == 0 {
+			continue
+		}
+		n := countBetween(r.ages[queue], from, to)
+		other := otherCauseShare[min(r.atSameMoment, len(otherCauseShare)-1)]
+		ratio *= other + (1-other)*min(float64(n)/expected, maxLikelihoodRatio)
+		if n > 0 {
+			crashes++
+		}
+	}
+	return crashes, ratio
+}
+
 func countBetween(ages []time.Duration, from, to time.Duration) int {
 	n := 0
 	for _, age := range ages {
--- a/internal/process/load/confinement.go
+++ b/internal/process/load/confinement.go
@@ -79,10 +79,11 @@
 
 // Observe takes a crash into account. reports are all reports of crashes, with this one, and
 // suspects those derived from them; size is the number of targets, entries that of the entries
-// that share them. It returns the most likely cause, and whether a separation has changed.
-func (c *Confinement) Observe(now time.Duration, r *crash.Report, reports []crash.Report, suspects Suspects, size, entries int) (queue string, cause Cause, changed bool) {
+// that share them. It returns the most likely cause, and the queues whose separation has
+// changed.
+func (c *Confinement) Observe(now time.Duration, r *crash.Report, reports []crash.Report, suspects Suspects, size, entries int) (queue string, cause Cause, changed []string) {
 	if r.Withdrawn || len(r.Runs) == 0 {
-		return "", Cause{}, false
+		return "", Cause{}, nil
 	}
 	causes := FindCauses(reports, func(queue string) float64 {
 		return c.rates.perSecond(now, queue) * float64(max(entries, 1)) / float64(max(size, 1))
@@ -93,31 +94,35 @@
 		q := c.queue(only)
 		q.dangerAge = max(q.dangerAge, youngestRun(r))
 	}
+	raised := false
 	proven := single && suspects[r.Runs[0].Task.Job].Proven
 	required := max(minExplained, int(explainedShare*float64(size)))
 	switch {
 	case single && c.Separation(only) != Shared, proven && causes[only].Crashes >= required:
 		queue, cause = only, causes[only]
-		changed = c.queue(queue).raise(now, r.ID, Isolated)
+		raised = c.queue(queue).raise(now, r.ID, Isolated)
 	case cause.Crashes < required:
 	case cause.Probability >= certainCause:
-		changed = c.queue(queue).raise(now, r.ID, Isolated)
+		raised = c.queue(queue).raise(now, r.ID, Isolated)
 	case cause.Probability >= likelyCause:
-		changed = c.queue(queue).raise(now, r.ID, Apart)
+		raised = c.queue(queue).raise(now, r.ID, Apart)
 	}
-	return queue, cause, c.releaseUnlikely(now, causes) || changed
+	if cause.Probability >= likelyCause {
+		changed = c.releaseUnlikely(now, queue, causes)
+	}
+	if raised {
+		changed = append(changed, queue)
+	}
+	return queue, cause, changed
 }
 
-// releaseUnlikely ends the separation of queues that other queues have replaced as the likely
-// cause. It reports whether there was one.
-func (c *Confinement) releaseUnlikely(now time.Duration, causes Causes) (released bool) {
-	if _, cause := causes.MostLikely(); cause.Probability < likelyCause {
-		return false
-	}
+// releaseUnlikely ends the separation of the queues that another one has replaced as the
+// likely cause, and returns them.
+func (c *Confinement) releaseUnlikely(now time.Duration, likely string, causes Causes) (released []string) {
 	for name, q := range c.queues {
-		if q.separation != Shared && causes[name].Probability < unlikelyCause {
+		if name != likely && q.separation != Shared && causes[name].Probability < unlikelyCause {
 			q.release(now)
-			released = true
+			released = append(released, name)
 		}
 	}
 	return released
