Give up a repeatable task of the own interface after three lost targets

The retry of a repeatable task that ends its target had no memory here either: only the retry budget, which all other successes fill, bounded how many targets one task takes.

TestTaskThatCrashesTargetsIsNotRetriedForEver failed before: "the task crashed 6 targets" of six, and the budget alone ended it.

An attempt counts if its target broke off without an answer or was lost with its agent; an answer that says the task failed does not, nor a link that was lost. After three the task ends with "may have run", so that no answer claims more than is known. The count is the home's: an entry that adopts the job starts it anew.

--- a/internal/process/dispatch/applyconfig_test.go
+++ b/internal/process/dispatch/applyconfig_test.go
@@ -72,6 +72,12 @@
 	o.list = append(o.list, x)
 }
 
+func (o *outcomeRecorder) len() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.list)
+}
+
 // Waiting tasks of a department that leaves end as NotRun. The configuration of the
 // dispatcher is not fresh, so that the task waits until then.
 func TestDepartedTasksEnd(t *testing.T) {
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -182,6 +182,33 @@
 	}
 }
 
+// A repeatable task crashes each target that starts it, while other tasks succeed and earn
+// retries: it must not take target after target.
+func TestTaskThatCrashesTargetsIsNotRetriedForEver(t *testing.T) {
+	fx := newFixture(6)
+	fx.submit(t, fx.task(true))
+	crash := verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_TARGET_FAILED, "connection reset")
+	crashes := 0
+	waitUntil(t, "the end of the task", func() bool {
+		for name, starts := range fx.startsByTarget() {
+			for _, s := range starts {
+				if s.GetId().GetAttempt() == uint32(crashes+1) {
+					crashes++
+					fx.budget.Success()
+					fx.answer(name, s, crash)
+				}
+			}
+		}
+		return fx.ended.len() == 1
+	})
+	if crashes > 3 {
+		t.Errorf("the task crashed %d targets", crashes)
+	}
+	if err := fx.ended.list[0].Err; err == nil || err.Reason != apiv1.Reason_REASON_TARGET_CRASHED || err.Verdict != verdict.MayHaveRun {
+		t.Errorf("outcome is %v", err)
+	}
+}
+
 // If every attempt fails, the retry budget must keep the number of attempts close to one
 // per task.
 func TestRetryBudgetBoundsAttempts(t *testing.T) {
--- a/internal/process/dispatch/dispatcher.go
+++ b/internal/process/dispatch/dispatcher.go
@@ -36,6 +36,8 @@
 	// lossRetryLimit is the number of retries that may be made at once after the loss
 	// of an agent or a home: as many tasks as are lost with one process.
 	lossRetryLimit = 100
+	// maxCrashes is the number of targets that may be lost under a task before it is given up.
+	maxCrashes = 3
 )
 
 // Options configures a Dispatcher.
--- a/internal/process/dispatch/outcome.go
+++ b/internal/process/dispatch/outcome.go
@@ -100,6 +100,14 @@
 		d.finish(task, Outcome{Err: failure})
 		return
 	}
+	if mayBeCrash(failure) {
+		task.crashes++
+	}
+	if task.crashes >= maxCrashes {
+		d.opts.Counters.CountRefusal(apiv1.Reason_REASON_TARGET_CRASHED)
+		d.finish(task, Outcome{Err: verdict.New(task.worstVerdict, apiv1.Reason_REASON_TARGET_CRASHED, "%d targets were lost while the task ran", task.crashes)})
+		return
+	}
 	if !d.budgetFor(failure.Reason).Take() {
 		d.opts.Counters.CountRefusal(apiv1.Reason_REASON_RETRY_BUDGET)
 		d.finish(task, Outcome{Err: failure})
@@ -108,6 +116,19 @@
 	d.requeueAfterBackoff(task, failure.Reason)
 }
 
+// mayBeCrash reports whether an attempt may have ended its target: the target broke off without
+// an answer, or was lost together with its agent.
+func mayBeCrash(failure *verdict.Error) bool {
+	switch failure.Reason {
+	case apiv1.Reason_REASON_TARGET_FAILED:
+		return failure.Verdict == verdict.MayHaveRun
+	case apiv1.Reason_REASON_AGENT_LOST:
+		return true
+	default:
+		return false
+	}
+}
+
 // budgetFor returns the retry budget for a failure.
 func (d *Dispatcher) budgetFor(reason verdict.Reason) *retry.Budget {
 	switch reason {
--- a/internal/process/dispatch/task.go
+++ b/internal/process/dispatch/task.go
@@ -34,7 +34,9 @@
 	hasSpeculated bool
 	// worstVerdict is the worst verdict of all ended attempts.
 	worstVerdict verdict.Verdict
-	cancelled    bool
+	// crashes is the number of attempts under which the target may have crashed.
+	crashes   int
+	cancelled bool
 	// element is the task's element in its classQueue while it waits.
 	element *list.Element
 	// due is the time by which waiting tasks of a class are ordered.
