Count a target that stops answering as crashed under its runs

Found by looking for the cause elsewhere: a task that makes its target hang, or end without a reset, was queued again like any other.

Cause: a silence of over 250 ms was no crash, since it may be a cut or a pause. But that is no reason to forget it. The agent now reports a target that has left three polls and 250 ms without an answer, under the runs from before its silence, and withdraws the report when the same incarnation answers. A silence is weaker evidence: it proves no task guilty, counts like one more crash of the same moment when a queue is blamed, and two within 60 ms (the agent knows the time from polls) make no suspects.

--- a/internal/process/load/cause.go
+++ b/internal/process/load/cause.go
@@ -15,6 +15,9 @@
 	// sameMoment is the time between crashes that are likely to have a cause outside the
 	// targets, as a loss of power: tasks crash one target at a time.
 	sameMoment = 15 * time.Millisecond
+	// sameSilence replaces it if one of two targets has only stopped answering, of which
+	// the agent knows the time from polls.
+	sameSilence = 60 * time.Millisecond
 	// externalPrior is the assumed probability that no task is the cause of the crashes.
 	externalPrior = 0.25
 	// ageRangeFactor is the ratio of the ends of a range of ages: runs of one kind crash
@@ -27,7 +30,8 @@
 )
 
 // otherCauseShare is the assumed part of the crashes with another cause than tasks of one
-// queue, by the number of other crashes at the same moment.
+// queue, by the number of other crashes at the same moment. A target that has only stopped
+// answering may be cut off, and counts like one more.
 var otherCauseShare = [...]float64{0.1, 0.5, 0.9}
 
 // Causes holds the queues that may be the cause of recent crashes.
@@ -105,7 +109,7 @@
 			continue
 		}
 		n := countBetween(r.ages[queue], from, to)
-		other := otherCauseShare[min(r.atSameMoment, len(otherCauseShare)-1)]
+		other := otherCauseShare[min(r.doubts, len(otherCauseShare)-1)]
 		ratio *= other + (1-other)*min(float64(n)/expected, maxLikelihoodRatio)
 		if n > 0 {
 			crashes++
@@ -138,8 +142,9 @@
 type recentCrash struct {
 	// ages holds, by queue, the age of the youngest run of each job.
 	ages map[string][]time.Duration
-	// atSameMoment is the number of other crashes within sameMoment.
-	atSameMoment int
+	// doubts is the number of other crashes at the same moment, and one more if the target
+	// has only stopped answering.
+	doubts int
 }
 
 // recentCrashes returns the crashes that tasks may have caused. reports are in the order of
@@ -152,7 +157,7 @@
 			break
 		}
 		if ages := agesByQueue(r); !r.Withdrawn && len(ages) > 0 {
-			recent = append(recent, recentCrash{ages: ages, atSameMoment: neighbours(reports, i)})
+			recent = append(recent, recentCrash{ages: ages, doubts: doubts(reports, i)})
 		}
 	}
 	return recent
@@ -175,13 +180,22 @@
 	return ages
 }
 
+// doubts returns the doubts that the i-th crash was caused by a task.
+func doubts(reports []crash.Report, i int) int {
+	n := neighbours(reports, i)
+	if reports[i].Silent {
+		n++
+	}
+	return n
+}
+
 // neighbours returns how many other targets crashed at the same moment as the i-th. reports
 // are in the order of their ages.
 func neighbours(reports []crash.Report, i int) int {
 	n := 0
 	for _, step := range []int{-1, 1} {
-		for at := i + step; at >= 0 && at < len(reports) && (reports[at].Age-reports[i].Age).Abs() <= sameMoment; at += step {
-			if !reports[at].Withdrawn {
+		for at := i + step; at >= 0 && at < len(reports) && (reports[at].Age-reports[i].Age).Abs() <= sameSilence; at += step {
+			if !reports[at].Withdrawn && isSameMoment(&reports[at], &reports[i]) {
 				n++
 			}
 		}
@@ -189,6 +203,13 @@
 	return n
 }
 
+func isSameMoment(a, b *crash.Report) bool {
+	if a.Silent || b.Silent {
+		return (a.Age - b.Age).Abs() <= sameSilence
+	}
+	return (a.Age - b.Age).Abs() <= sameMoment
+}
+
 // startRates measures how often this entry starts jobs of each queue on a target. A job counts
 // once for each target that it has runs on.
 type startRates struct {
--- a/internal/process/load/confinement_test.go
+++ b/internal/process/load/confinement_test.go
@@ -95,6 +95,32 @@
 	}
 }
 
+// A job was alone on two targets that were cut off.
+func TestSilentTargetsProveNoTask(t *testing.T) {
+	var reports []crash.Report
+	for n := range 3 {
+		r := crash.Report{ID: crash.ID{Target: fmt.Sprint(n)}, Age: time.Duration(n) * time.Second, Silent: true}
+		r.Runs = []crash.Run{crashedRun("k", 1, 9*time.Millisecond)}
+		reports = append(reports, r)
+		if s := NewSuspects(reports)["k-1"]; s.Proven || !s.MustIsolate() || s.MustGiveUp() != (n == 2) {
+			t.Errorf("after %d: %+v", n+1, s)
+		}
+	}
+}
+
+// Two targets are cut off together, and polls find it at different moments.
+func TestSilencesAtOneMomentMakeNoSuspects(t *testing.T) {
+	reports := []crash.Report{
+		{ID: crash.ID{Target: "a"}, Silent: true, Runs: []crash.Run{crashedRun("k", 1, time.Millisecond)}},
+		{ID: crash.ID{Target: "b"}, Silent: true, Runs: []crash.Run{crashedRun("k", 2, time.Millisecond)}, Age: 50 * time.Millisecond},
+	}
+	for job, s := range NewSuspects(reports) {
+		if s.Share > 0 {
+			t.Errorf("%s: %+v", job, s)
+		}
+	}
+}
+
 func TestWithdrawnCrashMakesNoSuspect(t *testing.T) {
 	r := crash.Report{Runs: []crash.Run{crashedRun("k", 1, 0)}, Withdrawn: true}
 	if s := NewSuspects([]crash.Report{r}); len(s) > 0 {
--- a/internal/process/loadreplay/workload_test.go
+++ b/internal/process/loadreplay/workload_test.go
@@ -63,6 +63,8 @@
 	works map[task.Key]time.Duration
 	// killers are the tasks that crash each target that starts them, and how long after.
 	killers map[task.Key]time.Duration
+	// silent is set if a crashed target does not answer, in place of refusing connections.
+	silent bool
 	// crashesBy counts the crashes by killer, lostRuns the runs that were on the targets.
 	crashesBy map[task.Key]int
 	lostRuns  int
@@ -95,6 +97,7 @@
 // addKillers makes one task of a share of the jobs of a kind crash each target that starts
 // it, a fixed part of its run time after its start.
 func (w *workload) addKillers(k killers, seed uint64) {
+	w.silent = k.silent
 	random := rand.New(rand.NewPCG(seed, 1))
 	for _, a := range w.arrivals {
 		if a.kind.name != k.kind || a.at < k.from || a.at >= k.to || random.Float64() >= k.share {
@@ -113,6 +116,8 @@
 	from, to time.Duration
 	// part is the part of its run time after which a killer crashes its target.
 	part float64
+	// silent is set if its target then does not answer until it is back.
+	silent bool
 }
 
 // newWorkload draws arrivals of the given mean rate of work, in thousandths of a core, for
--- a/internal/process/runs/crash.go
+++ b/internal/process/runs/crash.go
@@ -10,32 +10,70 @@
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 )
 
-// crashEvidenceWindow is how long after its latest answer a target that is gone counts as
-// crashed under its runs. After a longer silence the target may have been cut off or this
-// process paused, and its lease may have ended the runs before.
-const crashEvidenceWindow = unresponsiveAfter
+const (
+	// crashEvidenceWindow is how long after its latest answer a target that is gone counts as
+	// crashed at this moment. After a longer silence its lease may have ended the runs before.
+	crashEvidenceWindow = unresponsiveAfter
+	// minUnanswered is the number of polls without an answer that a silence takes. Fewer may
+	// mean that this process was paused.
+	minUnanswered = 3
+	// silenceSpread is how much later than the first order without an answer another one may
+	// have reached a target that has stopped answering.
+	silenceSpread = 5 * time.Millisecond
+)
 
-// noteCrashLocked records that the target has ended without notice. A draining target ends
-// as planned, and one that has been silent may have ended its runs before.
+// noteCrashLocked records that the target has ended without notice.
 func (m *Manager) noteCrashLocked(t *targetIncarnation, evidence string) {
-	silent := time.Since(t.answeredAt)
-	if m.target != t || t.crashed || t.Draining || !t.reported || silent > crashEvidenceWindow {
+	if m.mayHaveCrashedLocked(t) && time.Since(t.answeredAt) <= crashEvidenceWindow {
+		m.reportCrashLocked(t, m.crashLocked(t, m.clock()), evidence)
+	}
+}
+
+// noteSilenceLocked records that the target has stopped answering. The report is withdrawn
+// if it answers again.
+func (m *Manager) noteSilenceLocked(t *targetIncarnation) {
+	if !m.mayHaveCrashedLocked(t) || t.unanswered < minUnanswered {
 		return
 	}
+	c := m.crashLocked(t, m.silentSinceLocked(t))
+	c.Silent = true
+	m.reportCrashLocked(t, c, "it does not answer")
+}
+
+// mayHaveCrashedLocked reports whether the target can have crashed and no report says so yet.
+// A draining target ends as planned.
+func (m *Manager) mayHaveCrashedLocked(t *targetIncarnation) bool {
+	return m.target == t && !t.crashed && !t.Draining && t.reported
+}
+
+func (m *Manager) reportCrashLocked(t *targetIncarnation, c crash.Report, evidence string) {
 	t.crashed = true
-	report := m.crashLocked(t)
 	m.opts.Counters.Counter("targets_crashed").Inc(1)
-	m.logCrash(&report, evidence, silent)
-	m.shareCrashLocked(report, 0)
+	m.logCrash(&c, evidence, time.Since(t.answeredAt))
+	m.shareCrashLocked(c, 0)
 	m.broadcastTargetLocked()
 }
 
-// crashLocked returns the report of a crash of the target, the youngest run first.
-func (m *Manager) crashLocked(t *targetIncarnation) crash.Report {
-	c := crash.Report{ID: crash.ID{Target: t.ID, Incarnation: t.Incarnation}, Agent: m.opts.Name}
+// silentSinceLocked returns about when a target has stopped answering, as returned by
+// Manager.clock: with the first order that it has not answered, or else after its latest
+// answer.
+func (m *Manager) silentSinceLocked(t *targetIncarnation) time.Duration {
+	answered := t.answeredAt.Sub(m.epoch)
+	since := answered
+	for _, r := range m.runs {
+		if r.phase == phaseStarting && r.orderedAt >= answered && (since == answered || r.orderedAt < since) {
+			since = r.orderedAt
+		}
+	}
+	return since
+}
+
+// crashLocked returns the report of a crash of the target at a time, the youngest run first.
+func (m *Manager) crashLocked(t *targetIncarnation, at time.Duration) crash.Report {
+	c := crash.Report{ID: crash.ID{Target: t.ID, Incarnation: t.Incarnation}, Agent: m.opts.Name, Age: bounds.RunTime.Clamp(m.clock() - at)}
 	for _, r := range m.runs {
-		if r.phase != phaseMisdirected {
-			c.Runs = append(c.Runs, crash.Run{Task: r.attempt.Key, Queue: r.queue, Isolated: r.isolated, Age: bounds.RunTime.Clamp(m.clock() - r.orderedAt)})
+		if r.phase != phaseMisdirected && r.orderedAt <= at+silenceSpread {
+			c.Runs = append(c.Runs, crash.Run{Task: r.attempt.Key, Queue: r.queue, Isolated: r.isolated, Age: bounds.RunTime.Clamp(at - r.orderedAt)})
 		}
 	}
 	slices.SortFunc(c.Runs, func(a, b crash.Run) int { return cmp.Compare(a.Age, b.Age) })
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -77,6 +77,8 @@
 	// poll was sent that renews the target's lease.
 	answeredAt time.Time
 	renewedAt  time.Time
+	// unanswered is the number of polls since the latest answer.
+	unanswered int
 	health     load.Health
 	// prober is the incarnation of the entry that may send the next probe, probeOfferedAt
 	// when it was chosen.
@@ -90,7 +92,7 @@
 	// announcement of another incarnation is then accepted even if its number is lower,
 	// because clocks were set back before the target restarted.
 	unconfirmed bool
-	// crashed is set once the target appears to have ended without notice.
+	// crashed is set once the target appears to have ended or hung without notice.
 	crashed bool
 }
 
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -95,6 +95,7 @@
 	}
 	m.opts.Counters.Counter("looks_unanswered").Inc(1)
 	m.mu.Lock()
+	t.unanswered++
 	if errors.Is(err, ErrRefused) {
 		m.noteCrashLocked(t, "its address refuses connections")
 	}
@@ -104,6 +105,9 @@
 		m.opts.Log.Warn().Err(err).Str("target", t.ID).Dur("silent", silent).Msg("target does not answer")
 		m.broadcastTargetLocked()
 	}
+	if t.unresponsive {
+		m.noteSilenceLocked(t)
+	}
 	m.mu.Unlock()
 	m.expireTargetLease(t)
 }
@@ -128,7 +132,7 @@
 func (m *Manager) targetAnswered(t *targetIncarnation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	t.answeredAt = time.Now()
+	t.answeredAt, t.unanswered = time.Now(), 0
 	m.withdrawCrashLocked(t)
 	if t.unresponsive {
 		t.unresponsive = false
--- a/internal/request/crash/report.go
+++ b/internal/request/crash/report.go
@@ -32,6 +32,9 @@
 	Runs []Run         `cbor:"4,keyasint,omitempty" json:"runs"`
 	// Withdrawn is set once the same incarnation has answered again: it did not crash.
 	Withdrawn bool `cbor:"5,keyasint,omitempty" json:"withdrawn"`
+	// Silent is set if the target has only stopped answering: it may hang or be cut off, and
+	// the time of the crash is less certain.
+	Silent bool `cbor:"6,keyasint,omitempty" json:"silent,omitempty"`
 }
 
 // Run is a run that was on a target when it crashed.
