Set the same targets apart at an entry that starts later

Cause: the choice follows when each target crashed last, but an entry recorded that only for the incarnation described to it. One that starts later learns of the crashes of former incarnations, and did not count them. It also took the reports of the first frame latest first, so that it took the oldest crash for a queue's latest: it ignored the releases of others, and they ignored its own.

Evidence: TestEntryThatStartsLaterSetsTheSameTargetsApart failed before: "[a4 a5 a8 a9] are set apart, [a2 a5 a8 a9] by the other entry", "the latest crash is {a5 1}, {a9 1} for the other". Now both follow from the reports alone, oldest first, with the time of the crash and not of its report, so that entries with the same reports agree whenever they started.

--- a/internal/process/load/confinement.go
+++ b/internal/process/load/confinement.go
@@ -95,17 +95,18 @@
 		q.dangerAge = max(q.dangerAge, youngestRun(r))
 	}
 	raised := false
+	at := now - r.Age
 	proven := single && suspects[r.Runs[0].Task.Job].Proven
 	required := max(minExplained, int(explainedShare*float64(size)))
 	switch {
 	case single && c.Separation(only) != Shared, proven && causes[only].Crashes >= required:
 		queue, cause = only, causes[only]
-		raised = c.queue(queue).raise(now, r.ID, Isolated)
+		raised = c.queue(queue).raise(at, r.ID, Isolated)
 	case cause.Crashes < required:
 	case cause.Probability >= certainCause:
-		raised = c.queue(queue).raise(now, r.ID, Isolated)
+		raised = c.queue(queue).raise(at, r.ID, Isolated)
 	case cause.Probability >= likelyCause:
-		raised = c.queue(queue).raise(now, r.ID, Apart)
+		raised = c.queue(queue).raise(at, r.ID, Apart)
 	}
 	if cause.Probability >= likelyCause {
 		changed = c.releaseUnlikely(now, queue, causes)
@@ -128,13 +129,15 @@
 	return released
 }
 
-// raise raises the separation of a queue because of a crash. It reports whether this changes
-// it.
-func (q *confinedQueue) raise(now time.Duration, id crash.ID, to Separation) bool {
-	q.lastCrash, q.lastCrashID, q.clean = now, id, 0
+// raise raises the separation of a queue because of a crash at a time. It reports whether this
+// changes it.
+func (q *confinedQueue) raise(at time.Duration, id crash.ID, to Separation) bool {
+	if q.lastCrashID == (crash.ID{}) || at >= q.lastCrash {
+		q.lastCrash, q.lastCrashID, q.clean = at, id, 0
+	}
 	if q.separation == Shared {
 		q.required = cleanJobs
-		if q.releasedAt > 0 && now-q.releasedAt < relapsePeriod {
+		if q.releasedAt > 0 && at-q.releasedAt < relapsePeriod {
 			q.required = min(2*q.required, maxCleanJobs)
 		}
 	}
--- a/internal/process/scheduler/crash_test.go
+++ b/internal/process/scheduler/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -210,3 +211,73 @@
 		}
 	})
 }
+
+// restart announces a new incarnation of the agent's target.
+func (a *fakeAgent) restart(incarnation int64) {
+	a.link.Send(peer.Frame{Target: &peer.Target{ID: a.name, Incarnation: incarnation, Pool: "p", DataCentre: "dc1", Available: true}})
+	time.Sleep(time.Millisecond)
+}
+
+// targetsApart returns the names of the targets that are set apart.
+func (tc *testCluster) targetsApart() []string {
+	tc.scheduler.mu.Lock()
+	defer tc.scheduler.mu.Unlock()
+	var names []string
+	for name, t := range tc.scheduler.targets {
+		if t.setApart {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// An entry starts while targets are set apart. If it set others apart, its jobs that are not
+// isolated would keep the isolated ones of the other entries out.
+func TestEntryThatStartsLaterSetsTheSameTargetsApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		crashing := []int{5, 2, 8, 9}
+		run := crash.Run{Queue: "q", Age: 8 * time.Millisecond}
+		first, agents := clusterOf(t, 11)
+		for n, i := range crashing {
+			run.Task.Job = fmt.Sprint("killer-", n)
+			agents[i].reportCrash(1, run)
+			time.Sleep(50 * time.Millisecond)
+		}
+		reports := first.scheduler.crashReports()
+		for _, i := range crashing {
+			agents[i].restart(2)
+		}
+		later, others := clusterOf(t, 11)
+		for _, i := range crashing {
+			others[i].restart(2)
+		}
+		others[0].link.Send(peer.Frame{Crashes: reports})
+		for _, a := range slices.Concat(agents, others) {
+			a.link.Send(peer.Frame{})
+		}
+		time.Sleep(50 * time.Millisecond)
+		want := first.targetsApart()
+		if len(want) != len(crashing) {
+			t.Fatalf("%v are set apart", want)
+		}
+		if got := later.targetsApart(); !slices.Equal(got, want) {
+			t.Errorf("%v are set apart, %v by the other entry", got, want)
+		}
+		if got, want := later.scheduler.latestCrash("q"), first.scheduler.latestCrash("q"); got != want {
+			t.Errorf("the latest crash is %v, %v for the other entry", got, want)
+		}
+	})
+}
+
+func (s *Scheduler) crashReports() []crash.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes.Reports(s.now())
+}
+
+func (s *Scheduler) latestCrash(queue string) crash.ID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confinement.LatestCrash(queue)
+}
--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
@@ -19,10 +20,10 @@
 	messageNoTargetApart = "it must run apart from other jobs, and no target is free for that"
 )
 
-// receiveCrashes takes the reports of a frame into account.
+// receiveCrashes takes the reports of a frame into account, which has the latest crash first.
 func (s *Scheduler) receiveCrashes(from *target, reports []crash.Report) {
 	now := s.now()
-	for _, r := range reports {
+	for _, r := range slices.Backward(reports) {
 		if !s.crashes.Add(now, r) {
 			continue
 		}
@@ -51,8 +52,11 @@
 	s.opts.Counters.Counter("crashes_reported").Inc(1)
 	s.opts.Log.Warn().Str("target", r.ID.Target).Int64("incarnation", r.ID.Incarnation).Str("agent", r.Agent).Dur("age", r.Age).
 		Int("runs", len(r.Runs)).Bool("alone", r.IsAlone()).Bool("withdrawn", r.Withdrawn).Msg("crash of a target reported")
-	if t := s.targets[r.Agent]; t != nil && t.info.ID == r.ID.Target && t.info.Incarnation == r.ID.Incarnation {
-		t.recordCrash(now, r)
+	if t := s.targets[r.Agent]; t != nil {
+		if t.info.ID == r.ID.Target && t.info.Incarnation == r.ID.Incarnation {
+			t.crashed = !r.Withdrawn
+		}
+		s.updateLastCrash(t, now)
 	}
 	s.expectSuspects(now)
 	queue, cause, changed := s.confinement.Observe(now, r, s.crashes.Reports(now), s.suspects, len(s.targets), s.opts.Entries())
@@ -62,11 +66,15 @@
 	}
 }
 
-// recordCrash records the time of a crash of the target, or that there was none.
-func (t *target) recordCrash(now time.Duration, r *crash.Report) {
-	t.crashed, t.lastCrash, t.crashedPool = !r.Withdrawn, 0, t.info.Pool
-	if t.crashed {
-		t.lastCrash = max(now-r.Age, 1)
+// updateLastCrash sets when a target of an agent crashed last, whatever its incarnation: all
+// entries must agree on it, also those that have started since.
+func (s *Scheduler) updateLastCrash(t *target, now time.Duration) {
+	t.lastCrash, t.hasCrashed = 0, false
+	for _, r := range s.crashes.Reports(now) {
+		if r.Agent == t.name && !r.Withdrawn {
+			t.lastCrash, t.hasCrashed = now-r.Age, true
+			return
+		}
 	}
 }
 
--- a/internal/process/scheduler/isolation.go
+++ b/internal/process/scheduler/isolation.go
@@ -38,7 +38,7 @@
 
 // isDown reports whether a target has crashed and is not back.
 func (t *target) isDown(now time.Duration) bool {
-	return t.lastCrash > 0 && !t.usable(now) && now-t.lastCrash < maxCrashedTime
+	return t.hasCrashed && !t.usable(now) && now-t.lastCrash < maxCrashedTime
 }
 
 // assignTargetsApart chooses the targets that are set apart. All
@@ -69,7 +69,7 @@
 func (s *Scheduler) setApart(pool string, targets []*target, now time.Duration) {
 	down := 0
 	for _, t := range s.targets {
-		if t.isDown(now) && t.crashedPool == pool {
+		if t.isDown(now) && t.lastPool == pool {
 			down++
 		}
 	}
@@ -92,13 +92,28 @@
 // single suspects they come last: a target that crashes again without their doing would prove
 // them guilty.
 func compareApart(a, b *target, highest load.Separation) int {
-	crashes := cmp.Compare(b.lastCrash, a.lastCrash)
+	crashes := compareCrashes(a, b)
 	if highest == load.Shared {
 		crashes = -crashes
 	}
 	return cmp.Or(crashes, cmp.Compare(nameHash(a.name), nameHash(b.name)))
 }
 
+// compareCrashes orders targets by their latest crash, the latest first and those without one
+// last.
+func compareCrashes(a, b *target) int {
+	switch {
+	case a.hasCrashed && b.hasCrashed:
+		return cmp.Compare(b.lastCrash, a.lastCrash)
+	case a.hasCrashed:
+		return -1
+	case b.hasCrashed:
+		return 1
+	default:
+		return 0
+	}
+}
+
 func nameHash(name string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
@@ -130,7 +145,7 @@
 func (s *Scheduler) canSetApart(pool string) bool {
 	size := 0
 	for _, t := range s.targets {
-		if t.info.Pool == pool || t.crashedPool == pool {
+		if t.lastPool == pool {
 			size++
 		}
 	}
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -28,11 +28,14 @@
 	shared, isolated, exclusive bool
 	// setApart is set while the target is kept for isolated jobs.
 	setApart bool
-	// crashed is set while the incarnation described has crashed. lastCrash is when the target
-	// crashed last, or 0; crashedPool is its pool at that time.
-	crashed     bool
-	lastCrash   time.Duration
-	crashedPool string
+	// crashed is set while the incarnation described has crashed.
+	crashed bool
+	// lastCrash is when a target of this agent crashed last, hasCrashed whether one did. It may
+	// be before the start of this process.
+	lastCrash  time.Duration
+	hasCrashed bool
+	// lastPool is the pool of the latest target described.
+	lastPool string
 	// unaccounted holds the attempts sent that reportedFree does not include yet.
 	unaccounted []*attempt
 	// startsSent counts the starts sent on the current link.
@@ -121,6 +124,7 @@
 	if t == nil {
 		t = &target{name: hello.Name, attempts: make(map[task.Attempt]*attempt)}
 		s.targets[hello.Name] = t
+		s.updateLastCrash(t, s.now())
 	}
 	s.opts.Log.Info().Str("agent", hello.Name).Uint64("incarnation", hello.Incarnation).
 		Int("runs", len(hello.Runs)).Int("attempts", len(t.attempts)).Msg("agent linked")
@@ -231,6 +235,9 @@
 	}
 	restarted := t.isDown(s.now())
 	t.info = *info
+	if info.Pool != "" {
+		t.lastPool = info.Pool
+	}
 	if restarted && t.usable(s.now()) {
 		s.recordRestart(t, s.now())
 	}
