Let the other tasks of an isolated job follow while the target is kept for it

Cause: an agent's frame said only that some job keeps the others out. The entry took that for its own job as well, and sent the other tasks when a later frame said that the time was over; by then another entry's job could be first (20 starts refused for isolation in one second).

The frame now names the job and how much longer it keeps others out. Its own tasks follow at the harmless age, other jobs when the time is over, without another frame.

TestOtherTasksOfAnIsolatedJobFollowWhileTheTargetIsKeptForIt failed before: "0 other tasks are started" 15 ms after the first one had proved harmless.

--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -109,10 +109,13 @@
 	// Demand is what the waiting tasks of other entries need of the target, by priority.
 	Demand task.Demand `cbor:"4,keyasint,omitempty"`
 	// Shared is set while runs that are not isolated are on the target, Isolated while
-	// isolated ones are. Exclusive is set while one of these keeps out all other jobs.
-	Shared    bool `cbor:"5,keyasint,omitempty"`
-	Isolated  bool `cbor:"6,keyasint,omitempty"`
-	Exclusive bool `cbor:"7,keyasint,omitempty"`
+	// isolated ones are.
+	Shared   bool `cbor:"5,keyasint,omitempty"`
+	Isolated bool `cbor:"6,keyasint,omitempty"`
+	// ExclusiveJob is the job whose isolated runs keep out all other jobs, empty if there is
+	// none, and ExclusiveFor how much longer they do; 0 means until their end.
+	ExclusiveJob string        `cbor:"8,keyasint,omitempty"`
+	ExclusiveFor time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Start asks an agent to run one attempt.
--- a/internal/connection/peer/validate.go
+++ b/internal/connection/peer/validate.go
@@ -38,7 +38,11 @@
 		return err
 	}
 	if f.Room != nil {
-		return errors.Join(eris.Wrap(validateFree(f.Room.Free), "free capacity"), validateDemand(f.Room.Demand))
+		return errors.Join(
+			eris.Wrap(validateFree(f.Room.Free), "free capacity"),
+			validateDemand(f.Room.Demand),
+			bounds.RunTime.Check("exclusive time", f.Room.ExclusiveFor),
+		)
 	}
 	return nil
 }
--- a/internal/process/runs/crash.go
+++ b/internal/process/runs/crash.go
@@ -174,6 +174,24 @@
 	for _, r := range m.runs {
 		room.Shared = room.Shared || !r.isolated
 		room.Isolated = room.Isolated || r.isolated
-		room.Exclusive = room.Exclusive || m.isExclusiveLocked(r)
+		if m.isExclusiveLocked(r) {
+			m.describeExclusiveRunLocked(room, r)
+		}
+	}
+}
+
+// describeExclusiveRunLocked adds an exclusive run to what a target's room says. All exclusive
+// runs on a target belong to one job.
+func (m *Manager) describeExclusiveRunLocked(room *peer.Room, r *run) {
+	left := time.Duration(0)
+	if r.exclusiveFor > 0 {
+		left = r.orderedAt + r.exclusiveFor - m.clock()
+	}
+	if room.ExclusiveJob == "" || left == 0 {
+		room.ExclusiveJob, room.ExclusiveFor = r.attempt.Key.Job, left
+		return
+	}
+	if room.ExclusiveFor > 0 {
+		room.ExclusiveFor = max(room.ExclusiveFor, left)
 	}
 }
--- a/internal/process/scheduler/cluster_test.go
+++ b/internal/process/scheduler/cluster_test.go
@@ -35,6 +35,8 @@
 	number   uint64
 	free     task.Resources
 	claims   []peer.Claim
+	// exclusiveJob is the job that the target is kept for.
+	exclusiveJob string
 	// crashes is the number of reports of crashes received.
 	crashes int
 	// others is the demand that the agent reports, received that of the entry.
@@ -109,7 +111,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		f.Accepted = a.accepted
-		f.Room = &peer.Room{Free: a.free, Demand: a.others}
+		f.Room = &peer.Room{Free: a.free, Demand: a.others, ExclusiveJob: a.exclusiveJob}
 		f.Sent = time.Now().UnixNano()
 	})
 	tc.t.Cleanup(a.link.Close)
--- a/internal/process/scheduler/crash_test.go
+++ b/internal/process/scheduler/crash_test.go
@@ -150,6 +150,36 @@
 	})
 }
 
+// The first task of an isolated job keeps other jobs out. Its other tasks must not wait until
+// that ends: another job would then take the target first.
+func TestOtherTasksOfAnIsolatedJobFollowWhileTheTargetIsKeptForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, agents := clusterOf(t, 8)
+		tc.isolateQueue()
+		alone := crash.Run{Task: task.Key{Job: "alone"}, Queue: "q", Age: 8 * time.Millisecond, Isolated: true}
+		agents[7].reportCrash(1, alone)
+		tc.submit(tc.job("j", 3, 1000))
+		a, first := nextStartOfAny(t, agents)
+		a.setExclusiveJob("j")
+		a.report(first.Attempt, first.Need, peer.OutcomeStarted, "")
+		time.Sleep(2*alone.Age + 25*time.Millisecond)
+		if len(a.starts) != 2 {
+			t.Errorf("%d other tasks are started", len(a.starts))
+		}
+		tc.submit(tc.job("other", 1, 1000))
+		time.Sleep(20 * time.Millisecond)
+		if len(a.starts) > 2 {
+			t.Error("another job is started there")
+		}
+	})
+}
+
+func (a *fakeAgent) setExclusiveJob(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.exclusiveJob = id
+}
+
 // isolateQueue makes the entry isolate the jobs of its queue.
 func (tc *testCluster) isolateQueue() {
 	s := tc.scheduler
--- a/internal/process/scheduler/isolation.go
+++ b/internal/process/scheduler/isolation.go
@@ -295,7 +295,7 @@
 
 // isFreeFor reports whether nothing at a target keeps out an isolated job.
 func (s *Scheduler) isFreeFor(j *job, t *target, now time.Duration) bool {
-	if t.shared || t.exclusive {
+	if t.shared || t.isExclusive(j, now) {
 		return false
 	}
 	for _, at := range t.attempts {
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -24,8 +24,12 @@
 	reportedFree task.Resources
 	// probation and probe are the values from the latest frame.
 	probation, probe bool
-	// shared, isolated and exclusive are what the latest frame said about isolated runs.
-	shared, isolated, exclusive bool
+	// shared and isolated are what the latest frame said about isolated runs.
+	shared, isolated bool
+	// exclusiveJob is the job that keeps out all others according to that frame, until
+	// exclusiveUntil or, if that is 0, until a frame says otherwise.
+	exclusiveJob   string
+	exclusiveUntil time.Duration
 	// setApart is set while the target is kept for isolated jobs.
 	setApart bool
 	// crashed is set while the incarnation described has crashed.
@@ -68,6 +72,14 @@
 	return t.link != nil && t.info.Available && !t.crashed && now-t.lastFrameAt < peer.SuspectAfter
 }
 
+// isExclusive reports whether a job other than j keeps out all others.
+func (t *target) isExclusive(j *job, now time.Duration) bool {
+	if t.exclusiveJob == "" || t.exclusiveJob == j.spec.ID {
+		return false
+	}
+	return t.exclusiveUntil == 0 || now < t.exclusiveUntil
+}
+
 // free returns the free capacity less that of starts still in transit.
 func (t *target) free() task.Resources {
 	free := t.reportedFree
@@ -200,7 +212,11 @@
 	if f.Room != nil {
 		t.reportedFree = f.Room.Free
 		t.probation, t.probe = f.Room.Probation, f.Room.Probe
-		t.shared, t.isolated, t.exclusive = f.Room.Shared, f.Room.Isolated, f.Room.Exclusive
+		t.shared, t.isolated = f.Room.Shared, f.Room.Isolated
+		t.exclusiveJob, t.exclusiveUntil = f.Room.ExclusiveJob, 0
+		if f.Room.ExclusiveFor > 0 {
+			t.exclusiveUntil = s.now() + f.Room.ExclusiveFor
+		}
 		s.updateOthersDemand(t, f.Room.Demand)
 	}
 	for _, r := range f.Results {
