Agents keep the releases of queues for entries that start later

Found by reading: an entry that starts after the others have released a confined queue learns of the crashes from its agents and confines the queue alone, for up to ten seconds. Its jobs of the queue then wait for targets that the other entries give to everybody, and are refused.

Agents forwarded releases, but kept none. They now keep the latest one of each queue as long as the crash that it followed, and send it after the reports. TestEntryThatLinksLaterLearnsOfReleases failed before: "releases are []".

--- a/internal/process/runs/crash.go
+++ b/internal/process/runs/crash.go
@@ -128,12 +128,14 @@
 	return slices.DeleteFunc(reports, func(r crash.Report) bool { return r.Agent != m.opts.Name })
 }
 
-// forwardReleasesLocked forwards the queues that an entry no longer keeps apart to the other
-// entries.
+// forwardReleasesLocked keeps the releases of an entry and forwards them to the other entries.
 func (m *Manager) forwardReleasesLocked(from *owner, released []crash.Release) {
 	if len(released) == 0 {
 		return
 	}
+	for _, r := range released {
+		m.crashes.AddRelease(r)
+	}
 	for _, o := range m.owners {
 		if o != from && o.link != nil {
 			o.link.Send(peer.Frame{Released: released})
--- a/internal/process/runs/crash_test.go
+++ b/internal/process/runs/crash_test.go
@@ -187,6 +187,25 @@
 	})
 }
 
+// An entry starts after the others have released a queue. It learns of the crashes, and must not
+// confine the queue alone.
+func TestEntryThatLinksLaterLearnsOfReleases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.waitStarted(h.start(0, 1, task.Resources{CPU: 1000}))
+		h.refuse()
+		want := crash.Release{Queue: "k", Latest: h.waitCrash().ID}
+		h.entry.Send(peer.Frame{Released: []crash.Release{want}})
+		time.Sleep(10 * time.Millisecond)
+		h.entry.Close()
+		h.connect(8)
+		f := h.waitFor(func(f *peer.Frame) bool { return f.Hello != nil })
+		if len(f.Released) != 1 || f.Released[0] != want {
+			t.Errorf("releases are %+v", f.Released)
+		}
+	})
+}
+
 // A suspect must not take runs of others with it.
 func TestIsolatedRunIsKeptApart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -91,6 +91,8 @@
 		Results: append([]peer.Result(nil), o.results...),
 		Policy:  m.policyLocked(),
 		Crashes: m.crashes.Reports(m.clock()),
+		// After the reports, so that they end what these bring about.
+		Released: m.crashes.Releases(m.clock()),
 	})
 }
 
--- a/internal/request/crash/crash_test.go
+++ b/internal/request/crash/crash_test.go
@@ -47,6 +47,20 @@
 	}
 }
 
+// A release is known for as long as its crash, and not without it.
+func TestReleaseEndsWithItsCrash(t *testing.T) {
+	var l Log
+	l.Add(0, report("a", 0))
+	l.AddRelease(Release{Queue: "k", Latest: report("a", 0).ID})
+	l.AddRelease(Release{Queue: "q", Latest: report("unknown", 0).ID})
+	if got := l.Releases(Retention); len(got) != 1 || got[0].Queue != "k" {
+		t.Errorf("releases are %+v", got)
+	}
+	if got := l.Releases(Retention + 1); len(got) != 0 {
+		t.Errorf("releases are %+v", got)
+	}
+}
+
 func TestReportsAreBounded(t *testing.T) {
 	var l Log
 	for n := range 2 * maxReports {
--- a/internal/request/crash/log.go
+++ b/internal/request/crash/log.go
@@ -13,10 +13,12 @@
 	maxReports = 256
 )
 
-// Log keeps recent reports, one for each crash. Its times are durations since the start of
-// the process. It is not safe for concurrent use.
+// Log keeps recent reports, one for each crash, and the releases that followed. Its times are
+// durations since the start of the process. It is not safe for concurrent use.
 type Log struct {
 	kept map[ID]*kept
+	// released holds the latest crash before the release of each queue.
+	released map[string]ID
 }
 
 // kept is a report with the time of its crash, which may be before the process started.
@@ -44,6 +46,27 @@
 	return true
 }
 
+// AddRelease keeps a release for as long as the crash that it followed.
+func (l *Log) AddRelease(r Release) {
+	if l.kept[r.Latest] == nil || len(l.released) >= maxReports {
+		return
+	}
+	if l.released == nil {
+		l.released = make(map[string]ID)
+	}
+	l.released[r.Queue] = r.Latest
+}
+
+// Releases returns the releases kept.
+func (l *Log) Releases(now time.Duration) []Release {
+	l.expire(now)
+	var releases []Release
+	for queue, latest := range l.released {
+		releases = append(releases, Release{Queue: queue, Latest: latest})
+	}
+	return releases
+}
+
 // Reports returns the reports kept, the latest crash first, with their present ages.
 func (l *Log) Reports(now time.Duration) []Report {
 	l.expire(now)
@@ -65,6 +88,11 @@
 			delete(l.kept, id)
 		}
 	}
+	for queue, latest := range l.released {
+		if l.kept[latest] == nil {
+			delete(l.released, queue)
+		}
+	}
 }
 
 func (l *Log) dropOldest() {
