--- a/internal/process/loadreplay/replay_test.go
+++ b/internal/process/loadreplay/replay_test.go
@@ -38,6 +38,16 @@
 	seed   uint64
 	// killers, if set, adds jobs that crash their targets.
 	killers *killers
+	// shrinks, if set, lets targets lose a part of their capacity for a while.
+	shrinks *shrinks
+}
+
+// shrinks describes targets whose capacity shrinks and grows again.
+type shrinks struct {
+	targets int
+	// capacity is what each of them is left with, in thousandths of a core.
+	capacity int64
+	from, to time.Duration
 }
 
 const targetCPU = 32_000
@@ -88,6 +98,8 @@
 	// crashes is the number of crashes of targets, lostRuns that of the runs on them, and
 	// mostCrashes the highest number of crashes by one task.
 	crashes, lostRuns, mostCrashes int
+	// overCapacity is the number of starts over a capacity that a target had announced.
+	overCapacity int
 }
 
 // replay runs a load against a fleet.
@@ -103,6 +115,9 @@
 		}
 		f := newFleet(c, w)
 		time.Sleep(500 * time.Millisecond)
+		if c.shrinks != nil {
+			go f.shrink(*c.shrinks)
+		}
 		r = f.play(w)
 		f.close()
 	})
@@ -183,6 +198,14 @@
 		})
 	}
 	announce(t)
+	sequence := uint64(1)
+	t.announce = func(capacity int64) {
+		sequence++
+		t.setCapacity(capacity)
+		m.Announce(runs.Announcement{
+			ID: name, Incarnation: 1, Sequence: sequence, Pool: "p", DataCentre: "dc", Capacity: task.Resources{CPU: capacity},
+		})
+	}
 	go m.Run(f.done)
 	time.Sleep(5 * time.Millisecond)
 	for i, s := range f.entries {
@@ -190,6 +213,18 @@
 	}
 }
 
+// shrink changes the capacity of some targets, and back.
+func (f *fleet) shrink(s shrinks) {
+	time.Sleep(s.from)
+	for _, t := range f.targets[:s.targets] {
+		t.announce(s.capacity)
+	}
+	time.Sleep(s.to - s.from)
+	for _, t := range f.targets[:s.targets] {
+		t.announce(targetCPU)
+	}
+}
+
 // link connects an agent and an entry.
 func (f *fleet) link(m *runs.Manager, s *scheduler.Scheduler, agent string, entry uint64, delay time.Duration) {
 	agentSide, a := net.Pipe()
@@ -281,6 +316,7 @@
 	r.inTimeWork = inTimeWork / work
 	for _, t := range f.targets {
 		r.wasted += t.wastedCPU / 1000
+		r.overCapacity += t.overCapacity
 	}
 	for _, n := range w.crashesBy {
 		r.crashes += n
--- a/internal/process/loadreplay/target_test.go
+++ b/internal/process/loadreplay/target_test.go
@@ -21,10 +21,17 @@
 	capacity int64
 	speed    float64
 
-	mu      sync.Mutex
-	used    int64
-	running map[task.Attempt]*activeRun
-	ended   []runs.EndedRun
+	// announce announces a capacity of the target from now on, which it then does not guard.
+	announce func(capacity int64)
+
+	mu   sync.Mutex
+	used int64
+	// announcedAt is when a capacity was announced; zero while the target guards its own.
+	announcedAt time.Time
+	// overCapacity is the number of starts over an announced capacity.
+	overCapacity int
+	running      map[task.Attempt]*activeRun
+	ended        []runs.EndedRun
 	// crashed is set once a task has crashed this incarnation; onCrash is called then.
 	crashed bool
 	onCrash func()
@@ -53,7 +60,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.used+s.Need.CPU > t.capacity {
-		return runs.AnswerNoRoom, nil
+		if t.announcedAt.IsZero() {
+			return runs.AnswerNoRoom, nil
+		}
+		if time.Since(t.announcedAt) > orderDelay {
+			t.overCapacity++
+		}
 	}
 	r := &activeRun{cpu: s.Need.CPU, started: time.Now(), length: time.Duration(float64(t.workload.work(s.Attempt.Key)) / t.speed)}
 	t.used += r.cpu
@@ -65,6 +77,12 @@
 	return runs.AnswerDone, nil
 }
 
+func (t *target) setCapacity(capacity int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.capacity, t.announcedAt = capacity, time.Now()
+}
+
 // isGone reports whether a task has crashed this incarnation.
 func (t *target) isGone() bool {
 	t.mu.Lock()
