End the suspicion against a job when its crash is withdrawn

Found by reading: a job keeps its suspicion if no report speaks of it any more. After a target that had only been silent answers again, its jobs went on as suspects: their other tasks waited for a target of their own, and were refused without one.

TestSuspicionEndsWhenItsCrashIsWithdrawn failed before: "the job is isolated". The line in the log is now "suspicion of a job changed", since it also says that there is none any more.

--- a/internal/process/scheduler/crash_test.go
+++ b/internal/process/scheduler/crash_test.go
@@ -245,6 +245,38 @@
 	})
 }
 
+// A target stops answering for a moment. Once it answers, the jobs there are no suspects, and
+// their other tasks need no target of their own.
+func TestSuspicionEndsWhenItsCrashIsWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, agents := clusterOf(t, 1)
+		tc.submit(tc.job("j", 2, 5000))
+		a, s := nextStartOfAny(t, agents)
+		a.report(s.Attempt, s.Need, peer.OutcomeStarted, "")
+		tc.agent("spare")
+		tc.agent("other")
+		report := crash.Report{ID: crash.ID{Target: a.name, Incarnation: 1}, Agent: a.name, Runs: []crash.Run{crashed(s)}, Silent: true}
+		a.link.Send(peer.Frame{Crashes: []crash.Report{report}})
+		time.Sleep(time.Millisecond)
+		if got := tc.separationOf("j"); got != load.Isolated {
+			t.Fatalf("the job is %v", got)
+		}
+		report.Withdrawn = true
+		a.link.Send(peer.Frame{Crashes: []crash.Report{report}})
+		time.Sleep(time.Millisecond)
+		if got := tc.separationOf("j"); got != load.Shared {
+			t.Errorf("the job is %v", got)
+		}
+	})
+}
+
+// separationOf returns how far a job is kept apart.
+func (tc *testCluster) separationOf(id string) load.Separation {
+	tc.scheduler.mu.Lock()
+	defer tc.scheduler.mu.Unlock()
+	return tc.scheduler.jobs[id].separation
+}
+
 // restart announces a new incarnation of the agent's target.
 func (a *fakeAgent) restart(incarnation int64) {
 	a.link.Send(peer.Frame{Target: &peer.Target{ID: a.name, Incarnation: incarnation, Pool: "p", DataCentre: "dc1", Available: true}})
--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -115,11 +115,11 @@
 }
 
 func (s *Scheduler) applySuspicionTo(j *job, now time.Duration) {
-	suspicion, known := s.suspects[j.spec.ID]
-	if known && suspicion != j.suspicion {
+	suspicion := s.suspects[j.spec.ID]
+	if suspicion != j.suspicion {
 		j.suspicion = suspicion
 		s.opts.Log.Info().Str("job", j.spec.ID).Int("crashes", suspicion.Crashes).Bool("alone", suspicion.Alone).Bool("proven", suspicion.Proven).
-			Float64("share", suspicion.Share).Bool("isolate", suspicion.MustIsolate()).Msg("job suspected")
+			Float64("share", suspicion.Share).Bool("isolate", suspicion.MustIsolate()).Msg("suspicion of a job changed")
 	}
 	switch {
 	case suspicion.MustGiveUp():
