Do not repeat a start order long after its acceptance, whatever lease the entry has then

Traced with the logs of both processes: the start order is not answered; the agent is paused for 2.5 s; the entry gives the attempt up after 1.5 s, runs the task elsewhere and answers. The permission was checked before each order, but the lease that lapsed in between had left no trace.

An order is now sent only within OwnerLease of its acceptance, on the agent's clock: until then no entry gives an attempt up. What is unanswered is resolved by a look with a higher token.

--- a/internal/process/runs/owner_test.go
+++ b/internal/process/runs/owner_test.go
@@ -189,6 +189,28 @@
 	})
 }
 
+// The same, but the entry links again before the agent notices its pause: the lease is valid
+// anew, and yet the entry has given the attempt up.
+func TestStartIsNotRepeatedAfterAPauseForAnEntryThatLinksAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() {
+			h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true
+			h.target.beforeStart = func() {
+				h.target.beforeStart = nil
+				h.expireOwnerLease()
+				h.connect(7)
+			}
+		})
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		time.Sleep(200 * time.Millisecond)
+		if n := h.target.startsOf(a); n > 0 {
+			t.Fatalf("started %d times after the pause", n)
+		}
+		h.waitOutcome(a, peer.OutcomeRefused)
+	})
+}
+
 // The agent is paused between sending a start order and the target's answer, which is
 // lost. The entry's lease has expired meanwhile and the entry may have started the task
 // elsewhere, so the order must not be sent again.
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -7,8 +7,13 @@
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 )
 
-// startTries is how often a start order is sent before its outcome is resolved by a poll.
-const startTries = 5
+const (
+	// startTries is how often a start order is sent before its outcome is resolved by a poll.
+	startTries = 5
+	// maxOrderAge is how long after its acceptance a start order may be sent. The entry that
+	// gave it may have given the attempt up later, also if its lease is valid again.
+	maxOrderAge = peer.OwnerLease
+)
 
 // startLocked checks a start order and either refuses it or begins to execute it.
 func (m *Manager) startLocked(o *owner, s peer.Start) {
@@ -140,7 +145,11 @@
 		return Permit{}, peer.RefusalStopped
 	}
 	refusal := m.permissionLocked(m.owners[r.owner])
-	if refusal == peer.RefusalNone && !m.fitsLocked(r) {
+	switch {
+	case refusal != peer.RefusalNone:
+	case m.clock()-r.orderedAt > maxOrderAge:
+		refusal = peer.RefusalUnavailable
+	case !m.fitsLocked(r):
 		refusal = peer.RefusalNoCapacity
 	}
 	if refusal != peer.RefusalNone {
