Compare the moments of crashes by how certain their times are

Cause: two targets that end at one moment make no suspects, but an agent notices the end of its target with its next poll, up to 50 ms later, and one moment meant 15 ms. So every second pair made suspects, and a target was set apart for them for two seconds.

A report now says how uncertain its time is (the time since the latest answer, for a silence half of the time in which it began), and two crashes are of one moment if they may be. This replaces the fixed 30 ms for silences. TestCrashesThatMayBeOfOneMomentMakeNoSuspects failed before on its first half.

--- a/internal/process/load/cause.go
+++ b/internal/process/load/cause.go
@@ -14,9 +14,8 @@
 	// sameMoment is the time between crashes that are likely to have a cause outside the
 	// targets, as a loss of power: tasks crash one target at a time.
 	sameMoment = 15 * time.Millisecond
-	// sameSilence replaces it if one of two targets has only stopped answering, of which
-	// the agent knows the time from polls.
-	sameSilence = 30 * time.Millisecond
+	// maxUncertainty bounds what is added to sameMoment for crashes whose time is uncertain.
+	maxUncertainty = 60 * time.Millisecond
 	// externalPrior is the assumed probability that no task is the cause of the crashes.
 	externalPrior = 0.25
 	// ageRangeFactor is the ratio of the ends of a range of ages: runs of one kind crash
@@ -233,7 +232,7 @@
 func neighbours(reports []crash.Report, i int) int {
 	n := 0
 	for _, step := range []int{-1, 1} {
-		for at := i + step; at >= 0 && at < len(reports) && (reports[at].Age-reports[i].Age).Abs() <= sameSilence; at += step {
+		for at := i + step; at >= 0 && at < len(reports) && (reports[at].Age-reports[i].Age).Abs() <= sameMoment+maxUncertainty; at += step {
 			if !reports[at].Withdrawn && isSameMoment(&reports[at], &reports[i]) {
 				n++
 			}
@@ -243,8 +242,6 @@
 }
 
 func isSameMoment(a, b *crash.Report) bool {
-	if a.Silent || b.Silent {
-		return (a.Age - b.Age).Abs() <= sameSilence
-	}
-	return (a.Age - b.Age).Abs() <= sameMoment
+	uncertainty := min(max(a.Uncertainty, b.Uncertainty), maxUncertainty)
+	return (a.Age - b.Age).Abs() <= sameMoment+uncertainty
 }
--- a/internal/process/load/confinement_test.go
+++ b/internal/process/load/confinement_test.go
@@ -103,17 +103,23 @@
 	}
 }
 
-// Two targets are cut off together, and polls find it at different moments.
-func TestSilencesAtOneMomentMakeNoSuspects(t *testing.T) {
+// Two targets end together, and their agents find it with polls at different moments.
+func TestCrashesThatMayBeOfOneMomentMakeNoSuspects(t *testing.T) {
 	reports := []crash.Report{
-		{ID: crash.ID{Target: "a"}, Silent: true, Runs: []crash.Run{crashedRun("k", 1, time.Millisecond)}},
-		{ID: crash.ID{Target: "b"}, Silent: true, Runs: []crash.Run{crashedRun("k", 2, time.Millisecond)}, Age: 20 * time.Millisecond},
+		{ID: crash.ID{Target: "a"}, Uncertainty: 50 * time.Millisecond, Runs: []crash.Run{crashedRun("k", 1, time.Millisecond)}},
+		{ID: crash.ID{Target: "b"}, Runs: []crash.Run{crashedRun("k", 2, time.Millisecond)}, Age: 45 * time.Millisecond},
 	}
 	for job, s := range NewSuspects(reports) {
 		if s.Share > 0 {
 			t.Errorf("%s: %+v", job, s)
 		}
 	}
+	reports[0].Uncertainty = 10 * time.Millisecond
+	for job, s := range NewSuspects(reports) {
+		if s.Share == 0 {
+			t.Errorf("%s is no suspect", job)
+		}
+	}
 }
 
 func TestWithdrawnCrashMakesNoSuspect(t *testing.T) {
--- a/internal/process/runs/crash.go
+++ b/internal/process/runs/crash.go
@@ -27,7 +27,9 @@
 // noteCrashLocked records that the target has ended without notice.
 func (m *Manager) noteCrashLocked(t *targetIncarnation, evidence string) {
 	if m.mayHaveCrashedLocked(t) && time.Since(t.answeredAt) <= crashEvidenceWindow {
-		m.reportCrashLocked(t, m.crashLocked(t, m.clock(), m.clock()), evidence)
+		c := m.crashLocked(t, m.clock(), m.clock())
+		c.Uncertainty = bounds.RunTime.Clamp(time.Since(t.answeredAt))
+		m.reportCrashLocked(t, c, evidence)
 	}
 }
 
@@ -39,7 +41,7 @@
 	}
 	from, to := m.silenceBeganLocked(t)
 	c := m.crashLocked(t, from+(to-from)/2, to+silenceSpread)
-	c.Silent = true
+	c.Silent, c.Uncertainty = true, bounds.RunTime.Clamp((to-from)/2)
 	m.reportCrashLocked(t, c, "it does not answer")
 }
 
--- a/internal/request/crash/report.go
+++ b/internal/request/crash/report.go
@@ -36,8 +36,9 @@
 	Runs []Run         `cbor:"4,keyasint,omitempty" json:"runs"`
 	// Withdrawn is set once the same incarnation has answered again: it did not crash.
 	Withdrawn bool `cbor:"5,keyasint,omitempty" json:"withdrawn"`
-	// Silent is set if the target has only stopped answering: it may hang or be cut off, and
-	// the time of the crash is less certain.
+	// Uncertainty is how much earlier or later the crash may have been than Age says.
+	Uncertainty time.Duration `cbor:"8,keyasint,omitempty" json:"uncertainty,omitempty"`
+	// Silent is set if the target has only stopped answering: it may hang or be cut off.
 	Silent bool `cbor:"6,keyasint,omitempty" json:"silent,omitempty"`
 	// Rates is how often jobs of each queue have begun on the target before; empty if its agent
 	// has not seen it for long enough.
@@ -86,7 +87,7 @@
 	if len(r.Rates) > MaxRates {
 		return eris.Errorf("crash report has rates of %d queues, at most %d are allowed", len(r.Rates), MaxRates)
 	}
-	errs := []error{bounds.RunTime.Check("age of crash", r.Age)}
+	errs := []error{bounds.RunTime.Check("age of crash", r.Age), bounds.RunTime.Check("uncertainty", r.Uncertainty)}
 	for i := range r.Runs {
 		errs = append(errs, bounds.RunTime.Check("age of crashed run", r.Runs[i].Age))
 	}
