A run that its target had not confirmed proves no task guilty

Cause, by reading: the report of a crash has all runs that were ordered, also one whose order was on its way when the target crashed and that has not run there. Such a run is young, and the second time it may be alone and of the same age: proof, so that an innocent job is given up.

Reports now mark runs without an answer. They count as crashes, since a task may crash its target before the answer, but prove nothing: three are needed. Failed before: TestOrderOnItsWayToACrashedTargetIsReportedAsUnconfirmed, TestUnconfirmedRunsProveNoTask ("after 2 crashes: Proven").

--- a/internal/process/load/confinement_test.go
+++ b/internal/process/load/confinement_test.go
@@ -90,6 +90,20 @@
 	}
 }
 
+// A start order of an innocent job was on its way to two targets that crashed, and it was alone
+// on the second.
+func TestUnconfirmedRunsProveNoTask(t *testing.T) {
+	var c crashes
+	for n := range 3 {
+		run := crashedRun("a", 1, time.Millisecond)
+		run.Unconfirmed = true
+		c.observe(time.Duration(n)*time.Second, run)
+		if s := c.suspects["a-1"]; s.Proven || s.MustGiveUp() != (n == 2) {
+			t.Errorf("after %d crashes: %+v", n+1, s)
+		}
+	}
+}
+
 // A job was alone on two targets that were cut off.
 func TestSilentTargetsProveNoTask(t *testing.T) {
 	var reports []crash.Report
--- a/internal/process/load/suspects.go
+++ b/internal/process/load/suspects.go
@@ -34,7 +34,8 @@
 	// Alone is set if a target has crashed with runs of this job only.
 	Alone bool
 	// Proven is set if one did so at about the same age of a run as another target under the
-	// same task. A target that has only stopped answering proves nothing.
+	// same task. A target that has only stopped answering proves nothing, nor does one that
+	// had not confirmed the task.
 	Proven bool
 	// Share is its highest share of the suspicion for one crash, from 0 to 1.
 	Share float64
@@ -63,9 +64,10 @@
 // taskCrash is one crash under a task.
 type taskCrash struct {
 	age time.Duration
-	// alone is set if only runs of its job were on the target, silent if the target has only
-	// stopped answering.
-	alone, silent bool
+	// alone is set if only runs of its job were on the target.
+	alone bool
+	// certain is set if the target has certainly crashed, and the task has certainly run there.
+	certain bool
 }
 
 // NewSuspects derives the suspects from all reports of crashes. A job with a withdrawn
@@ -83,7 +85,7 @@
 			clear(shares) // the cause is likely to be outside the targets
 		}
 		for _, run := range r.Runs {
-			crashes[run.Task] = append(crashes[run.Task], taskCrash{age: run.Age, alone: r.IsAlone(), silent: r.Silent})
+			crashes[run.Task] = append(crashes[run.Task], taskCrash{age: run.Age, alone: r.IsAlone(), certain: !r.Silent && !run.Unconfirmed})
 			s := suspects[run.Task.Job]
 			s.Share = max(s.Share, shares[run.Task.Job])
 			suspects[run.Task.Job] = s
@@ -101,7 +103,7 @@
 	for i, c := range crashes {
 		s.Alone = s.Alone || c.alone
 		for n, other := range crashes {
-			if c.alone && n != i && !c.silent && !other.silent && isSameAge(c.age, other.age) {
+			if c.alone && n != i && c.certain && other.certain && isSameAge(c.age, other.age) {
 				s.Proven = true
 			}
 		}
--- a/internal/process/runs/crash.go
+++ b/internal/process/runs/crash.go
@@ -79,7 +79,10 @@
 	c := crash.Report{ID: crash.ID{Target: t.ID, Incarnation: t.Incarnation}, Agent: m.opts.Name, Age: bounds.RunTime.Clamp(m.clock() - at), Rates: m.starts.Rates(m.clock())}
 	for _, r := range m.runs {
 		if r.phase != phaseMisdirected && r.orderedAt <= until {
-			c.Runs = append(c.Runs, crash.Run{Task: r.attempt.Key, Queue: r.queue, Isolated: r.isolated, Age: bounds.RunTime.Clamp(at - r.orderedAt)})
+			c.Runs = append(c.Runs, crash.Run{
+				Task: r.attempt.Key, Queue: r.queue, Age: bounds.RunTime.Clamp(at - r.orderedAt),
+				Isolated: r.isolated, Unconfirmed: r.phase == phaseStarting,
+			})
 		}
 	}
 	slices.SortFunc(c.Runs, func(a, b crash.Run) int { return cmp.Compare(a.Age, b.Age) })
@@ -93,7 +96,7 @@
 		Dur("silent", silent).Int("runs", len(c.Runs)).Msg("target crashed")
 	for i, r := range c.Runs {
 		m.opts.Log.Warn().Str("job", r.Task.Job).Stringer("task", r.Task).Str("queue", r.Queue).Str("target", c.ID.Target).
-			Dur("age", r.Age).Int("younger", i).Bool("isolated", r.Isolated).Msg("run was on a target that crashed")
+			Dur("age", r.Age).Int("younger", i).Bool("isolated", r.Isolated).Bool("unconfirmed", r.Unconfirmed).Msg("run was on a target that crashed")
 	}
 }
 
--- a/internal/process/runs/crash_test.go
+++ b/internal/process/runs/crash_test.go
@@ -121,6 +121,28 @@
 	})
 }
 
+// A start order reaches the address of a target that has just crashed, before the agent knows.
+// Its task may not have run there.
+func TestOrderOnItsWayToACrashedTargetIsReportedAsUnconfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.waitStarted(h.start(0, 1, task.Resources{CPU: 1000}))
+		h.target.set(func() {
+			h.target.beforeStart = func() {
+				h.target.beforeStart = nil
+				h.target.refuses = true
+				clear(h.target.running)
+			}
+		})
+		late := h.start(1, 1, task.Resources{CPU: 1000})
+		for _, r := range h.waitCrash().Runs {
+			if r.Unconfirmed != (r.Task == late.Key) {
+				t.Errorf("run %+v", r)
+			}
+		}
+	})
+}
+
 // The path to the target is cut and its lease ends the runs; then it restarts. That its tasks
 // have crashed it is not certain, and its refusals and its new incarnation do not make it so.
 func TestRestartBehindACutCountsAsASilenceOnce(t *testing.T) {
--- a/internal/request/crash/report.go
+++ b/internal/request/crash/report.go
@@ -59,6 +59,8 @@
 	Age time.Duration `cbor:"3,keyasint,omitempty" json:"age"`
 	// Isolated is set if the run was kept apart from those of other jobs.
 	Isolated bool `cbor:"4,keyasint,omitempty" json:"isolated"`
+	// Unconfirmed is set if the target had not answered its start order.
+	Unconfirmed bool `cbor:"5,keyasint,omitempty" json:"unconfirmed,omitempty"`
 }
 
 // Release says that the jobs of a queue have proved harmless since a crash, so that they are
