--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -51,7 +51,8 @@
 func (s *Scheduler) observeCrash(now time.Duration, r *crash.Report) {
 	s.opts.Counters.Counter("crashes_reported").Inc(1)
 	s.opts.Log.Warn().Str("target", r.ID.Target).Int64("incarnation", r.ID.Incarnation).Str("agent", r.Agent).Dur("age", r.Age).
-		Int("runs", len(r.Runs)).Bool("alone", r.IsAlone()).Bool("withdrawn", r.Withdrawn).Msg("crash of a target reported")
+		Int("runs", len(r.Runs)).Bool("alone", r.IsAlone()).Bool("silent", r.Silent).Dur("uncertainty", r.Uncertainty).
+		Bool("withdrawn", r.Withdrawn).Msg("crash of a target reported")
 	if t := s.targets[r.Agent]; t != nil {
 		if t.info.ID == r.ID.Target && t.info.Incarnation == r.ID.Incarnation {
 			t.crashed = !r.Withdrawn
