Confine a queue for a proven task only if it is likely to be the cause

Cause, by the log: a suspect was alone on a target that crashed from outside, at the age of its first crash by chance. That "proved" it, and a proven task isolates its queue once three crashes are explained; a busy queue has a run of some age on every crashed target. Each further crash from outside then kept it confined.

A proven task now isolates its queue only from the probability below which a queue is released (0.2), and a crash at the moment of another one proves nothing. Failed before: TestQueueThatIsHardlyTheCauseIsNotConfinedForOneTask, TestCrashesAtOneMomentProveNoTask. Two tests of the scheduler had two crashes under one task within a millisecond, which a retry can't do; they are 100 ms apart now, with the same assertions.

--- a/internal/process/load/confinement.go
+++ b/internal/process/load/confinement.go
@@ -26,7 +26,8 @@
 	minExplained   = 3
 	explainedShare = 1.0 / 8
 	// likelyCause and certainCause are the probabilities of being the cause from which a queue
-	// is put apart, and isolated. Below unlikelyCause it is released.
+	// is put apart, and isolated. Below unlikelyCause it is released, and not isolated for one
+	// task that is proven guilty.
 	likelyCause   = 0.75
 	certainCause  = 0.97
 	unlikelyCause = 0.2
@@ -89,7 +90,7 @@
 	}
 	raised := false
 	at := now - r.Age
-	proven := single && suspects[r.Runs[0].Task.Job].Proven
+	proven := single && suspects[r.Runs[0].Task.Job].Proven && causes[only].Probability >= unlikelyCause
 	required := max(minExplained, int(explainedShare*float64(size)))
 	switch {
 	case single && c.Separation(only) != Shared, proven && causes[only].Crashes >= required:
--- a/internal/process/load/confinement_test.go
+++ b/internal/process/load/confinement_test.go
@@ -174,6 +174,35 @@
 	}
 }
 
+// A suspect of an innocent queue was alone on a target that crashed for another reason, at the age
+// of its first crash by chance. The crashes before speak against its queue as the cause.
+func TestQueueThatIsHardlyTheCauseIsNotConfinedForOneTask(t *testing.T) {
+	var c crashes
+	for n := range 4 {
+		c.mixed(time.Duration(n)*300*time.Millisecond, n+1)
+	}
+	c.observe(1500*time.Millisecond, crashedRun("b", 100, 50*time.Millisecond))
+	if s := c.suspects["b-100"]; !s.Proven {
+		t.Fatalf("suspicion %+v", s)
+	}
+	if got := c.confinement.Separation("b"); got != Shared {
+		t.Errorf("its queue is %v", got)
+	}
+}
+
+// Two targets that two tasks were on end at one moment, one of them with one task alone.
+func TestCrashesAtOneMomentProveNoTask(t *testing.T) {
+	first := crash.Report{ID: crash.ID{Target: "a"}, Age: time.Second, Runs: []crash.Run{crashedRun("k", 1, 9*time.Millisecond), crashedRun("a", 1, time.Second)}}
+	alone := crash.Report{ID: crash.ID{Target: "b"}, Runs: []crash.Run{crashedRun("k", 1, 9*time.Millisecond)}}
+	other := crash.Report{ID: crash.ID{Target: "c"}, Runs: []crash.Run{crashedRun("a", 2, time.Second)}}
+	if s := NewSuspects([]crash.Report{alone, first})["k-1"]; !s.Proven {
+		t.Errorf("without the other crash: %+v", s)
+	}
+	if s := NewSuspects([]crash.Report{alone, other, first})["k-1"]; s.Proven {
+		t.Errorf("with it: %+v", s)
+	}
+}
+
 // Half of the targets lose power at the same moment.
 func TestCrashesAtOneMomentBlameNoQueue(t *testing.T) {
 	var c crashes
--- a/internal/process/load/suspects.go
+++ b/internal/process/load/suspects.go
@@ -35,7 +35,7 @@
 	Alone bool
 	// Proven is set if one did so at about the same age of a run as another target under the
 	// same task. A target that has only stopped answering proves nothing, nor does one that
-	// had not confirmed the task.
+	// had not confirmed the task or crashed at the same moment as another one.
 	Proven bool
 	// Share is its highest share of the suspicion for one crash, from 0 to 1.
 	Share float64
@@ -66,7 +66,8 @@
 	age time.Duration
 	// alone is set if only runs of its job were on the target.
 	alone bool
-	// certain is set if the target has certainly crashed, and the task has certainly run there.
+	// certain is set if the target has certainly crashed, no other one at that moment, and the
+	// task has certainly run there.
 	certain bool
 }
 
@@ -81,11 +82,12 @@
 			continue
 		}
 		shares := suspicionShares(r)
-		if neighbours(reports, i) > 0 {
-			clear(shares) // the cause is likely to be outside the targets
+		outside := neighbours(reports, i) > 0 // the cause is likely to be outside the targets
+		if outside {
+			clear(shares)
 		}
 		for _, run := range r.Runs {
-			crashes[run.Task] = append(crashes[run.Task], taskCrash{age: run.Age, alone: r.IsAlone(), certain: !r.Silent && !run.Unconfirmed})
+			crashes[run.Task] = append(crashes[run.Task], taskCrash{age: run.Age, alone: r.IsAlone(), certain: !r.Silent && !run.Unconfirmed && !outside})
 			s := suspects[run.Task.Job]
 			s.Share = max(s.Share, shares[run.Task.Job])
 			suspects[run.Task.Job] = s
--- a/internal/process/scheduler/crash_test.go
+++ b/internal/process/scheduler/crash_test.go
@@ -17,6 +17,9 @@
 // queueRates are the rates of starts that agents report.
 var queueRates = []crash.QueueRate{{Queue: "q", PerSecond: 1}}
 
+// crashGap is the time between two crashes that are not of one moment.
+const crashGap = 100 * time.Millisecond
+
 // reportCrash reports a crash of the agent's target under some runs.
 func (a *fakeAgent) reportCrash(incarnation int64, runs ...crash.Run) {
 	a.link.Send(peer.Frame{Crashes: []crash.Report{{
@@ -53,6 +56,7 @@
 		if !second.Isolated || b == a {
 			t.Errorf("started again on %s, isolated %v", b.name, second.Isolated)
 		}
+		time.Sleep(crashGap)
 		b.report(second.Attempt, second.Need, peer.OutcomeStarted, "")
 		begun := time.Now()
 		b.reportCrash(1, crashed(second))
@@ -78,6 +82,7 @@
 		tc, agents := clusterOf(t, 6)
 		run := crash.Run{Task: task.Key{Job: "j"}, Queue: "q", Isolated: true}
 		agents[0].reportCrash(1, run)
+		time.Sleep(crashGap)
 		agents[1].reportCrash(1, run)
 		answered, _ := tc.submit(tc.job("j", 1, 1000))
 		if got := await(t, answered); got.State != StateFailed {
