Log how many orders of a start went unanswered and what decided it

Now: `start order rejected` with its answer and the number of orders sent and unanswered; the same and `decided_by` on `run started` and `run ended`; `unknown run ended`; a counter for each answer.

--- a/internal/process/metrics/doc_test.go
+++ b/internal/process/metrics/doc_test.go
@@ -28,6 +28,7 @@
 	closePattern   = regexp.MustCompile(`CloseReason = "([a-z]+)"`)
 	statePattern   = regexp.MustCompile(`State = "([a-z_]+)"`)
 	refusalPattern = regexp.MustCompile(`Refusal = "([a-z_]+)"`)
+	answerPattern  = regexp.MustCompile(`\bAnswer[A-Z]\w+:\s+"([a-z_]+)"`)
 	rowPattern     = regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\|")
 )
 
@@ -55,6 +56,7 @@
 			"caller_connections_cut_": closePattern,
 			"jobs_":                   statePattern,
 			"starts_refused_":         refusalPattern,
+			"start_orders_":           answerPattern,
 		} {
 			for _, m := range expression.FindAllStringSubmatch(string(b), -1) {
 				ends[prefix] = append(ends[prefix], m[1])
@@ -79,7 +81,7 @@
 		for _, reason := range verdict.Reasons() {
 			names[prefix+verdict.ReasonName(reason)] = true
 		}
-	case "caller_connections_cut_", "jobs_", "starts_refused_":
+	case "caller_connections_cut_", "jobs_", "starts_refused_", "start_orders_":
 		for _, end := range ends {
 			names[prefix+end] = true
 		}
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -12,6 +12,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
 // Options configures the management of the runs at one target.
@@ -128,6 +129,10 @@
 	owner uint64
 	need  task.Resources
 	phase phase
+	// orders counts the start orders sent and those without an answer. decidedBy is the answer
+	// or event that ended the start, for the log.
+	orders    verdict.Tries
+	decidedBy string
 	// confirmedAt is when an answer of the target last confirmed the run.
 	confirmedAt time.Time
 	// orderedAt is when the start order was accepted, as returned by Manager.clock.
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -187,6 +187,7 @@
 	t.lastSeen = e.Number
 	r := m.runs[e.Attempt.Key]
 	if r == nil || r.attempt != e.Attempt {
+		m.logUnknownEndLocked(t, e)
 		if !t.reported {
 			m.sendResultLocked(0, e.Attempt, e.Outcome, peer.RefusalNone)
 		}
@@ -198,6 +199,19 @@
 	m.finishLocked(r, e.Outcome, peer.RefusalNone)
 }
 
+// logUnknownEndLocked logs the end of a run of which the agent has no record. Before the first
+// report it may have been started by an earlier process of this agent. Later it means that
+// the run had been reported as ended or refused before it was.
+func (m *Manager) logUnknownEndLocked(t *targetIncarnation, e EndedRun) {
+	event := m.opts.Log.Info()
+	if t.reported {
+		event = m.opts.Log.Warn()
+		m.opts.Counters.Counter("ends_of_unknown_runs").Inc(1)
+	}
+	event.Str("job", e.Attempt.Key.Job).Stringer("task", e.Attempt.Key).Uint64("run", e.Attempt.Run).
+		Str("target", t.ID).Stringer("outcome", e.Outcome).Bool("first_report", !t.reported).Msg("unknown run ended")
+}
+
 // updateHealthLocked updates the target's health with the mean pace of the jobs that run
 // there. The pace of a job is that of its fastest run, and at most 1.
 func (m *Manager) updateHealthLocked(t *targetIncarnation) {
--- a/internal/process/runs/result.go
+++ b/internal/process/runs/result.go
@@ -37,7 +37,8 @@
 		event = m.opts.Log.Warn()
 	}
 	event.Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
-		Stringer("outcome", outcome).Str("refusal", string(refusal)).
+		Stringer("outcome", outcome).Str("refusal", string(refusal)).Int("orders", r.orders.Sent).
+		Int("unanswered", r.orders.Open).Str("decided_by", r.decidedBy).
 		Dur("after", time.Since(r.confirmedAt)).Msg("run ended")
 }
 
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
 const (
@@ -15,6 +16,10 @@
 	maxOrderAge = peer.OwnerLease
 )
 
+// decidedByPoll is the value of run.decidedBy after a poll with a higher token, instead of
+// the answer to a start order.
+const decidedByPoll = "fenced_poll"
+
 // startLocked checks a start order and either refuses it or begins to execute it.
 func (m *Manager) startLocked(o *owner, s peer.Start) {
 	if refusal := m.refusalLocked(o, s); refusal != peer.RefusalNone {
@@ -108,6 +113,7 @@
 		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
 		answer, err := t.client.Start(ctx, permit, s)
 		cancel()
+		m.recordStartOrder(r, answer, err)
 		if err != nil {
 			unanswered = true
 			m.orderUnanswered(t, "start", s.Attempt, err)
@@ -135,6 +141,24 @@
 	m.resolveStart(t, r)
 }
 
+// recordStartOrder counts a start order by its answer, and logs one other than success.
+func (m *Manager) recordStartOrder(r *run, answer Answer, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		r.orders.Record(verdict.ProvesNothing)
+		return
+	}
+	r.orders.Record(verdict.ProvesRejected)
+	r.decidedBy = answer.String()
+	m.opts.Counters.Counter("start_orders_" + answer.String()).Inc(1)
+	if answer == AnswerDone {
+		return
+	}
+	m.opts.Log.Info().Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
+		Stringer("answer", answer).Int("orders", r.orders.Sent).Int("unanswered", r.orders.Open).Msg("start order rejected")
+}
+
 // startPermit checks the permission to start r before each order: it may have lapsed, or the
 // target's capacity may have shrunk, after the start was accepted. It returns the permit, or
 // why there is none.
@@ -173,7 +197,8 @@
 	r.phase, r.confirmedAt = phaseRunning, time.Now()
 	r.pace.Start(m.clock())
 	m.opts.Log.Info().Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
-		Str("target", m.target.ID).Int64("free_cpu", m.freeLocked().CPU).Msg("run started")
+		Str("target", m.target.ID).Int64("free_cpu", m.freeLocked().CPU).
+		Int("orders", r.orders.Sent).Int("unanswered", r.orders.Open).Str("decided_by", r.decidedBy).Msg("run started")
 	m.sendResultLocked(r.owner, r.attempt, peer.OutcomeStarted, peer.RefusalNone)
 	if r.stopRequested {
 		m.beginStopLocked(r)
@@ -233,8 +258,16 @@
 	return PollRequest{Permit: t.permit(), LastSeen: t.lastSeen}, true
 }
 
+// recordResolution records that a poll with a higher token decides whether an attempt runs.
+func (m *Manager) recordResolution(r *run) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.decidedBy = decidedByPoll
+}
+
 func (m *Manager) startResolved(t *targetIncarnation, r *run, report Report) {
 	m.targetAnswered(t)
+	m.recordResolution(r)
 	for _, running := range report.Running {
 		if running.Attempt == r.attempt {
 			m.startConfirmed(r)
--- a/internal/process/runs/target.go
+++ b/internal/process/runs/target.go
@@ -99,6 +99,21 @@
 	AnswerDoneByOtherIncarnation
 )
 
+var answerNames = map[Answer]string{
+	AnswerDone:                   "done",
+	AnswerFenced:                 "fenced",
+	AnswerStaleRun:               "stale_run",
+	AnswerLeaseExpired:           "lease_expired",
+	AnswerNoRoom:                 "no_room",
+	AnswerUnhealthy:              "unhealthy",
+	AnswerInvalid:                "invalid",
+	AnswerOtherIncarnation:       "other_incarnation",
+	AnswerDoneByOtherIncarnation: "done_by_other_incarnation",
+}
+
+// String returns the name used in logs.
+func (a Answer) String() string { return answerNames[a] }
+
 // refusals maps each answer that refuses a start to the reason reported to the entry.
 var refusals = map[Answer]peer.Refusal{
 	AnswerStaleRun:         peer.RefusalStaleRun,
