--- a/internal/process/runs/faketarget_test.go
+++ b/internal/process/runs/faketarget_test.go
@@ -31,8 +31,11 @@
 	startsToLeaveUnanswered int
 	delayStarts             bool
 	delayedStarts           []func()
-	starts                  []task.Attempt
-	renewals                int
+	// rejectsStarts, unless AnswerDone, answers each start order that is answered at all; the
+	// order is not executed.
+	rejectsStarts Answer
+	starts        []task.Attempt
+	renewals      int
 	// beforeStart, if set, is called before each start order is executed.
 	beforeStart func()
 	// calls counts the orders and polls received while unresponsive.
@@ -76,6 +79,9 @@
 		}
 		return 0, errSilent
 	}
+	if f.rejectsStarts != AnswerDone {
+		return f.rejectsStarts, nil
+	}
 	answer := f.startLocked(permit.Token, s)
 	if f.startsByOther && answer == AnswerDone {
 		return AnswerDoneByOtherIncarnation, nil
--- /dev/null
+++ b/internal/process/runs/unanswered_test.go
@@ -0,0 +1,95 @@
+package runs
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+// rejections are the answers by which a target rejects a start order without executing it.
+var rejections = []Answer{
+	AnswerFenced, AnswerStaleRun, AnswerLeaseExpired, AnswerNoRoom, AnswerUnhealthy, AnswerInvalid, AnswerOtherIncarnation,
+}
+
+// The target executes a start order without an answer, and rejects each repeat.
+func TestRejectedRepeatDoesNotRefuteUnansweredStart(t *testing.T) {
+	for _, rejection := range rejections {
+		t.Run(rejection.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.rejectsStarts = 1, rejection })
+				a := h.start(0, 1, task.Resources{CPU: 1000})
+				h.waitStarted(a)
+				h.target.end(a, peer.OutcomeDone)
+				h.waitOutcome(a, peer.OutcomeDone)
+			})
+		})
+	}
+}
+
+// The run of an unanswered start order has ended before a repeat is rejected.
+func TestRejectedRepeatDoesNotRefuteRunThatHasEnded(t *testing.T) {
+	for _, rejection := range rejections {
+		t.Run(rejection.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.rejectsStarts = 1, rejection })
+				h.target.beforeStart = func() {
+					for a := range h.target.running {
+						h.target.endLocked(a, peer.OutcomeDone)
+					}
+				}
+				a := h.start(0, 1, task.Resources{CPU: 1000})
+				h.waitOutcome(a, peer.OutcomeDone)
+			})
+		})
+	}
+}
+
+// All orders are delayed, and the repeats are rejected: the attempt is refused only once the
+// delayed order can no longer take effect.
+func TestRejectedRepeatDoesNotLetDelayedStartThrough(t *testing.T) {
+	for _, rejection := range rejections {
+		t.Run(rejection.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.target.set(func() {
+					h.target.startsToLeaveUnanswered, h.target.delayStarts, h.target.rejectsStarts = 1, true, rejection
+				})
+				a := h.start(0, 1, task.Resources{CPU: 1000})
+				h.waitOutcome(a, peer.OutcomeRefused)
+				h.target.set(func() {
+					for _, deliver := range h.target.delayedStarts {
+						deliver()
+					}
+				})
+				time.Sleep(time.Second)
+				if n := h.target.startsOf(a); n != 0 {
+					t.Error("a delayed order started the attempt after it was reported as not run")
+				}
+			})
+		})
+	}
+}
+
+// An order that was never left unanswered is refused by its rejection, without a poll.
+func TestRejectedFirstOrderRefusesAttempt(t *testing.T) {
+	for rejection, refusal := range map[Answer]peer.Refusal{
+		AnswerStaleRun: peer.RefusalStaleRun, AnswerNoRoom: peer.RefusalNoCapacity,
+		AnswerUnhealthy: peer.RefusalUnhealthy, AnswerInvalid: peer.RefusalInvalid,
+	} {
+		t.Run(rejection.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.target.set(func() { h.target.rejectsStarts = rejection })
+				a := h.start(0, 1, task.Resources{CPU: 1000})
+				if r := h.waitOutcome(a, peer.OutcomeRefused); r.Refusal != refusal {
+					t.Errorf("refused for %q, want %q", r.Refusal, refusal)
+				}
+			})
+		})
+	}
+}
