A rejected repeat of a start order is no answer to an unanswered one

Callers saw a task with two runs at the same time, and a job refused as not run that had run. Cause: the agent ended an attempt as refused on any negative answer, also when an earlier order of it had gone unanswered. The target had executed that order; "busy", "no room", "late" say only that the repeat did nothing, "old" that the run has ended. The entry then started the task again, or answered 503 not_run. Change: each answer has a class (startProofs), an attempt collects what its orders prove (verdict.Tries), and a rejection ends it only if no order is open; else the agent raises its token and reads the target's list of runs, which proves whether it runs, has ended or never will.

--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -100,56 +100,78 @@
 // lease is valid: the target confirms an attempt that runs and refuses one that has ended.
 func (m *Manager) start(t *targetIncarnation, r *run, s peer.Start) {
 	var retry backoff
-	unanswered := false
 	for range startTries {
 		permit, refusal := m.startPermit(t, r)
-		if refusal != peer.RefusalNone && !unanswered {
-			m.startRefused(r, refusal)
-			return
-		}
 		if refusal != peer.RefusalNone {
-			break
+			m.refuseStart(t, r, refusal)
+			return
 		}
-		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
-		answer, err := t.client.Start(ctx, permit, s)
-		cancel()
-		m.recordStartOrder(r, answer, err)
-		if err != nil {
-			unanswered = true
-			m.orderUnanswered(t, "start", s.Attempt, err)
+		answer, err := m.sendStart(t, r, permit, s)
+		switch {
+		case err != nil:
 			retry.sleep(t.ctx, permit.IssuedAt)
-			continue
-		}
-		m.targetAnswered(t)
-		if answer == AnswerDone {
+		case answer == AnswerDone:
 			m.startConfirmed(r)
 			return
-		}
-		if answer == AnswerFenced {
-			m.raiseToken(t, permit.Token, tokenStep)
-			continue
-		}
-		if answer == AnswerDoneByOtherIncarnation {
+		case answer == AnswerDoneByOtherIncarnation:
 			m.startedByOtherIncarnation(r)
 			return
-		}
-		if refusal, ok := refusals[answer]; ok {
-			m.startRefused(r, refusal)
+		case answer == AnswerFenced:
+			m.raiseToken(t, permit.Token, tokenStep)
+		case answer == AnswerLeaseExpired:
+		default:
+			m.refuseStart(t, r, refusals[answer])
 			return
 		}
 	}
 	m.resolveStart(t, r)
 }
 
-// recordStartOrder counts a start order by its answer, and logs one other than success.
-func (m *Manager) recordStartOrder(r *run, answer Answer, err error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// sendStart sends one start order and records what its answer proves.
+func (m *Manager) sendStart(t *targetIncarnation, r *run, permit Permit, s peer.Start) (Answer, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+	defer cancel()
+	answer, err := t.client.Start(ctx, permit, s)
 	if err != nil {
-		r.orders.Record(verdict.ProvesNothing)
+		m.recordStartOrder(r, verdict.ProvesNothing)
+		m.orderUnanswered(t, "start", s.Attempt, err)
+		return answer, err
+	}
+	m.targetAnswered(t)
+	m.recordStartOrder(r, startProofs[answer])
+	m.logStartAnswer(r, answer)
+	return answer, nil
+}
+
+// refuseStart reports a start as refused if no order of it can have been executed. Otherwise
+// an order without an answer may have been, whatever a later one was answered.
+func (m *Manager) refuseStart(t *targetIncarnation, r *run, refusal peer.Refusal) {
+	if m.startVerdict(r) == verdict.NotRun {
+		m.startRefused(r, refusal)
 		return
 	}
-	r.orders.Record(verdict.ProvesRejected)
+	m.resolveStart(t, r)
+}
+
+// startVerdict returns whether an attempt may run of which the latest order was rejected or
+// not sent.
+func (m *Manager) startVerdict(r *run) verdict.Verdict {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return r.orders.Verdict(verdict.ProvesRejected)
+}
+
+// recordStartOrder counts a start order and what its answer proves.
+func (m *Manager) recordStartOrder(r *run, proof verdict.Proof) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.orders.Record(proof)
+}
+
+// logStartAnswer counts the answer to a start order, and logs one other than success.
+func (m *Manager) logStartAnswer(r *run, answer Answer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	r.decidedBy = answer.String()
 	m.opts.Counters.Counter("start_orders_" + answer.String()).Inc(1)
 	if answer == AnswerDone {
--- a/internal/process/runs/target.go
+++ b/internal/process/runs/target.go
@@ -16,6 +16,7 @@
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
 // Announcement describes a target, as reported by the target itself.
@@ -97,9 +98,10 @@
 	// AnswerDoneByOtherIncarnation: another incarnation than the intended one has executed
 	// the order. This can happen when a target restarts under the same ID.
 	AnswerDoneByOtherIncarnation
+	answers // the number of answers
 )
 
-var answerNames = map[Answer]string{
+var answerNames = [answers]string{
 	AnswerDone:                   "done",
 	AnswerFenced:                 "fenced",
 	AnswerStaleRun:               "stale_run",
@@ -114,6 +116,21 @@
 // String returns the name used in logs.
 func (a Answer) String() string { return answerNames[a] }
 
+// startProofs is what each answer to a start order proves. A rejection says nothing about
+// earlier orders of the attempt: also AnswerStaleRun is given both for a run that has ended and
+// for one that was prevented.
+var startProofs = [answers]verdict.Proof{
+	AnswerDone:                   verdict.ProvesExecuted,
+	AnswerFenced:                 verdict.ProvesRejected,
+	AnswerStaleRun:               verdict.ProvesRejected,
+	AnswerLeaseExpired:           verdict.ProvesRejected,
+	AnswerNoRoom:                 verdict.ProvesRejected,
+	AnswerUnhealthy:              verdict.ProvesRejected,
+	AnswerInvalid:                verdict.ProvesRejected,
+	AnswerOtherIncarnation:       verdict.ProvesRejected,
+	AnswerDoneByOtherIncarnation: verdict.ProvesExecuted,
+}
+
 // refusals maps each answer that refuses a start to the reason reported to the entry.
 var refusals = map[Answer]peer.Refusal{
 	AnswerStaleRun:         peer.RefusalStaleRun,
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
 // rejections are the answers by which a target rejects a start order without executing it.
@@ -93,3 +94,15 @@
 		})
 	}
 }
+
+func TestEachAnswerProvesSomething(t *testing.T) {
+	for answer := range answers {
+		if startProofs[answer] == verdict.ProvesNothing || answer.String() == "" {
+			t.Errorf("answer %d (%q) has no class or no name", answer, answer)
+		}
+		_, ends := refusals[answer]
+		if ends && startProofs[answer] != verdict.ProvesRejected {
+			t.Errorf("%v refuses a start that it does not reject", answer)
+		}
+	}
+}
--- a/internal/request/verdict/tries.go
+++ b/internal/request/verdict/tries.go
@@ -30,8 +30,11 @@
 // run.
 func (t *Tries) Record(p Proof) Verdict {
 	t.Sent++
-	if p == ProvesNothing {
+	switch p {
+	case ProvesNothing:
 		t.Open++
+	case ProvesNeverExecuted:
+		t.Open = 0
 	}
 	return t.Verdict(p)
 }
--- a/internal/request/verdict/tries_test.go
+++ b/internal/request/verdict/tries_test.go
@@ -16,6 +16,7 @@
 		{"rejected, then no answer", []Proof{ProvesRejected, ProvesNothing}, MayHaveRun},
 		{"no answer, then executed", []Proof{ProvesNothing, ProvesExecuted}, Ran},
 		{"no answer, then proved never executed", []Proof{ProvesNothing, ProvesNeverExecuted}, NotRun},
+		{"proved never executed, then rejected", []Proof{ProvesNothing, ProvesNeverExecuted, ProvesRejected}, NotRun},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
