Repeat a rejected stop order until the run has ended

A run of an entry that is gone, or of a cancelled job, could go on: the agent sent at most 20 stop orders, and a rejected one (429, 503) was repeated at once, so that a target that is overloaded for some milliseconds rejected all 20, while its polls renewed the lease of the run. The caller's next try at another entry then runs the task a second time. Now an order is repeated, with backoff, until it is executed or the run is gone.

--- a/internal/process/runs/faketarget_test.go
+++ b/internal/process/runs/faketarget_test.go
@@ -34,6 +34,8 @@
 	// rejectsStarts, unless AnswerDone, answers each start order that is answered at all; the
 	// order is not executed.
 	rejectsStarts Answer
+	// stopsToReject is the number of next stop orders that are rejected as unhealthy.
+	stopsToReject int
 	starts        []task.Attempt
 	renewals      int
 	// beforeStart, if set, is called before each start order is executed.
@@ -115,6 +117,10 @@
 		f.calls++
 		return 0, errSilent
 	}
+	if f.stopsToReject > 0 {
+		f.stopsToReject--
+		return AnswerUnhealthy, nil
+	}
 	if f.fencedLocked(token) {
 		return AnswerFenced, nil
 	}
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -12,9 +12,6 @@
 	// orderTimeout bounds the wait for the answer to one order. A healthy target on the
 	// same machine answers within 1 or 2 ms.
 	orderTimeout = 30 * time.Millisecond
-	// stopTries is how often a stop order is sent. If all tries fail, the run ends when
-	// the target's lease expires.
-	stopTries = 20
 	// tokenStep raises the token above that of a former process. Tokens start at the time
 	// of day in milliseconds, and the clock of that process may have been ahead.
 	tokenStep = 10_000
@@ -58,14 +55,14 @@
 	go m.stop(m.target, r)
 }
 
-// stop sends a stop order. The end of the run is then reported by pollTarget.
+// stop sends a stop order until one is executed or the run is gone: polls renew the target's
+// lease meanwhile, so that a run that is not stopped would go on. The end of the run is then
+// reported by pollTarget.
 func (m *Manager) stop(t *targetIncarnation, r *run) {
 	var retry backoff
-	for range stopTries {
-		m.mu.Lock()
-		gone, token := m.runs[r.attempt.Key] != r, t.token
-		m.mu.Unlock()
-		if gone || t.ctx.Err() != nil {
+	for t.ctx.Err() == nil {
+		token, ok := m.stopToken(t, r)
+		if !ok {
 			return
 		}
 		sent := time.Now()
@@ -75,15 +72,31 @@
 		switch {
 		case err != nil:
 			m.orderUnanswered(t, "stop", r.attempt, err)
-			retry.sleep(t.ctx, sent)
-		case answer == AnswerFenced:
-			m.raiseToken(t, token, tokenStep)
 		case answer == AnswerDone:
 			return
+		case answer == AnswerFenced:
+			m.raiseToken(t, token, tokenStep)
+			continue
+		default:
+			m.stopRejected(t, r, answer)
 		}
+		retry.sleep(t.ctx, sent)
 	}
 }
 
+// stopToken returns the token of the next stop order for a run, or false if the run is gone.
+func (m *Manager) stopToken(t *targetIncarnation, r *run) (uint64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return t.token, m.runs[r.attempt.Key] == r
+}
+
+func (m *Manager) stopRejected(t *targetIncarnation, r *run, answer Answer) {
+	m.opts.Counters.Counter("stop_orders_rejected").Inc(1)
+	m.opts.Log.Warn().Str("target", t.ID).Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).
+		Uint64("run", r.attempt.Run).Stringer("answer", answer).Msg("stop order rejected")
+}
+
 // startedByOtherIncarnation handles a run that a later incarnation of the target has
 // started.
 func (m *Manager) startedByOtherIncarnation(r *run) {
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -95,6 +95,19 @@
 	}
 }
 
+// An overloaded target rejects stop orders for a while, but answers polls, which renew its
+// lease: the run must not go on after that.
+func TestRejectedStopIsRepeatedUntilItIsExecuted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		h.target.set(func() { h.target.stopsToReject = 25 })
+		h.entry.Send(peer.Frame{Stops: []task.Attempt{a}})
+		h.waitOutcome(a, peer.OutcomeStopped)
+	})
+}
+
 func TestEachAnswerProvesSomething(t *testing.T) {
 	for answer := range answers {
 		if startProofs[answer] == verdict.ProvesNothing || answer.String() == "" {
