A delayed start order that reaches a restarted target does not run beside a later attempt

A task could run twice: a run that a repeated order had confirmed was reported as lost as soon as its target restarted, while its first, unanswered order was still on its way and could start it again on the new incarnation, before the agent's first poll raises the token there. The entry had started the task elsewhere meanwhile. Now a run with an open order is kept until the new incarnation has executed a stop of it (which prevents a start) or the lease is over, and an unknown run is adopted only in the first report that a process of the agent receives.

--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -54,6 +54,9 @@
 	starts load.StartRates
 	// resultsSent is the number of the latest result.
 	resultsSent uint64
+	// reported is set once any incarnation of the target has reported its runs. Later
+	// incarnations have no runs that an earlier process of this agent has started.
+	reported bool
 	// stopping is set once the process is shutting down: no run is started any more.
 	stopping bool
 	// lastSweep is when the latest sweep was, resumedAt when the latest pause of this
@@ -184,7 +187,7 @@
 func (m *Manager) replaceTargetLocked(a Announcement) {
 	if m.target != nil {
 		m.noteCrashLocked(m.target, "a new incarnation announces itself")
-		m.endTargetLocked("new lifetime", true)
+		m.endTargetLocked("new lifetime")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m.target = &targetIncarnation{
@@ -233,13 +236,12 @@
 	// so that a later process of the agent does not treat the target as available.
 	m.target.Draining = true
 	m.notifyAnnouncedLocked()
-	m.endTargetLocked("left", false)
+	m.endTargetLocked("left")
 }
 
-// endTargetLocked ends the current incarnation and reports its runs as lost. If the
-// target has restarted, start orders in transit may reach the new incarnation, and their
-// runs are kept as misdirected.
-func (m *Manager) endTargetLocked(reason string, restarted bool) {
+// endTargetLocked ends the current incarnation and reports its runs as lost. Start orders in
+// transit may reach the next incarnation; their runs are kept as misdirected.
+func (m *Manager) endTargetLocked(reason string) {
 	t := m.target
 	m.opts.Log.Info().Str("target", t.ID).Int64("incarnation", t.Incarnation).Str("reason", reason).
 		Int("runs", len(m.runs)).Msg("target ended")
@@ -247,9 +249,9 @@
 	t.client.Close()
 	for _, r := range m.runs {
 		switch {
-		case restarted && r.phase == phaseStarting:
+		case r.phase == phaseMisdirected:
+		case r.hasOrderInTransit():
 			m.misdirectedLocked(r)
-		case restarted && r.phase == phaseMisdirected:
 		default:
 			m.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
 		}
@@ -258,6 +260,10 @@
 	m.broadcastTargetLocked()
 }
 
+// hasOrderInTransit reports whether a start order of the run may still be executed. A
+// confirmed run may have an earlier order that was not answered.
+func (r *run) hasOrderInTransit() bool { return r.phase == phaseStarting || r.orders.Open > 0 }
+
 // availableLocked reports whether the target may be given work.
 func (m *Manager) availableLocked() bool {
 	t := m.target
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -169,11 +169,11 @@
 	m.updateHealthLocked(t)
 	for a := range running {
 		if r := m.runs[a.Key]; r == nil || r.attempt != a {
-			m.handleUnknownRunLocked(a, first)
+			m.handleUnknownRunLocked(a)
 		}
 	}
 	if first {
-		t.reported = true
+		t.reported, m.reported = true, true
 		m.opts.Log.Info().Str("target", t.ID).Int("running", len(running)).Int("ended", len(report.Ended)).
 			Uint64("token", t.token).Msg("first report of the target received")
 		m.broadcastTargetLocked()
@@ -252,16 +252,15 @@
 }
 
 // handleUnknownRunLocked handles a reported run of which the agent has no record. In the
-// first report of an incarnation it may have been started by an earlier process of this
-// agent.
+// first report that this process receives it may have been started by an earlier process.
 // Later it comes from a delayed order that reached a new incarnation of the target; no
 // entry waits for it, so it is stopped.
-func (m *Manager) handleUnknownRunLocked(a task.Attempt, first bool) {
+func (m *Manager) handleUnknownRunLocked(a task.Attempt) {
 	if m.runs[a.Key] != nil {
 		return
 	}
 	m.adoptRunLocked(a)
-	if !first {
+	if m.reported {
 		m.stopLocked(a, "started by an order that came late")
 	}
 }
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -108,6 +108,51 @@
 	})
 }
 
+// The first order of a confirmed run is delayed until the target has restarted: the run must
+// not be reported as lost before the new incarnation can no longer start it.
+func TestDelayedOrderOfConfirmedRunDoesNotRunAfterItIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true })
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		h.target.set(func() {
+			clear(h.target.running)
+			clear(h.target.highest)
+			h.target.token = 0
+			h.target.delayedStarts[0]()
+		})
+		h.announce(Announcement{Incarnation: 2, Sequence: 1})
+		h.waitResult(a, peer.OutcomeLost, peer.OutcomeStopped)
+		h.target.set(func() {
+			if h.target.running[a] {
+				t.Error("the run is reported as over and runs on the new incarnation")
+			}
+			h.target.token = 0
+			h.target.delayedStarts[0]()
+			if h.target.running[a] {
+				t.Error("a delayed order starts the run after it is reported as over")
+			}
+		})
+	})
+}
+
+// A delayed order is found in the first report of a new incarnation.
+func TestRunOfDelayedOrderIsNotKeptForOtherEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		late := task.Attempt{Key: task.Key{Job: "late"}, Run: 1}
+		h.target.set(func() { h.target.running[late] = true })
+		h.announce(Announcement{Incarnation: 2, Sequence: 1})
+		time.Sleep(orphanLease / 2)
+		h.target.set(func() {
+			if h.target.running[late] {
+				t.Error("a run that no entry requested goes on until the lease of adopted runs expires")
+			}
+		})
+	})
+}
+
 func TestEachAnswerProvesSomething(t *testing.T) {
 	for answer := range answers {
 		if startProofs[answer] == verdict.ProvesNothing || answer.String() == "" {
