An agent ignores frames from a link that their entry has replaced

A start that is read from the former link after the entry has linked again could run beside a later attempt: the entry takes an attempt that is missing in the agent's list of runs on the new link for lost, and starts its task elsewhere. The entry checks the link of each frame, the agent did not. TestStartOnReplacedLinkIsNotExecuted failed before (started once). Found by reading; the present dialer closes one link before it opens the next, so that it took a change of the dialer to be seen.

--- a/internal/process/loadreplay/replay_test.go
+++ b/internal/process/loadreplay/replay_test.go
@@ -238,7 +238,7 @@
 	m.Connect(&peer.Hello{Name: fmt.Sprint("entry-", entry), Incarnation: entry}, fmt.Sprint("entry:", entry), agentLink)
 	go func() {
 		for frame, err := agentLink.Receive(); err == nil; frame, err = agentLink.Receive() {
-			m.Receive(entry, frame)
+			m.Receive(entry, agentLink, frame)
 		}
 	}()
 	go func() {
--- a/internal/process/model/simulation_test.go
+++ b/internal/process/model/simulation_test.go
@@ -355,7 +355,7 @@
 	incarnation.Store(id)
 	manager.Connect(f.Hello, e.name, link)
 	for err == nil && a.waitRunnable(number) {
-		manager.Receive(id, f)
+		manager.Receive(id, link, f)
 		f, err = link.Receive()
 	}
 	if err == nil {
--- a/internal/process/runs/fuzz_test.go
+++ b/internal/process/runs/fuzz_test.go
@@ -49,7 +49,7 @@
 			if cbor.Unmarshal(body, frame) != nil {
 				return
 			}
-			m.Receive(7, frame)
+			m.Receive(7, link, frame)
 			m.Sweep()
 		}
 	})
--- a/internal/process/runs/harness_test.go
+++ b/internal/process/runs/harness_test.go
@@ -84,7 +84,7 @@
 				h.manager.Disconnect(incarnation, agentLink, err)
 				return
 			}
-			h.manager.Receive(incarnation, f)
+			h.manager.Receive(incarnation, agentLink, f)
 		}
 	}()
 	var mu sync.Mutex
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -144,12 +144,14 @@
 	f.Echo = o.echo
 }
 
-// Receive processes a frame from an entry.
-func (m *Manager) Receive(incarnation uint64, f *peer.Frame) {
+// Receive processes a frame that an entry has sent on a link. A frame from a link that the
+// entry has replaced is dropped: the entry resolves the starts in it when it links again.
+func (m *Manager) Receive(incarnation uint64, link *peer.Link, f *peer.Frame) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o := m.owners[incarnation]
-	if o == nil {
+	if o == nil || o.link != link {
+		m.opts.Counters.Counter("frames_from_replaced_links").Inc(1)
 		return
 	}
 	o.lastEcho = max(o.lastEcho, time.Duration(f.Echo))
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -153,6 +153,26 @@
 	})
 }
 
+// A start that is read from the former link after the entry has linked again: the entry has
+// resolved the attempt when it got the list of runs on the new link.
+func TestStartOnReplacedLinkIsNotExecuted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.manager.mu.Lock()
+		former := h.manager.owners[7].link
+		h.manager.mu.Unlock()
+		h.connect(7)
+		h.waitFor(func(f *peer.Frame) bool { return f.Hello != nil })
+		a := task.Attempt{Key: task.Key{Job: "j"}, Run: 1}
+		start := peer.Start{Attempt: a, Need: task.Resources{CPU: 1000}, Incarnation: 1}
+		h.manager.Receive(7, former, &peer.Frame{Starts: []peer.Start{start}})
+		time.Sleep(100 * time.Millisecond)
+		if n := h.target.startsOf(a); n > 0 {
+			t.Errorf("started %d times", n)
+		}
+	})
+}
+
 func TestEachAnswerProvesSomething(t *testing.T) {
 	for answer := range answers {
 		if startProofs[answer] == verdict.ProvesNothing || answer.String() == "" {
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -252,7 +252,7 @@
 		if f.Entries != nil {
 			a.links.applySourceChanges(ctx, address, f.Entries)
 		}
-		a.runs.Receive(id, f)
+		a.runs.Receive(id, link, f)
 		f, err = link.Receive()
 	}
 	return true, err
