A proof that a call was executed holds, whatever a later try is answered

verdict.Tries forgot an execution when a later try was rejected (not run after executed, rejected). Found by the reviewer before any caller used it that way; the new case failed before.

--- a/internal/request/verdict/tries.go
+++ b/internal/request/verdict/tries.go
@@ -24,6 +24,8 @@
 	// Sent is the number of tries, Open the number of those that may have been or may
 	// still be executed.
 	Sent, Open int
+	// Executed is set once an answer has proved that a try was executed.
+	Executed bool
 }
 
 // Record records a try and what its answer proves, and returns whether the call may have
@@ -33,6 +35,8 @@
 	switch p {
 	case ProvesNothing:
 		t.Open++
+	case ProvesExecuted:
+		t.Executed = true
 	case ProvesNeverExecuted:
 		t.Open = 0
 	}
@@ -42,7 +46,7 @@
 // Verdict returns whether the call may have run, given the latest proof.
 func (t Tries) Verdict(p Proof) Verdict {
 	switch {
-	case p == ProvesExecuted:
+	case p == ProvesExecuted, t.Executed:
 		return Ran
 	case p == ProvesNeverExecuted, t.Open == 0:
 		return NotRun
--- a/internal/request/verdict/tries_test.go
+++ b/internal/request/verdict/tries_test.go
@@ -15,6 +15,7 @@
 		{"no answer, then rejected", []Proof{ProvesNothing, ProvesRejected}, MayHaveRun},
 		{"rejected, then no answer", []Proof{ProvesRejected, ProvesNothing}, MayHaveRun},
 		{"no answer, then executed", []Proof{ProvesNothing, ProvesExecuted}, Ran},
+		{"executed, then rejected", []Proof{ProvesExecuted, ProvesRejected}, Ran},
 		{"no answer, then proved never executed", []Proof{ProvesNothing, ProvesNeverExecuted}, NotRun},
 		{"proved never executed, then rejected", []Proof{ProvesNothing, ProvesNeverExecuted, ProvesRejected}, NotRun},
 	}
