What one incarnation of a target answers proves nothing about the next one

A task could run twice, or run after it was refused, around a quick restart of its target; and since an agent could end with a nil pointer when its target deregistered while the answer to a start was on its way. Cause: answers to starts do not say which incarnation gave them (the users' platform has that field only in reports), and orders may be executed late. So a run confirmed by an answer may be one of the next incarnation; a fencing poll of the former incarnation refutes nothing there; and tokens from the clock may fall at a restart, so that the first poll fences nothing. Change: an answer decides a start only while its incarnation is the current one; after a restart all runs are kept until the new incarnation's first report, polled with a higher token than any order before, shows them neither running nor able to start, or a stop order is executed, or the lease is over. A target that another incarnation answers for gets no renewal.

--- /dev/null
+++ b/internal/process/runs/incarnation.go
@@ -0,0 +1,165 @@
+package runs
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/load"
+)
+
+// identity distinguishes the incarnations of all targets that were beside this agent.
+type identity struct {
+	id          string
+	incarnation int64
+}
+
+func (a *Announcement) identity() identity { return identity{a.ID, a.Incarnation} }
+
+// targetIncarnation is the state of one incarnation of the target.
+type targetIncarnation struct {
+	Announcement
+	client TargetClient
+	ctx    context.Context
+	cancel context.CancelFunc
+	// resolving is a semaphore, held while the unanswered start of one attempt is resolved.
+	resolving chan struct{}
+	// token is the fencing token of the next order: the target rejects lower ones than
+	// the highest that it has seen.
+	token uint64
+	// lastSeen is the highest number of an ended run that has been processed.
+	lastSeen uint64
+	// reported is set once the target has reported its runs.
+	reported bool
+	// answeredAt is when the latest answer arrived, renewedAt when the latest order or
+	// poll was sent that renews the target's lease.
+	answeredAt time.Time
+	renewedAt  time.Time
+	// unanswered is the number of polls since the latest answer.
+	unanswered int
+	health     load.Health
+	// prober is the incarnation of the entry that may send the next probe, probeOfferedAt
+	// when it was chosen.
+	prober         uint64
+	probeOfferedAt time.Duration
+	// loggedUnhealthy is set if the target was unhealthy when its health was last logged.
+	loggedUnhealthy bool
+	// unresponsive is set while the target does not answer.
+	unresponsive bool
+	// unconfirmed is set once another incarnation answers, or none does. The next
+	// announcement of another incarnation is then accepted even if its number is lower,
+	// because clocks were set back before the target restarted.
+	unconfirmed bool
+	// crashed is set once the target appears to have ended or hung without notice.
+	crashed bool
+}
+
+// permit returns a permit that is issued now.
+func (t *targetIncarnation) permit() Permit {
+	return Permit{Token: t.token, IssuedAt: time.Now()}
+}
+
+// Announce processes an announcement of the target. It returns false if the announcement
+// is ignored because it belongs to an earlier incarnation.
+func (m *Manager) Announce(a Announcement) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch t := m.target; {
+	case t == nil, a.Incarnation > t.Incarnation:
+		m.replaceTargetLocked(a)
+	case t.unconfirmed && a.identity() != t.identity():
+		m.replaceTargetLocked(a)
+	case a.identity() != t.identity():
+		m.opts.Log.Warn().Str("target", a.ID).Int64("incarnation", a.Incarnation).
+			Int64("known", t.Incarnation).Msg("announcement of an earlier incarnation ignored")
+		return false
+	case a.Sequence < t.Sequence:
+		return true
+	default:
+		m.updateTargetLocked(a)
+	}
+	return true
+}
+
+// replaceTargetLocked makes a new incarnation of the target the current one. It has none
+// of the runs of the former one, but orders sent to that one may have reached it.
+func (m *Manager) replaceTargetLocked(a Announcement) {
+	if m.target != nil {
+		m.noteCrashLocked(m.target, "a new incarnation announces itself")
+		m.endTargetLocked("new lifetime")
+		for _, r := range m.runs {
+			m.misdirectedLocked(r)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.target = &targetIncarnation{
+		Announcement: a,
+		client:       m.opts.Dial(a),
+		ctx:          ctx,
+		cancel:       cancel,
+		token:        m.nextTokenLocked(),
+		resolving:    make(chan struct{}, 1),
+		answeredAt:   time.Now(),
+		renewedAt:    time.Now(),
+	}
+	m.opts.Log.Info().Str("target", a.ID).Int64("incarnation", a.Incarnation).Str("address", a.Address).
+		Str("pool", a.Pool).Int64("cpu", a.Capacity.CPU).Strs("labels", a.Labels).Bool("draining", a.Draining).
+		Uint64("token", m.target.token).Msg("target announced")
+	go m.pollTarget(m.target)
+	m.notifyAnnouncedLocked()
+}
+
+// nextTokenLocked returns the first token for an incarnation: higher than those of an earlier
+// process of this agent, if the clock was not set back, and than all of this process, so that the
+// first poll fences all orders in transit.
+func (m *Manager) nextTokenLocked() uint64 {
+	return max(uint64(time.Now().UnixMilli()), m.lastToken+1)
+}
+
+func (m *Manager) notifyAnnouncedLocked() {
+	if m.opts.Announced != nil {
+		m.opts.Announced(m.target.Announcement)
+	}
+}
+
+func (m *Manager) updateTargetLocked(a Announcement) {
+	changed := a.Draining != m.target.Draining || a.Capacity != m.target.Capacity
+	m.target.Announcement = a
+	if changed {
+		m.opts.Log.Info().Str("target", a.ID).Bool("draining", a.Draining).Int64("cpu", a.Capacity.CPU).
+			Uint64("sequence", a.Sequence).Msg("target changed")
+		m.notifyAnnouncedLocked()
+		m.broadcastTargetLocked()
+	}
+}
+
+// Deregister handles the target's notice that it shuts down; incarnation is 0 if not
+// given.
+func (m *Manager) Deregister(id string, incarnation int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.target == nil || m.target.ID != id || (incarnation != 0 && incarnation < m.target.Incarnation) {
+		return
+	}
+	// The Announced callback may store the announcement. It is marked as draining first,
+	// so that a later process of the agent does not treat the target as available.
+	m.target.Draining = true
+	m.notifyAnnouncedLocked()
+	m.endTargetLocked("left")
+	for _, r := range m.runs {
+		m.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
+	}
+}
+
+// endTargetLocked ends the current incarnation: no order is sent to it any more, and answers
+// that are still to come are ignored.
+func (m *Manager) endTargetLocked(reason string) {
+	t := m.target
+	m.opts.Log.Info().Str("target", t.ID).Int64("incarnation", t.Incarnation).Str("reason", reason).
+		Int("runs", len(m.runs)).Msg("target ended")
+	t.cancel()
+	t.client.Close()
+	m.lastToken = max(m.lastToken, t.token)
+	m.target = nil
+	m.broadcastTargetLocked()
+}
--- /dev/null
+++ b/internal/process/runs/incarnation_test.go
@@ -0,0 +1,143 @@
+package runs
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+// interruptedTarget calls a function when the answer to a call is on its way, before the
+// agent receives it.
+type interruptedTarget struct {
+	*fakeTarget
+	afterStart, afterFencingPoll func()
+}
+
+func (f *interruptedTarget) Start(ctx context.Context, permit Permit, s peer.Start) (Answer, error) {
+	answer, err := f.fakeTarget.Start(ctx, permit, s)
+	if f.afterStart != nil && err == nil {
+		f.afterStart()
+	}
+	return answer, err
+}
+
+func (f *interruptedTarget) Poll(ctx context.Context, request PollRequest) (Report, error) {
+	report, err := f.fakeTarget.Poll(ctx, request)
+	if f.afterFencingPoll != nil && err == nil && !request.Renew {
+		f.afterFencingPoll()
+	}
+	return report, err
+}
+
+// newInterruptedHarness returns a harness whose target is at its incarnation 2.
+func newInterruptedHarness(t *testing.T) (*harness, *interruptedTarget) {
+	h := newHarness(t)
+	target := &interruptedTarget{fakeTarget: h.target}
+	h.manager.mu.Lock()
+	h.manager.opts.Dial = func(Announcement) TargetClient { return target }
+	h.manager.mu.Unlock()
+	h.announce(Announcement{Incarnation: 2, Sequence: 1})
+	time.Sleep(20 * time.Millisecond)
+	return h, target
+}
+
+func (h *harness) startAt(incarnation int64) task.Attempt {
+	a := task.Attempt{Key: task.Key{Job: "j"}, Run: 1}
+	h.entry.Send(peer.Frame{Starts: []peer.Start{{Attempt: a, Need: task.Resources{CPU: 1000}, Incarnation: incarnation}}})
+	return a
+}
+
+// restart makes the fake target forget its runs and tokens, as a new process does.
+func (h *harness) restart() {
+	h.target.set(func() {
+		clear(h.target.running)
+		clear(h.target.highest)
+		h.target.token, h.target.ended, h.target.number = 0, nil, 0
+	})
+}
+
+// The target restarts or leaves while the answer to a start is on its way. The answer must
+// neither end the agent nor bring the run back.
+func TestAnswerOfFormerIncarnationDoesNotConfirmStart(t *testing.T) {
+	for name, end := range map[string]func(*harness){
+		"deregistered": func(h *harness) { h.manager.Deregister("t1", 2) },
+		"restarted": func(h *harness) {
+			h.restart()
+			h.announce(Announcement{Incarnation: 3, Sequence: 1})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, target := newInterruptedHarness(t)
+				target.afterStart = func() { end(h) }
+				h.waitOutcome(h.startAt(2), peer.OutcomeLost)
+			})
+		})
+	}
+}
+
+// The fencing poll of the former incarnation does not list the run, and the target restarts
+// before its answer arrives: delayed orders may still reach the new incarnation.
+func TestReportOfFormerIncarnationDoesNotRefuteStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, target := newInterruptedHarness(t)
+		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = startTries, true })
+		target.afterFencingPoll = func() {
+			target.afterFencingPoll = nil
+			h.restart()
+			h.announce(Announcement{Incarnation: 3, Sequence: 1})
+		}
+		a := h.startAt(2)
+		h.waitResult(a, peer.OutcomeLost, peer.OutcomeStopped)
+		h.target.set(func() {
+			for _, deliver := range h.target.delayedStarts {
+				deliver()
+			}
+		})
+		if h.target.startsOf(a) > 0 {
+			t.Error("a delayed order starts the run after it is reported as over")
+		}
+	})
+}
+
+// A start order reaches a new incarnation before that announces itself. The answer does not
+// say which incarnation gave it.
+func TestRunAtUnannouncedIncarnationIsNotReportedAsLostWhileItRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.restart()
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		h.target.set(func() { h.target.pollsByOther = true })
+		time.Sleep(20 * time.Millisecond)
+		h.target.set(func() { h.target.pollsByOther = false })
+		h.announce(Announcement{Incarnation: 2, Sequence: 1})
+		h.waitResult(a, peer.OutcomeLost, peer.OutcomeStopped)
+		h.target.set(func() {
+			if h.target.running[a] {
+				t.Error("the run is reported as over and runs on the new incarnation")
+			}
+		})
+	})
+}
+
+// The clock is set back while the target restarts.
+func TestTokenDoesNotFallWhenTheTargetRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.manager.mu.Lock()
+		h.manager.target.token += 30_000
+		before := h.manager.target.token
+		h.manager.mu.Unlock()
+		h.announce(Announcement{Incarnation: 2, Sequence: 1})
+		h.manager.mu.Lock()
+		defer h.manager.mu.Unlock()
+		if after := h.manager.target.token; after <= before {
+			t.Errorf("token %d after %d: the first poll does not fence the orders in transit", after, before)
+		}
+	})
+}
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -54,6 +54,8 @@
 	starts load.StartRates
 	// resultsSent is the number of the latest result.
 	resultsSent uint64
+	// lastToken is the highest token of former incarnations.
+	lastToken uint64
 	// reported is set once any incarnation of the target has reported its runs. Later
 	// incarnations have no runs that an earlier process of this agent has started.
 	reported bool
@@ -64,49 +66,6 @@
 	lastSweep, resumedAt time.Time
 }
 
-// targetIncarnation is the state of one incarnation of the target.
-type targetIncarnation struct {
-	Announcement
-	client TargetClient
-	ctx    context.Context
-	cancel context.CancelFunc
-	// resolving is a semaphore, held while the unanswered start of one attempt is resolved.
-	resolving chan struct{}
-	// token is the fencing token of the next order: the target rejects lower ones than
-	// the highest that it has seen.
-	token uint64
-	// lastSeen is the highest number of an ended run that has been processed.
-	lastSeen uint64
-	// reported is set once the target has reported its runs.
-	reported bool
-	// answeredAt is when the latest answer arrived, renewedAt when the latest order or
-	// poll was sent that renews the target's lease.
-	answeredAt time.Time
-	renewedAt  time.Time
-	// unanswered is the number of polls since the latest answer.
-	unanswered int
-	health     load.Health
-	// prober is the incarnation of the entry that may send the next probe, probeOfferedAt
-	// when it was chosen.
-	prober         uint64
-	probeOfferedAt time.Duration
-	// loggedUnhealthy is set if the target was unhealthy when its health was last logged.
-	loggedUnhealthy bool
-	// unresponsive is set while the target does not answer.
-	unresponsive bool
-	// unconfirmed is set once another incarnation answers, or none does. The next
-	// announcement of another incarnation is then accepted even if its number is lower,
-	// because clocks were set back before the target restarted.
-	unconfirmed bool
-	// crashed is set once the target appears to have ended or hung without notice.
-	crashed bool
-}
-
-// permit returns a permit that is issued now.
-func (t *targetIncarnation) permit() Permit {
-	return Permit{Token: t.token, IssuedAt: time.Now()}
-}
-
 // phase is the state of a run in the agent.
 type phase int
 
@@ -114,8 +73,8 @@
 	phaseStarting phase = iota
 	phaseRunning
 	phaseStopping
-	// phaseMisdirected: the start order may have reached, or may yet reach, a later
-	// incarnation of the target.
+	// phaseMisdirected: a start order may have reached, or may yet reach, another incarnation
+	// of the target than the one for which it was meant.
 	phaseMisdirected
 )
 
@@ -136,6 +95,8 @@
 	// or event that ended the start, for the log.
 	orders    verdict.Tries
 	decidedBy string
+	// orderToken is the token of the latest start order.
+	orderToken uint64
 	// confirmedAt is when an answer of the target last confirmed the run.
 	confirmedAt time.Time
 	// orderedAt is when the start order was accepted, as returned by Manager.clock.
@@ -160,110 +121,6 @@
 // clock returns the time since the start of the process. Leases are measured with it.
 func (m *Manager) clock() time.Duration { return time.Since(m.epoch) }
 
-// Announce processes an announcement of the target. It returns false if the announcement
-// is ignored because it belongs to an earlier incarnation.
-func (m *Manager) Announce(a Announcement) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch t := m.target; {
-	case t == nil, a.Incarnation > t.Incarnation:
-		m.replaceTargetLocked(a)
-	case t.unconfirmed && (a.Incarnation != t.Incarnation || a.ID != t.ID):
-		m.replaceTargetLocked(a)
-	case a.Incarnation < t.Incarnation, a.ID != t.ID:
-		m.opts.Log.Warn().Str("target", a.ID).Int64("incarnation", a.Incarnation).
-			Int64("known", t.Incarnation).Msg("announcement of an earlier incarnation ignored")
-		return false
-	case a.Sequence < t.Sequence:
-		return true
-	default:
-		m.updateTargetLocked(a)
-	}
-	return true
-}
-
-// replaceTargetLocked makes a new incarnation of the target the current one. It has none
-// of the runs of the former one.
-func (m *Manager) replaceTargetLocked(a Announcement) {
-	if m.target != nil {
-		m.noteCrashLocked(m.target, "a new incarnation announces itself")
-		m.endTargetLocked("new lifetime")
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	m.target = &targetIncarnation{
-		Announcement: a,
-		client:       m.opts.Dial(a),
-		ctx:          ctx,
-		cancel:       cancel,
-		token:        uint64(time.Now().UnixMilli()),
-		resolving:    make(chan struct{}, 1),
-		answeredAt:   time.Now(),
-		renewedAt:    time.Now(),
-	}
-	m.opts.Log.Info().Str("target", a.ID).Int64("incarnation", a.Incarnation).Str("address", a.Address).
-		Str("pool", a.Pool).Int64("cpu", a.Capacity.CPU).Strs("labels", a.Labels).Bool("draining", a.Draining).
-		Msg("target announced")
-	go m.pollTarget(m.target)
-	m.notifyAnnouncedLocked()
-}
-
-func (m *Manager) notifyAnnouncedLocked() {
-	if m.opts.Announced != nil {
-		m.opts.Announced(m.target.Announcement)
-	}
-}
-
-func (m *Manager) updateTargetLocked(a Announcement) {
-	changed := a.Draining != m.target.Draining || a.Capacity != m.target.Capacity
-	m.target.Announcement = a
-	if changed {
-		m.opts.Log.Info().Str("target", a.ID).Bool("draining", a.Draining).Int64("cpu", a.Capacity.CPU).
-			Uint64("sequence", a.Sequence).Msg("target changed")
-		m.notifyAnnouncedLocked()
-		m.broadcastTargetLocked()
-	}
-}
-
-// Deregister handles the target's notice that it shuts down; incarnation is 0 if not
-// given.
-func (m *Manager) Deregister(id string, incarnation int64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.target == nil || m.target.ID != id || (incarnation != 0 && incarnation < m.target.Incarnation) {
-		return
-	}
-	// The Announced callback may store the announcement. It is marked as draining first,
-	// so that a later process of the agent does not treat the target as available.
-	m.target.Draining = true
-	m.notifyAnnouncedLocked()
-	m.endTargetLocked("left")
-}
-
-// endTargetLocked ends the current incarnation and reports its runs as lost. Start orders in
-// transit may reach the next incarnation; their runs are kept as misdirected.
-func (m *Manager) endTargetLocked(reason string) {
-	t := m.target
-	m.opts.Log.Info().Str("target", t.ID).Int64("incarnation", t.Incarnation).Str("reason", reason).
-		Int("runs", len(m.runs)).Msg("target ended")
-	t.cancel()
-	t.client.Close()
-	for _, r := range m.runs {
-		switch {
-		case r.phase == phaseMisdirected:
-		case r.hasOrderInTransit():
-			m.misdirectedLocked(r)
-		default:
-			m.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
-		}
-	}
-	m.target = nil
-	m.broadcastTargetLocked()
-}
-
-// hasOrderInTransit reports whether a start order of the run may still be executed. A
-// confirmed run may have an earlier order that was not answered.
-func (r *run) hasOrderInTransit() bool { return r.phase == phaseStarting || r.orders.Open > 0 }
-
 // availableLocked reports whether the target may be given work.
 func (m *Manager) availableLocked() bool {
 	t := m.target
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
 
@@ -76,7 +75,6 @@
 			return
 		case answer == AnswerFenced:
 			m.raiseToken(t, token, tokenStep)
-			continue
 		default:
 			m.stopRejected(t, r, answer)
 		}
@@ -96,57 +94,3 @@
 	m.opts.Log.Warn().Str("target", t.ID).Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).
 		Uint64("run", r.attempt.Run).Stringer("answer", answer).Msg("stop order rejected")
 }
-
-// startedByOtherIncarnation handles a run that a later incarnation of the target has
-// started.
-func (m *Manager) startedByOtherIncarnation(r *run) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.runs[r.attempt.Key] == r && r.phase == phaseStarting {
-		m.misdirectedLocked(r)
-	}
-}
-
-// misdirectedLocked keeps a run until the later incarnation that its order may reach has
-// stopped it or prevented its start.
-func (m *Manager) misdirectedLocked(r *run) {
-	r.phase, r.stopRequested = phaseMisdirected, true
-	m.opts.Log.Warn().Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
-		Msg("start order may have reached a later incarnation of the target")
-	go m.stopMisdirected(r)
-}
-
-// stopMisdirected sends stop orders until one is executed or the target's lease has
-// certainly expired, and then reports the run as lost.
-func (m *Manager) stopMisdirected(r *run) {
-	lease := m.opts.TargetLease*(100+maxClockDriftPercent)/100 + leaseMargin
-	for startTime := time.Now(); time.Since(startTime) < lease; {
-		m.mu.Lock()
-		t := m.target
-		var token uint64
-		if t != nil {
-			token = t.token
-		}
-		m.mu.Unlock()
-		if t == nil {
-			time.Sleep(pollBackoff)
-			continue
-		}
-		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
-		answer, err := t.client.Stop(ctx, token, r.attempt)
-		cancel()
-		if err == nil && (answer == AnswerDone || answer == AnswerDoneByOtherIncarnation) {
-			time.Sleep(leaseMargin)
-			break
-		}
-		if err == nil && answer == AnswerFenced {
-			m.raiseToken(t, token, tokenStep)
-		}
-		time.Sleep(pollBackoff)
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.runs[r.attempt.Key] == r {
-		m.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
-	}
-}
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -51,7 +51,7 @@
 func (m *Manager) nextPoll(t *targetIncarnation, wait time.Duration) PollRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	poll := PollRequest{Permit: t.permit(), LastSeen: t.lastSeen, Wait: wait, Renew: !t.unresponsive}
+	poll := PollRequest{Permit: t.permit(), LastSeen: t.lastSeen, Wait: wait, Renew: !t.unresponsive && !t.unconfirmed}
 	if poll.Renew {
 		t.renewedAt = poll.IssuedAt
 	}
@@ -62,7 +62,7 @@
 func (m *Manager) handleReport(t *targetIncarnation, report Report, token uint64, sent time.Time) time.Duration {
 	switch report.Answer {
 	case AnswerDone:
-		m.applyReport(t, report, sent)
+		m.applyReport(t, report, token, sent)
 		return pollWait
 	case AnswerFenced:
 		m.raiseToken(t, token, tokenStep)
@@ -141,9 +141,9 @@
 	}
 }
 
-// applyReport updates the runs from a report of the target. sent is when the poll was
-// sent.
-func (m *Manager) applyReport(t *targetIncarnation, report Report, sent time.Time) {
+// applyReport updates the runs from a report of the target. token and sent are those of the
+// poll.
+func (m *Manager) applyReport(t *targetIncarnation, report Report, token uint64, sent time.Time) {
 	m.targetAnswered(t)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -164,6 +164,9 @@
 		m.applyEndLocked(t, e)
 	}
 	for _, r := range m.runs {
+		if _, ok := running[r.attempt]; !ok {
+			m.settleMisdirectedLocked(r, token)
+		}
 		m.reconcileRunLocked(r, running, sent, now)
 	}
 	m.updateHealthLocked(t)
--- /dev/null
+++ b/internal/process/runs/resolve.go
@@ -0,0 +1,184 @@
+package runs
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+// decidedByPoll is the value of run.decidedBy after a poll with a higher token, instead of
+// the answer to a start order.
+const decidedByPoll = "fenced_poll"
+
+// resolveStart determines whether an attempt runs whose start orders were not all answered.
+// It polls with a higher token, so that those orders can no longer take effect. One
+// attempt is resolved at a time: while the target does not answer, further polls give no
+// more information than one.
+func (m *Manager) resolveStart(t *targetIncarnation, r *run) {
+	select {
+	case t.resolving <- struct{}{}:
+	case <-t.ctx.Done():
+		return
+	}
+	defer func() { <-t.resolving }()
+	var retry backoff
+	for t.ctx.Err() == nil {
+		poll, ok := m.resolvingPoll(t, r)
+		if !ok {
+			return
+		}
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+		report, err := t.client.Poll(ctx, poll)
+		cancel()
+		if err == nil && report.Answer == AnswerDone {
+			m.targetAnswered(t)
+			m.startResolved(t, r, report)
+			return
+		}
+		m.resolvingPollFailed(t, r, poll.Token, report.Answer, err)
+		if m.expireTargetLease(t) {
+			return
+		}
+		retry.sleep(t.ctx, sent)
+	}
+}
+
+// resolvingPoll returns a poll with a higher token than all orders so far, or false if r
+// is no longer starting.
+func (m *Manager) resolvingPoll(t *targetIncarnation, r *run) (PollRequest, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.isStartingLocked(t, r) {
+		return PollRequest{}, false
+	}
+	t.token++
+	return PollRequest{Permit: t.permit(), LastSeen: t.lastSeen}, true
+}
+
+// resolvingPollFailed handles a poll that had no answer or was rejected.
+func (m *Manager) resolvingPollFailed(t *targetIncarnation, r *run, token uint64, answer Answer, err error) {
+	switch {
+	case err != nil:
+		m.orderUnanswered(t, "look", r.attempt, err)
+	case answer == AnswerFenced:
+		m.raiseToken(t, token, tokenStep)
+	case answer == AnswerOtherIncarnation, answer == AnswerDoneByOtherIncarnation:
+		m.markReplaced(t)
+	}
+}
+
+// startResolved applies a report that was polled with a higher token than all orders of r.
+func (m *Manager) startResolved(t *targetIncarnation, r *run, report Report) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.isStartingLocked(t, r) {
+		return
+	}
+	r.decidedBy = decidedByPoll
+	switch {
+	case report.isRunning(r.attempt):
+		m.startConfirmedLocked(t, r)
+	case report.hasEnded(r.attempt): // pollTarget processes the end
+	case r.stopRequested:
+		m.finishLocked(r, peer.OutcomeRefused, peer.RefusalStopped)
+	default:
+		m.finishLocked(r, peer.OutcomeRefused, peer.RefusalUnanswered)
+	}
+}
+
+func (r *Report) isRunning(a task.Attempt) bool {
+	for _, running := range r.Running {
+		if running.Attempt == a {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Report) hasEnded(a task.Attempt) bool {
+	for _, ended := range r.Ended {
+		if ended.Attempt == a {
+			return true
+		}
+	}
+	return false
+}
+
+// startedByOtherIncarnation handles a run that a later incarnation of the target has
+// started.
+func (m *Manager) startedByOtherIncarnation(r *run) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.runs[r.attempt.Key] == r && r.phase == phaseStarting {
+		m.misdirectedLocked(r)
+	}
+}
+
+// misdirectedLocked keeps a run until the incarnation that its orders may have reached has
+// stopped it, or reports that it neither runs nor can start any more.
+func (m *Manager) misdirectedLocked(r *run) {
+	if r.phase == phaseMisdirected {
+		return
+	}
+	r.phase, r.stopRequested = phaseMisdirected, true
+	m.opts.Log.Warn().Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
+		Int("orders", r.orders.Sent).Int("unanswered", r.orders.Open).
+		Msg("start order may have reached a later incarnation of the target")
+	go m.stopMisdirected(r)
+}
+
+// stopMisdirected sends stop orders until one is executed, a report settles the run, or the
+// target's lease has certainly expired, and then reports the run as lost.
+func (m *Manager) stopMisdirected(r *run) {
+	lease := m.opts.TargetLease*(100+maxClockDriftPercent)/100 + leaseMargin
+	for startTime := time.Now(); time.Since(startTime) < lease && m.isMisdirected(r); {
+		if m.stopAtCurrentTarget(r) {
+			time.Sleep(leaseMargin)
+			break
+		}
+		time.Sleep(pollBackoff)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.runs[r.attempt.Key] == r {
+		m.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
+	}
+}
+
+func (m *Manager) isMisdirected(r *run) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.runs[r.attempt.Key] == r
+}
+
+// stopAtCurrentTarget sends one stop order to the current incarnation of the target and
+// reports whether it was executed.
+func (m *Manager) stopAtCurrentTarget(r *run) bool {
+	m.mu.Lock()
+	t := m.target
+	if t == nil {
+		m.mu.Unlock()
+		return false
+	}
+	token := t.token
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+	defer cancel()
+	answer, err := t.client.Stop(ctx, token, r.attempt)
+	if err == nil && answer == AnswerFenced {
+		m.raiseToken(t, token, tokenStep)
+	}
+	return err == nil && (answer == AnswerDone || answer == AnswerDoneByOtherIncarnation)
+}
+
+// settleMisdirectedLocked settles a misdirected run that is missing in a report of the current
+// incarnation. With a higher token than all orders of the run, the report proves that none of
+// them can take effect any more.
+func (m *Manager) settleMisdirectedLocked(r *run, token uint64) {
+	if r.phase == phaseMisdirected && token > r.orderToken {
+		m.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
+	}
+}
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -16,10 +16,6 @@
 	maxOrderAge = peer.OwnerLease
 )
 
-// decidedByPoll is the value of run.decidedBy after a poll with a higher token, instead of
-// the answer to a start order.
-const decidedByPoll = "fenced_poll"
-
 // startLocked checks a start order and either refuses it or begins to execute it.
 func (m *Manager) startLocked(o *owner, s peer.Start) {
 	if refusal := m.refusalLocked(o, s); refusal != peer.RefusalNone {
@@ -111,7 +107,7 @@
 		case err != nil:
 			retry.sleep(t.ctx, permit.IssuedAt)
 		case answer == AnswerDone:
-			m.startConfirmed(r)
+			m.startConfirmed(t, r)
 			return
 		case answer == AnswerDoneByOtherIncarnation:
 			m.startedByOtherIncarnation(r)
@@ -147,7 +143,7 @@
 // an order without an answer may have been, whatever a later one was answered.
 func (m *Manager) refuseStart(t *targetIncarnation, r *run, refusal peer.Refusal) {
 	if m.startVerdict(r) == verdict.NotRun {
-		m.startRefused(r, refusal)
+		m.startRefused(t, r, refusal)
 		return
 	}
 	m.resolveStart(t, r)
@@ -174,7 +170,7 @@
 	defer m.mu.Unlock()
 	r.decidedBy = answer.String()
 	m.opts.Counters.Counter("start_orders_" + answer.String()).Inc(1)
-	if answer == AnswerDone {
+	if startProofs[answer] != verdict.ProvesRejected {
 		return
 	}
 	m.opts.Log.Info().Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
@@ -187,7 +183,7 @@
 func (m *Manager) startPermit(t *targetIncarnation, r *run) (Permit, peer.Refusal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.runs[r.attempt.Key] != r || r.stopRequested {
+	if !m.isStartingLocked(t, r) || r.stopRequested {
 		return Permit{}, peer.RefusalStopped
 	}
 	refusal := m.permissionLocked(m.owners[r.owner])
@@ -204,22 +200,34 @@
 	}
 	permit := t.permit()
 	t.renewedAt = permit.IssuedAt
+	r.orderToken = permit.Token
 	return permit, peer.RefusalNone
 }
 
 // fitsLocked reports whether the target's capacity is enough for a run and all others there.
 func (m *Manager) fitsLocked(r *run) bool { return r.need.FitsIn(m.freeLocked().Add(r.need)) }
 
-func (m *Manager) startConfirmed(r *run) {
+// isStartingLocked reports whether a start at an incarnation of the target is still to be
+// decided. After a restart only the new incarnation's report decides it: an answer for the
+// former one says nothing about orders that the new one may have executed.
+func (m *Manager) isStartingLocked(t *targetIncarnation, r *run) bool {
+	return m.target == t && m.runs[r.attempt.Key] == r && r.phase == phaseStarting
+}
+
+func (m *Manager) startConfirmed(t *targetIncarnation, r *run) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.runs[r.attempt.Key] != r {
+	m.startConfirmedLocked(t, r)
+}
+
+func (m *Manager) startConfirmedLocked(t *targetIncarnation, r *run) {
+	if !m.isStartingLocked(t, r) {
 		return
 	}
 	r.phase, r.confirmedAt = phaseRunning, time.Now()
 	r.pace.Start(m.clock())
 	m.opts.Log.Info().Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
-		Str("target", m.target.ID).Int64("free_cpu", m.freeLocked().CPU).
+		Str("target", t.ID).Int64("free_cpu", m.freeLocked().CPU).
 		Int("orders", r.orders.Sent).Int("unanswered", r.orders.Open).Str("decided_by", r.decidedBy).Msg("run started")
 	m.sendResultLocked(r.owner, r.attempt, peer.OutcomeStarted, peer.RefusalNone)
 	if r.stopRequested {
@@ -227,83 +235,10 @@
 	}
 }
 
-func (m *Manager) startRefused(r *run, refusal peer.Refusal) {
+func (m *Manager) startRefused(t *targetIncarnation, r *run, refusal peer.Refusal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.runs[r.attempt.Key] == r {
+	if m.isStartingLocked(t, r) {
 		m.finishLocked(r, peer.OutcomeRefused, refusal)
 	}
 }
-
-// resolveStart determines whether an attempt runs whose start orders were not answered.
-// It polls with a higher token, so that those orders can no longer take effect. One
-// attempt is resolved at a time: while the target does not answer, further polls give no
-// more information than one.
-func (m *Manager) resolveStart(t *targetIncarnation, r *run) {
-	select {
-	case t.resolving <- struct{}{}:
-	case <-t.ctx.Done():
-		return
-	}
-	defer func() { <-t.resolving }()
-	var retry backoff
-	for t.ctx.Err() == nil {
-		poll, ok := m.resolvingPoll(t, r)
-		if !ok {
-			return
-		}
-		sent := time.Now()
-		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
-		report, err := t.client.Poll(ctx, poll)
-		cancel()
-		if err == nil && report.Answer == AnswerDone {
-			m.startResolved(t, r, report)
-			return
-		}
-		m.orderUnanswered(t, "look", r.attempt, err)
-		if m.expireTargetLease(t) {
-			return
-		}
-		retry.sleep(t.ctx, sent)
-	}
-}
-
-// resolvingPoll returns a poll with a higher token than all orders so far, or false if r
-// has ended.
-func (m *Manager) resolvingPoll(t *targetIncarnation, r *run) (PollRequest, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.runs[r.attempt.Key] != r {
-		return PollRequest{}, false
-	}
-	t.token++
-	return PollRequest{Permit: t.permit(), LastSeen: t.lastSeen}, true
-}
-
-// recordResolution records that a poll with a higher token decides whether an attempt runs.
-func (m *Manager) recordResolution(r *run) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	r.decidedBy = decidedByPoll
-}
-
-func (m *Manager) startResolved(t *targetIncarnation, r *run, report Report) {
-	m.targetAnswered(t)
-	m.recordResolution(r)
-	for _, running := range report.Running {
-		if running.Attempt == r.attempt {
-			m.startConfirmed(r)
-			return
-		}
-	}
-	for _, ended := range report.Ended {
-		if ended.Attempt == r.attempt {
-			return // pollTarget processes the end
-		}
-	}
-	if r.stopRequested {
-		m.startRefused(r, peer.RefusalStopped)
-		return
-	}
-	m.startRefused(r, peer.RefusalUnanswered)
-}
