Runs of a target that deregisters are over when they end, not at its notice

A task could run twice: a target that deregisters ends some seconds later if its acknowledgement is lost, and its runs go on under their lease, but they were reported as certainly over at once and started elsewhere. And a heartbeat that was delayed brought a target back that had left. Now the target gets no work and no renewal of its lease, its ends are still read, and what is left is lost when the lease is over; the identity of the target that left is kept. Both tests failed before.

--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
 )
 
@@ -50,6 +49,8 @@
 	// announcement of another incarnation is then accepted even if its number is lower,
 	// because clocks were set back before the target restarted.
 	unconfirmed bool
+	// leaving is set once the target has deregistered.
+	leaving bool
 	// crashed is set once the target appears to have ended or hung without notice.
 	crashed bool
 }
@@ -65,6 +66,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch t := m.target; {
+	case t == nil && a.identity() == m.left:
+		return false
 	case t == nil, a.Incarnation > t.Incarnation:
 		m.replaceTargetLocked(a)
 	case t.unconfirmed && a.identity() != t.identity():
@@ -73,7 +76,7 @@
 		m.opts.Log.Warn().Str("target", a.ID).Int64("incarnation", a.Incarnation).
 			Int64("known", t.Incarnation).Msg("announcement of an earlier incarnation ignored")
 		return false
-	case a.Sequence < t.Sequence:
+	case a.Sequence < t.Sequence, t.leaving:
 		return true
 	default:
 		m.updateTargetLocked(a)
@@ -134,20 +137,29 @@
 }
 
 // Deregister handles the target's notice that it shuts down; incarnation is 0 if not
-// given.
+// given. The target may end some seconds later: its runs go on until they end, or until its
+// lease, which is no longer renewed, has expired.
 func (m *Manager) Deregister(id string, incarnation int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.target == nil || m.target.ID != id || (incarnation != 0 && incarnation < m.target.Incarnation) {
+	t := m.target
+	if t == nil || t.ID != id || (incarnation != 0 && incarnation < t.Incarnation) {
 		return
 	}
 	// The Announced callback may store the announcement. It is marked as draining first,
 	// so that a later process of the agent does not treat the target as available.
-	m.target.Draining = true
+	t.Draining, t.leaving = true, true
+	m.left = t.identity()
+	m.opts.Log.Info().Str("target", t.ID).Int64("incarnation", t.Incarnation).Int("runs", len(m.runs)).Msg("target leaves")
 	m.notifyAnnouncedLocked()
-	m.endTargetLocked("left")
-	for _, r := range m.runs {
-		m.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
+	m.broadcastTargetLocked()
+	m.endIfLeftLocked()
+}
+
+// endIfLeftLocked ends a target that leaves once it has no runs.
+func (m *Manager) endIfLeftLocked() {
+	if m.target != nil && m.target.leaving && len(m.runs) == 0 {
+		m.endTargetLocked("left")
 	}
 }
 
--- a/internal/process/runs/incarnation_test.go
+++ b/internal/process/runs/incarnation_test.go
@@ -64,7 +64,10 @@
 // neither end the agent nor bring the run back.
 func TestAnswerOfFormerIncarnationDoesNotConfirmStart(t *testing.T) {
 	for name, end := range map[string]func(*harness){
-		"deregistered": func(h *harness) { h.manager.Deregister("t1", 2) },
+		"deregistered": func(h *harness) {
+			h.manager.Deregister("t1", 2)
+			h.target.set(func() { h.target.unresponsive = true })
+		},
 		"restarted": func(h *harness) {
 			h.restart()
 			h.announce(Announcement{Incarnation: 3, Sequence: 1})
@@ -141,3 +144,39 @@
 		}
 	})
 }
+
+// The target has deregistered, and its process goes on for a while: its runs are not over.
+func TestRunOfDeregisteredTargetIsNotLostUnderAValidLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		b := h.start(1, 1, task.Resources{CPU: 1000})
+		h.waitStarted(b)
+		h.manager.Deregister("t1", 1)
+		left := time.Now()
+		h.waitFor(func(f *peer.Frame) bool { return f.Target != nil && !f.Target.Available })
+		h.target.end(a, peer.OutcomeDone)
+		h.waitOutcome(a, peer.OutcomeDone)
+		h.target.set(func() { h.target.unresponsive = true })
+		h.waitOutcome(b, peer.OutcomeLost)
+		if after := time.Since(left); after < testLease {
+			t.Errorf("reported as lost %v after the deregistration, under a lease of %v", after, testLease)
+		}
+	})
+}
+
+// A heartbeat that was delayed arrives after the target has left.
+func TestDelayedAnnouncementDoesNotBringDeregisteredTargetBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.manager.Deregister("t1", 1)
+		h.announce(Announcement{Incarnation: 1, Sequence: 9})
+		time.Sleep(100 * time.Millisecond)
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitOutcome(a, peer.OutcomeRefused)
+		if !h.announce(Announcement{Incarnation: 2, Sequence: 1}) {
+			t.Error("the next incarnation is ignored")
+		}
+	})
+}
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -54,6 +54,9 @@
 	starts load.StartRates
 	// resultsSent is the number of the latest result.
 	resultsSent uint64
+	// left identifies the latest target that has deregistered: a delayed announcement must not
+	// bring it back.
+	left identity
 	// lastToken is the highest token of former incarnations.
 	lastToken uint64
 	// reported is set once any incarnation of the target has reported its runs. Later
@@ -124,7 +127,7 @@
 // availableLocked reports whether the target may be given work.
 func (m *Manager) availableLocked() bool {
 	t := m.target
-	return t != nil && t.reported && !t.Draining && !t.unresponsive && !t.unconfirmed && !t.crashed && !m.stopping
+	return t != nil && t.reported && !t.Draining && !t.unresponsive && !t.unconfirmed && !t.crashed && !t.leaving && !m.stopping
 }
 
 // freeLocked returns the free capacity. Runs that are being stopped still count as used.
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -51,7 +51,7 @@
 func (m *Manager) nextPoll(t *targetIncarnation, wait time.Duration) PollRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	poll := PollRequest{Permit: t.permit(), LastSeen: t.lastSeen, Wait: wait, Renew: !t.unresponsive && !t.unconfirmed}
+	poll := PollRequest{Permit: t.permit(), LastSeen: t.lastSeen, Wait: wait, Renew: !t.unresponsive && !t.unconfirmed && !t.leaving}
 	if poll.Renew {
 		t.renewedAt = poll.IssuedAt
 	}
--- a/internal/process/runs/sweep.go
+++ b/internal/process/runs/sweep.go
@@ -23,8 +23,8 @@
 	probeOfferTimeout = 100 * time.Millisecond
 )
 
-// Sweep stops the runs of entries whose lease has expired, sends heartbeats, and removes
-// state that is no longer needed. It is called every sweepInterval.
+// Sweep stops the runs of entries whose lease has expired, sends heartbeats, ends a target that
+// has left, and removes state that is no longer needed. It is called every sweepInterval.
 func (m *Manager) Sweep() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -43,6 +43,7 @@
 		m.heartbeatLocked(o, now)
 	}
 	m.retireLocked()
+	m.endIfLeftLocked()
 	for _, r := range m.runs {
 		if r.owner == 0 && now.Sub(r.confirmedAt) > orphanLease {
 			m.stopLocked(r.attempt, "claimed by no entry")
