Silence of a target does not let a delayed announcement replace it

A task could run twice: 250 ms without an answer were enough for a delayed announcement of an earlier incarnation to be accepted, upon which the runs were reported as lost while a mute target ran them. An announcement with a lower number is now accepted only once another incarnation has answered or the lease is over. The test failed before (replaced within the lease).

--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -45,10 +45,13 @@
 	loggedUnhealthy bool
 	// unresponsive is set while the target does not answer.
 	unresponsive bool
-	// unconfirmed is set once another incarnation answers, or none does. The next
-	// announcement of another incarnation is then accepted even if its number is lower,
-	// because clocks were set back before the target restarted.
+	// unconfirmed is set once another incarnation answers, or none does, until the next report.
 	unconfirmed bool
+	// replaceable is set once another incarnation has answered, or the lease has expired. The
+	// next announcement of another incarnation is then accepted even if its number is lower,
+	// because clocks were set back before the target restarted. Silence alone is no reason: a
+	// delayed announcement of an earlier incarnation may arrive meanwhile.
+	replaceable bool
 	// leaving is set once the target has deregistered.
 	leaving bool
 	// crashed is set once the target appears to have ended or hung without notice.
@@ -70,7 +73,7 @@
 		return false
 	case t == nil, a.Incarnation > t.Incarnation:
 		m.replaceTargetLocked(a)
-	case t.unconfirmed && a.identity() != t.identity():
+	case t.replaceable && a.identity() != t.identity():
 		m.replaceTargetLocked(a)
 	case a.identity() != t.identity():
 		m.opts.Log.Warn().Str("target", a.ID).Int64("incarnation", a.Incarnation).
--- a/internal/process/runs/incarnation_test.go
+++ b/internal/process/runs/incarnation_test.go
@@ -180,3 +180,23 @@
 		}
 	})
 }
+
+// The target does not answer for a while but runs on, and a delayed announcement of an earlier
+// incarnation arrives.
+func TestDelayedAnnouncementDoesNotReplaceSilentTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newInterruptedHarness(t)
+		a := h.startAt(2)
+		h.waitStarted(a)
+		h.target.set(func() { h.target.unresponsive = true })
+		time.Sleep(unresponsiveAfter + 100*time.Millisecond)
+		if h.announce(Announcement{Incarnation: 1, Sequence: 900}) {
+			t.Error("an earlier incarnation replaces the target while its lease is valid")
+		}
+		time.Sleep(2 * testLease)
+		if !h.announce(Announcement{Incarnation: 1, Sequence: 901}) {
+			t.Error("an incarnation with an earlier clock is ignored after the lease has expired")
+		}
+		h.waitOutcome(a, peer.OutcomeLost)
+	})
+}
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -80,10 +80,10 @@
 func (m *Manager) markReplaced(t *targetIncarnation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if t.unconfirmed {
+	if t.replaceable {
 		return
 	}
-	t.unconfirmed = true
+	t.unconfirmed, t.replaceable = true, true
 	m.opts.Log.Warn().Str("target", t.ID).Int64("incarnation", t.Incarnation).Msg("another incarnation of the target answers")
 	m.broadcastTargetLocked()
 }
@@ -122,6 +122,7 @@
 	if m.target != t || time.Since(t.renewedAt) < lease {
 		return false
 	}
+	t.replaceable = true
 	for _, r := range m.runs {
 		m.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
 	}
@@ -152,6 +153,7 @@
 	}
 	first := !t.reported
 	now := m.clock()
+	t.replaceable = false
 	if t.unconfirmed {
 		t.unconfirmed = false
 		m.broadcastTargetLocked()
