Stop an older run that a target lists beside a newer one of its task

A late order of an older run could start it beside the newer run, and it went on for its whole run time: the agent ignored a listed run if it knew any run of that task. It now sends a stop, again every 50 ms while the run is listed. The test failed before.

--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
 
 // identity distinguishes the incarnations of all targets that were beside this agent.
@@ -36,7 +37,10 @@
 	renewedAt  time.Time
 	// unanswered is the number of polls since the latest answer.
 	unanswered int
-	health     load.Health
+	// strays is when a stop order was last sent to each run that is listed beside another
+	// run of its task.
+	strays map[task.Attempt]time.Time
+	health load.Health
 	// prober is the incarnation of the entry that may send the next probe, probeOfferedAt
 	// when it was chosen.
 	prober         uint64
@@ -105,6 +109,7 @@
 		cancel:       cancel,
 		token:        m.nextTokenLocked(),
 		resolving:    make(chan struct{}, 1),
+		strays:       make(map[task.Attempt]time.Time),
 		answeredAt:   time.Now(),
 		renewedAt:    time.Now(),
 	}
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -11,6 +11,8 @@
 	// orderTimeout bounds the wait for the answer to one order. A healthy target on the
 	// same machine answers within 1 or 2 ms.
 	orderTimeout = 30 * time.Millisecond
+	// strayStopInterval is the time between stop orders for one stray run.
+	strayStopInterval = 50 * time.Millisecond
 	// tokenStep raises the token above that of a former process. Tokens start at the time
 	// of day in milliseconds, and the clock of that process may have been ahead.
 	tokenStep = 10_000
@@ -94,3 +96,24 @@
 	m.opts.Log.Warn().Str("target", t.ID).Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).
 		Uint64("run", r.attempt.Run).Stringer("answer", answer).Msg("stop order rejected")
 }
+
+// stopStrayLocked stops a run that the target lists beside another run of its task: a delayed
+// order has started it.
+func (m *Manager) stopStrayLocked(t *targetIncarnation, a task.Attempt) {
+	if time.Since(t.strays[a]) < strayStopInterval {
+		return
+	}
+	t.strays[a] = time.Now()
+	token := t.token
+	m.opts.Counters.Counter("stray_runs_stopped").Inc(1)
+	m.opts.Log.Warn().Str("target", t.ID).Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).
+		Uint64("other_run", m.runs[a.Key].attempt.Run).Msg("second run of a task stopped")
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+		defer cancel()
+		// The next report lists the run again if it goes on.
+		if _, err := t.client.Stop(ctx, token, a); err != nil {
+			m.orderUnanswered(t, "stop", a, err)
+		}
+	}()
+}
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -174,7 +174,7 @@
 	m.updateHealthLocked(t)
 	for a := range running {
 		if r := m.runs[a.Key]; r == nil || r.attempt != a {
-			m.handleUnknownRunLocked(a)
+			m.handleUnknownRunLocked(t, a)
 		}
 	}
 	if first {
@@ -260,8 +260,9 @@
 // first report that this process receives it may have been started by an earlier process.
 // Later it comes from a delayed order that reached a new incarnation of the target; no
 // entry waits for it, so it is stopped.
-func (m *Manager) handleUnknownRunLocked(a task.Attempt) {
+func (m *Manager) handleUnknownRunLocked(t *targetIncarnation, a task.Attempt) {
 	if m.runs[a.Key] != nil {
+		m.stopStrayLocked(t, a)
 		return
 	}
 	m.adoptRunLocked(a)
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -173,6 +173,23 @@
 	})
 }
 
+// A delayed order of an older run is executed while a newer run of the task is in progress.
+func TestOlderRunBesideNewerOneIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		newer := h.start(0, 2, task.Resources{CPU: 1000})
+		h.waitStarted(newer)
+		older := task.Attempt{Key: newer.Key, Run: 1}
+		h.target.set(func() { h.target.running[older] = true })
+		time.Sleep(2 * pollWait)
+		h.target.set(func() {
+			if h.target.running[older] || !h.target.running[newer] {
+				t.Errorf("running: %v, want the newer run only", h.target.running)
+			}
+		})
+	})
+}
+
 func TestEachAnswerProvesSomething(t *testing.T) {
 	for answer := range answers {
 		if startProofs[answer] == verdict.ProvesNothing || answer.String() == "" {
