Refuse a start beside a run of its task only once that run is over

A task could run twice: an agent refused the start of a task that still ran there for another entry at once (stale_run, room), and that entry started it on another target a millisecond later. The refusal says that this start did nothing, not that the task does not run. It is now held back until the run is over. The test failed before for both run numbers.

--- a/internal/process/runs/harness_test.go
+++ b/internal/process/runs/harness_test.go
@@ -180,6 +180,22 @@
 	return found
 }
 
+// expectNoResult fails the test if a result of an attempt arrives within a time.
+func (h *harness) expectNoResult(a task.Attempt, within time.Duration) {
+	h.t.Helper()
+	deadline := time.After(within)
+	for {
+		select {
+		case f := <-h.frames:
+			if slices.ContainsFunc(f.Results, func(r peer.Result) bool { return r.Attempt == a }) {
+				h.t.Errorf("unexpected result of %v: %v", a, f.Results)
+			}
+		case <-deadline:
+			return
+		}
+	}
+}
+
 func (h *harness) waitStarted(a task.Attempt) {
 	h.t.Helper()
 	h.waitFor(func(f *peer.Frame) bool {
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -106,9 +106,17 @@
 	orderedAt time.Duration
 	// stopRequested is set when the run must be stopped, also if it has not started yet.
 	stopRequested bool
-	expected      time.Duration
-	percent       int
-	pace          load.RunPace
+	// refusedAtEnd lists the starts of the same task that are refused once the run is over.
+	refusedAtEnd []heldRefusal
+	expected     time.Duration
+	percent      int
+	pace         load.RunPace
+}
+
+// heldRefusal is a start that will be refused.
+type heldRefusal struct {
+	owner   uint64
+	attempt task.Attempt
 }
 
 // New returns the run manager of a target that has not been announced yet.
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
@@ -18,6 +19,10 @@
 
 // startLocked checks a start order and either refuses it or begins to execute it.
 func (m *Manager) startLocked(o *owner, s peer.Start) {
+	if present := m.runs[s.Attempt.Key]; present != nil {
+		m.awaitEndLocked(o, s.Attempt, present)
+		return
+	}
 	if refusal := m.refusalLocked(o, s); refusal != peer.RefusalNone {
 		m.sendResultLocked(o.incarnation, s.Attempt, peer.OutcomeRefused, refusal)
 		m.opts.Counters.Counter("starts_refused_" + string(refusal)).Inc(1)
@@ -50,6 +55,15 @@
 	go m.start(m.target, r, s)
 }
 
+// awaitEndLocked holds the refusal of a start back until the present run of its task, which
+// another entry has sent, is over: the entry may start the task elsewhere once it is refused.
+func (m *Manager) awaitEndLocked(o *owner, a task.Attempt, present *run) {
+	present.refusedAtEnd = append(present.refusedAtEnd, heldRefusal{owner: o.incarnation, attempt: a})
+	m.opts.Counters.Counter("starts_beside_run_of_task").Inc(1)
+	m.opts.Log.Warn().Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).Str("entry", o.name).
+		Uint64("present_run", present.attempt.Run).Msg("start held back: its task still runs here")
+}
+
 // hasRunsOfLocked reports whether a run of a job is at the target.
 func (m *Manager) hasRunsOfLocked(job string) bool {
 	for key := range m.runs {
@@ -61,18 +75,15 @@
 }
 
 func (m *Manager) refusalLocked(o *owner, s peer.Start) peer.Refusal {
-	present := m.runs[s.Attempt.Key]
 	refusal := m.permissionLocked(o)
 	switch {
 	case refusal != peer.RefusalNone:
 		return refusal
 	case o.retiring, s.Incarnation != m.target.Incarnation:
 		return peer.RefusalUnavailable
-	case present != nil && present.attempt.Run >= s.Attempt.Run:
-		return peer.RefusalStaleRun
 	case !m.isolationAllowsLocked(s):
 		return peer.RefusalIsolation
-	case present != nil, !s.Need.FitsIn(m.freeLocked()):
+	case !s.Need.FitsIn(m.freeLocked()):
 		return peer.RefusalNoCapacity
 	}
 	return peer.RefusalNone
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -1,6 +1,8 @@
 package runs
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -190,6 +192,29 @@
 	})
 }
 
+// Another entry sends the task of a run that is still in progress here.
+func TestStartBesideRunOfItsTaskIsRefusedOnceThatIsOver(t *testing.T) {
+	for _, run := range []uint64{1, 2} {
+		t.Run(fmt.Sprint("run ", run), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				present := h.start(0, 1, task.Resources{CPU: 1000})
+				h.waitStarted(present)
+				h.connect(8)
+				h.waitFor(func(f *peer.Frame) bool { return f.Target != nil && f.Target.Available })
+				second := h.start(0, run, task.Resources{CPU: 1000})
+				h.expectNoResult(second, 100*time.Millisecond)
+				h.target.end(present, peer.OutcomeDone)
+				h.waitFor(func(f *peer.Frame) bool {
+					return slices.ContainsFunc(f.Results, func(r peer.Result) bool {
+						return r.Attempt == second && r.Refusal == peer.RefusalStaleRun
+					})
+				})
+			})
+		})
+	}
+}
+
 func TestEachAnswerProvesSomething(t *testing.T) {
 	for answer := range answers {
 		if startProofs[answer] == verdict.ProvesNothing || answer.String() == "" {
