Count the lease of an entry from the opening of its link, not from when its hello is read

An entry that links again got a whole new lease when its hello was processed, though it may have sent that long before: its runs went on for up to 0.96 s after its latest sign of life, for a lease of 0.5 s, and the caller's next try at another entry could meet them. The hello proves that the entry was alive after the link was opened. The test failed before (965 ms).

--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -21,8 +21,9 @@
 // Link is one connection between an agent and an entry. Send is safe for concurrent
 // use; Receive must be called by one goroutine at a time.
 type Link struct {
-	conn   net.Conn
-	reader *bufio.Reader
+	conn     net.Conn
+	reader   *bufio.Reader
+	openedAt time.Time
 
 	wake      chan struct{}
 	done      chan struct{}
@@ -40,11 +41,12 @@
 // called for each frame just before the frame is encoded.
 func NewLink(conn net.Conn, stamp func(*Frame)) *Link {
 	l := &Link{
-		conn:   conn,
-		reader: newReader(conn),
-		wake:   make(chan struct{}, 1),
-		done:   make(chan struct{}),
-		stamp:  stamp,
+		conn:     conn,
+		reader:   newReader(conn),
+		openedAt: time.Now(),
+		wake:     make(chan struct{}, 1),
+		done:     make(chan struct{}),
+		stamp:    stamp,
 	}
 	go l.writeLoop()
 	return l
@@ -196,6 +198,9 @@
 	})
 }
 
+// OpenedAt returns when the link was opened. The peer has sent each frame on it later.
+func (l *Link) OpenedAt() time.Time { return l.openedAt }
+
 // Done returns a channel that is closed when the link is closed.
 func (l *Link) Done() <-chan struct{} { return l.done }
 
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -13,8 +13,8 @@
 	incarnation uint64
 	address     string
 	link        *peer.Link
-	// lastEcho is the latest time of this process's clock that the entry has echoed: the
-	// entry was alive after it.
+	// lastEcho is the latest time of this process's clock that the entry has echoed, or that
+	// of its latest link: the entry was alive after it.
 	lastEcho time.Duration
 	// linkLostAt is when the link broke; zero while there is one.
 	linkLostAt time.Time
@@ -82,7 +82,7 @@
 	}
 	o.address, o.link, o.linkLostAt, o.accepted = address, link, time.Time{}, 0
 	o.retiring, o.retired = false, false
-	o.lastEcho = m.clock()
+	o.lastEcho = max(o.lastEcho, link.OpenedAt().Sub(m.epoch))
 	m.opts.Log.Info().Str("entry", o.name).Uint64("incarnation", o.incarnation).
 		Int("runs", o.runCount).Int("results", len(o.results)).Msg("entry linked")
 	link.Send(peer.Frame{
--- a/internal/process/runs/owner_test.go
+++ b/internal/process/runs/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -47,6 +48,28 @@
 	})
 }
 
+// The hello of an entry is delayed on a link that has been open for a while.
+func TestDelayedHelloDoesNotExtendTheLeaseOfItsEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		here, _ := net.Pipe()
+		link := peer.NewLink(here, nil)
+		defer link.Close()
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		close(h.entrySilent)
+		silent := time.Now()
+		time.Sleep(peer.OwnerLease - 50*time.Millisecond)
+		h.manager.Connect(&peer.Hello{Name: "entry", Incarnation: 7}, "entry:1", link)
+		for running := true; running; time.Sleep(5 * time.Millisecond) {
+			h.target.set(func() { running = h.target.running[a] })
+		}
+		if after := time.Since(silent); after > peer.OwnerLease+100*time.Millisecond {
+			t.Errorf("the run ended %v after the latest echo, lease %v", after, peer.OwnerLease)
+		}
+	})
+}
+
 func TestRunsOfDisconnectedEntryAreStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
