Stop a run also while its start is not confirmed

A run of a lost entry or a cancelled job went on at a target that executes orders without an answer until a poll was answered, up to the end of the lease: the agent sent no stop before the start was confirmed. A stop ends the run if it is there and prevents its start if not.

--- a/internal/process/runs/faketarget_test.go
+++ b/internal/process/runs/faketarget_test.go
@@ -26,6 +26,8 @@
 	// number of next starts without an answer; they are executed at once, or put into
 	// delayedStarts if delayStarts is set.
 	unresponsive bool
+	// pollsUnanswered drops the answers of polls.
+	pollsUnanswered bool
 	// refuses is set while nothing listens at the target's address.
 	refuses                 bool
 	startsToLeaveUnanswered int
@@ -145,6 +147,9 @@
 	if f.fencedLocked(request.Token) {
 		return Report{Answer: AnswerFenced}, nil
 	}
+	if f.pollsUnanswered {
+		return Report{}, errSilent
+	}
 	if f.pollsByOther {
 		return Report{Answer: AnswerDoneByOtherIncarnation}, nil
 	}
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -36,7 +36,8 @@
 		Uint64("run", a.Run).Msg("order not answered")
 }
 
-// stopLocked marks a run as to be stopped, and stops it as soon as its start is confirmed.
+// stopLocked stops a run. A run whose start is not confirmed is stopped as well: its orders may
+// have been executed, and a stop prevents those that have not been.
 func (m *Manager) stopLocked(a task.Attempt, reason string) {
 	r := m.runs[a.Key]
 	if r == nil || r.attempt != a || r.stopRequested {
@@ -46,16 +47,15 @@
 	m.opts.Log.Info().Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).
 		Str("reason", reason).Msg("run stopped")
 	m.opts.Counters.Counter("runs_stopped").Inc(1)
-	if r.phase == phaseRunning {
-		m.beginStopLocked(r)
+	switch r.phase {
+	case phaseRunning:
+		r.phase = phaseStopping
+		go m.stop(m.target, r)
+	case phaseStarting:
+		go m.stop(m.target, r)
 	}
 }
 
-func (m *Manager) beginStopLocked(r *run) {
-	r.phase = phaseStopping
-	go m.stop(m.target, r)
-}
-
 // stop sends a stop order until one is executed or the run is gone: polls renew the target's
 // lease meanwhile, so that a run that is not stopped would go on. The end of the run is then
 // reported by pollTarget.
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -242,7 +242,7 @@
 		Int("orders", r.orders.Sent).Int("unanswered", r.orders.Open).Str("decided_by", r.decidedBy).Msg("run started")
 	m.sendResultLocked(r.owner, r.attempt, peer.OutcomeStarted, peer.RefusalNone)
 	if r.stopRequested {
-		m.beginStopLocked(r)
+		r.phase = phaseStopping
 	}
 }
 
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// A target executes orders without an answer, and the run is stopped before its start is
+// confirmed.
+func TestRunOfUnansweredStartIsStoppedBeforeItIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.pollsUnanswered = startTries, true })
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitRunning(a)
+		h.entry.Send(peer.Frame{Stops: []task.Attempt{a}})
+		time.Sleep(2 * orderTimeout)
+		h.target.set(func() {
+			if h.target.running[a] {
+				t.Error("the run goes on until a poll is answered")
+			}
+			h.target.pollsUnanswered = false
+		})
+		h.waitOutcome(a, peer.OutcomeStopped)
+	})
+}
+
 // An overloaded target rejects stop orders for a while, but answers polls, which renew its
 // lease: the run must not go on after that.
 func TestRejectedStopIsRepeatedUntilItIsExecuted(t *testing.T) {
