A repeated request that is refused keeps the verdict of the earlier one

A caller whose first request was answered as one that may have run (504) could be told by the refusal of its repeat, at the same entry, that the job has not run (503): admission looked only at the repeat. What is refused, and when, is unchanged. An entry can't know of requests at other entries.

--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -28,7 +28,7 @@
 	now := s.now()
 	s.topPriority(j.queue.Pool).Observe(now, j.queue.Priority)
 	if s.stop != nil && !s.stop.Admits(now, j.forecast.RunTime) {
-		return refuse(apiv1.Reason_REASON_STOPPING, stoppingRetry, "this entry stops"), false
+		return j.refusal(apiv1.Reason_REASON_STOPPING, stoppingRetry, "this entry stops"), false
 	}
 	if j.suspicion.MustGiveUp() {
 		return crashedAnswer(), false
@@ -37,12 +37,12 @@
 		return s.admitIsolated(j, now)
 	}
 	if message, ok := s.canEverRun(j); !ok && now > warmUpPeriod {
-		return refuse(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, noTargetRetry, message), false
+		return j.refusal(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, noTargetRetry, message), false
 	}
 	j.capacity = s.predictCapacity(j, now)
 	if load.IsSurelyTooLate(j.capacity.wait, j.latestStart-now) {
 		retry := load.RetryAfter(j.capacity.wait, s.opts.Random())
-		return refuse(apiv1.Reason_REASON_OVERLOAD, retry, "would wait past its objective"), false
+		return j.refusal(apiv1.Reason_REASON_OVERLOAD, retry, "would wait past its objective"), false
 	}
 	return Answer{}, true
 }
--- a/internal/process/scheduler/isolation.go
+++ b/internal/process/scheduler/isolation.go
@@ -175,10 +175,7 @@
 
 // refuseIsolated returns the answer to a job that cannot be run apart from others in time.
 func (s *Scheduler) refuseIsolated(j *job, wait time.Duration) Answer {
-	if j.ran {
-		return Answer{State: StateUnfinished, Verdict: j.verdict(), Reason: apiv1.Reason_REASON_TARGET_CRASHED, Message: messageNoTargetApart}
-	}
-	return refuse(apiv1.Reason_REASON_TARGET_CRASHED, load.RetryAfter(wait, s.opts.Random()), messageNoTargetApart)
+	return j.refusal(apiv1.Reason_REASON_TARGET_CRASHED, load.RetryAfter(wait, s.opts.Random()), messageNoTargetApart)
 }
 
 // untilRestart returns the expected time until the first crashed target is back.
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -45,6 +45,8 @@
 	// ran is set once an attempt of the job or of its predecessor is known to have
 	// started.
 	ran bool
+	// earlier is whether an earlier job of the same ID may have run here.
+	earlier verdict.Verdict
 	// ended is set once the job has been answered.
 	ended bool
 	// suspicion is what the crashes reported say about the job. separation is how far its
@@ -196,6 +198,21 @@
 	return verdict.NotRun
 }
 
+// reportedVerdict returns whether any request for the job at this entry may have run: a
+// repeated request that does nothing does not undo an earlier one. Requests at other entries
+// are not known here.
+func (j *job) reportedVerdict() verdict.Verdict { return verdict.Worst(j.verdict(), j.earlier) }
+
+// refusal returns the answer to a job that will not be run. It is a refusal only if nothing
+// of the job has run here.
+func (j *job) refusal(reason apiv1.Reason, retryAfter time.Duration, message string) Answer {
+	v := j.reportedVerdict()
+	if v == verdict.NotRun {
+		return refuse(reason, retryAfter, message)
+	}
+	return Answer{State: StateUnfinished, Verdict: v, Reason: reason, Message: message}
+}
+
 // finish answers a job, and stops its remaining attempts.
 func (s *Scheduler) finish(j *job, a Answer) {
 	if j.ended {
@@ -214,8 +231,11 @@
 	if j.unresolved > 0 {
 		s.closing[j.spec.ID] = j
 	}
-	if a.isFinal() {
+	switch {
+	case a.isFinal():
 		s.answers.put(j.spec.ID, a, s.now())
+	case a.Verdict != verdict.NotRun:
+		s.unfinished.put(j.spec.ID, a, s.now())
 	}
 	s.logAnswer(j, a)
 	for _, w := range j.waiters {
@@ -265,10 +285,5 @@
 // giveUp answers a job that can no longer be completed, with the verdict that holds
 // now.
 func (s *Scheduler) giveUp(j *job, reason apiv1.Reason, message string) {
-	v := j.verdict()
-	if v == verdict.NotRun {
-		s.finish(j, refuse(reason, s.retryAfter(), message))
-		return
-	}
-	s.finish(j, Answer{State: StateUnfinished, Verdict: v, Reason: reason, Message: message})
+	s.finish(j, j.refusal(reason, s.retryAfter(), message))
 }
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -49,12 +49,14 @@
 	jobs    map[string]*job
 	// closing holds answered jobs of which attempts may still run. A new job of the
 	// same ID waits until these have ended.
-	closing  map[string]*job
-	answers  answerCache
-	queue    load.Queue[*item]
-	drain    load.DrainRate
-	estimate *load.Estimator
-	patience *load.Patience
+	closing map[string]*job
+	answers answerCache
+	// unfinished holds the answers of recent jobs that have not ended but may have run.
+	unfinished answerCache
+	queue      load.Queue[*item]
+	drain      load.DrainRate
+	estimate   *load.Estimator
+	patience   *load.Patience
 	// contention measures how often other entries take the capacity first.
 	contention load.Contention
 	// delays tracks delayed starts by data centre.
@@ -100,6 +102,7 @@
 		jobs:          make(map[string]*job),
 		closing:       make(map[string]*job),
 		answers:       newAnswerCache(),
+		unfinished:    newAnswerCache(),
 		estimate:      load.NewEstimator(),
 		patience:      load.NewPatience(),
 		delays:        load.NewStartDelays(),
@@ -126,6 +129,7 @@
 	if j == nil {
 		j = s.newJob(spec, queue)
 		j.predecessor = s.closing[spec.ID]
+		j.earlier = s.earlierVerdict(spec.ID)
 		s.suspectOnArrival(j)
 		if refused, ok := s.admit(j); !ok {
 			s.logAnswer(j, refused)
@@ -142,6 +146,14 @@
 	return waiter, func() { s.withdraw(j, waiter) }
 }
 
+// earlierVerdict returns whether a job of an ID may have run here.
+func (s *Scheduler) earlierVerdict(id string) verdict.Verdict {
+	if a, ok := s.unfinished.get(id, s.now()); ok {
+		return a.Verdict
+	}
+	return verdict.NotRun
+}
+
 // enqueue registers an admitted job and queues its steps without dependencies.
 func (s *Scheduler) enqueue(j *job) {
 	s.jobs[j.spec.ID] = j
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -398,3 +399,30 @@
 		}
 	})
 }
+
+// The first request was answered as one that may have run; the repeated one is refused before it
+// sends anything.
+func TestRefusedRepeatOfJobThatMayHaveRunIsNotReportedAsNotRun(t *testing.T) {
+	for _, resolved := range []bool{false, true} {
+		t.Run(fmt.Sprintf("resolved %v", resolved), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tc := newTestCluster(t)
+				a := tc.agent("a")
+				j := tc.job("j", 1, 1000)
+				j.Deadline = time.Now().Add(60 * time.Millisecond)
+				answered, _ := tc.submit(j)
+				s := a.nextStart()
+				await(t, answered)
+				if resolved {
+					a.report(s.Attempt, s.Need, peer.OutcomeLost, "")
+					time.Sleep(10 * time.Millisecond)
+				}
+				tc.scheduler.Stop(0, time.Millisecond)
+				again, _ := tc.submit(tc.job("j", 1, 1000))
+				if got := await(t, again); got.State == StateRefused || got.Verdict == verdict.NotRun {
+					t.Errorf("the repeat is answered %v, %v", got.State, got.Verdict)
+				}
+			})
+		})
+	}
+}
