Each entry that claims an adopted run gets its outcome

After a restart of an agent, two entries may claim one run, if both have sent an attempt of that number: the second claim was ignored, so that its job waited until its deadline and its next request until the entry restarted. Both now get the outcome. The test failed before (one outcome).

--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -106,6 +106,8 @@
 	orderedAt time.Duration
 	// stopRequested is set when the run must be stopped, also if it has not started yet.
 	stopRequested bool
+	// otherClaimants are further entries that have sent an attempt of the same number.
+	otherClaimants []uint64
 	// refusedAtEnd lists the starts of the same task that are refused once the run is over.
 	refusedAtEnd []heldRefusal
 	expected     time.Duration
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -187,12 +187,17 @@
 	o.results = o.results[n:]
 }
 
-// claimLocked assigns runs without a known owner to the entry that claims them.
+// claimLocked assigns runs without a known owner to the first entry that claims them. The
+// others get the outcome as well.
 func (m *Manager) claimLocked(o *owner, c *peer.Claims) {
 	for _, claim := range c.Attempts {
 		a := claim.Attempt
 		r := m.runs[a.Key]
-		if r == nil || r.attempt != a || r.owner != 0 {
+		if r == nil || r.attempt != a || r.owner == o.incarnation {
+			continue
+		}
+		if r.owner != 0 {
+			r.otherClaimants = append(r.otherClaimants, o.incarnation)
 			continue
 		}
 		r.owner, r.need = o.incarnation, claim.Need
--- a/internal/process/runs/owner_test.go
+++ b/internal/process/runs/owner_test.go
@@ -122,6 +122,27 @@
 	})
 }
 
+// Two entries have sent an attempt of the same number, and the agent has restarted since.
+func TestEachEntryThatClaimsARunGetsItsOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := task.Attempt{Key: task.Key{Job: "j"}, Run: 1}
+		h := newHarness(t)
+		h.manager.mu.Lock()
+		h.manager.adoptRunLocked(a)
+		h.manager.mu.Unlock()
+		h.target.set(func() { h.target.running[a] = true })
+		claims := &peer.Claims{Attempts: []peer.Claim{{Attempt: a, Need: task.Resources{CPU: 500}}}}
+		h.entry.Send(peer.Frame{Claims: claims})
+		time.Sleep(20 * time.Millisecond)
+		h.connect(8)
+		h.entry.Send(peer.Frame{Claims: claims})
+		time.Sleep(20 * time.Millisecond)
+		h.target.end(a, peer.OutcomeDone)
+		h.waitOutcome(a, peer.OutcomeDone)
+		h.waitOutcome(a, peer.OutcomeDone)
+	})
+}
+
 func TestStopWaitsForRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
--- a/internal/process/runs/result.go
+++ b/internal/process/runs/result.go
@@ -31,6 +31,9 @@
 		o.runCount--
 	}
 	m.sendResultLocked(r.owner, r.attempt, outcome, refusal)
+	for _, claimant := range r.otherClaimants {
+		m.sendResultLocked(claimant, r.attempt, outcome, refusal)
+	}
 	for _, held := range r.refusedAtEnd {
 		m.sendResultLocked(held.owner, held.attempt, peer.OutcomeRefused, peer.RefusalStaleRun)
 	}
