Start nothing beside runs of unknown need after a restart of the agent

LIMIT could break on targets that do not guard their capacity: a run that an earlier process of the agent had started counted as needing nothing until its entry claimed it, so that starts were sent over the capacity. While such a run is there, no capacity is free; the claim comes with the entry's first frame. The test failed before.

--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -205,6 +205,7 @@
 		m.opts.Log.Info().Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).
 			Str("entry", o.name).Msg("run claimed")
 	}
+	m.markFreeCapacityDirtyLocked()
 }
 
 // cancelJobsLocked cancels jobs on behalf of an entry that does not hold them, and
--- a/internal/process/runs/owner_test.go
+++ b/internal/process/runs/owner_test.go
@@ -143,6 +143,23 @@
 	})
 }
 
+// The need of an adopted run is unknown until an entry claims it.
+func TestNoCapacityIsFreeBesideRunOfUnknownNeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := task.Attempt{Key: task.Key{Job: "j"}, Run: 1}
+		h := newHarness(t)
+		h.manager.mu.Lock()
+		h.manager.adoptRunLocked(a)
+		h.manager.mu.Unlock()
+		h.target.set(func() { h.target.running[a] = true })
+		if r := h.waitOutcome(h.start(1, 1, task.Resources{CPU: 1000}), peer.OutcomeRefused); r.Refusal != peer.RefusalNoCapacity {
+			t.Errorf("refused for %q", r.Refusal)
+		}
+		h.entry.Send(peer.Frame{Claims: &peer.Claims{Attempts: []peer.Claim{{Attempt: a, Need: task.Resources{CPU: 500}}}}})
+		h.waitFor(func(f *peer.Frame) bool { return f.Room != nil && f.Room.Free.CPU == testCapacity.CPU-500 })
+	})
+}
+
 func TestStopWaitsForRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
