Report runs that ended under a former agent process to entries that link later

Work that was done ran again: ends in the first report of a new agent process were sent to the entries that were linked, and none is before that report. The entries took those attempts for lost and started them again.

--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -59,6 +59,10 @@
 	left identity
 	// lastToken is the highest token of former incarnations.
 	lastToken uint64
+	// earlierEnds holds the results of runs of an earlier process of this agent that had ended
+	// when the first report arrived, at firstReportAt.
+	earlierEnds   []peer.Result
+	firstReportAt time.Time
 	// reported is set once any incarnation of the target has reported its runs. Later
 	// incarnations have no runs that an earlier process of this agent has started.
 	reported bool
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -77,7 +77,7 @@
 	defer m.mu.Unlock()
 	o := m.owners[hello.Incarnation]
 	if o == nil {
-		o = &owner{name: hello.Name, incarnation: hello.Incarnation}
+		o = &owner{name: hello.Name, incarnation: hello.Incarnation, results: m.earlierResultsLocked()}
 		m.owners[hello.Incarnation] = o
 	}
 	o.address, o.link, o.linkLostAt, o.accepted = address, link, time.Time{}, 0
--- a/internal/process/runs/owner_test.go
+++ b/internal/process/runs/owner_test.go
@@ -160,6 +160,24 @@
 	})
 }
 
+// A run of the former process has ended before the new one gets its first report, and thus before
+// any entry links.
+func TestEndUnderFormerProcessIsReportedToEntriesThatLinkLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &harness{t: t, target: newFakeTarget(), frames: make(chan *peer.Frame, 1000), entrySilent: make(chan struct{})}
+		ended := task.Attempt{Key: task.Key{Job: "ended"}, Run: 1}
+		h.target.endLocked(ended, peer.OutcomeDone)
+		h.manager = New(Options{Log: zerolog.Nop(), Counters: metrics.New(), Dial: func(Announcement) TargetClient { return h.target }, TargetLease: testLease})
+		h.run()
+		h.announce(Announcement{Incarnation: 1, Sequence: 1})
+		for !h.manager.IsReady() {
+			time.Sleep(time.Millisecond)
+		}
+		h.connect(7)
+		h.waitOutcome(ended, peer.OutcomeDone)
+	})
+}
+
 func TestStopWaitsForRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -178,7 +178,10 @@
 		}
 	}
 	if first {
-		t.reported, m.reported = true, true
+		if !m.reported {
+			m.reported, m.firstReportAt = true, time.Now()
+		}
+		t.reported = true
 		m.opts.Log.Info().Str("target", t.ID).Int("running", len(running)).Int("ended", len(report.Ended)).
 			Uint64("token", t.token).Msg("first report of the target received")
 		m.broadcastTargetLocked()
@@ -193,8 +196,8 @@
 	r := m.runs[e.Attempt.Key]
 	if r == nil || r.attempt != e.Attempt {
 		m.logUnknownEndLocked(t, e)
-		if !t.reported {
-			m.sendResultLocked(0, e.Attempt, e.Outcome, peer.RefusalNone)
+		if !m.reported {
+			m.recordEarlierEndLocked(e)
 		}
 		return
 	}
--- a/internal/process/runs/result.go
+++ b/internal/process/runs/result.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
@@ -24,6 +25,21 @@
 	}
 }
 
+// recordEarlierEndLocked keeps the end of a run that an earlier process of this agent has started,
+// for the entries that link next.
+func (m *Manager) recordEarlierEndLocked(e EndedRun) {
+	m.sendResultLocked(0, e.Attempt, e.Outcome, peer.RefusalNone)
+	m.earlierEnds = append(m.earlierEnds, peer.Result{Number: m.resultsSent, Attempt: e.Attempt, Outcome: e.Outcome})
+}
+
+// earlierResultsLocked returns the results for an entry that links for the first time.
+func (m *Manager) earlierResultsLocked() []peer.Result {
+	if time.Since(m.firstReportAt) > ownerRetention {
+		m.earlierEnds = nil
+	}
+	return slices.Clone(m.earlierEnds)
+}
+
 // finishLocked removes a run that has ended or never started, and reports the outcome.
 func (m *Manager) finishLocked(r *run, outcome peer.Outcome, refusal peer.Refusal) {
 	delete(m.runs, r.attempt.Key)
