Soak: targets that leave a share of their calls unanswered, reset them or refuse them as busy

The soak has new kinds of faults for a share of the calls of a target: mute, lost, reset (executed or not), busy, mixed. They are injected beside all others (kills, pauses, cuts), with a random sequence of their own, so that old seeds draw the same other faults as before. target_loses and target_late now draw each call with probability 1/3 instead of taking every third.

--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -5,9 +5,13 @@
 	"syscall"
 	"time"
 
+	"github.com/rosemarybay/rosemarybay/internal/standin/runtarget"
 	"github.com/rosemarybay/rosemarybay/platform/standin"
 )
 
+// maxCallDelay is the longest delay of a call that a target executes late.
+const maxCallDelay = 1500 * time.Millisecond
+
 // fault is one kind of fault. inject starts it and returns a function that ends it.
 type fault struct {
 	name   string
@@ -65,7 +69,27 @@
 	}
 }
 
-// faultKinds lists all kinds. Different kinds may be in force at once, at one component
+// callFault makes single calls of a random target fail, each with the given chances.
+func callFault(c runtarget.Chances) func(*soak, *rand.Rand) func() {
+	return func(s *soak, r *rand.Rand) func() {
+		target := pick(r, s.targets)
+		return target.Disturb(runtarget.Mix{Chances: runtarget.All(c), MaxDelay: maxCallDelay, Seed: r.Uint64()})
+	}
+}
+
+// callFaultKinds lists the faults of a share of the calls of a target, beside which those of
+// faultKinds go on.
+var callFaultKinds = []fault{
+	{"calls_mute", callFault(runtarget.Chances{runtarget.Silent: 0.5})},
+	{"calls_lost", callFault(runtarget.Chances{runtarget.Lost: 0.4})},
+	{"calls_reset", callFault(runtarget.Chances{runtarget.Reset: 0.25, runtarget.ResetExecuted: 0.25})},
+	{"calls_busy", callFault(runtarget.Chances{runtarget.Busy: 0.5})},
+	{"calls_mixed", callFault(runtarget.Chances{
+		runtarget.Silent: 0.2, runtarget.Lost: 0.1, runtarget.Late: 0.1, runtarget.Reset: 0.1, runtarget.ResetExecuted: 0.1, runtarget.Busy: 0.2,
+	})},
+}
+
+// faultKinds lists all other kinds. Different kinds may be in force at once, at one component
 // too; injectUntil keeps one kind from overlapping with itself.
 var faultKinds = []fault{
 	{"entry_killed", func(s *soak, r *rand.Rand) func() { return restart(s, pick(r, s.entries), (*node).kill) }},
@@ -89,8 +113,8 @@
 	{"store_revokes", func(s *soak, _ *rand.Rand) func() { s.store.RevokeLeased(""); return func() {} }},
 	{"target_reborn", func(s *soak, r *rand.Rand) func() { pick(r, s.targets).Restart(); return func() {} }},
 	{"target_mute", targetFault(standin.TargetSilent)},
-	{"target_loses", targetFault(standin.TargetLosesResponses)},
-	{"target_late", targetFault(standin.TargetLate)},
+	{"target_loses", callFault(runtarget.Chances{runtarget.ResetExecuted: 1. / 3})},
+	{"target_late", callFault(runtarget.Chances{runtarget.Late: 1. / 3})},
 	{"target_fails", targetFault(standin.TargetFails)},
 	{"target_slow", targetFault(standin.TargetSlow)},
 	{"target_hangs", targetFault(standin.TargetHangs)},
@@ -116,17 +140,25 @@
 	}},
 }
 
-// injectUntil injects faults at random times until end, at most one of each kind at
-// once. Each fault ends in the background; s.injections waits for all of them.
-func (s *soak) injectUntil(end time.Time) {
+// startInjections injects faults of all kinds until end. Those of single calls have a random
+// sequence of their own, so that the others do not depend on how many kinds there are.
+func (s *soak) startInjections(end time.Time) {
+	callRandom := rand.New(rand.NewPCG(s.options.Seed, 2))
+	s.injections.Go(func() { s.injectUntil(end, s.random, faultKinds) })
+	s.injections.Go(func() { s.injectUntil(end, callRandom, callFaultKinds) })
+}
+
+// injectUntil injects faults of the given kinds at random times until end, at most one of each
+// kind at once. Each fault ends in the background; s.injections waits for all of them.
+func (s *soak) injectUntil(end time.Time, random *rand.Rand, kinds []fault) {
 	active := make(map[string]chan struct{})
 	for time.Now().Before(end) && s.ctx.Err() == nil {
-		time.Sleep(time.Duration(s.random.ExpFloat64() * float64(meanFaultInterval)))
-		f := pick(s.random, faultKinds)
-		duration := time.Duration(s.random.Int64N(int64(maxFaultDuration)))
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(meanFaultInterval)))
+		f := pick(random, kinds)
+		duration := time.Duration(random.Int64N(int64(maxFaultDuration)))
 		// Seeded here rather than in the goroutine, so that the affected node or target
 		// depends only on the seed.
-		faultRandom := rand.New(rand.NewPCG(s.options.Seed, s.random.Uint64()))
+		faultRandom := rand.New(rand.NewPCG(s.options.Seed, random.Uint64()))
 		if ended := active[f.name]; ended != nil {
 			select {
 			case <-ended:
@@ -136,7 +168,7 @@
 		}
 		ended := make(chan struct{})
 		active[f.name] = ended
-		s.faultCounts[f.name]++
+		s.countFault(f.name)
 		s.injections.Go(func() {
 			defer close(ended)
 			endFault := f.inject(s, faultRandom)
@@ -145,3 +177,9 @@
 		})
 	}
 }
+
+func (s *soak) countFault(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faultCounts[name]++
+}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -221,7 +221,7 @@
 	ip := s.ip(agentNet, i)
 	config := s.settings(settings.RoleAgent, i, ip)
 	config.Node.AnnounceListen = s.address(agentNet, i, announcePort)
-	t := &standin.Target{
+	t := standin.NewTarget(standin.TargetOptions{
 		ID:      fmt.Sprintf("t%d", i+1),
 		Zone:    dataCentreName(i),
 		Service: service,
@@ -229,8 +229,7 @@
 		CPU:     targetCPU,
 		Ledger:  s.ledger,
 		Agent:   config.Node.AnnounceListen,
-	}
-	t.Restart()
+	})
 	if err := s.listen(t.Address, t); err != nil {
 		return err
 	}
@@ -280,7 +279,7 @@
 	end := time.Now().Add(s.options.Duration)
 	// A random sequence of its own keeps the jobs independent of the faults drawn so far.
 	jobRandom := rand.New(rand.NewPCG(s.options.Seed, 1))
-	s.injections.Go(func() { s.injectUntil(end) })
+	s.startInjections(end)
 	for time.Now().Before(end) && s.ctx.Err() == nil {
 		s.callers.submit(s.ctx, jobRandom)
 		time.Sleep(time.Duration(jobRandom.ExpFloat64() / s.options.Rate * float64(time.Second)))
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -26,6 +26,7 @@
 }{
 	{1, "the regular CI run"},
 	{107, "a start request reached a target that had restarted under the same ID, and was reported as refused"},
+	{900, "a rejected repeat of an unanswered start was taken for the answer to the first, and the task ran twice"},
 }
 
 func TestSoak(t *testing.T) {
