Tests of the run manager use the same state machine of a target as the model and the soak

The fake target kept its own rules (fencing, stale runs, ends) and had neither a lease, nor a capacity, nor forgotten ends. It now only makes single calls fail as a test says and leaves the answers to internal/standin/runtarget.

Tests say restart, place, isRunning and seeToken instead of writing the fake's maps. Two are stricter: a crashed target forgets its token, highest runs and ends as well, not only its runs. A delayed start passes the fence by ignoresTokens where a test set the token to 0.

--- a/internal/process/runs/crash_test.go
+++ b/internal/process/runs/crash_test.go
@@ -17,7 +17,7 @@
 func (h *harness) refuse() {
 	h.target.set(func() {
 		h.target.refuses = true
-		clear(h.target.running)
+		h.target.restart()
 	})
 }
 
@@ -83,7 +83,7 @@
 		h := newHarness(t)
 		a := h.start(0, 1, task.Resources{CPU: 1000})
 		h.waitStarted(a)
-		h.target.set(func() { clear(h.target.running) })
+		h.target.restart()
 		h.announce(Announcement{Incarnation: 2, Sequence: 1})
 		if r := h.waitCrash(); r.ID.Incarnation != 1 || len(r.Runs) != 1 {
 			t.Errorf("report is %+v", r)
@@ -131,7 +131,7 @@
 			h.target.beforeStart = func() {
 				h.target.beforeStart = nil
 				h.target.refuses = true
-				clear(h.target.running)
+				h.target.restart()
 			}
 		})
 		late := h.start(1, 1, task.Resources{CPU: 1000})
--- a/internal/process/runs/faketarget_test.go
+++ b/internal/process/runs/faketarget_test.go
@@ -3,25 +3,22 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/standin/runtarget"
 )
 
 var errSilent = errors.New("no answer")
 
-// fakeTarget behaves like a target towards orders: it rejects fenced ones, keeps a list
-// of runs and numbers the ended ones. It can execute orders without an answer or much
-// later.
+// fakeTarget is a target whose calls a test makes fail one by one.
 type fakeTarget struct {
+	// machine answers the calls that reach it. Tests end and place runs there.
+	machine *runtarget.Target
 	mu      sync.Mutex
-	token   uint64
-	running map[task.Attempt]bool
-	highest map[task.Key]uint64
-	ended   []EndedRun
-	number  uint64
 	// unresponsive drops all orders and polls without an answer. startsToLeaveUnanswered is the
 	// number of next starts without an answer; they are executed at once, or put into
 	// delayedStarts if delayStarts is set.
@@ -33,6 +30,8 @@
 	startsToLeaveUnanswered int
 	delayStarts             bool
 	delayedStarts           []func()
+	// ignoresTokens lets delayed starts pass the fence.
+	ignoresTokens bool
 	// rejectsStarts, unless AnswerDone, answers each start order that is answered at all; the
 	// order is not executed.
 	rejectsStarts Answer
@@ -49,16 +48,35 @@
 	pollsByOther, startsByOther bool
 }
 
+const fakeTargetID = "t1"
+
 func newFakeTarget() *fakeTarget {
-	return &fakeTarget{running: make(map[task.Attempt]bool), highest: make(map[task.Key]uint64)}
+	f := &fakeTarget{}
+	f.machine = runtarget.New(runtarget.Options{
+		Capacity: testCapacity,
+		MaxLease: testLease,
+		Drift:    maxClockDriftPercent / 100.,
+		// So that late orders are rejected by their token or run only.
+		AcceptsExpiredOrders: true,
+		Started:              func(s peer.Start) { f.starts = append(f.starts, s.Attempt) },
+		Renewed:              func() { f.renewals++ },
+	})
+	f.restart()
+	return f
 }
 
-func (f *fakeTarget) fencedLocked(token uint64) bool {
-	if token < f.token {
-		return true
-	}
-	f.token = token
-	return false
+// answersOfTarget maps the answers of the machine.
+var answersOfTarget = map[runtarget.Answer]Answer{
+	runtarget.Done:         AnswerDone,
+	runtarget.Fenced:       AnswerFenced,
+	runtarget.StaleRun:     AnswerStaleRun,
+	runtarget.LeaseExpired: AnswerLeaseExpired,
+	runtarget.NoRoom:       AnswerNoRoom,
+}
+
+// leaseUntil returns the end of a lease that is issued at a time, on the target's clock.
+func (f *fakeTarget) leaseUntil(issuedAt time.Time) time.Duration {
+	return f.machine.Clock() - time.Since(issuedAt) + testLease
 }
 
 func (f *fakeTarget) Start(_ context.Context, permit Permit, s peer.Start) (Answer, error) {
@@ -74,39 +92,32 @@
 		f.calls++
 		return 0, errSilent
 	}
+	call := runtarget.Call{Kind: runtarget.Start, Target: fakeTargetID, Token: permit.Token, Start: s, Until: f.leaseUntil(permit.IssuedAt)}
 	if f.startsToLeaveUnanswered > 0 {
 		f.startsToLeaveUnanswered--
 		if f.delayStarts {
-			f.delayedStarts = append(f.delayedStarts, func() { f.startLocked(permit.Token, s) })
+			f.delayedStarts = append(f.delayedStarts, func() { f.deliverLocked(call) })
 		} else {
-			f.startLocked(permit.Token, s)
+			f.machine.Execute(call)
 		}
 		return 0, errSilent
 	}
 	if f.rejectsStarts != AnswerDone {
 		return f.rejectsStarts, nil
 	}
-	answer := f.startLocked(permit.Token, s)
+	answer := answersOfTarget[f.machine.Execute(call).Answer]
 	if f.startsByOther && answer == AnswerDone {
 		return AnswerDoneByOtherIncarnation, nil
 	}
 	return answer, nil
 }
 
-func (f *fakeTarget) startLocked(token uint64, s peer.Start) Answer {
-	if f.fencedLocked(token) {
-		return AnswerFenced
-	}
-	if f.running[s.Attempt] {
-		return AnswerDone
-	}
-	if f.highest[s.Attempt.Key] >= s.Attempt.Run {
-		return AnswerStaleRun
+// deliverLocked executes a delayed start.
+func (f *fakeTarget) deliverLocked(call runtarget.Call) {
+	if f.ignoresTokens {
+		call.Token = math.MaxUint64
 	}
-	f.highest[s.Attempt.Key] = s.Attempt.Run
-	f.running[s.Attempt] = true
-	f.starts = append(f.starts, s.Attempt)
-	return AnswerDone
+	f.machine.Execute(call)
 }
 
 func (f *fakeTarget) Stop(_ context.Context, token uint64, a task.Attempt) (Answer, error) {
@@ -123,14 +134,8 @@
 		f.stopsToReject--
 		return AnswerUnhealthy, nil
 	}
-	if f.fencedLocked(token) {
-		return AnswerFenced, nil
-	}
-	f.highest[a.Key] = max(f.highest[a.Key], a.Run)
-	if f.running[a] {
-		f.endLocked(a, peer.OutcomeStopped)
-	}
-	return AnswerDone, nil
+	call := runtarget.Call{Kind: runtarget.Stop, Target: fakeTargetID, Token: token, Attempt: a}
+	return answersOfTarget[f.machine.Execute(call).Answer], nil
 }
 
 func (f *fakeTarget) Poll(ctx context.Context, request PollRequest) (Report, error) {
@@ -144,42 +149,67 @@
 		f.calls++
 		return Report{}, errSilent
 	}
-	if f.fencedLocked(request.Token) {
-		return Report{Answer: AnswerFenced}, nil
-	}
-	if f.pollsUnanswered {
+	call := runtarget.Call{Kind: runtarget.Poll, Target: fakeTargetID, Token: request.Token, LastSeen: request.LastSeen}
+	if request.Renew {
+		call.Until = f.leaseUntil(request.IssuedAt)
+	}
+	reply := f.machine.Execute(call)
+	answer := answersOfTarget[reply.Answer]
+	switch {
+	case answer != AnswerDone:
+		return Report{Answer: answer}, nil
+	case f.pollsUnanswered:
 		return Report{}, errSilent
-	}
-	if f.pollsByOther {
+	case f.pollsByOther:
 		return Report{Answer: AnswerDoneByOtherIncarnation}, nil
 	}
-	if request.Renew {
-		f.renewals++
-	}
-	report := Report{}
-	for a := range f.running {
-		report.Running = append(report.Running, ActiveRun{Attempt: a, Percent: 50})
+	return reportOfTarget(reply), ctx.Err()
+}
+
+func reportOfTarget(reply runtarget.Reply) Report {
+	var report Report
+	for _, r := range reply.Running {
+		report.Running = append(report.Running, ActiveRun{Attempt: r.Start.Attempt, Percent: 50})
 	}
-	for _, e := range f.ended {
-		if e.Number > request.LastSeen {
-			report.Ended = append(report.Ended, e)
-		}
+	for _, e := range reply.Ended {
+		report.Ended = append(report.Ended, EndedRun(e))
 	}
-	return report, ctx.Err()
+	return report
 }
 
 func (f *fakeTarget) Close() {}
 
-func (f *fakeTarget) endLocked(a task.Attempt, outcome peer.Outcome) {
-	delete(f.running, a)
-	f.number++
-	f.ended = append(f.ended, EndedRun{Number: f.number, Attempt: a, Outcome: outcome})
+// end ends a run of the target.
+func (f *fakeTarget) end(a task.Attempt, outcome peer.Outcome) { f.machine.End(a, outcome) }
+
+func (f *fakeTarget) isRunning(a task.Attempt) bool { return f.machine.IsRunning(a) }
+
+// running returns all attempts that run.
+func (f *fakeTarget) running() []task.Attempt {
+	var list []task.Attempt
+	for _, r := range f.machine.Runs() {
+		list = append(list, r.Start.Attempt)
+	}
+	return list
 }
 
-func (f *fakeTarget) end(a task.Attempt, outcome peer.Outcome) {
+// place makes an attempt run that no order has started.
+func (f *fakeTarget) place(a task.Attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.endLocked(a, outcome)
+	ordered := len(f.starts)
+	f.machine.Force(peer.Start{Attempt: a})
+	f.starts = f.starts[:ordered]
+}
+
+// restart makes the target forget its runs and tokens, as a new process does.
+func (f *fakeTarget) restart() {
+	f.machine.Boot(fakeTargetID, 1)
+}
+
+// seeToken makes the target see a fencing token.
+func (f *fakeTarget) seeToken(token uint64) {
+	f.machine.Execute(runtarget.Call{Kind: runtarget.Stop, Target: fakeTargetID, Token: token})
 }
 
 func (f *fakeTarget) set(change func()) {
--- a/internal/process/runs/harness_test.go
+++ b/internal/process/runs/harness_test.go
@@ -199,7 +199,7 @@
 // waitRunning waits until the target runs an attempt.
 func (h *harness) waitRunning(a task.Attempt) {
 	for running := false; !running; time.Sleep(time.Millisecond) {
-		h.target.set(func() { running = h.target.running[a] })
+		running = h.target.isRunning(a)
 	}
 }
 
--- a/internal/process/runs/incarnation_test.go
+++ b/internal/process/runs/incarnation_test.go
@@ -53,11 +53,7 @@
 
 // restart makes the fake target forget its runs and tokens, as a new process does.
 func (h *harness) restart() {
-	h.target.set(func() {
-		clear(h.target.running)
-		clear(h.target.highest)
-		h.target.token, h.target.ended, h.target.number = 0, nil, 0
-	})
+	h.target.restart()
 }
 
 // The target restarts or leaves while the answer to a start is on its way. The answer must
@@ -121,7 +117,7 @@
 		h.announce(Announcement{Incarnation: 2, Sequence: 1})
 		h.waitResult(a, peer.OutcomeLost, peer.OutcomeStopped)
 		h.target.set(func() {
-			if h.target.running[a] {
+			if h.target.isRunning(a) {
 				t.Error("the run is reported as over and runs on the new incarnation")
 			}
 		})
--- a/internal/process/runs/manager_test.go
+++ b/internal/process/runs/manager_test.go
@@ -66,7 +66,7 @@
 		h := newHarness(t)
 		a := h.start(0, 1, task.Resources{CPU: 1000})
 		h.waitStarted(a)
-		h.target.set(func() { clear(h.target.running) })
+		h.target.restart()
 		h.announce(Announcement{Incarnation: 2, Sequence: 1})
 		h.waitOutcome(a, peer.OutcomeLost)
 		if h.announce(Announcement{Incarnation: 1, Sequence: 99}) {
@@ -80,12 +80,13 @@
 func TestStartExecutedByLaterIncarnationIsStoppedBeforeItIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
-		h.target.set(func() { h.target.startsByOther, h.target.token = true, 0 })
+		h.target.set(func() { h.target.startsByOther = true })
+		h.target.restart()
 		a := h.start(0, 1, task.Resources{CPU: 1000})
 		h.waitResult(a, peer.OutcomeLost, peer.OutcomeStopped)
 		h.target.set(func() {
-			if h.target.running[a] || len(h.target.starts) != 1 {
-				t.Errorf("running %v after the report, starts %v", h.target.running, h.target.starts)
+			if h.target.isRunning(a) || len(h.target.starts) != 1 {
+				t.Errorf("running %v after the report, starts %v", h.target.running(), h.target.starts)
 			}
 		})
 	})
@@ -113,14 +114,13 @@
 func TestDelayedOrderAtNewIncarnationIsStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
-		h.target.set(func() { clear(h.target.running) })
+		h.target.restart()
 		h.announce(Announcement{Incarnation: 2, Sequence: 1})
 		h.waitFor(func(f *peer.Frame) bool { return f.Target != nil && f.Target.Incarnation == 2 && f.Target.Available })
 		late := task.Attempt{Key: task.Key{Job: "late"}, Run: 1}
-		h.target.set(func() { h.target.running[late] = true })
+		h.target.place(late)
 		for deadline := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
-			var running bool
-			h.target.set(func() { running = h.target.running[late] })
+			running := h.target.isRunning(late)
 			if !running {
 				return
 			}
--- a/internal/process/runs/owner_test.go
+++ b/internal/process/runs/owner_test.go
@@ -62,7 +62,7 @@
 		time.Sleep(peer.OwnerLease - 50*time.Millisecond)
 		h.manager.Connect(&peer.Hello{Name: "entry", Incarnation: 7}, "entry:1", link)
 		for running := true; running; time.Sleep(5 * time.Millisecond) {
-			h.target.set(func() { running = h.target.running[a] })
+			running = h.target.isRunning(a)
 		}
 		if after := time.Since(silent); after > peer.OwnerLease+100*time.Millisecond {
 			t.Errorf("the run ended %v after the latest echo, lease %v", after, peer.OwnerLease)
@@ -78,8 +78,7 @@
 		h.entry.Close()
 		deadline := time.Now().Add(callerRetry)
 		for time.Now().Before(deadline) {
-			var running bool
-			h.target.set(func() { running = h.target.running[a] })
+			running := h.target.isRunning(a)
 			if !running {
 				return
 			}
@@ -97,12 +96,14 @@
 		mine := task.Attempt{Key: task.Key{Job: "mine"}, Run: 3}
 		stray := task.Attempt{Key: task.Key{Job: "stray"}, Run: 1}
 		ended := task.Attempt{Key: task.Key{Job: "ended"}, Run: 1}
-		h.target.running[mine], h.target.running[stray] = true, true
-		h.target.endLocked(ended, peer.OutcomeDone)
+		h.target.place(mine)
+		h.target.place(stray)
+		h.target.place(ended)
+		h.target.end(ended, peer.OutcomeDone)
 		h.manager = New(Options{Log: zerolog.Nop(), Counters: metrics.New(), Dial: func(Announcement) TargetClient { return h.target }, TargetLease: testLease})
 		h.run()
 		// The clock of the former process was ahead.
-		h.target.set(func() { h.target.token = uint64(time.Now().UnixMilli()) + 5000 })
+		h.target.seeToken(uint64(time.Now().UnixMilli()) + 5000)
 		h.announce(Announcement{Incarnation: 1, Sequence: 1})
 		for !h.manager.IsReady() {
 			time.Sleep(time.Millisecond)
@@ -115,8 +116,8 @@
 		h.entry.Send(peer.Frame{Claims: &peer.Claims{Attempts: []peer.Claim{{Attempt: mine, Need: task.Resources{CPU: 500}}}}})
 		time.Sleep(orphanLease + 100*time.Millisecond)
 		h.target.set(func() {
-			if !h.target.running[mine] || h.target.running[stray] {
-				t.Errorf("running after the claim: %v", h.target.running)
+			if !h.target.isRunning(mine) || h.target.isRunning(stray) {
+				t.Errorf("running after the claim: %v", h.target.running())
 			}
 		})
 	})
@@ -130,7 +131,7 @@
 		h.manager.mu.Lock()
 		h.manager.adoptRunLocked(a)
 		h.manager.mu.Unlock()
-		h.target.set(func() { h.target.running[a] = true })
+		h.target.place(a)
 		claims := &peer.Claims{Attempts: []peer.Claim{{Attempt: a, Need: task.Resources{CPU: 500}}}}
 		h.entry.Send(peer.Frame{Claims: claims})
 		time.Sleep(20 * time.Millisecond)
@@ -151,7 +152,7 @@
 		h.manager.mu.Lock()
 		h.manager.adoptRunLocked(a)
 		h.manager.mu.Unlock()
-		h.target.set(func() { h.target.running[a] = true })
+		h.target.place(a)
 		if r := h.waitOutcome(h.start(1, 1, task.Resources{CPU: 1000}), peer.OutcomeRefused); r.Refusal != peer.RefusalNoCapacity {
 			t.Errorf("refused for %q", r.Refusal)
 		}
@@ -166,7 +167,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := &harness{t: t, target: newFakeTarget(), frames: make(chan *peer.Frame, 1000), entrySilent: make(chan struct{})}
 		ended := task.Attempt{Key: task.Key{Job: "ended"}, Run: 1}
-		h.target.endLocked(ended, peer.OutcomeDone)
+		h.target.place(ended)
+		h.target.end(ended, peer.OutcomeDone)
 		h.manager = New(Options{Log: zerolog.Nop(), Counters: metrics.New(), Dial: func(Announcement) TargetClient { return h.target }, TargetLease: testLease})
 		h.run()
 		h.announce(Announcement{Incarnation: 1, Sequence: 1})
@@ -260,7 +262,7 @@
 			h.manager.Sweep()
 			time.Sleep(2 * resumeGrace)
 			h.target.set(func() {
-				if !h.target.running[a] {
+				if !h.target.isRunning(a) {
 					t.Errorf("stopped after a pause of %v", pause)
 				}
 			})
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -41,8 +41,8 @@
 				h := newHarness(t)
 				h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.rejectsStarts = 1, rejection })
 				h.target.beforeStart = func() {
-					for a := range h.target.running {
-						h.target.endLocked(a, peer.OutcomeDone)
+					for _, a := range h.target.running() {
+						h.target.end(a, peer.OutcomeDone)
 					}
 				}
 				a := h.start(0, 1, task.Resources{CPU: 1000})
@@ -108,7 +108,7 @@
 		h.entry.Send(peer.Frame{Stops: []task.Attempt{a}})
 		time.Sleep(2 * orderTimeout)
 		h.target.set(func() {
-			if h.target.running[a] {
+			if h.target.isRunning(a) {
 				t.Error("the run goes on until a poll is answered")
 			}
 			h.target.pollsUnanswered = false
@@ -139,20 +139,18 @@
 		a := h.start(0, 1, task.Resources{CPU: 1000})
 		h.waitStarted(a)
 		h.target.set(func() {
-			clear(h.target.running)
-			clear(h.target.highest)
-			h.target.token = 0
+			h.target.restart()
 			h.target.delayedStarts[0]()
 		})
 		h.announce(Announcement{Incarnation: 2, Sequence: 1})
 		h.waitResult(a, peer.OutcomeLost, peer.OutcomeStopped)
 		h.target.set(func() {
-			if h.target.running[a] {
+			if h.target.isRunning(a) {
 				t.Error("the run is reported as over and runs on the new incarnation")
 			}
-			h.target.token = 0
+			h.target.ignoresTokens = true
 			h.target.delayedStarts[0]()
-			if h.target.running[a] {
+			if h.target.isRunning(a) {
 				t.Error("a delayed order starts the run after it is reported as over")
 			}
 		})
@@ -164,11 +162,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
 		late := task.Attempt{Key: task.Key{Job: "late"}, Run: 1}
-		h.target.set(func() { h.target.running[late] = true })
+		h.target.place(late)
 		h.announce(Announcement{Incarnation: 2, Sequence: 1})
 		time.Sleep(orphanLease / 2)
 		h.target.set(func() {
-			if h.target.running[late] {
+			if h.target.isRunning(late) {
 				t.Error("a run that no entry requested goes on until the lease of adopted runs expires")
 			}
 		})
@@ -202,11 +200,11 @@
 		newer := h.start(0, 2, task.Resources{CPU: 1000})
 		h.waitStarted(newer)
 		older := task.Attempt{Key: newer.Key, Run: 1}
-		h.target.set(func() { h.target.running[older] = true })
+		h.target.place(older)
 		time.Sleep(2 * pollWait)
 		h.target.set(func() {
-			if h.target.running[older] || !h.target.running[newer] {
-				t.Errorf("running: %v, want the newer run only", h.target.running)
+			if h.target.isRunning(older) || !h.target.isRunning(newer) {
+				t.Errorf("running: %v, want the newer run only", h.target.running())
 			}
 		})
 	})
--- a/internal/standin/runtarget/call.go
+++ b/internal/standin/runtarget/call.go
@@ -122,12 +122,16 @@
 	case !t.hasRoomLocked(c.Start.Need):
 		return NoRoom
 	}
-	t.running[a] = Run{Start: c.Start, Began: time.Now()}
-	t.used = t.used.Add(c.Start.Need)
+	t.beginLocked(c.Start)
+	return Done
+}
+
+func (t *Target) beginLocked(s peer.Start) {
+	t.running[s.Attempt] = Run{Start: s, Began: time.Now()}
+	t.used = t.used.Add(s.Need)
 	if t.options.Started != nil {
-		t.options.Started(c.Start)
+		t.options.Started(s)
 	}
-	return Done
 }
 
 func (t *Target) isLateLocked(c *Call) bool {
--- a/internal/standin/runtarget/target.go
+++ b/internal/standin/runtarget/target.go
@@ -129,6 +129,14 @@
 	return t.runsLocked()
 }
 
+// Force starts a run whatever the rules say, under the longest lease.
+func (t *Target) Force(s peer.Start) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.renewLocked(t.clockLocked() + t.options.MaxLease)
+	t.beginLocked(s)
+}
+
 // End ends a run, if it is in progress. It reports whether it was.
 func (t *Target) End(a task.Attempt, outcome peer.Outcome) bool {
 	t.mu.Lock()
