--- a/internal/process/runs/harness_test.go
+++ b/internal/process/runs/harness_test.go
@@ -196,6 +196,13 @@
 	}
 }
 
+// token returns the fencing token of the next order.
+func (h *harness) token() uint64 {
+	h.manager.mu.Lock()
+	defer h.manager.mu.Unlock()
+	return h.manager.target.token
+}
+
 // waitRunning waits until the target runs an attempt.
 func (h *harness) waitRunning(a task.Attempt) {
 	for running := false; !running; time.Sleep(time.Millisecond) {
--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -24,6 +24,8 @@
 	cancel context.CancelFunc
 	// resolving is a semaphore, held while the unanswered start of one attempt is resolved.
 	resolving chan struct{}
+	// resolution is the latest report that resolved unanswered starts.
+	resolution resolution
 	// token is the fencing token of the next order: the target rejects lower ones than
 	// the highest that it has seen.
 	token uint64
--- a/internal/process/runs/resolve.go
+++ b/internal/process/runs/resolve.go
@@ -12,10 +12,17 @@
 // the answer to a start order.
 const decidedByPoll = "fenced_poll"
 
+// resolution is a report of the target and the token of its poll. Orders with lower tokens have
+// taken effect in it, or never will.
+type resolution struct {
+	token  uint64
+	report Report
+}
+
 // resolveStart determines whether an attempt runs whose start orders were not all answered.
-// It polls with a higher token, so that those orders can no longer take effect. One
-// attempt is resolved at a time: while the target does not answer, further polls give no
-// more information than one.
+// It polls with a higher token, so that those orders can no longer take effect. One poll at a
+// time is in progress, and resolves all attempts whose orders came before it: while the target
+// does not answer, further polls give no more information.
 func (m *Manager) resolveStart(t *targetIncarnation, r *run) {
 	select {
 	case t.resolving <- struct{}{}:
@@ -35,8 +42,8 @@
 		cancel()
 		if err == nil && report.Answer == AnswerDone {
 			m.targetAnswered(t)
-			m.startResolved(t, r, report)
-			return
+			m.recordResolution(t, resolution{token: poll.Token, report: report})
+			continue
 		}
 		m.resolvingPollFailed(t, r, poll.Token, report.Answer, err)
 		if m.expireTargetLease(t) {
@@ -47,13 +54,17 @@
 }
 
 // resolvingPoll returns a poll with a higher token than all orders so far, or false if r
-// is no longer starting.
+// is no longer starting, as after a report that resolves it.
 func (m *Manager) resolvingPoll(t *targetIncarnation, r *run) (PollRequest, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.isStartingLocked(t, r) {
 		return PollRequest{}, false
 	}
+	if t.resolution.token > r.orderToken {
+		m.startResolvedLocked(t, r, t.resolution.report)
+		return PollRequest{}, false
+	}
 	t.token++
 	return PollRequest{Permit: t.permit(), LastSeen: t.lastSeen}, true
 }
@@ -70,13 +81,14 @@
 	}
 }
 
-// startResolved applies a report that was polled with a higher token than all orders of r.
-func (m *Manager) startResolved(t *targetIncarnation, r *run, report Report) {
+func (m *Manager) recordResolution(t *targetIncarnation, res resolution) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.isStartingLocked(t, r) {
-		return
-	}
+	t.resolution = res
+}
+
+// startResolvedLocked applies a report that was polled with a higher token than all orders of r.
+func (m *Manager) startResolvedLocked(t *targetIncarnation, r *run, report Report) {
 	r.decidedBy = decidedByPoll
 	switch {
 	case report.isRunning(r.attempt):
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -97,6 +97,27 @@
 	}
 }
 
+// Each poll of a target that answers slowly resolves all starts before it.
+func TestOnePollResolvesAllUnansweredStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const starts = 8
+		h := newHarness(t)
+		h.target.set(func() { h.target.startsToLeaveUnanswered = starts * startTries })
+		var attempts []task.Attempt
+		for i := range starts {
+			attempts = append(attempts, h.start(i, 1, task.Resources{CPU: 1000}))
+		}
+		for _, a := range attempts {
+			h.waitRunning(a)
+		}
+		before := h.token()
+		time.Sleep(time.Second)
+		if polls := h.token() - before; polls > 2 {
+			t.Errorf("%d fencing polls for %d starts", polls, starts)
+		}
+	})
+}
+
 // A target executes orders without an answer, and the run is stopped before its start is
 // confirmed.
 func TestRunOfUnansweredStartIsStoppedBeforeItIsConfirmed(t *testing.T) {
