An adopted run counts with the processor time that it uses

The target's report says what each run uses, which is within a tenth of its need after half a second; only without it no capacity is free.

--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -144,15 +144,15 @@
 	return t != nil && t.reported && !t.Draining && !t.unresponsive && !t.unconfirmed && !t.crashed && !t.leaving && !m.stopping
 }
 
-// freeLocked returns the free capacity. Runs that are being stopped still count as used. While
-// there are runs of which no entry has said what they need, none is free.
+// freeLocked returns the free capacity. Runs that are being stopped still count as used. None is
+// free beside a run of which it is not known what it needs or uses.
 func (m *Manager) freeLocked() task.Resources {
 	if m.target == nil {
 		return task.Resources{}
 	}
 	free := m.target.Capacity
 	for _, r := range m.runs {
-		if r.owner == 0 {
+		if r.owner == 0 && r.need.CPU == 0 {
 			return task.Resources{}
 		}
 		free = free.Sub(r.need)
--- a/internal/process/runs/owner_test.go
+++ b/internal/process/runs/owner_test.go
@@ -129,7 +129,7 @@
 		a := task.Attempt{Key: task.Key{Job: "j"}, Run: 1}
 		h := newHarness(t)
 		h.manager.mu.Lock()
-		h.manager.adoptRunLocked(a)
+		h.manager.adoptRunLocked(ActiveRun{Attempt: a})
 		h.manager.mu.Unlock()
 		h.target.place(a)
 		claims := &peer.Claims{Attempts: []peer.Claim{{Attempt: a, Need: task.Resources{CPU: 500}}}}
@@ -150,7 +150,7 @@
 		a := task.Attempt{Key: task.Key{Job: "j"}, Run: 1}
 		h := newHarness(t)
 		h.manager.mu.Lock()
-		h.manager.adoptRunLocked(a)
+		h.manager.adoptRunLocked(ActiveRun{Attempt: a})
 		h.manager.mu.Unlock()
 		h.target.place(a)
 		if r := h.waitOutcome(h.start(1, 1, task.Resources{CPU: 1000}), peer.OutcomeRefused); r.Refusal != peer.RefusalNoCapacity {
@@ -161,6 +161,19 @@
 	})
 }
 
+// The processor time that a run uses stands for its need until an entry claims it.
+func TestAdoptedRunCountsWithWhatItUses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.manager.mu.Lock()
+		defer h.manager.mu.Unlock()
+		h.manager.adoptRunLocked(ActiveRun{Attempt: task.Attempt{Key: task.Key{Job: "j"}, Run: 1}, CPU: 500})
+		if free := h.manager.freeLocked().CPU; free != testCapacity.CPU-500 {
+			t.Errorf("%d free", free)
+		}
+	})
+}
+
 // A run of the former process has ended before the new one gets its first report, and thus before
 // any entry links.
 func TestEndUnderFormerProcessIsReportedToEntriesThatLinkLater(t *testing.T) {
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -172,9 +172,9 @@
 		m.reconcileRunLocked(r, running, sent, now)
 	}
 	m.updateHealthLocked(t)
-	for a := range running {
+	for a, active := range running {
 		if r := m.runs[a.Key]; r == nil || r.attempt != a {
-			m.handleUnknownRunLocked(t, a)
+			m.handleUnknownRunLocked(t, active)
 		}
 	}
 	if first {
@@ -263,20 +263,24 @@
 // first report that this process receives it may have been started by an earlier process.
 // Later it comes from a delayed order that reached a new incarnation of the target; no
 // entry waits for it, so it is stopped.
-func (m *Manager) handleUnknownRunLocked(t *targetIncarnation, a task.Attempt) {
+func (m *Manager) handleUnknownRunLocked(t *targetIncarnation, active ActiveRun) {
+	a := active.Attempt
 	if m.runs[a.Key] != nil {
 		m.stopStrayLocked(t, a)
 		return
 	}
-	m.adoptRunLocked(a)
+	m.adoptRunLocked(active)
 	if m.reported {
 		m.stopLocked(a, "started by an order that came late")
 	}
 }
 
 // adoptRunLocked keeps a run that an earlier process of this agent has started until an
-// entry claims it.
-func (m *Manager) adoptRunLocked(a task.Attempt) {
-	m.runs[a.Key] = &run{attempt: a, phase: phaseRunning, confirmedAt: time.Now()}
-	m.opts.Log.Info().Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).Msg("run adopted")
+// entry claims it and says what it needs. Until then it counts with the processor time that it
+// uses.
+func (m *Manager) adoptRunLocked(active ActiveRun) {
+	a := active.Attempt
+	m.runs[a.Key] = &run{attempt: a, need: task.Resources{CPU: active.CPU}, phase: phaseRunning, confirmedAt: time.Now()}
+	m.opts.Log.Info().Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).
+		Int64("used_cpu", active.CPU).Msg("run adopted")
 }
