--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
@@ -330,7 +331,7 @@
 // RecordUnserved records a request that is refused before it becomes a job.
 func (s *Scheduler) RecordUnserved(request, reason string, status int) {
 	s.opts.Counters.Counter("requests_unserved").Inc(1)
-	s.opts.Log.Warn().Str("job", request).Str("reason", reason).Int("status", status).
+	s.opts.Log.Warn().Str("job", eventlog.Text(request)).Str("reason", eventlog.Text(reason)).Int("status", status).
 		Uint64("config_version", s.configVersion()).Msg("request rejected before admission")
 }
 
