One odd row of a target hides no other run

What callers would see: a target's report with one odd row (nested too deeply, a number out of range, a wrong type, an unknown ending) was dropped as a whole, again at each poll, since the row stays listed. After 250 ms the target counted as silent, after its lease all its runs as lost.

Cause: the lists were decoded as one value, and the first row that could not be read ended it.

A row whose task and run are readable counts, whatever its progress is. An unreadable active row may be any run: the report is then incomplete, and a run that is missing in it is neither lost nor proven not to have started (TestRunWithUnreadableRowIsNotLost and TestUnansweredStartWithUnreadableRowIsNotRefused ended as lost and refused before). Unreadable rows are counted in rows_unreadable, and the first of an incarnation is logged with its reason.

--- a/internal/process/runs/faketarget_test.go
+++ b/internal/process/runs/faketarget_test.go
@@ -46,6 +46,10 @@
 	// pollsByOther is set while another incarnation than the intended one answers polls,
 	// startsByOther while it executes starts.
 	pollsByOther, startsByOther bool
+	// unreadable is set while the rows of all active runs are unreadable; polls counts the
+	// polls answered meanwhile.
+	unreadable bool
+	polls      int
 }
 
 const fakeTargetID = "t1"
@@ -163,7 +167,13 @@
 	case f.pollsByOther:
 		return Report{Answer: AnswerDoneByOtherIncarnation}, nil
 	}
-	return reportOfTarget(reply), ctx.Err()
+	report := reportOfTarget(reply)
+	if f.unreadable {
+		f.polls++
+		report.Running, report.Incomplete = nil, true
+		report.RecordUnreadable(errors.New("no name"))
+	}
+	return report, ctx.Err()
 }
 
 func reportOfTarget(reply runtarget.Reply) Report {
--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -49,6 +49,8 @@
 	probeOfferedAt time.Duration
 	// loggedUnhealthy is set if the target was unhealthy when its health was last logged.
 	loggedUnhealthy bool
+	// loggedUnreadable is set once an unreadable row of the target has been logged.
+	loggedUnreadable bool
 	// unresponsive is set while the target does not answer.
 	unresponsive bool
 	// unconfirmed is set once another incarnation answers, or none does, until the next report.
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
 
@@ -63,6 +64,10 @@
 	switch report.Answer {
 	case AnswerDone:
 		m.applyReport(t, report, token, sent)
+		if report.Unreadable > 0 {
+			// The target does not wait while it lists an end that is not acknowledged.
+			time.Sleep(pollBackoff)
+		}
 		return pollWait
 	case AnswerFenced:
 		m.raiseToken(t, token, tokenStep)
@@ -154,6 +159,7 @@
 	first := !t.reported
 	now := m.clock()
 	t.replaceable = false
+	m.recordUnreadableLocked(t, report)
 	if t.unconfirmed {
 		t.unconfirmed = false
 		m.broadcastTargetLocked()
@@ -166,6 +172,9 @@
 		m.applyEndLocked(t, e)
 	}
 	for _, r := range m.runs {
+		if !report.decides(r.attempt) {
+			continue
+		}
 		if _, ok := running[r.attempt]; !ok {
 			m.settleMisdirectedLocked(r, token)
 		}
@@ -188,6 +197,21 @@
 	}
 }
 
+// recordUnreadableLocked counts the listed runs that cannot be read, and logs the first one of
+// an incarnation.
+func (m *Manager) recordUnreadableLocked(t *targetIncarnation, report Report) {
+	if report.Unreadable == 0 {
+		return
+	}
+	m.opts.Counters.Counter("rows_unreadable").Inc(int64(report.Unreadable))
+	if t.loggedUnreadable {
+		return
+	}
+	t.loggedUnreadable = true
+	m.opts.Log.Warn().Str("target", t.ID).Str("cause", eventlog.Text(report.Cause.Error())).Int("rows", report.Unreadable).
+		Msg("listed runs of the target cannot be read")
+}
+
 func (m *Manager) applyEndLocked(t *targetIncarnation, e EndedRun) {
 	if e.Number <= t.lastSeen {
 		return
@@ -248,6 +272,9 @@
 // is lost if the poll was sent after the run's start was confirmed.
 func (m *Manager) reconcileRunLocked(r *run, running map[task.Attempt]ActiveRun, sent time.Time, now time.Duration) {
 	if seen, ok := running[r.attempt]; ok {
+		if seen.ProgressUnknown {
+			return
+		}
 		r.percent = seen.Percent
 		if r.phase == phaseRunning {
 			r.pace.Update(now, seen.Percent, r.expected)
--- a/internal/process/runs/resolve.go
+++ b/internal/process/runs/resolve.go
@@ -40,7 +40,7 @@
 		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
 		report, err := t.client.Poll(ctx, poll)
 		cancel()
-		if err == nil && report.Answer == AnswerDone {
+		if err == nil && report.Answer == AnswerDone && report.decides(r.attempt) {
 			m.targetAnswered(t)
 			m.recordResolution(t, resolution{token: poll.Token, report: report})
 			continue
@@ -61,7 +61,7 @@
 	if !m.isStartingLocked(t, r) {
 		return PollRequest{}, false
 	}
-	if t.resolution.token > r.orderToken {
+	if t.resolution.token > r.orderToken && t.resolution.report.decides(r.attempt) {
 		m.startResolvedLocked(t, r, t.resolution.report)
 		return PollRequest{}, false
 	}
@@ -101,6 +101,11 @@
 	}
 }
 
+// decides reports whether the report shows whether an attempt is active.
+func (r *Report) decides(a task.Attempt) bool {
+	return !r.Incomplete || r.isRunning(a) || r.hasEnded(a)
+}
+
 func (r *Report) isRunning(a task.Attempt) bool {
 	for _, running := range r.Running {
 		if running.Attempt == a {
--- a/internal/process/runs/target.go
+++ b/internal/process/runs/target.go
@@ -145,12 +145,29 @@
 	Answer  Answer
 	Running []ActiveRun
 	Ended   []EndedRun
+	// Unreadable is the number of listed runs that cannot be read, Cause the reason of the
+	// first one.
+	Unreadable int
+	Cause      error
+	// Incomplete is set if one of them is an active run: a run that is not in Running may be
+	// active all the same.
+	Incomplete bool
+}
+
+// RecordUnreadable records a listed run that cannot be read.
+func (r *Report) RecordUnreadable(cause error) {
+	r.Unreadable++
+	if r.Cause == nil {
+		r.Cause = cause
+	}
 }
 
 // ActiveRun is one run in progress.
 type ActiveRun struct {
 	Attempt task.Attempt
 	Percent int
+	// ProgressUnknown is set if Percent could not be read.
+	ProgressUnknown bool
 	// CPU is the recent CPU use in thousandths of a core.
 	CPU int64
 }
