Refuse heartbeats of targets that cannot be used

What callers would see: another writer's heartbeat for a target with a port out of range, or a sequence number too large, was announced. With the port, the stored announcement made the agent's next process dial an address that cannot be dialled for as long as the target lived, since a further heartbeat of the same incarnation does not open a new client. With the sequence number, all later heartbeats counted as late ones, that of the draining target too. An ID that is not UTF-8 made each link fail on which the target was described, again and again.

Cause: only the capacity and the incarnation of a heartbeat were checked.

Refused heartbeats are counted as before; their log line is bounded.

--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
@@ -200,7 +201,8 @@
 // RecordMalformed records an announcement that cannot be used.
 func (m *Manager) RecordMalformed(id string, err error) {
 	m.opts.Counters.Counter("announcements_malformed").Inc(1)
-	m.opts.Log.Warn().Err(err).Str("target", id).Msg("malformed announcement ignored")
+	m.opts.Log.Warn().Str("target", eventlog.Text(id)).Str("cause", eventlog.Text(err.Error())).
+		Msg("malformed announcement ignored")
 }
 
 // applyPolicyLocked applies a policy received from an entry if it is newer than the known
--- a/internal/process/runs/target.go
+++ b/internal/process/runs/target.go
@@ -10,11 +10,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
@@ -35,6 +37,34 @@
 	Draining bool
 }
 
+// maxLabels bounds the labels of a target.
+const maxLabels = 100
+
+// Ranges of the numbers of an announcement; the incarnation is a time in milliseconds.
+var (
+	// IncarnationRange covers a time of day for the next centuries.
+	IncarnationRange = bounds.Range[int64]{Min: 0, Max: int64(200 * 365 * 24 * time.Hour / time.Millisecond)}
+	sequenceRange    = bounds.Range[uint64]{Min: 0, Max: bounds.MaxCount}
+)
+
+// Validate returns an error unless the announcement describes a target that can be used.
+func (a *Announcement) Validate() error {
+	errs := []error{
+		bounds.CheckName("target ID", a.ID),
+		IncarnationRange.Check("incarnation", a.Incarnation),
+		sequenceRange.Check("sequence", a.Sequence),
+		bounds.CheckHostPort("address", a.Address),
+		bounds.CheckName("pool", a.Pool),
+		bounds.CheckName("data centre", a.DataCentre),
+		a.Capacity.Validate(),
+		bounds.Range[int]{Min: 0, Max: maxLabels}.Check("number of labels", len(a.Labels)),
+	}
+	for _, label := range a.Labels {
+		errs = append(errs, bounds.CheckName("label", label))
+	}
+	return errors.Join(errs...)
+}
+
 // ErrRefused means that nothing listens at the target's address any more.
 var ErrRefused = eris.New("target refuses connections")
 
--- a/internal/request/bounds/bounds.go
+++ b/internal/request/bounds/bounds.go
@@ -1,4 +1,5 @@
-// Package bounds checks numbers that come from outside the process against their ranges.
+// Package bounds checks values that come from outside the process: the ranges of numbers, and
+// the form of names and addresses.
 package bounds
 
 import (
@@ -26,6 +27,9 @@
 	return eris.Errorf("%s is %v, expected a number from %v to %v", field, v, r.Min, r.Max)
 }
 
+// MaxCount is the highest number that every JSON decoder reads exactly.
+const MaxCount = 1 << 53
+
 // Ranges of resources, of a task as well as of a target. The sum over all targets of a
 // large fleet stays far below the limit of the type.
 var (
