An odd registration of an entry takes no place of a link

What callers would see: a registration with a port out of range, or the address of no host, was a registration like others. On fleets of more than eight entries it took the place of one of the entries that an agent links with, and was dialled twice a second for as long as it was stored. Invalid ones were logged at each read of the list, by an agent without a link up to 16 times a second, each with the whole of a long number. An entry whose registration became odd stayed in use until the next full read, up to 30 s.

Cause: only a missing address made a registration invalid; the log line had no bound and no memory.

Fix: the address is an IP address of a host and a port from 1 to 65535 (settings allow nothing else), names are bounded UTF-8. In a watch an invalid value counts as a missing one, as in a list. Ruled out: the end of the process or of the watch; nesting of a million levels, numbers out of range, wrong types and invalid UTF-8 were skipped before, with the other entries held.

--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	a.links.applyStoreList(ctx, decodeEntries(listing.Values, a.log), latestRevision(listing.Values))
+	a.links.applyStoreList(ctx, decodeEntries(listing.Values, a.invalid), latestRevision(listing.Values))
 	return nil
 }
 
--- a/internal/process/server/directory.go
+++ b/internal/process/server/directory.go
@@ -13,6 +13,7 @@
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 	"github.com/rosemarybay/rosemarybay/internal/version/entries"
 )
 
@@ -32,8 +33,9 @@
 // directory maintains the list of entries from the store and sends each change to its
 // subscribers, the agents.
 type directory struct {
-	store registryStore
-	log   zerolog.Logger
+	store   registryStore
+	log     zerolog.Logger
+	invalid *invalidValues
 
 	mu    sync.Mutex
 	known *entries.Set
@@ -45,10 +47,11 @@
 	storeLost   bool
 }
 
-func newDirectory(s registryStore, log zerolog.Logger) *directory {
+func newDirectory(s registryStore, log zerolog.Logger, invalid *invalidValues) *directory {
 	return &directory{
 		store:       s,
 		log:         log,
+		invalid:     invalid,
 		known:       entries.NewSet(entryGrace),
 		subscribers: make(map[*peer.Link]func(peer.Entries)),
 	}
@@ -147,7 +150,7 @@
 	first := d.watchedRevision == 0
 	d.watchedRevision = listing.Revision
 	d.changeRevision = max(d.changeRevision, latestRevision(listing.Values))
-	changed := d.known.Replace(decodeEntries(listing.Values, d.log), time.Now())
+	changed := d.known.Replace(decodeEntries(listing.Values, d.invalid), time.Now())
 	if first {
 		for _, notify := range d.subscribers {
 			notify(d.fullListLocked())
@@ -176,11 +179,14 @@
 	d.changeRevision = max(d.changeRevision, latestRevision(listing.Values))
 	var changed []peer.Entry
 	for _, v := range listing.Values {
-		if v.Deleted {
+		var listed []peer.Entry
+		if !v.Deleted {
+			listed = decodeEntries([]store.Value{v}, d.invalid)
+		}
+		if len(listed) == 0 {
 			d.known.MarkMissing(strings.TrimPrefix(v.Key, entryKeyPrefix), time.Now())
-			continue
 		}
-		for _, e := range decodeEntries([]store.Value{v}, d.log) {
+		for _, e := range listed {
 			if d.known.Put(e) {
 				changed = append(changed, e)
 			}
@@ -222,21 +228,38 @@
 	return latest
 }
 
-// decodeEntries decodes registrations from the store. An invalid one is logged and skipped.
-func decodeEntries(values []store.Value, log zerolog.Logger) []peer.Entry {
+// decodeEntries decodes registrations from the store. Invalid ones are recorded and skipped.
+func decodeEntries(values []store.Value, invalid *invalidValues) []peer.Entry {
 	var list []peer.Entry
 	for _, v := range values {
-		var r registration
-		if err := json.Unmarshal(v.Data, &r); err != nil || r.Address == "" {
-			log.Warn().Err(err).Str("key", v.Key).Msg("registration of an entry is invalid")
+		e, err := decodeEntry(v)
+		if err != nil {
+			invalid.record(v.Key, v.Revision, err)
 			continue
 		}
-		list = append(list, peer.Entry{
-			Name:        strings.TrimPrefix(v.Key, entryKeyPrefix),
-			Address:     r.Address,
-			DataCentre:  r.DataCentre,
-			Incarnation: r.Incarnation,
-		})
+		list = append(list, e)
 	}
 	return list
 }
+
+// decodeEntry decodes the registration of an entry.
+func decodeEntry(v store.Value) (peer.Entry, error) {
+	var r registration
+	if err := json.Unmarshal(v.Data, &r); err != nil {
+		return peer.Entry{}, eris.Wrap(err, "decode registration")
+	}
+	e := peer.Entry{
+		Name:        strings.TrimPrefix(v.Key, entryKeyPrefix),
+		Address:     r.Address,
+		DataCentre:  r.DataCentre,
+		Incarnation: r.Incarnation,
+	}
+	err := errors.Join(
+		bounds.CheckName("name of the entry", e.Name),
+		bounds.CheckIPPort("address", e.Address),
+	)
+	if e.DataCentre != "" {
+		err = errors.Join(err, bounds.CheckName("data centre", e.DataCentre))
+	}
+	return e, err
+}
--- a/internal/process/server/directory_test.go
+++ b/internal/process/server/directory_test.go
@@ -24,7 +24,7 @@
 }
 
 func startDirectory(t *testing.T, f *fakeStore) *directory {
-	d := newDirectory(f, zerolog.Nop())
+	d := newDirectory(f, zerolog.Nop(), ignoreInvalid())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -55,7 +55,7 @@
 		key:   entryKeyPrefix + p.settings.Name,
 		value: registration{Address: advertised, DataCentre: p.settings.DataCentre, Incarnation: p.incarnation},
 	}
-	e.directory = newDirectory(kv, p.log)
+	e.directory = newDirectory(kv, p.log, p.invalid)
 	e.scheduler = scheduler.New(scheduler.Options{
 		DataCentre:    p.settings.DataCentre,
 		Log:           p.log,
--- a/internal/process/server/fuzz_test.go
+++ b/internal/process/server/fuzz_test.go
@@ -7,8 +7,12 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 )
 
+// maxSeedBytes keeps the mutation of seeds fast.
+const maxSeedBytes = 1000
+
 // FuzzStoredValues decodes arbitrary values of the three kinds of keys: entry
 // registrations, target announcements and the patience of callers.
 func FuzzStoredValues(f *testing.F) {
@@ -16,10 +20,26 @@
 	f.Add([]byte(`{"ID":"t","Incarnation":4,"Address":"10.0.0.1:80","Pool":"p"}`))
 	f.Add([]byte(`{"q":{"base_ms":1700,"slope":4}}`))
 	f.Add([]byte(`{"q":{"base_ms":-1e308,"slope":1e308}}`))
+	for _, odd := range oddTexts {
+		if len(odd) < maxSeedBytes {
+			f.Add([]byte(odd))
+			f.Add([]byte(`{"address":"10.0.0.1:1","incarnation":` + odd + `}`))
+			f.Add([]byte(`{"ID":"t","Incarnation":` + odd + `,"Address":"10.0.0.1:99999","Pool":"p"}`))
+			f.Add([]byte(`{"q":{"base_ms":` + odd + `,"slope":4},"r":{"base_ms":1700,"slope":4}}`))
+		}
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		for _, e := range decodeEntries([]store.Value{{Key: entryKeyPrefix + "e", Data: data}}, zerolog.Nop()) {
-			if e.Address == "" || e.Name != "e" {
-				t.Errorf("entry %+v", e)
+		listed := decodeEntries([]store.Value{
+			{Key: entryKeyPrefix + "a", Data: []byte(registered + "1}")},
+			{Key: entryKeyPrefix + "e", Data: data},
+			{Key: entryKeyPrefix + "z", Data: []byte(registered + "1}")},
+		}, ignoreInvalid())
+		if n := len(listed); n < 2 || listed[0].Name != "a" || listed[n-1].Name != "z" {
+			t.Fatalf("entries beside %.100q: %+v", data, listed)
+		}
+		for _, e := range listed {
+			if err := bounds.CheckIPPort("address", e.Address); err != nil {
+				t.Errorf("entry %+v: %v", e, err)
 			}
 		}
 		s := newFakeStore()
--- a/internal/process/server/server_test.go
+++ b/internal/process/server/server_test.go
@@ -199,7 +199,7 @@
 		}
 		listing, _ := f.List(ctx, entryKeyPrefix)
 		want := peer.Entry{Name: "e", Address: r.value.Address, DataCentre: r.value.DataCentre, Incarnation: r.value.Incarnation}
-		if got := decodeEntries(listing.Values, zerolog.Nop()); !slices.Equal(got, []peer.Entry{want}) {
+		if got := decodeEntries(listing.Values, ignoreInvalid()); !slices.Equal(got, []peer.Entry{want}) {
 			t.Errorf("%s: entries %v", c.name, got)
 		}
 	}
@@ -225,7 +225,7 @@
 		{Key: entryKeyPrefix + "b", Data: []byte("{}")},
 		{Key: entryKeyPrefix + "c", Data: []byte(`{"address":"10.0.0.2:1"}`)},
 	}
-	if got := decodeEntries(values, zerolog.Nop()); len(got) != 1 || got[0].Name != "c" || got[0].Address != "10.0.0.2:1" {
+	if got := decodeEntries(values, ignoreInvalid()); len(got) != 1 || got[0].Name != "c" || got[0].Address != "10.0.0.2:1" {
 		t.Errorf("entries %v", got)
 	}
 }
