Write the registration of an entry again after another writer overwrote it

What callers would see: an entry whose key holds a value that names no entry was left so for as long as it lived: agents that read the list did not find it, and callers sent to it were refused for want of targets once its links had ended.

Cause: the check for a lost registration asked only whether the key exists.

Evidence: TestOverwrittenRegistrationIsWrittenAgain failed for each odd value ("entries []").

Fix: the value must be a valid registration. That of another process with the same name is left alone (TestRegistrationOfOtherProcessIsNotOverwritten, which passes before too), so that two such processes do not overwrite each other in turn.

--- a/internal/process/server/registrar.go
+++ b/internal/process/server/registrar.go
@@ -83,8 +83,8 @@
 }
 
 // ensureRegistered renews the lease of the registration, and writes the key if it is
-// missing: the lease may have expired, or the key may have been deleted while the lease
-// is valid.
+// lost: the lease may have expired, or the key may have been deleted or overwritten while the
+// lease is valid.
 func (r *registrar) ensureRegistered(ctx context.Context) error {
 	if r.lease != 0 {
 		err := r.store.RenewLease(ctx, r.lease)
@@ -98,7 +98,7 @@
 	if r.lease == 0 {
 		return r.write(ctx)
 	}
-	return r.restoreIfMissing(ctx)
+	return r.restoreIfLost(ctx)
 }
 
 func (r *registrar) write(ctx context.Context) error {
@@ -127,22 +127,28 @@
 	return nil
 }
 
-// restoreIfMissing writes the key again if it is missing in a listing that is newer than
-// the last write. The prefix of the listing is the whole key, so that it returns few
-// other keys.
-func (r *registrar) restoreIfMissing(ctx context.Context) error {
+// restoreIfLost writes the key again if it is missing or invalid in a listing that is newer
+// than the last write. The prefix of the listing is the whole key, so that it returns few
+// other keys. A valid registration is left alone, also that of another process.
+func (r *registrar) restoreIfLost(ctx context.Context) error {
 	listing, err := r.store.ListStale(ctx, r.key)
-	if err != nil {
+	if err != nil || listing.Revision < r.writtenRevision {
 		return err
 	}
-	present := slices.ContainsFunc(listing.Values, func(v store.Value) bool { return v.Key == r.key })
-	if present || listing.Revision < r.writtenRevision {
+	if slices.ContainsFunc(listing.Values, r.isRegistered) {
 		return nil
 	}
-	r.log.Warn().Uint64("revision", listing.Revision).Uint64("written", r.writtenRevision).Msg("registration is missing in the store")
+	r.log.Warn().Uint64("revision", listing.Revision).Uint64("written", r.writtenRevision).
+		Msg("registration is missing or invalid in the store")
 	return r.write(ctx)
 }
 
+// isRegistered reports whether v is a valid registration under the key.
+func (r *registrar) isRegistered(v store.Value) bool {
+	_, err := decodeEntry(v)
+	return v.Key == r.key && err == nil
+}
+
 // deregister deletes the registration at a planned stop.
 func (r *registrar) deregister(ctx context.Context) {
 	if r.lease == 0 {
