An odd stored announcement does not keep an agent from its target

What callers would see: an agent whose stored announcement has a port out of range, no address or a wrong one polled that address for as long as the target lived. Its heartbeats name the right address, but those of the same incarnation only replaced the description: no task ran there.

Cause: only the capacity of the stored announcement was checked, and a client is opened only for a new incarnation.

Fix: the stored announcement must be valid like one received, and a heartbeat with another address than one that never answered replaces the target. Invalid stored announcements, crashes and hints of patience are recorded like other invalid values: counted, and logged once within bounds. Ruled out for the latter two: numbers out of range, nesting and wrong types were refused before; the fuzz target now asserts that no forecast becomes negative by a stored hint.

--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -89,6 +89,8 @@
 		return false
 	case a.Sequence < t.Sequence, t.leaving:
 		return true
+	case !t.reported && a.Address != t.Address:
+		m.replaceTargetLocked(a)
 	default:
 		m.updateTargetLocked(a)
 	}
--- a/internal/process/runs/manager_test.go
+++ b/internal/process/runs/manager_test.go
@@ -6,7 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
 
@@ -272,3 +275,31 @@
 		}
 	})
 }
+
+// The address known at the start was that of nobody. Heartbeats of the same incarnation named the
+// right one, but the agent dialled the first one for as long as the target lived.
+func TestHeartbeatReplacesAddressThatNeverAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent, target := newFakeTarget(), newFakeTarget()
+		silent.refuses = true
+		h := &harness{t: t, target: target}
+		h.manager = New(Options{Log: zerolog.Nop(), Counters: metrics.New(), TargetLease: testLease,
+			Dial: func(a Announcement) TargetClient {
+				if a.Address == "10.0.0.1:80" {
+					return target
+				}
+				return silent
+			},
+		})
+		h.run()
+		h.announce(Announcement{Incarnation: 1, Address: "10.0.0.9:80"})
+		time.Sleep(time.Second)
+		if !h.announce(Announcement{Incarnation: 1, Sequence: 1, Address: "10.0.0.1:80"}) {
+			t.Error("the heartbeat is ignored")
+		}
+		time.Sleep(time.Second)
+		if !h.manager.IsReady() {
+			t.Error("the target has not been polled at the address that it announced")
+		}
+	})
+}
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -44,8 +44,8 @@
 	a := &agent{
 		Server:  p,
 		store:   kv,
-		record:  newTargetRecord(kv, p.log, p.settings.Name),
-		crashes: newCrashRecord(kv, p.log, p.settings.Name),
+		record:  newTargetRecord(kv, p.log, p.invalid, p.settings.Name),
+		crashes: newCrashRecord(kv, p.log, p.invalid, p.settings.Name),
 		links:   newLinks(p.settings.Name, p.settings.DataCentre, p.log),
 	}
 	p.run = a.serve
--- a/internal/process/server/crashrecord.go
+++ b/internal/process/server/crashrecord.go
@@ -32,6 +32,7 @@
 type crashRecord struct {
 	store   crashStore
 	log     zerolog.Logger
+	invalid *invalidValues
 	key     string
 	changes chan []crash.Report
 }
@@ -43,8 +44,8 @@
 	Reports   []crash.Report `json:"reports"`
 }
 
-func newCrashRecord(s crashStore, log zerolog.Logger, name string) *crashRecord {
-	return &crashRecord{store: s, log: log, key: crashKeyPrefix + name, changes: make(chan []crash.Report, 1)}
+func newCrashRecord(s crashStore, log zerolog.Logger, invalid *invalidValues, name string) *crashRecord {
+	return &crashRecord{store: s, log: log, invalid: invalid, key: crashKeyPrefix + name, changes: make(chan []crash.Report, 1)}
 }
 
 // queue queues reports for writing, in place of those still queued.
@@ -96,17 +97,28 @@
 	if err != nil || value == nil {
 		return nil, err
 	}
-	var stored storedCrashes
-	if err := json.Unmarshal(value.Data, &stored); err != nil {
-		return nil, eris.Wrap(err, "decode stored crashes")
+	stored, err := decodeCrashes(value.Data)
+	if err != nil {
+		r.invalid.record(r.key, value.Revision, err)
+		return nil, errInvalidValue
 	}
 	// Clocks may differ between two processes of the agent.
 	since := min(max(time.Since(time.UnixMilli(stored.WrittenMS)), 0), crash.Retention)
 	for i := range stored.Reports {
-		if err := stored.Reports[i].Validate(); err != nil {
-			return nil, eris.Wrap(err, "stored crashes")
-		}
 		stored.Reports[i].Age += since
 	}
 	return stored.Reports, nil
 }
+
+func decodeCrashes(data []byte) (storedCrashes, error) {
+	var stored storedCrashes
+	if err := json.Unmarshal(data, &stored); err != nil {
+		return stored, eris.Wrap(err, "decode stored crashes")
+	}
+	for i := range stored.Reports {
+		if err := stored.Reports[i].Validate(); err != nil {
+			return stored, eris.Wrapf(err, "stored crash %d", i)
+		}
+	}
+	return stored, nil
+}
--- a/internal/process/server/crashrecord_test.go
+++ b/internal/process/server/crashrecord_test.go
@@ -16,7 +16,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	f := newFakeStore()
-	r := newCrashRecord(f, zerolog.Nop(), "agent")
+	r := newCrashRecord(f, zerolog.Nop(), ignoreInvalid(), "agent")
 	go r.run(ctx)
 	report := crash.Report{
 		ID:    crash.ID{Target: "t", Incarnation: 3},
@@ -26,7 +26,7 @@
 	}
 	r.queue([]crash.Report{report})
 	eventually(t, "the crashes", func() bool {
-		stored, err := newCrashRecord(f, zerolog.Nop(), "agent").load(ctx)
+		stored, err := newCrashRecord(f, zerolog.Nop(), ignoreInvalid(), "agent").load(ctx)
 		return err == nil && len(stored) == 1 && stored[0].ID == report.ID && stored[0].Runs[0] == report.Runs[0] &&
 			stored[0].Age >= report.Age && stored[0].Age < report.Age+10*time.Second
 	})
@@ -39,7 +39,7 @@
 		if err := f.Put(context.Background(), crashKeyPrefix+"agent", []byte(data)); err != nil {
 			t.Fatal(err)
 		}
-		if stored, err := newCrashRecord(f, zerolog.Nop(), "agent").load(context.Background()); err == nil {
+		if stored, err := newCrashRecord(f, zerolog.Nop(), ignoreInvalid(), "agent").load(context.Background()); err == nil {
 			t.Errorf("%s is read as %+v", data, stored)
 		}
 	}
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -66,7 +66,7 @@
 		OnNewerPolicy: e.applyOutages,
 		Entries:       func() int { return min(e.directory.Len(), entries.MaxLinks) },
 	})
-	e.patience = &patienceRecord{store: kv, log: p.log, estimator: e.scheduler}
+	e.patience = &patienceRecord{store: kv, log: p.log, invalid: p.invalid, estimator: e.scheduler}
 	e.configWatcher = &configWatcher{store: kv, log: p.log, view: e.view, changed: e.scheduler.Refresh}
 	return e.listen()
 }
--- a/internal/process/server/fuzz_test.go
+++ b/internal/process/server/fuzz_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 )
 
@@ -45,11 +47,24 @@
 		s := newFakeStore()
 		s.put(targetKeyPrefix+"a", string(data))
 		s.put(patienceKey, string(data))
-		if stored := newTargetRecord(s, zerolog.Nop(), "a").load(context.Background()); stored != nil && stored.Sequence != 0 {
+		s.put(crashKeyPrefix+"a", string(data))
+		if stored := newTargetRecord(s, zerolog.Nop(), ignoreInvalid(), "a").load(context.Background()); stored != nil && (stored.Sequence != 0 || stored.Validate() != nil) {
 			t.Errorf("stored %+v", stored)
 		}
-		l := &patienceRecord{store: s, log: zerolog.Nop(), estimator: &fakeEstimator{}}
+		reports, _ := newCrashRecord(s, zerolog.Nop(), ignoreInvalid(), "a").load(context.Background())
+		for i := range reports {
+			if reports[i].Age < 0 {
+				t.Errorf("report %+v", reports[i])
+			}
+		}
+		estimator := &fakeEstimator{}
+		l := &patienceRecord{store: s, log: zerolog.Nop(), invalid: ignoreInvalid(), estimator: estimator}
 		l.load(context.Background())
+		patience := load.NewPatience()
+		patience.Restore(estimator.restored)
+		if f := patience.Forecast("q", time.Second, time.Second, time.Second); f.RunTime < 0 || f.Waited < 0 {
+			t.Errorf("forecast %+v from %+v", f, estimator.restored)
+		}
 		l.saveIfChanged(context.Background())
 	})
 }
--- a/internal/process/server/invalidvalues.go
+++ b/internal/process/server/invalidvalues.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
@@ -13,6 +14,9 @@
 // maxLoggedKeys bounds the keys of which invalid values are logged.
 const maxLoggedKeys = 500
 
+// errInvalidValue reports a stored value that cannot be used.
+var errInvalidValue = eris.New("stored value is invalid")
+
 // invalidValues records the stored values that cannot be used. Each value is counted when it is
 // read, and logged once. It is safe for concurrent use.
 type invalidValues struct {
--- a/internal/process/server/oddvalues_test.go
+++ b/internal/process/server/oddvalues_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -103,3 +104,35 @@
 		}
 	})
 }
+
+// storedAnnouncement is a valid announcement of a target, as stored.
+const storedAnnouncement = `{"ID":"t","Incarnation":4,"Sequence":80,"Address":"10.0.0.1:80","Pool":"p","DataCentre":"z1"}`
+
+// An odd announcement was read from the store: its agent dialled a port out of range for as long
+// as the target lived.
+func TestOddStoredAnnouncementIsNotRead(t *testing.T) {
+	odd := slices.Clone(oddTexts)
+	for _, c := range [][2]string{
+		{`"Address":"10.0.0.1:80"`, `"Address":"10.0.0.1:99999"`},
+		{`"Address":"10.0.0.1:80"`, `"Address":""`},
+		{`"ID":"t"`, `"ID":""`},
+		{`"Incarnation":4`, `"Incarnation":-1`},
+		{`"Incarnation":4`, `"Incarnation":9223372036854775807`},
+		{`"Pool":"p"`, `"Pool":"` + strings.Repeat("p", 1000) + `"`},
+		{`"Pool":"p"`, `"Capacity":{"CPU":9223372036854775807}`},
+	} {
+		odd = append(odd, strings.Replace(storedAnnouncement, c[0], c[1], 1))
+	}
+	for _, text := range odd {
+		f := newFakeStore()
+		f.put(targetKeyPrefix+"agent", text)
+		if stored := newTargetRecord(f, zerolog.Nop(), ignoreInvalid(), "agent").load(context.Background()); stored != nil {
+			t.Errorf("%.200s is read as %.200s", text, fmt.Sprint(stored))
+		}
+	}
+	f := newFakeStore()
+	f.put(targetKeyPrefix+"agent", storedAnnouncement)
+	if newTargetRecord(f, zerolog.Nop(), ignoreInvalid(), "agent").load(context.Background()) == nil {
+		t.Error("a valid announcement is not read")
+	}
+}
--- a/internal/process/server/patience.go
+++ b/internal/process/server/patience.go
@@ -47,6 +47,7 @@
 type patienceRecord struct {
 	store     patienceStore
 	log       zerolog.Logger
+	invalid   *invalidValues
 	estimator patienceEstimator
 	// stored is the value last read from the store or written to it.
 	stored map[string]load.PatienceLine
@@ -82,10 +83,12 @@
 	if value == nil {
 		return
 	}
-	if err := json.Unmarshal(value.Data, &r.stored); err != nil {
-		r.log.Warn().Err(err).Str("key", patienceKey).Msg("stored patience of callers is invalid")
+	var stored map[string]load.PatienceLine
+	if err := json.Unmarshal(value.Data, &stored); err != nil {
+		r.invalid.record(patienceKey, value.Revision, err)
 		return
 	}
+	r.stored = stored
 	r.estimator.RestorePatience(r.stored)
 	r.log.Info().Int("queues", len(r.stored)).Uint64("revision", value.Revision).Msg("patience of callers read")
 }
--- a/internal/process/server/patience_test.go
+++ b/internal/process/server/patience_test.go
@@ -32,7 +32,7 @@
 
 func newTestPatienceRecord(f *fakeStore, lines map[string]load.PatienceLine) (*patienceRecord, *fakeEstimator) {
 	p := &fakeEstimator{lines: lines}
-	return &patienceRecord{store: f, log: zerolog.Nop(), estimator: p}, p
+	return &patienceRecord{store: f, log: zerolog.Nop(), invalid: ignoreInvalid(), estimator: p}, p
 }
 
 // After a power loss of all machines, a new process restores the patience stored by a former one.
--- a/internal/process/server/server_test.go
+++ b/internal/process/server/server_test.go
@@ -309,24 +309,24 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	f := newFakeStore()
-	first := newTargetRecord(f, zerolog.Nop(), "agent")
+	first := newTargetRecord(f, zerolog.Nop(), ignoreInvalid(), "agent")
 	if stored := first.load(ctx); stored != nil {
 		t.Fatalf("read %+v from an empty store", stored)
 	}
 	go first.run(ctx)
-	announced := runs.Announcement{ID: "t", Incarnation: 4, Sequence: 80, Address: "10.0.0.1:80", Pool: "p"}
+	announced := runs.Announcement{ID: "t", Incarnation: 4, Sequence: 80, Address: "10.0.0.1:80", Pool: "p", DataCentre: "z1"}
 	first.queue(runs.Announcement{ID: "t", Incarnation: 3})
 	first.queue(announced)
 	eventually(t, "the record", func() bool {
 		v, _ := f.Get(ctx, targetKeyPrefix+"agent")
 		return v != nil && strings.Contains(string(v.Data), `"Incarnation":4`)
 	})
-	stored := newTargetRecord(f, zerolog.Nop(), "agent").load(ctx)
+	stored := newTargetRecord(f, zerolog.Nop(), ignoreInvalid(), "agent").load(ctx)
 	if stored == nil || stored.ID != "t" || stored.Incarnation != 4 || stored.Sequence != 0 {
 		t.Errorf("stored announcement is %+v", stored)
 	}
 	f.set(func() { f.put(targetKeyPrefix+"agent", "junk") })
-	if stored := newTargetRecord(f, zerolog.Nop(), "agent").load(ctx); stored != nil {
+	if stored := newTargetRecord(f, zerolog.Nop(), ignoreInvalid(), "agent").load(ctx); stored != nil {
 		t.Errorf("an invalid value is read as %+v", stored)
 	}
 }
@@ -361,7 +361,7 @@
 	} {
 		ctx, cancel := context.WithCancel(context.Background())
 		f := newFakeStore()
-		r := newTargetRecord(f, zerolog.Nop(), "agent")
+		r := newTargetRecord(f, zerolog.Nop(), ignoreInvalid(), "agent")
 		go r.run(ctx)
 		manager := runs.New(runs.Options{
 			Log:       zerolog.Nop(),
@@ -370,11 +370,11 @@
 			Announced: r.queue,
 		})
 		registry := persistentRegistry{Manager: manager, record: r}
-		a := runs.Announcement{ID: "t", Incarnation: 1, Sequence: 1, Address: "10.0.0.1:80", Pool: "p"}
+		a := runs.Announcement{ID: "t", Incarnation: 1, Sequence: 1, Address: "10.0.0.1:80", Pool: "p", DataCentre: "z1"}
 		registry.Announce(a)
 		a.Sequence++
 		c.send(registry, a)
-		stored := newTargetRecord(f, zerolog.Nop(), "agent").load(ctx)
+		stored := newTargetRecord(f, zerolog.Nop(), ignoreInvalid(), "agent").load(ctx)
 		if stored == nil || !stored.Draining {
 			t.Errorf("%s: stored announcement is %+v", c.name, stored)
 		}
@@ -389,7 +389,7 @@
 	defer cancel()
 	f := newFakeStore()
 	f.down = true
-	r := newTargetRecord(f, zerolog.Nop(), "agent")
+	r := newTargetRecord(f, zerolog.Nop(), ignoreInvalid(), "agent")
 	go r.run(ctx)
 	r.queue(runs.Announcement{ID: "t", Draining: true})
 	begun := time.Now()
--- a/internal/process/server/targetrecord.go
+++ b/internal/process/server/targetrecord.go
@@ -32,6 +32,7 @@
 type targetRecord struct {
 	store    store.Store
 	log      zerolog.Logger
+	invalid  *invalidValues
 	key      string
 	revision uint64
 	changes  chan runs.Announcement
@@ -43,8 +44,8 @@
 	written chan struct{}
 }
 
-func newTargetRecord(s store.Store, log zerolog.Logger, name string) *targetRecord {
-	return &targetRecord{store: s, log: log, key: targetKeyPrefix + name, changes: make(chan runs.Announcement, 1)}
+func newTargetRecord(s store.Store, log zerolog.Logger, invalid *invalidValues, name string) *targetRecord {
+	return &targetRecord{store: s, log: log, invalid: invalid, key: targetKeyPrefix + name, changes: make(chan runs.Announcement, 1)}
 }
 
 // persistentRegistry acknowledges a heartbeat of a draining target only once the
@@ -77,12 +78,12 @@
 	}
 	r.revision = value.Revision
 	var stored runs.Announcement
-	if err := json.Unmarshal(value.Data, &stored); err != nil {
-		r.log.Warn().Err(err).Str("key", r.key).Msg("stored announcement of the target is invalid")
-		return nil
+	err = json.Unmarshal(value.Data, &stored)
+	if err == nil {
+		err = stored.Validate()
 	}
-	if err := stored.Capacity.Validate(); err != nil {
-		r.log.Warn().Err(err).Str("key", r.key).Msg("stored announcement of the target is invalid")
+	if err != nil {
+		r.invalid.record(r.key, value.Revision, err)
 		return nil
 	}
 	stored.Sequence = 0 // each announcement of the running target counts as newer
