One odd item of the store hides no other item of its page

What callers would see: an item with a key of another type, a revision out of range, a value that is not base64 or one nested too deeply made the whole page unreadable. Entries no longer followed the configuration and the list of entries for as long as the item was stored.

Cause: a page was decoded as one value.

Fix: each item is decoded by itself. Items without a readable key are left out, counted and logged once for each prefix. An invalid configuration is logged once for each revision, at the level of other invalid values; it was logged at each read, as often as once a second.

--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -46,6 +46,8 @@
 type Listing struct {
 	Values   []Value
 	Revision uint64
+	// Unreadable is the number of values that are missing since their keys could not be read.
+	Unreadable int
 	// Compacted reports that the store no longer has the requested changes; the caller must
 	// list again.
 	Compacted bool
--- a/internal/process/server/configwatcher.go
+++ b/internal/process/server/configwatcher.go
@@ -26,6 +26,7 @@
 type configWatcher struct {
 	store    store.Store
 	log      zerolog.Logger
+	invalid  *invalidValues
 	view     *policy.View
 	document atomic.Pointer[platform.Document]
 	// changed is called after each change.
@@ -61,10 +62,7 @@
 		w.log.Info().Uint64("revision", listing.Revision).Msg("store reachable again")
 		w.storeLost = false
 	}
-	decoded, err := platform.DecodeOperatorConfig(listing.Values)
-	if err != nil {
-		w.log.Error().Err(err).Uint64("revision", listing.Revision).Msg("configuration is invalid")
-	}
+	decoded := w.decode(listing)
 	w.apply(decoded.Document, decoded.OutOfService, listing.Revision)
 	return listing.Revision, nil
 }
@@ -86,10 +84,7 @@
 		}
 		return after, nil
 	}
-	decoded, err := platform.DecodeOperatorConfig(listing.Values)
-	if err != nil {
-		w.log.Error().Err(err).Uint64("revision", listing.Revision).Msg("configuration is invalid")
-	}
+	decoded := w.decode(listing)
 	out := w.view.Outages().Out
 	for _, dc := range decoded.OutOfService {
 		if !slices.Contains(out, dc) {
@@ -103,6 +98,17 @@
 	return listing.Revision, nil
 }
 
+// decode decodes the operators' keys of a listing. Without a valid configuration the one in
+// force stays.
+func (w *configWatcher) decode(listing store.Listing) platform.OperatorConfig {
+	w.invalid.recordUnreadable(platform.KeyPrefix, listing)
+	decoded, err := platform.DecodeOperatorConfig(listing.Values)
+	if err != nil {
+		w.invalid.record(platform.KeyPrefix, latestRevision(listing.Values), err)
+	}
+	return decoded
+}
+
 // apply replaces the known configuration and outages by newer ones, and calls changed if
 // either has changed.
 func (w *configWatcher) apply(d *platform.Document, out []string, revision uint64) {
--- a/internal/process/server/directory.go
+++ b/internal/process/server/directory.go
@@ -142,6 +142,7 @@
 	if err != nil {
 		return err
 	}
+	d.invalid.recordUnreadable(entryKeyPrefix, listing)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if listing.Revision < d.watchedRevision {
@@ -173,6 +174,7 @@
 	if listing.Compacted {
 		return errCompacted
 	}
+	d.invalid.recordUnreadable(entryKeyPrefix, listing)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.watchedRevision = max(d.watchedRevision, listing.Revision)
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -67,7 +67,7 @@
 		Entries:       func() int { return min(e.directory.Len(), entries.MaxLinks) },
 	})
 	e.patience = &patienceRecord{store: kv, log: p.log, invalid: p.invalid, estimator: e.scheduler}
-	e.configWatcher = &configWatcher{store: kv, log: p.log, view: e.view, changed: e.scheduler.Refresh}
+	e.configWatcher = &configWatcher{store: kv, log: p.log, invalid: p.invalid, view: e.view, changed: e.scheduler.Refresh}
 	return e.listen()
 }
 
--- a/internal/process/server/invalidvalues.go
+++ b/internal/process/server/invalidvalues.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarybay/rosemarybay/internal/platform/store"
 	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 )
@@ -32,6 +33,13 @@
 	return &invalidValues{log: log, count: counters.Counter("stored_values_invalid"), logged: make(map[string]uint64)}
 }
 
+// recordUnreadable records the values of a listing whose keys could not be read.
+func (i *invalidValues) recordUnreadable(prefix string, listing store.Listing) {
+	if listing.Unreadable > 0 {
+		i.record(prefix, 0, eris.Errorf("%d values without a readable key", listing.Unreadable))
+	}
+}
+
 // record records that the value of a key at a revision cannot be used.
 func (i *invalidValues) record(key string, revision uint64, cause error) {
 	i.count.Inc(1)
--- a/internal/process/server/server_test.go
+++ b/internal/process/server/server_test.go
@@ -240,7 +240,7 @@
 func configAt(version string) string { return `{"version":` + version + `}` }
 
 func startConfigWatcher(t *testing.T, f *fakeStore) *configWatcher {
-	watcher := &configWatcher{store: f, log: zerolog.Nop(), view: &policy.View{}, changed: func() {}}
+	watcher := &configWatcher{store: f, log: zerolog.Nop(), invalid: ignoreInvalid(), view: &policy.View{}, changed: func() {}}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
