--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	a.invalid.recordUnreadable(entryKeyPrefix, listing)
+	recordUnreadable(a.invalid, entryKeyPrefix, listing)
 	a.links.applyStoreList(ctx, decodeEntries(listing.Values, a.invalid), latestRevision(listing.Values))
 	return nil
 }
--- a/internal/process/server/configwatcher.go
+++ b/internal/process/server/configwatcher.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/version/policy"
 	"github.com/rosemarybay/rosemarybay/platform"
 )
@@ -26,7 +27,7 @@
 type configWatcher struct {
 	store    store.Store
 	log      zerolog.Logger
-	invalid  *invalidValues
+	invalid  *eventlog.InvalidValues
 	view     *policy.View
 	document atomic.Pointer[platform.Document]
 	// changed is called after each change.
@@ -101,10 +102,10 @@
 // decode decodes the operators' keys of a listing. Without a valid configuration the one in
 // force stays.
 func (w *configWatcher) decode(listing store.Listing) platform.OperatorConfig {
-	w.invalid.recordUnreadable(platform.KeyPrefix, listing)
+	recordUnreadable(w.invalid, platform.KeyPrefix, listing)
 	decoded, err := platform.DecodeOperatorConfig(listing.Values)
 	if err != nil {
-		w.invalid.record(platform.KeyPrefix, latestRevision(listing.Values), err)
+		w.invalid.Record(platform.KeyPrefix, latestRevision(listing.Values), err)
 	}
 	return decoded
 }
--- a/internal/process/server/crashrecord.go
+++ b/internal/process/server/crashrecord.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 )
 
@@ -32,7 +33,7 @@
 type crashRecord struct {
 	store   crashStore
 	log     zerolog.Logger
-	invalid *invalidValues
+	invalid *eventlog.InvalidValues
 	key     string
 	changes chan []crash.Report
 }
@@ -44,7 +45,7 @@
 	Reports   []crash.Report `json:"reports"`
 }
 
-func newCrashRecord(s crashStore, log zerolog.Logger, invalid *invalidValues, name string) *crashRecord {
+func newCrashRecord(s crashStore, log zerolog.Logger, invalid *eventlog.InvalidValues, name string) *crashRecord {
 	return &crashRecord{store: s, log: log, invalid: invalid, key: crashKeyPrefix + name, changes: make(chan []crash.Report, 1)}
 }
 
@@ -99,7 +100,7 @@
 	}
 	stored, err := decodeCrashes(value.Data)
 	if err != nil {
-		r.invalid.record(r.key, value.Revision, err)
+		r.invalid.Record(r.key, value.Revision, err)
 		return nil, errInvalidValue
 	}
 	// Clocks may differ between two processes of the agent.
--- a/internal/process/server/directory.go
+++ b/internal/process/server/directory.go
@@ -13,6 +13,7 @@
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 	"github.com/rosemarybay/rosemarybay/internal/version/entries"
 )
@@ -35,7 +36,7 @@
 type directory struct {
 	store   registryStore
 	log     zerolog.Logger
-	invalid *invalidValues
+	invalid *eventlog.InvalidValues
 
 	mu    sync.Mutex
 	known *entries.Set
@@ -47,7 +48,7 @@
 	storeLost   bool
 }
 
-func newDirectory(s registryStore, log zerolog.Logger, invalid *invalidValues) *directory {
+func newDirectory(s registryStore, log zerolog.Logger, invalid *eventlog.InvalidValues) *directory {
 	return &directory{
 		store:       s,
 		log:         log,
@@ -142,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	d.invalid.recordUnreadable(entryKeyPrefix, listing)
+	recordUnreadable(d.invalid, entryKeyPrefix, listing)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if listing.Revision < d.watchedRevision {
@@ -174,7 +175,7 @@
 	if listing.Compacted {
 		return errCompacted
 	}
-	d.invalid.recordUnreadable(entryKeyPrefix, listing)
+	recordUnreadable(d.invalid, entryKeyPrefix, listing)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.watchedRevision = max(d.watchedRevision, listing.Revision)
@@ -231,12 +232,12 @@
 }
 
 // decodeEntries decodes registrations from the store. Invalid ones are recorded and skipped.
-func decodeEntries(values []store.Value, invalid *invalidValues) []peer.Entry {
+func decodeEntries(values []store.Value, invalid *eventlog.InvalidValues) []peer.Entry {
 	var list []peer.Entry
 	for _, v := range values {
 		e, err := decodeEntry(v)
 		if err != nil {
-			invalid.record(v.Key, v.Revision, err)
+			invalid.Record(v.Key, v.Revision, err)
 			continue
 		}
 		list = append(list, e)
--- a/internal/process/server/oddvalues_test.go
+++ b/internal/process/server/oddvalues_test.go
@@ -13,12 +13,15 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/version/entries"
 )
 
 // ignoreInvalid returns a record of invalid values that is not looked at.
-func ignoreInvalid() *invalidValues { return newInvalidValues(zerolog.Nop(), metrics.New()) }
+func ignoreInvalid() *eventlog.InvalidValues {
+	return eventlog.NewInvalidValues(zerolog.Nop(), metrics.New().Counter("invalid"))
+}
 
 // nested returns a JSON array of the given number of levels.
 func nested(levels int) string { return strings.Repeat("[", levels) + strings.Repeat("]", levels) }
@@ -69,12 +72,13 @@
 func TestOddRegistrationIsLoggedOnce(t *testing.T) {
 	var log bytes.Buffer
 	values := []store.Value{{Key: entryKeyPrefix + "odd", Revision: 7, Data: []byte(`{"incarnation":` + strings.Repeat("9", 100_000) + `}`)}}
-	invalid := newInvalidValues(zerolog.New(&log), metrics.New())
+	counter := metrics.New().Counter("invalid")
+	invalid := eventlog.NewInvalidValues(zerolog.New(&log), counter)
 	for range 5 {
 		decodeEntries(values, invalid)
 	}
-	if lines := strings.Count(log.String(), "\n"); lines != 1 || log.Len() > 1000 || invalid.count.Count() != 5 {
-		t.Errorf("%d lines, %d bytes, %d counted", lines, log.Len(), invalid.count.Count())
+	if lines := strings.Count(log.String(), "\n"); lines != 1 || log.Len() > 1000 || counter.Count() != 5 {
+		t.Errorf("%d lines, %d bytes, %d counted", lines, log.Len(), counter.Count())
 	}
 }
 
--- a/internal/process/server/patience.go
+++ b/internal/process/server/patience.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
 )
 
@@ -47,7 +48,7 @@
 type patienceRecord struct {
 	store     patienceStore
 	log       zerolog.Logger
-	invalid   *invalidValues
+	invalid   *eventlog.InvalidValues
 	estimator patienceEstimator
 	// stored is the value last read from the store or written to it.
 	stored map[string]load.PatienceLine
@@ -85,7 +86,7 @@
 	}
 	var stored map[string]load.PatienceLine
 	if err := json.Unmarshal(value.Data, &stored); err != nil {
-		r.invalid.record(patienceKey, value.Revision, err)
+		r.invalid.Record(patienceKey, value.Revision, err)
 		return
 	}
 	r.stored = stored
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -48,7 +48,7 @@
 	lines       *eventlog.Writer
 	counters    *metrics.Counters
 	guard       guard.Guard
-	invalid     *invalidValues
+	invalid     *eventlog.InvalidValues
 	incarnation uint64
 	run         func(stop <-chan struct{})
 
@@ -77,7 +77,7 @@
 	zerolog.TimeFieldFormat = logTimeFormat
 	p.log = zerolog.New(lines).With().Timestamp().Str("node", s.Name).Str("role", string(s.Role)).Logger()
 	p.guard = guard.Guard{Log: p.log, Counters: counters}
-	p.invalid = newInvalidValues(p.log, counters)
+	p.invalid = eventlog.NewInvalidValues(p.log, counters.Counter("stored_values_invalid"))
 	debug.SetMemoryLimit(memoryLimit(s.Node.MemoryMB))
 	if s.Role == settings.RoleEntry {
 		err = p.newEntry()
--- a/internal/process/server/targetrecord.go
+++ b/internal/process/server/targetrecord.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/runs"
 )
 
@@ -32,7 +33,7 @@
 type targetRecord struct {
 	store    store.Store
 	log      zerolog.Logger
-	invalid  *invalidValues
+	invalid  *eventlog.InvalidValues
 	key      string
 	revision uint64
 	changes  chan runs.Announcement
@@ -44,7 +45,7 @@
 	written chan struct{}
 }
 
-func newTargetRecord(s store.Store, log zerolog.Logger, invalid *invalidValues, name string) *targetRecord {
+func newTargetRecord(s store.Store, log zerolog.Logger, invalid *eventlog.InvalidValues, name string) *targetRecord {
 	return &targetRecord{store: s, log: log, invalid: invalid, key: targetKeyPrefix + name, changes: make(chan runs.Announcement, 1)}
 }
 
@@ -83,7 +84,7 @@
 		err = stored.Validate()
 	}
 	if err != nil {
-		r.invalid.record(r.key, value.Revision, err)
+		r.invalid.Record(r.key, value.Revision, err)
 		return nil
 	}
 	stored.Sequence = 0 // each announcement of the running target counts as newer
