Use no stored value of the fleet that names no entry or another object

What operators would see: a value under the key of one object that names another one replaced that one, and put a data centre back into service that was out. A value under the key of an entry without a name, an incarnation or an address that can be dialled was an entry: it counted for majorities, took the place of a link and was dialled.

Cause: whatever decodes as a message was used; values that do not decode were left out without a line, those of entries without a counter.

Fix: an object must be the one that its key names, an entry must have a name, an incarnation and the IP address of a host with a port. Others are counted, and logged once for each revision. Ruled out: the end of the process by nesting, as the decoder refuses more than 10,000 levels.

--- a/internal/process/entry/change.go
+++ b/internal/process/entry/change.go
@@ -9,6 +9,7 @@
 
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 )
@@ -102,10 +103,9 @@
 	}
 	o := &apiv1.Object{Kind: m.GetKind(), Name: m.GetName()}
 	if current != nil {
-		if err := proto.Unmarshal(current.Data, o); err != nil {
-			return nil, verdict.NotRunError(apiv1.Reason_REASON_INTERNAL, "stored object cannot be decoded")
+		if o, err = decodeObject(*current); err != nil {
+			return nil, verdict.NotRunError(apiv1.Reason_REASON_INTERNAL, "stored object cannot be used: %s", eventlog.Text(err.Error()))
 		}
-		o.Revision = current.Revision
 	}
 	if !e.checkStoreRevision(known, o.GetRevision()) {
 		return nil, storeError(errStoreOld)
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/connection/link"
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
 	"github.com/rosemarybay/rosemarybay/internal/process/dispatch"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
@@ -69,8 +70,10 @@
 	lease           *lease
 	adoptions       *adoptions
 	callsInProgress atomic.Int64 // from callers and peers
-	retired         chan struct{}
-	retireOnce      sync.Once
+	// invalidObjects and invalidEntries record the stored values that cannot be used.
+	invalidObjects, invalidEntries *eventlog.InvalidValues
+	retired                        chan struct{}
+	retireOnce                     sync.Once
 	// handedOver is closed when the hand-over of the tickets to a successor has ended,
 	// successful or not.
 	handedOver chan struct{}
@@ -118,6 +121,9 @@
 		adoptions:    newAdoptions(),
 		retired:      make(chan struct{}),
 		handedOver:   make(chan struct{}),
+
+		invalidObjects: eventlog.NewInvalidValues(log, counters.Counter("config_undecodable")),
+		invalidEntries: eventlog.NewInvalidValues(log, counters.Counter("roster_undecodable")),
 	}
 	e.peers = newPeers(e)
 	e.broker = slots.New(e.config, counters)
--- a/internal/process/entry/storewatch.go
+++ b/internal/process/entry/storewatch.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 	"github.com/rosemarybay/rosemarybay/internal/version/roster"
 )
 
@@ -199,28 +202,61 @@
 	}
 }
 
+// appendObject appends a stored object to an update; one that cannot be used is recorded.
 func (e *Entry) appendObject(update *peerv1.ConfigUpdate, v store.Value) {
-	o := &apiv1.Object{}
-	if err := proto.Unmarshal(v.Data, o); err != nil || v.Deleted {
-		e.counters.Counter("config_undecodable").Inc(1)
+	o, err := decodeObject(v)
+	if err != nil {
+		e.invalidObjects.Record(v.Key, v.Revision, err)
 		return
 	}
-	o.Revision = v.Revision
 	update.Objects = append(update.Objects, o)
 	update.Revision = max(update.GetRevision(), v.Revision)
 }
 
+// decodeObject decodes a stored object, which must be the one that its key names.
+func decodeObject(v store.Value) (*apiv1.Object, error) {
+	o := &apiv1.Object{}
+	if v.Deleted {
+		return nil, eris.New("object was deleted")
+	}
+	if err := proto.Unmarshal(v.Data, o); err != nil {
+		return nil, eris.Wrap(err, "decode object")
+	}
+	if objectKey(o.GetKind(), o.GetName()) != v.Key {
+		return nil, eris.Errorf("object %q of kind %v has another key", o.GetName(), o.GetKind())
+	}
+	o.Revision = v.Revision
+	return o, nil
+}
+
 func (s *storeWatcher) applyEntry(v store.Value) {
 	defer func() { s.entry.voters.record(s.entries, time.Now()) }()
 	if v.Deleted {
 		s.removeEntry(v.Key)
 		return
 	}
+	e, err := decodeRosterEntry(v.Data)
+	if err != nil {
+		s.entry.invalidEntries.Record(v.Key, v.Revision, err)
+		return
+	}
+	s.entries[v.Key] = e
+	s.removeLapsed(e.GetName())
+}
+
+// decodeRosterEntry decodes the registration of an entry.
+func decodeRosterEntry(data []byte) (*peerv1.RosterEntry, error) {
 	e := &peerv1.RosterEntry{}
-	if err := proto.Unmarshal(v.Data, e); err == nil {
-		s.entries[v.Key] = e
-		s.removeLapsed(e.GetName())
+	if err := proto.Unmarshal(data, e); err != nil {
+		return nil, eris.Wrap(err, "decode roster entry")
+	}
+	if e.GetIncarnation() == 0 {
+		return nil, eris.New("incarnation is missing")
 	}
+	return e, errors.Join(
+		bounds.CheckName("name", e.GetName()),
+		bounds.CheckIPPort("peer address", e.GetPeerAddress()),
+	)
 }
 
 // removeEntry removes an entry. One that did not stop as planned is kept as lapsed, since
