Replace a stored ticket key that cannot be used

What operators would see: with a ticket key of another length in the store, no entry that starts becomes ready, for as long as the key is stored.

Evidence: TestOddTicketKeyIsReplaced failed for each length.

Fix: such a key is replaced at its revision, by that of a peer if one has it, so that the tickets of running entries stay valid.

--- a/internal/process/entry/oddvalues_test.go
+++ b/internal/process/entry/oddvalues_test.go
@@ -14,7 +14,9 @@
 	"github.com/rosemarybay/rosemarybay/internal/process/dispatch"
 	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/process/settings"
 	"github.com/rosemarybay/rosemarybay/internal/process/slots"
+	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 	"github.com/rosemarybay/rosemarybay/internal/version/roster"
 )
@@ -134,3 +136,19 @@
 		t.Errorf("%d objects, want 2", n)
 	}
 }
+
+// A stored ticket key of another length kept each entry that started from becoming ready, for
+// as long as it was stored.
+func TestOddTicketKeyIsReplaced(t *testing.T) {
+	for _, odd := range [][]byte{nil, []byte("short"), make([]byte, 100_000)} {
+		f := newFakeStore()
+		f.put(ticketKeyName, odd)
+		e := newTestWatcher().entry
+		e.store, e.settings = f, &settings.Settings{Entry: &settings.Entry{}}
+		_, _ = e.readOrCreateTicketKey(t.Context())
+		key, err := e.readOrCreateTicketKey(t.Context())
+		if err != nil || len(key) != ticket.KeySize {
+			t.Errorf("a key of %d bytes: %d bytes are read, %v", len(odd), len(key), err)
+		}
+	}
+}
--- a/internal/process/entry/ticketkey.go
+++ b/internal/process/entry/ticketkey.go
@@ -35,8 +35,9 @@
 	return nil
 }
 
-// readOrCreateTicketKey reads the key from the store. If there is none, it stores a new
-// key and returns an error, so that the key is read again: another entry may have won.
+// readOrCreateTicketKey reads the key from the store. If there is none, or one that cannot be
+// used, it stores that of a peer or a new one and returns an error, so that the key is read
+// again: another entry may have won.
 func (e *Entry) readOrCreateTicketKey(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerFallbackTimeout)
 	defer cancel()
@@ -44,23 +45,31 @@
 	if err != nil {
 		return nil, err
 	}
+	change := store.SwapRequest{Key: ticketKeyName}
 	if value != nil {
-		return value.Data, nil
+		if len(value.Data) == ticket.KeySize {
+			return value.Data, nil
+		}
+		e.log.Error().Int("bytes", len(value.Data)).Uint64("revision", value.Revision).Msg("stored ticket key is invalid; replacing it")
+		change.ExpectedRevision = value.Revision
+		change.Data = e.fetchTicketKeyFromPeers(ctx)
+	}
+	if change.Data == nil {
+		change.Data = make([]byte, ticket.KeySize)
+		_, _ = rand.Read(change.Data)
 	}
-	newKey := make([]byte, ticket.KeySize)
-	_, _ = rand.Read(newKey)
-	if _, err := e.store.CompareAndSwap(ctx, store.SwapRequest{Key: ticketKeyName, Data: newKey}); err != nil {
+	if _, err := e.store.CompareAndSwap(ctx, change); err != nil {
 		return nil, err
 	}
 	return nil, eris.New("ticket key was just created; reading it again")
 }
 
 // fetchTicketKeyFromPeers requests the key from the peers in the settings; it returns nil if
-// none has it.
+// none has a valid one.
 func (e *Entry) fetchTicketKeyFromPeers(ctx context.Context) []byte {
 	call := &peerv1.Call{Request: &peerv1.Call_GetTicketKey{GetTicketKey: &peerv1.GetTicketKey{}}}
 	for _, reply := range e.callPeers(ctx, call) {
-		if key := reply.GetTicketKey().GetKey(); key != nil {
+		if key := reply.GetTicketKey().GetKey(); len(key) == ticket.KeySize {
 			return key
 		}
 	}
