Do not dial an entry of the source that cannot be dialled

What callers would see: during a change of versions, an entry of the former version sends its agents registrations that cannot be dialled, and these take the places of links.

Cause: agents trusted the list of their source.

Evidence: TestOddEntryOfSourceIsNotDialled failed ("the agent dials ... 10.0.0.9:99999").

Fix: agents check what they dial themselves.

--- a/internal/connection/peer/fuzz_test.go
+++ b/internal/connection/peer/fuzz_test.go
@@ -30,6 +30,15 @@
 		f.Add(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body)
 	}
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff}, []byte("x"))
+	for _, body := range [][]byte{
+		append(bytes.Repeat([]byte{0x81}, 100), 0x80),
+		{0xa1, 0x04, 0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		{0xa1, 0x01, 0xa1, 0x01, 0x61, 0xff},
+		{0xa2, 0x0c, 0x01, 0x0c, 0x02},
+		{0xa1, 0x09, 0xfb, 0x7f, 0xf0, 0, 0, 0, 0, 0, 0}, // an infinite number
+	} {
+		f.Add(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body)
+	}
 	f.Fuzz(func(t *testing.T, head, body []byte) {
 		link := &Link{conn: &bytesConn{}, done: make(chan struct{})}
 		link.reader = newReader(bytes.NewReader(append(head, body...)))
--- a/internal/connection/peer/validate.go
+++ b/internal/connection/peer/validate.go
@@ -47,6 +47,15 @@
 	return nil
 }
 
+// Validate returns an error unless the entry can be dialled.
+func (e *Entry) Validate() error {
+	errs := []error{bounds.CheckName("name of the entry", e.Name), bounds.CheckIPPort("address", e.Address)}
+	if e.DataCentre != "" {
+		errs = append(errs, bounds.CheckName("data centre", e.DataCentre))
+	}
+	return errors.Join(errs...)
+}
+
 func validateDemand(demand task.Demand) error {
 	for _, d := range demand {
 		if err := bounds.CPU.Check("demand", d.CPU); err != nil {
--- a/internal/process/server/directory.go
+++ b/internal/process/server/directory.go
@@ -14,7 +14,6 @@
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
 	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
-	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 	"github.com/rosemarybay/rosemarybay/internal/version/entries"
 )
 
@@ -257,12 +256,5 @@
 		DataCentre:  r.DataCentre,
 		Incarnation: r.Incarnation,
 	}
-	err := errors.Join(
-		bounds.CheckName("name of the entry", e.Name),
-		bounds.CheckIPPort("address", e.Address),
-	)
-	if e.DataCentre != "" {
-		err = errors.Join(err, bounds.CheckName("data centre", e.DataCentre))
-	}
-	return e, err
+	return e, e.Validate()
 }
--- a/internal/process/server/links.go
+++ b/internal/process/server/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,11 +103,12 @@
 		l.known.Remove(name)
 	}
 	now := time.Now()
+	present := slices.DeleteFunc(slices.Clone(changes.Present), func(e peer.Entry) bool { return e.Validate() != nil })
 	if changes.Complete {
-		l.known.Replace(changes.Present, now)
+		l.known.Replace(present, now)
 		l.known.Expire(now)
 	} else {
-		for _, e := range changes.Present {
+		for _, e := range present {
 			l.known.Put(e)
 		}
 	}
--- a/internal/process/server/links_test.go
+++ b/internal/process/server/links_test.go
@@ -168,3 +168,22 @@
 		}
 	})
 }
+
+// A source of another version sends entries that cannot be dialled, as read from the store.
+func TestOddEntryOfSourceIsNotDialled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLinks(t)
+		all := newEntries(2)
+		l.applyStoreList(l.ctx, all[:1], 100)
+		l.open(t, all[0].Address)
+		for i, odd := range []peer.Entry{
+			{Name: "odd", Address: "10.0.0.9:99999"}, {Name: "odd", Address: "10.0.0.9:0"}, {Name: "odd", Address: ""}, {Address: "10.0.0.9:1"},
+		} {
+			changes := peer.Entries{Revision: uint64(101 + i), Complete: i%2 == 0, Present: append([]peer.Entry{odd}, all...)}
+			l.applySourceChanges(l.ctx, all[0].Address, &changes)
+			if got := l.dialled(); !slices.Equal(got, []string{all[0].Address, all[1].Address}) {
+				t.Errorf("beside %+v the agent dials %v", odd, got)
+			}
+		}
+	})
+}
