A stopping entry is registered until its jobs have ended, and not after

What callers would see: an entry that stops deleted its registration at once. Its next renewal, at most 1.5 s later, found the lease expired and registered the entry again under a new one. Agents dialled it until the end of that lease, up to 6 s, also after the process had ended. A write without an answer that is executed after the deletion did the same: its lease was still alive. Had the deletion held, agents would have started no further task of the stopping entry after 3 s.

Cause: the renewals went on after the deletion, and a lease was remembered only after a write under it had been answered, so that the deletion of a registration whose write was not answered did nothing.

Evidence: TestStoppingEntryIsNotRegisteredAgain, TestLateRegistrationOfStoppedEntryIsNotStored and TestUnansweredDeregistrationIsRepeated failed ("registration after the stop"), so did TestStoppingEntryIsRegisteredUntilItsJobsHaveEnded ("not registered 51 ms after the stop began"), and TestUnansweredRegistrationIsRepeatedUnderItsLease counted up to three leases for one registration.

Fix: one goroutine renews the registration until the jobs of a stopping entry have ended, and then deletes it. A lease is known once it is granted; writes are repeated under it, so that its end refuses those that are still on their way, and the call that ends it is repeated until it is answered. Ruled out: that an orphaned lease takes the key with it (the last write binds the key to its own lease).

--- a/internal/process/entry/oddvalues_test.go
+++ b/internal/process/entry/oddvalues_test.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
 	"github.com/rosemarybay/rosemarybay/internal/process/slots"
 	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
+	"github.com/rosemarybay/rosemarybay/internal/standin/faultstore"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
 	"github.com/rosemarybay/rosemarybay/internal/version/roster"
 )
@@ -141,8 +142,8 @@
 // as long as it was stored.
 func TestOddTicketKeyIsReplaced(t *testing.T) {
 	for _, odd := range [][]byte{nil, []byte("short"), make([]byte, 100_000)} {
-		f := newFakeStore()
-		f.put(ticketKeyName, odd)
+		f := faultstore.New()
+		f.Set(ticketKeyName, odd)
 		e := newTestWatcher().entry
 		e.store, e.settings = f, &settings.Settings{Entry: &settings.Entry{}}
 		_, _ = e.readOrCreateTicketKey(t.Context())
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -39,6 +39,10 @@
 	status        *caller.Server
 	agentListener net.Listener
 	draining      atomic.Bool
+	// deregister begins to delete the registration of the entry; deregistered is closed once it
+	// has been deleted, or cannot be.
+	deregister   context.CancelFunc
+	deregistered chan struct{}
 }
 
 func (p *Server) newEntry() error {
@@ -131,7 +135,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.configWatcher.run(ctx)
-	go e.registrar.run(ctx)
+	e.startRegistration(ctx)
 	go e.directory.run(ctx)
 	go e.patience.run(ctx)
 	go e.scheduler.Run(ctx.Done())
@@ -142,7 +146,8 @@
 }
 
 // drain waits for the requests in progress and closes the caller port. During
-// acceptAfterStop every job is accepted, later only one that ends before the deadline.
+// acceptAfterStop every job is accepted, later only one that ends before the deadline. The
+// entry stays registered meanwhile: agents start no tasks for one that is not.
 func (e *entry) drain() {
 	grace := e.stopTimeout().Std() - stopReserve
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
@@ -150,7 +155,6 @@
 	e.scheduler.Stop(acceptAfterStop, grace)
 	e.draining.Store(true)
 	e.log.Info().Int("jobs", e.scheduler.Jobs()).Int("requests", e.callers.OpenRequests()).Msg("stopping")
-	go e.registrar.deregister(ctx)
 	sleep(ctx, acceptAfterStop)
 	for !e.callers.Drain(ctx) {
 		if ctx.Err() != nil {
@@ -160,7 +164,22 @@
 	}
 	closing, cancelClosing := context.WithTimeout(context.Background(), stopReserve/2)
 	defer cancelClosing()
+	e.deregister()
 	e.callers.Close(closing)
+	select {
+	case <-e.deregistered:
+	case <-closing.Done():
+	}
+}
+
+// startRegistration registers the entry until deregister is called.
+func (e *entry) startRegistration(ctx context.Context) {
+	registered, deregister := context.WithCancel(ctx)
+	e.deregister, e.deregistered = deregister, make(chan struct{})
+	go func() {
+		defer close(e.deregistered)
+		e.registrar.run(registered)
+	}()
 }
 
 // failJobs fails the jobs that still run at the end of the stop timeout. Their callers get
--- a/internal/process/server/registrar.go
+++ b/internal/process/server/registrar.go
@@ -24,6 +24,8 @@
 	renewInterval = 1500 * time.Millisecond
 	// renewRetryDelay is the delay after a failed call of the store.
 	renewRetryDelay = 300 * time.Millisecond
+	// deregisterTimeout bounds the deletion of the key at a planned stop.
+	deregisterTimeout = 2 * time.Second
 )
 
 // registryStore is the part of the platform's store that registrations need.
@@ -46,29 +48,34 @@
 	log   zerolog.Logger
 	key   string
 	value registration
-	// lease is the ID of the key's lease; 0 if there is none.
+	// lease is the ID of the lease of the key; 0 if there is none. A write without an answer may
+	// still be executed as long as the lease lives.
 	lease uint64
-	// writtenRevision is the revision of the key's last write.
+	// registered is set once a write under the lease has been answered; writtenRevision is the
+	// revision of the latest one.
+	registered      bool
 	writtenRevision uint64
 	// failing is set while registration fails.
 	failing bool
 }
 
+// run maintains the registration until ctx ends, and then deletes it.
 func (r *registrar) run(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		err := r.ensureRegistered(ctx)
 		if ctx.Err() != nil {
-			return
+			break
 		}
 		r.logState(err)
 		delay := renewInterval
 		if err != nil {
 			delay = renewRetryDelay
 		}
-		if !sleep(ctx, delay) {
-			return
-		}
+		sleep(ctx, delay)
 	}
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
+	defer cancel()
+	r.deregister(stopping)
 }
 
 // logState logs when registration begins to fail and when it succeeds again.
@@ -86,31 +93,38 @@
 // lost: the lease may have expired, or the key may have been deleted or overwritten while the
 // lease is valid.
 func (r *registrar) ensureRegistered(ctx context.Context) error {
+	if err := r.ensureLease(ctx); err != nil {
+		return err
+	}
+	if !r.registered {
+		return r.write(ctx)
+	}
+	return r.restoreIfLost(ctx)
+}
+
+// ensureLease renews the lease, or obtains one if there is none.
+func (r *registrar) ensureLease(ctx context.Context) error {
 	if r.lease != 0 {
 		err := r.store.RenewLease(ctx, r.lease)
-		if errors.Is(err, store.ErrLeaseLapsed) {
-			r.log.Warn().Uint64("lease", r.lease).Msg("lease of the registration has expired")
-			r.lease = 0
-		} else if err != nil {
+		if !errors.Is(err, store.ErrLeaseLapsed) {
 			return err
 		}
+		r.log.Warn().Uint64("lease", r.lease).Msg("lease of the registration has expired")
+		r.lease, r.registered = 0, false
 	}
-	if r.lease == 0 {
-		return r.write(ctx)
-	}
-	return r.restoreIfLost(ctx)
+	lease, err := r.store.GrantLease(ctx, registrationTTL)
+	r.lease = lease
+	return err
 }
 
+// write writes the key under the lease. One that is present is overwritten: it is that of an
+// earlier process, or of an earlier write without an answer.
 func (r *registrar) write(ctx context.Context) error {
-	lease, err := r.store.GrantLease(ctx, registrationTTL)
-	if err != nil {
-		return err
-	}
 	data, err := json.Marshal(r.value)
 	if err != nil {
 		return eris.Wrap(err, "encode registration")
 	}
-	change := store.SwapRequest{Key: r.key, Data: data, LeaseID: lease}
+	change := store.SwapRequest{Key: r.key, Data: data, LeaseID: r.lease}
 	result, err := r.store.CompareAndSwap(ctx, change)
 	if err == nil && !result.Swapped {
 		change.ExpectedRevision = result.Revision
@@ -122,8 +136,8 @@
 	if !result.Swapped {
 		return eris.New("registration was changed by another process")
 	}
-	r.lease, r.writtenRevision = lease, result.Revision
-	r.log.Info().Str("key", r.key).Uint64("revision", result.Revision).Uint64("lease", lease).Msg("entry registered")
+	r.registered, r.writtenRevision = true, result.Revision
+	r.log.Info().Str("key", r.key).Uint64("revision", result.Revision).Uint64("lease", r.lease).Msg("entry registered")
 	return nil
 }
 
@@ -149,12 +163,21 @@
 	return v.Key == r.key && err == nil
 }
 
-// deregister deletes the registration at a planned stop.
+// deregister ends the lease, and with it the registration at a planned stop. A write that is
+// executed later is refused without its lease. It is repeated until it is answered or ctx ends.
 func (r *registrar) deregister(ctx context.Context) {
 	if r.lease == 0 {
 		return
 	}
-	if err := r.store.RevokeLease(ctx, r.lease); err != nil {
-		r.log.Warn().Err(err).Msg("cannot delete the registration; it expires with its lease")
+	for {
+		err := r.store.RevokeLease(ctx, r.lease)
+		if err == nil {
+			r.log.Info().Str("key", r.key).Uint64("lease", r.lease).Msg("entry deregistered")
+			return
+		}
+		if !sleep(ctx, renewRetryDelay) {
+			r.log.Warn().Err(err).Msg("cannot delete the registration; it expires with its lease")
+			return
+		}
 	}
 }
