A late write does not revert the stored crashes of a target

What callers would see: the store executes the write of a crash seconds late, after that of the next one. The next one is then missing in the store, and after a loss of power of all machines the tasks that crashed the target are started again beside others.

Cause: the list was written without a condition, so that the latest execution won, not the latest write.

Evidence: TestLateWriteDoesNotRevertStoredCrashes failed when the first write was executed late, whatever happened to the second ("1 crashes are stored").

--- a/internal/process/server/crashrecord.go
+++ b/internal/process/server/crashrecord.go
@@ -23,9 +23,8 @@
 
 // crashStore is the part of the platform's store that crashRecord uses.
 type crashStore interface {
+	store.Swapper
 	Get(ctx context.Context, key string) (*store.Value, error)
-	// Put writes a value unconditionally.
-	Put(ctx context.Context, key string, data []byte) error
 }
 
 // crashRecord stores the recent crashes of an agent's target, so that they still count if
@@ -34,7 +33,7 @@
 	store   crashStore
 	log     zerolog.Logger
 	invalid *eventlog.InvalidValues
-	key     string
+	writer  store.Writer
 	changes chan []crash.Report
 }
 
@@ -46,7 +45,13 @@
 }
 
 func newCrashRecord(s crashStore, log zerolog.Logger, invalid *eventlog.InvalidValues, name string) *crashRecord {
-	return &crashRecord{store: s, log: log, invalid: invalid, key: crashKeyPrefix + name, changes: make(chan []crash.Report, 1)}
+	return &crashRecord{
+		store:   s,
+		log:     log,
+		invalid: invalid,
+		writer:  store.Writer{Store: s, Key: crashKeyPrefix + name},
+		changes: make(chan []crash.Report, 1),
+	}
 }
 
 // queue queues reports for writing, in place of those still queued.
@@ -77,15 +82,15 @@
 func (r *crashRecord) save(ctx context.Context, reports []crash.Report, at time.Time) {
 	data, err := json.Marshal(storedCrashes{WrittenMS: at.UnixMilli(), Reports: reports})
 	if err != nil {
-		r.log.Error().Err(err).Str("key", r.key).Msg("cannot encode the crashes of the target")
+		r.log.Error().Err(err).Str("key", r.writer.Key).Msg("cannot encode the crashes of the target")
 		return
 	}
 	for ctx.Err() == nil && len(r.changes) == 0 {
-		if err = r.store.Put(ctx, r.key, data); err == nil {
-			r.log.Info().Str("key", r.key).Int("crashes", len(reports)).Msg("crashes of the target stored")
+		if err = r.writer.Write(ctx, data, 0); err == nil {
+			r.log.Info().Str("key", r.writer.Key).Int("crashes", len(reports)).Msg("crashes of the target stored")
 			return
 		}
-		r.log.Warn().Err(err).Str("key", r.key).Msg("cannot store the crashes of the target")
+		r.log.Warn().Err(err).Str("key", r.writer.Key).Msg("cannot store the crashes of the target")
 		sleep(ctx, recordRetryDelay)
 	}
 }
@@ -94,13 +99,14 @@
 func (r *crashRecord) load(ctx context.Context) ([]crash.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, crashReadTimeout)
 	defer cancel()
-	value, err := r.store.Get(ctx, r.key)
+	value, err := r.store.Get(ctx, r.writer.Key)
 	if err != nil || value == nil {
 		return nil, err
 	}
+	r.writer.Revision = value.Revision
 	stored, err := decodeCrashes(value.Data)
 	if err != nil {
-		r.invalid.Record(r.key, value.Revision, err)
+		r.invalid.Record(r.writer.Key, value.Revision, err)
 		return nil, errInvalidValue
 	}
 	// Clocks may differ between two processes of the agent.
