A late write does not revert the stored patience of callers

What callers would see: the store executes an earlier write seconds late. A queue that was added since is then missing in the store until the patience of its callers changes by a tenth, and entries that start after a loss of power can't tell new requests of it from repeated ones.

Cause: as with the crashes, the write had no condition.

Evidence: TestLateWriteDoesNotRevertStoredPatience failed when the first write was executed late. TestPatienceOfOtherEntryIsNotOverwrittenInTurn (two entries, two writes) passes before and after.

Fix: the write is conditional on the known revision and is repeated at the present one when another entry has written.

--- a/internal/process/server/latewrite_test.go
+++ b/internal/process/server/latewrite_test.go
@@ -1,12 +1,14 @@
 package server
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 	"github.com/rosemarybay/rosemarybay/internal/standin/faultstore"
 )
@@ -37,3 +39,49 @@
 		}
 	})
 }
+
+// The store executes an earlier write of the patience of callers after a later one: the queue
+// that was added would be missing until its patience changes again.
+func TestLateWriteDoesNotRevertStoredPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, first := range allFates {
+			for _, second := range allFates {
+				f := faultstore.New()
+				f.Next(first, second)
+				p := &fakeEstimator{lines: map[string]load.PatienceLine{"q": {BaseMS: 1500, Slope: 4}}}
+				r := &patienceRecord{store: f, log: zerolog.Nop(), invalid: ignoreInvalid(), estimator: p}
+				r.load(t.Context())
+				r.saveIfChanged(t.Context())
+				p.lines = map[string]load.PatienceLine{"q": {BaseMS: 1500, Slope: 4}, "r": {BaseMS: 900, Slope: 2}}
+				for range 4 {
+					r.saveIfChanged(t.Context())
+				}
+				f.ExecuteLate()
+				if data := f.Data(patienceKey); !strings.Contains(data, `"r"`) {
+					t.Errorf("%v, %v: stored %s", first, second, data)
+				}
+			}
+		}
+	})
+}
+
+// Entries share the patience of callers: one must not write again and again because another has
+// written in between.
+func TestPatienceOfOtherEntryIsNotOverwrittenInTurn(t *testing.T) {
+	f := faultstore.New()
+	var records []*patienceRecord
+	for _, base := range []float64{1500, 3000} {
+		p := &fakeEstimator{lines: map[string]load.PatienceLine{"q": {BaseMS: base, Slope: 4}}}
+		r := &patienceRecord{store: f, log: zerolog.Nop(), invalid: ignoreInvalid(), estimator: p}
+		r.load(t.Context())
+		records = append(records, r)
+	}
+	for range 10 {
+		for _, r := range records {
+			r.saveIfChanged(t.Context())
+		}
+	}
+	if f.Writes() > 2 {
+		t.Errorf("%d writes by two entries", f.Writes())
+	}
+}
--- a/internal/process/server/patience.go
+++ b/internal/process/server/patience.go
@@ -36,20 +36,21 @@
 
 // patienceStore is the part of the platform's store that patienceRecord uses.
 type patienceStore interface {
+	store.Swapper
 	Get(ctx context.Context, key string) (*store.Value, error)
-	// Put writes a value unconditionally.
-	Put(ctx context.Context, key string, data []byte) error
 }
 
 // patienceRecord stores the patience of callers: for each queue, how long its callers
 // wait as a linear function of a job's run time. With it, entries that start after a
 // power loss can distinguish new requests from repeated ones. The value is only a hint, so
-// it is written without a precondition, and the last write wins.
+// the last write of any entry wins.
 type patienceRecord struct {
 	store     patienceStore
 	log       zerolog.Logger
 	invalid   *eventlog.InvalidValues
 	estimator patienceEstimator
+	// revision is the latest known revision of the key.
+	revision uint64
 	// stored is the value last read from the store or written to it.
 	stored map[string]load.PatienceLine
 }
@@ -84,6 +85,7 @@
 	if value == nil {
 		return
 	}
+	r.revision = value.Revision
 	var stored map[string]load.PatienceLine
 	if err := json.Unmarshal(value.Data, &stored); err != nil {
 		r.invalid.Record(patienceKey, value.Revision, err)
@@ -113,7 +115,10 @@
 	if err != nil {
 		return eris.Wrap(err, "encode patience of callers")
 	}
-	if err := r.store.Put(ctx, patienceKey, data); err != nil {
+	writer := store.Writer{Store: r.store, Key: patienceKey, Revision: r.revision}
+	err = writer.Write(ctx, data, 0)
+	r.revision = writer.Revision
+	if err != nil {
 		return err
 	}
 	r.stored = lines
