Store the announcement of a draining target without delay after a lost answer

What callers would see: the write of an announcement is executed and its answer is lost. The repeat is refused by the agent's own write, which counted as a change by another process, and the announcement of the draining target that follows was written a second later. Its heartbeat was acknowledged before, and an agent that restarts in between starts tasks on the draining target.

Ruled out: a late write that reverts the draining state; each write is conditional on the revision of the one before.

Fix: the record uses store.Writer, which writes at the present revision when a write is refused, and a newer announcement is written at once.

--- a/internal/process/server/latewrite_test.go
+++ b/internal/process/server/latewrite_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
+	"github.com/rosemarybay/rosemarybay/internal/process/runs"
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 	"github.com/rosemarybay/rosemarybay/internal/standin/faultstore"
 )
@@ -85,3 +86,52 @@
 		t.Errorf("%d writes by two entries", f.Writes())
 	}
 }
+
+// A target drains. Its last announcement must be stored before the heartbeat is acknowledged,
+// and not be reverted, whatever happens to the writes before it; neither the late write of an
+// earlier announcement nor the agent's own write may pass for that of another process.
+func TestLateWriteDoesNotRevertDraining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, first := range allFates {
+			for _, second := range allFates {
+				f := faultstore.New()
+				f.Set(targetKeyPrefix+"agent", []byte(storedAnnouncement))
+				f.Next(first, second)
+				r := newTargetRecord(f, zerolog.Nop(), ignoreInvalid(), "agent")
+				ready := *r.load(t.Context())
+				go r.run(t.Context())
+				r.queue(ready)
+				synctest.Wait()
+				draining := ready
+				draining.Draining = true
+				r.queue(draining)
+				begun := time.Now()
+				r.waitWritten(recordWriteTimeout)
+				// After a first write whose answer was lost, the second one is refused.
+				lost := second != faultstore.Answered && (second != faultstore.AnswerLost || first == faultstore.AnswerLost)
+				if stored := loadAgain(t, f); !lost && !stored.Draining {
+					t.Errorf("%v, %v: acknowledged after %v, and not stored as draining", first, second, time.Since(begun))
+				}
+				f.ExecuteLate()
+				time.Sleep(5 * recordRetryDelay)
+				f.ExecuteLate()
+				if stored := loadAgain(t, f); !stored.Draining {
+					t.Errorf("%v, %v: stored as not draining", first, second)
+				}
+				if f.Writes() > 3 {
+					t.Errorf("%v, %v: %d writes of two announcements", first, second, f.Writes())
+				}
+			}
+		}
+	})
+}
+
+// loadAgain reads the stored announcement as a new process does.
+func loadAgain(t *testing.T, f *faultstore.Store) runs.Announcement {
+	t.Helper()
+	stored := newTargetRecord(f, zerolog.Nop(), ignoreInvalid(), "agent").load(t.Context())
+	if stored == nil {
+		t.Fatal("no announcement is stored")
+	}
+	return *stored
+}
--- a/internal/process/server/targetrecord.go
+++ b/internal/process/server/targetrecord.go
@@ -31,12 +31,11 @@
 // beside a running target need not wait for the next heartbeat. The stored incarnation may
 // be outdated; the target's responses contain the present one.
 type targetRecord struct {
-	store    store.Store
-	log      zerolog.Logger
-	invalid  *eventlog.InvalidValues
-	key      string
-	revision uint64
-	changes  chan runs.Announcement
+	store   store.Store
+	log     zerolog.Logger
+	invalid *eventlog.InvalidValues
+	writer  store.Writer
+	changes chan runs.Announcement
 
 	mu sync.Mutex
 	// pending counts the changes that are not written yet; written is closed when it
@@ -46,7 +45,13 @@
 }
 
 func newTargetRecord(s store.Store, log zerolog.Logger, invalid *eventlog.InvalidValues, name string) *targetRecord {
-	return &targetRecord{store: s, log: log, invalid: invalid, key: targetKeyPrefix + name, changes: make(chan runs.Announcement, 1)}
+	return &targetRecord{
+		store:   s,
+		log:     log,
+		invalid: invalid,
+		writer:  store.Writer{Store: s, Key: targetKeyPrefix + name},
+		changes: make(chan runs.Announcement, 1),
+	}
 }
 
 // persistentRegistry acknowledges a heartbeat of a draining target only once the
@@ -69,7 +74,7 @@
 func (r *targetRecord) load(ctx context.Context) *runs.Announcement {
 	ctx, cancel := context.WithTimeout(ctx, recordReadTimeout)
 	defer cancel()
-	value, err := r.store.Get(ctx, r.key)
+	value, err := r.store.Get(ctx, r.writer.Key)
 	if err != nil {
 		r.log.Warn().Err(err).Msg("cannot read the stored announcement of the target")
 		return nil
@@ -77,14 +82,14 @@
 	if value == nil {
 		return nil
 	}
-	r.revision = value.Revision
+	r.writer.Revision = value.Revision
 	var stored runs.Announcement
 	err = json.Unmarshal(value.Data, &stored)
 	if err == nil {
 		err = stored.Validate()
 	}
 	if err != nil {
-		r.invalid.Record(r.key, value.Revision, err)
+		r.invalid.Record(r.writer.Key, value.Revision, err)
 		return nil
 	}
 	stored.Sequence = 0 // each announcement of the running target counts as newer
@@ -140,47 +145,41 @@
 	select {
 	case <-written:
 	case <-time.After(limit):
-		r.log.Warn().Str("key", r.key).Msg("announcement of a draining target not stored before its acknowledgement")
+		r.log.Warn().Str("key", r.writer.Key).Msg("announcement of a draining target not stored before its acknowledgement")
 	}
 }
 
-// run writes queued announcements until ctx ends.
+// run writes queued announcements until ctx ends. One that could not be written is written
+// again after a delay, unless a newer one is queued before.
 func (r *targetRecord) run(ctx context.Context) {
+	var unwritten *runs.Announcement
+	var retry <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case a := <-r.changes:
-			r.save(ctx, a)
-			r.removePending()
+			if unwritten != nil {
+				r.removePending()
+			}
+			unwritten = &a
+		case <-retry:
 		}
-	}
-}
-
-// save retries the write of an announcement until it succeeds or a newer one is queued.
-func (r *targetRecord) save(ctx context.Context, a runs.Announcement) {
-	for ctx.Err() == nil && len(r.changes) == 0 {
-		err := r.write(ctx, a)
-		if err == nil {
-			return
+		retry = nil
+		if err := r.write(ctx, unwritten); err != nil {
+			r.log.Warn().Err(err).Str("key", r.writer.Key).Msg("cannot store the announcement of the target")
+			retry = time.After(recordRetryDelay)
+			continue
 		}
-		r.log.Warn().Err(err).Str("key", r.key).Msg("cannot store the announcement of the target")
-		sleep(ctx, recordRetryDelay)
+		unwritten = nil
+		r.removePending()
 	}
 }
 
-func (r *targetRecord) write(ctx context.Context, a runs.Announcement) error {
+func (r *targetRecord) write(ctx context.Context, a *runs.Announcement) error {
 	data, err := json.Marshal(a)
 	if err != nil {
 		return eris.Wrap(err, "encode announcement of the target")
 	}
-	result, err := r.store.CompareAndSwap(ctx, store.SwapRequest{Key: r.key, Data: data, ExpectedRevision: r.revision})
-	if err != nil {
-		return err
-	}
-	r.revision = result.Revision
-	if !result.Swapped {
-		return eris.New("stored announcement was changed by another process")
-	}
-	return nil
+	return r.writer.Write(ctx, data, 0)
 }
