--- a/internal/process/server/registrar.go
+++ b/internal/process/server/registrar.go
@@ -124,20 +124,12 @@
 	if err != nil {
 		return eris.Wrap(err, "encode registration")
 	}
-	change := store.SwapRequest{Key: r.key, Data: data, LeaseID: r.lease}
-	result, err := r.store.CompareAndSwap(ctx, change)
-	if err == nil && !result.Swapped {
-		change.ExpectedRevision = result.Revision
-		result, err = r.store.CompareAndSwap(ctx, change)
-	}
-	if err != nil {
+	writer := store.Writer{Store: r.store, Key: r.key, Revision: r.writtenRevision}
+	if err := writer.Write(ctx, data, r.lease); err != nil {
 		return err
 	}
-	if !result.Swapped {
-		return eris.New("registration was changed by another process")
-	}
-	r.registered, r.writtenRevision = true, result.Revision
-	r.log.Info().Str("key", r.key).Uint64("revision", result.Revision).Uint64("lease", r.lease).Msg("entry registered")
+	r.registered, r.writtenRevision = true, writer.Revision
+	r.log.Info().Str("key", r.key).Uint64("revision", writer.Revision).Uint64("lease", r.lease).Msg("entry registered")
 	return nil
 }
 
