A registration without an answer is repeated under its lease, not removed

What callers would see: the store applies the registration of an entry and the answer is lost. If the first write was executed late, under a lease that nobody renews, the entry was listed until that lease ended.

Fix: the lease is kept from its grant on, renewed before each repeat, and revoked at a stop also if no write under it was answered; the key is written at the revision found. A grant without a lease is an error, as on the platform.

--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -142,6 +142,9 @@
 	if err != nil {
 		return 0, eris.Wrap(err, "grant lease in store")
 	}
+	if response.Msg.GetLeaseId() == 0 {
+		return 0, eris.New("grant lease in store: the response has no lease")
+	}
 	return response.Msg.GetLeaseId(), nil
 }
 
--- /dev/null
+++ b/internal/process/entry/latewrite_test.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+	"github.com/rosemarybay/rosemarybay/internal/standin/faultstore"
+)
+
+var allFates = []faultstore.Fate{faultstore.Answered, faultstore.NotExecuted, faultstore.AnswerLost, faultstore.ExecutedLate}
+
+// newFaultyEntry returns an entry without connections, whose store has faults.
+func newFaultyEntry(incarnation uint64) (*faultstore.Store, *Entry) {
+	f := faultstore.New()
+	e := newTestWatcher().entry
+	e.store, e.incarnation, e.lease = f, incarnation, newLease(testPeriod)
+	e.settings = &settings.Settings{Name: "e", Entry: &settings.Entry{PeerAdvertise: "10.0.0.1:7000"}}
+	return f, e
+}
+
+// A registration whose answer was lost was removed and written anew: to all others the entry was
+// lost in between, and its tickets could be adopted.
+func TestUnansweredRegistrationIsNotRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, grant := range allFates {
+			for _, write := range allFates {
+				for _, repeat := range allFates {
+					f, e := newFaultyEntry(7)
+					f.Next(grant, write, repeat)
+					e.retry(t.Context(), e.register)
+					f.ExecuteLate()
+					f.ExpireOtherLeases(e.lease.id)
+					time.Sleep(2 * testPeriod)
+					if data := f.Data(entryKey(7)); data == "" || f.Removed() > 0 {
+						t.Errorf("%v, %v, %v: stored %q, %d times removed", grant, write, repeat, data, f.Removed())
+					}
+					if grant == faultstore.Answered && f.Granted() > 1 {
+						t.Errorf("%v, %v, %v: %d leases", grant, write, repeat, f.Granted())
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -76,6 +77,19 @@
 	l.lost = true
 }
 
+// currentID returns the ID of the lease; 0 if there is none.
+func (l *lease) currentID() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.id
+}
+
+func (l *lease) setID(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.id = id
+}
+
 func entryKey(incarnation uint64) string {
 	return fmt.Sprintf("%s%016x", entriesPrefix, incarnation)
 }
@@ -92,10 +106,12 @@
 	return data, eris.Wrap(err, "encode roster entry")
 }
 
-// register adds the entry to the roster under a new lease and starts renewing the lease.
+// register adds the entry to the roster under a lease and starts renewing the lease. After an
+// error it is repeated under the same lease: a write without an answer may be executed until
+// the lease ends.
 func (e *Entry) register(ctx context.Context) error {
 	sent := time.Now()
-	id, err := e.store.GrantLease(ctx, e.lease.ttl)
+	id, err := e.ensureLease(ctx)
 	if err != nil {
 		return err
 	}
@@ -103,33 +119,29 @@
 	if err != nil {
 		return err
 	}
-	key := entryKey(e.incarnation)
-	result, err := e.store.CompareAndSwap(ctx, store.SwapRequest{Key: key, Data: data, LeaseID: id})
-	if err != nil {
+	writer := store.Writer{Store: e.store, Key: entryKey(e.incarnation)}
+	if err := writer.Write(ctx, data, id); err != nil {
 		return err
 	}
-	if !result.Swapped {
-		return e.deleteStaleRegistration(ctx, result.Current)
-	}
 	e.lease.mu.Lock()
-	e.lease.id, e.lease.key, e.lease.version = id, key, result.Revision
+	e.lease.key, e.lease.version = writer.Key, writer.Revision
 	e.lease.renewedAt = sent
 	e.lease.mu.Unlock()
 	go e.renewLeaseLoop(ctx, id)
 	return nil
 }
 
-// deleteStaleRegistration deletes a registration of this incarnation whose answer was
-// lost, since it is bound to a lease that is not renewed. It always returns an error, so
-// that the registration is retried.
-func (e *Entry) deleteStaleRegistration(ctx context.Context, current *store.Value) error {
-	if current != nil {
-		_, err := e.store.CompareAndSwap(ctx, store.SwapRequest{Key: current.Key, ExpectedRevision: current.Revision, Delete: true})
-		if err != nil {
-			return err
+// ensureLease renews the lease of an earlier try to register, or obtains one if there is none.
+func (e *Entry) ensureLease(ctx context.Context) (uint64, error) {
+	if id := e.lease.currentID(); id != 0 {
+		err := e.store.RenewLease(ctx, id)
+		if !errors.Is(err, store.ErrLeaseLapsed) {
+			return id, err
 		}
 	}
-	return eris.New("registration already exists under an earlier lease; registering again")
+	id, err := e.store.GrantLease(ctx, e.lease.ttl)
+	e.lease.setID(id)
+	return id, err
 }
 
 func (e *Entry) renewLeaseLoop(ctx context.Context, id uint64) {
@@ -200,14 +212,12 @@
 	e.recordStoreResult(err)
 }
 
-// unregister removes a stopping entry from the roster by revoking its lease.
+// unregister removes a stopping entry from the roster by revoking its lease, under which no
+// earlier write can be executed then.
 func (e *Entry) unregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	e.lease.mu.Lock()
-	id := e.lease.id
-	e.lease.mu.Unlock()
-	if id != 0 {
+	if id := e.lease.currentID(); id != 0 {
 		_ = e.store.RevokeLease(ctx, id)
 	}
 }
--- a/internal/standin/faultstore/faultstore.go
+++ b/internal/standin/faultstore/faultstore.go
@@ -41,6 +41,7 @@
 	late     []func()
 	granted  int
 	writes   int
+	removed  int
 }
 
 // New returns an empty store.
@@ -105,6 +106,13 @@
 	return s.writes
 }
 
+// Removed returns the number of keys removed.
+func (s *Store) Removed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.removed
+}
+
 // execute executes a call that writes according to its fate.
 func (s *Store) execute(call func()) error {
 	s.mu.Lock()
@@ -138,6 +146,7 @@
 
 func (s *Store) remove(key string) {
 	s.revision++
+	s.removed++
 	delete(s.values, key)
 	delete(s.leaseOf, key)
 }
