Hand the tickets over also if the answer to the successor's record is lost

What callers would see: a stopping entry stores its successor and the answer is lost. It kept the remembered answers to itself, though the store named the successor: a repeat of an answered request was adopted there without its answer.

Evidence: TestUnansweredSuccessorIsHandedOver failed for each first call without an answer.

Fix: the write is repeated within the time of the hand-over, and store.ProofOf decides: a refusal by the same value proves that an earlier try was executed, one by another value that the tickets have another adopter (TestOtherAdopterIsNotReplacedBySuccessor).

--- a/internal/process/entry/handover.go
+++ b/internal/process/entry/handover.go
@@ -12,6 +12,7 @@
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
 	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
 )
 
 const (
@@ -102,22 +103,29 @@
 	return candidates[rand.IntN(len(candidates))]
 }
 
+// recordSuccessor stores the successor of this entry's tickets, unless they have an adopter. A
+// write without an answer is repeated until ctx ends.
 func (e *Entry) recordSuccessor(ctx context.Context, successor uint64) error {
 	m := &peerv1.Adoption{Incarnation: e.incarnation, Adopter: successor, Generation: 1}
 	data, err := proto.Marshal(m)
 	if err != nil {
 		return eris.Wrap(err, "encode adoption")
 	}
-	value := store.Value{Key: adoptedKey(e.incarnation), Data: data}
-	result, err := e.store.CompareAndSwap(ctx, store.SwapRequest{Key: value.Key, Data: data})
-	if err != nil {
-		return err
-	}
-	if !result.Swapped {
-		return eris.New("the tickets already have an adopter")
+	change := store.SwapRequest{Key: adoptedKey(e.incarnation), Data: data}
+	for {
+		result, err := e.store.CompareAndSwap(ctx, change)
+		switch store.ProofOf(change, result, err) {
+		case verdict.ProvesExecuted:
+			e.adoptions.applyStored(store.Value{Key: change.Key, Data: data})
+			return nil
+		case verdict.ProvesRejected:
+			return eris.New("the tickets already have an adopter")
+		}
+		sleep(ctx, storeBackoff)
+		if ctx.Err() != nil {
+			return err
+		}
 	}
-	e.adoptions.applyStored(value)
-	return nil
 }
 
 func (e *Entry) sendAnswers(ctx context.Context, successor *peerv1.RosterEntry) error {
--- a/internal/process/entry/latewrite_test.go
+++ b/internal/process/entry/latewrite_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
 	"github.com/rosemarybay/rosemarybay/internal/standin/faultstore"
 )
@@ -44,3 +45,35 @@
 		}
 	})
 }
+
+// The successor of a stopping entry is stored and the answer is lost: the entry kept its remembered
+// answers to itself, though the store named the successor.
+func TestUnansweredSuccessorIsHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, first := range allFates {
+			for _, second := range allFates {
+				f, e := newFaultyEntry(7)
+				f.Next(first, second)
+				err := e.recordSuccessor(t.Context(), 9)
+				if err != nil || e.adoptions.adopter(7) != 9 || f.Data(adoptedKey(7)) == "" {
+					t.Errorf("%v, %v: %v, known adopter %d, stored %q", first, second, err, e.adoptions.adopter(7), f.Data(adoptedKey(7)))
+				}
+			}
+		}
+	})
+}
+
+// Another entry has adopted the tickets first: a repeat must not take its refusal for success.
+func TestOtherAdopterIsNotReplacedBySuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, fate := range allFates {
+			f, e := newFaultyEntry(7)
+			other := marshal(t, &peerv1.Adoption{Incarnation: 7, Adopter: 8, Generation: 1})
+			f.Set(adoptedKey(7), other)
+			f.Next(fate)
+			if err := e.recordSuccessor(t.Context(), 9); err == nil || f.Data(adoptedKey(7)) != string(other) {
+				t.Errorf("%v: %v", fate, err)
+			}
+		}
+	})
+}
