Replace a stored adoption that cannot be used

What callers would see: with a value that is no adoption under the key of a lost entry, its tickets can't be adopted for as long as the value is stored. One that names another incarnation sends the requests of that one to an entry that does not have its tickets.

Cause: a value that could not be decoded ended the claim; one that could be was believed.

Evidence: TestOddAdoptionIsReplacedAndNamesNoOther failed ("decode adoption: proto: cannot parse", "names another entry").

Fix: an adoption must be that of the incarnation in its key. Another value is replaced at its revision, with a generation above the latest known one, since agents refuse earlier fences.

--- a/internal/process/entry/adopt.go
+++ b/internal/process/entry/adopt.go
@@ -11,6 +11,7 @@
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 )
 
@@ -59,13 +60,14 @@
 	return e.roster.Load().ByIncarnation(incarnation) != nil
 }
 
+// claim makes this entry the adopter in the store, unless a registered entry is. current is the
+// stored adoption, nil if there is none.
 func (e *Entry) claim(ctx context.Context, lost uint64, current *store.Value) error {
 	former := &peerv1.Adoption{}
 	change := store.SwapRequest{Key: adoptedKey(lost)}
 	if current != nil {
-		if err := proto.Unmarshal(current.Data, former); err != nil {
-			return eris.Wrap(err, "decode adoption")
-		}
+		change.ExpectedRevision = current.Revision
+		former = e.formerAdoption(lost, *current)
 		if former.GetAdopter() == e.incarnation {
 			// This entry won the claim before, but the answer was lost.
 			e.beginAdoption(lost, former.GetGeneration())
@@ -79,7 +81,6 @@
 			e.adoptions.applyStored(*current)
 			return nil
 		}
-		change.ExpectedRevision = current.Revision
 	}
 	next := &peerv1.Adoption{Incarnation: lost, Adopter: e.incarnation, Generation: former.GetGeneration() + 1}
 	data, err := proto.Marshal(next)
@@ -98,6 +99,18 @@
 	return nil
 }
 
+// formerAdoption decodes the stored adoption of an incarnation. In place of one that cannot be
+// used it returns the latest known one, since agents refuse fences of earlier generations.
+func (e *Entry) formerAdoption(lost uint64, stored store.Value) *peerv1.Adoption {
+	m, err := decodeAdoption(stored)
+	if err == nil {
+		return m
+	}
+	e.log.Error().Str("key", stored.Key).Uint64("revision", stored.Revision).Str("cause", eventlog.Text(err.Error())).
+		Msg("stored adoption is invalid; replacing it")
+	return e.adoptions.latest(lost)
+}
+
 // beginAdoption fences a lost incarnation at the agents and collects the attempts of it
 // that they keep.
 func (e *Entry) beginAdoption(lost uint64, generation uint32) {
--- a/internal/process/entry/adoption.go
+++ b/internal/process/entry/adoption.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
@@ -149,10 +150,22 @@
 	return n
 }
 
+// decodeAdoption decodes a stored adoption, which must be that of the incarnation in its key.
+func decodeAdoption(v store.Value) (*peerv1.Adoption, error) {
+	m := &peerv1.Adoption{}
+	if err := proto.Unmarshal(v.Data, m); err != nil {
+		return nil, eris.Wrap(err, "decode adoption")
+	}
+	if adoptedKey(m.GetIncarnation()) != v.Key || m.GetAdopter() == 0 {
+		return nil, eris.Errorf("adoption of %016x by %016x has another key", m.GetIncarnation(), m.GetAdopter())
+	}
+	return m, nil
+}
+
 // applyStored applies an adoption read from the store if its generation is newer.
 func (s *adoptions) applyStored(v store.Value) {
-	m := &peerv1.Adoption{}
-	if v.Deleted || proto.Unmarshal(v.Data, m) != nil {
+	m, err := decodeAdoption(v)
+	if v.Deleted || err != nil {
 		return
 	}
 	s.mu.Lock()
@@ -162,6 +175,16 @@
 	}
 }
 
+// latest returns the known adoption of an incarnation, or an empty one.
+func (s *adoptions) latest(incarnation uint64) *peerv1.Adoption {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.known[incarnation]; known != nil {
+		return known
+	}
+	return &peerv1.Adoption{}
+}
+
 // adopter returns the known adopter of an incarnation, or 0.
 func (s *adoptions) adopter(incarnation uint64) uint64 {
 	s.mu.Lock()
--- a/internal/process/entry/oddvalues_test.go
+++ b/internal/process/entry/oddvalues_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/encoding/protowire"
@@ -13,6 +14,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/platform/store"
 	"github.com/rosemarybay/rosemarybay/internal/process/dispatch"
 	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
+	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
 	"github.com/rosemarybay/rosemarybay/internal/process/slots"
@@ -153,3 +155,22 @@
 		}
 	}
 }
+
+// An odd value in place of an adoption kept the tickets of a lost entry from being adopted, or sent
+// those of another one to an entry that did not have them.
+func TestOddAdoptionIsReplacedAndNamesNoOther(t *testing.T) {
+	other := marshal(t, &peerv1.Adoption{Incarnation: 8, Adopter: 5, Generation: 1 << 31})
+	for _, odd := range append(oddMessages(), other) {
+		f, e := newFaultyEntry(9)
+		e.jobs = jobs.NewTable(9, ticket.Key{}, time.Minute, e.dispatcher, e.counters)
+		f.Set(adoptedKey(7), odd)
+		current, _ := f.Get(t.Context(), adoptedKey(7))
+		e.adoptions.applyStored(*current)
+		if e.adoptions.adopter(8) != 0 || e.adoptions.adopter(0) != 0 {
+			t.Errorf("%.40q names another entry", odd)
+		}
+		if err := e.claim(t.Context(), 7, current); err != nil || e.adoptions.get(7) == nil {
+			t.Errorf("%.40q: %v", odd, err)
+		}
+	}
+}
