A change with an unanswered write is reported as not run only if that is proven

What operators would see: a write of their change has no answer, and the next read finds an object that cannot be used: "not run", though the change may be stored. A change that lost every race against others, each answered, ended as "may have run", though it certainly had not.

Cause: one flag said that a write was sent, whatever its answer, and errors other than those of the store did not look at it.

Fix: verdict.Tries records the writes and what their answers prove. A conflict after a write without an answer counts as not run if the history of the object shows another change in place of each revision on which such a write was based.

--- a/internal/process/entry/change.go
+++ b/internal/process/entry/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,33 +43,52 @@
 			c.endAssumption(o.GetRevision())
 			return o, nil
 		}
-		if err.Reason != apiv1.Reason_REASON_STORE_UNAVAILABLE {
-			c.endAssumption(0)
-			return o, err
+		if err.Reason != apiv1.Reason_REASON_STORE_UNAVAILABLE || e.storeOld.Load() {
+			return c.fail(o, err)
 		}
-		isOld := e.storeOld.Load()
-		if !isOld {
-			sleep(ctx, storeBackoff)
-		}
-		if isOld || ctx.Err() != nil {
-			if c.writeSent {
-				err = verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN, "%s", err.Message)
-			}
-			go c.resolveOutcome()
-			return nil, err
+		sleep(ctx, storeBackoff)
+		if ctx.Err() != nil {
+			return c.fail(o, err)
 		}
 	}
 }
 
 // changeCall is one change being written to the store.
 type changeCall struct {
-	entry      *Entry
-	key        string
-	request    *apiv1.ChangeRequest
-	writeSent  bool // a write was sent; its outcome may be unknown
+	entry   *Entry
+	key     string
+	request *apiv1.ChangeRequest
+	// tries are the writes, openBases the revisions on which those without an answer are based.
+	tries      verdict.Tries
+	openBases  []uint64
 	assumedOut bool // the object is assumed to be out of service
 }
 
+// fail returns the result of a change that was given up with an error, when o, if it is not
+// nil, was the stored object. A write without an answer may have been executed, or may yet be.
+func (c *changeCall) fail(o *apiv1.Object, err *verdict.Error) (*apiv1.Object, *verdict.Error) {
+	if c.tries.Verdict(c.proofIn(o)) == verdict.NotRun {
+		c.endAssumption(0)
+		return o, err
+	}
+	go c.resolveOutcome()
+	return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN, "%s", err.Message)
+}
+
+// proofIn returns what the stored object proves: that no write without an answer was executed,
+// if another change is known to have replaced each revision on which one is based.
+func (c *changeCall) proofIn(o *apiv1.Object) verdict.Proof {
+	for _, base := range c.openBases {
+		replaced := slices.ContainsFunc(o.GetHistory(), func(r *apiv1.ChangeRecord) bool {
+			return r.GetBaseRevision() == base && r.GetChangeId() != c.request.GetChangeId()
+		})
+		if !replaced {
+			return verdict.ProvesNothing
+		}
+	}
+	return verdict.ProvesNeverExecuted
+}
+
 // readModifyWrite makes one attempt: it reads the object, applies the change and writes it.
 func (c *changeCall) readModifyWrite(ctx context.Context) (*apiv1.Object, *verdict.Error) {
 	m := c.request
@@ -119,18 +139,21 @@
 	if err != nil {
 		return nil, verdict.NotRunError(apiv1.Reason_REASON_INVALID_ARGUMENT, "%v", err)
 	}
-	c.writeSent = true
 	c.assumeOut()
-	result, err := c.entry.store.CompareAndSwap(ctx, store.SwapRequest{Key: c.key, Data: data, ExpectedRevision: base})
-	if err != nil {
-		c.entry.counters.Counter("config_outcomes_unknown").Inc(1)
-		return nil, storeError(err)
-	}
-	if !result.Swapped {
+	swap := store.SwapRequest{Key: c.key, Data: data, ExpectedRevision: base}
+	result, err := c.entry.store.CompareAndSwap(ctx, swap)
+	proof := store.ProofOf(swap, result, err)
+	c.tries.Record(proof)
+	switch proof {
+	case verdict.ProvesExecuted:
+		o.Revision = result.Revision
+		return o, nil
+	case verdict.ProvesRejected:
 		return nil, storeError(errWriteConflict)
 	}
-	o.Revision = result.Revision
-	return o, nil
+	c.openBases = append(c.openBases, base)
+	c.entry.counters.Counter("config_outcomes_unknown").Inc(1)
+	return nil, storeError(err)
 }
 
 func (c *changeCall) configKey() config.Key {
--- a/internal/process/entry/latewrite_test.go
+++ b/internal/process/entry/latewrite_test.go
@@ -17,6 +17,7 @@
 	f := faultstore.New()
 	e := newTestWatcher().entry
 	e.store, e.incarnation, e.lease = f, incarnation, newLease(testPeriod)
+	e.freshness = newFreshness(testPeriod, time.Now())
 	e.settings = &settings.Settings{Name: "e", Entry: &settings.Entry{PeerAdvertise: "10.0.0.1:7000"}}
 	return f, e
 }
