Repeat the mark and the removal of a stopping entry until they are answered

What operators would see: the mark of a stopping entry has no answer. All other entries take its end for a loss: for as long as an outage of the store may last they count it for majorities, so that changes are in force later. Without an answer to the removal, it stays listed until its lease ends.

Cause: each was called once, and no answer was taken for done.

Fix: both are repeated for at most a second. Renewals end with the removal: the next one found the lease expired, and the stopping incarnation counted as lost (seen as a panic of the test, whose entry has no channel for it).

--- a/internal/process/entry/latewrite_test.go
+++ b/internal/process/entry/latewrite_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,3 +79,42 @@
 		}
 	})
 }
+
+// The mark of a stopping entry was written once: without an answer, all others took its end for a
+// loss and counted it for majorities. A late mark must not list it again after its end.
+func TestUnansweredDrainingMarkIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, first := range allFates {
+			for _, second := range allFates {
+				f, e := newFaultyEntry(7)
+				e.retry(t.Context(), e.register)
+				f.Next(first, second)
+				e.announceDraining(t.Context())
+				stored, err := decodeRosterEntry([]byte(f.Data(entryKey(7))))
+				if err != nil || !stored.GetDraining() {
+					t.Errorf("%v, %v: stored %v, %v", first, second, stored, err)
+				}
+				e.unregister()
+				f.ExecuteLate()
+				if data := f.Data(entryKey(7)); data != "" {
+					t.Errorf("%v, %v: listed after its end", first, second)
+				}
+			}
+		}
+	})
+}
+
+// While the store is down, the end of an entry is not held up for long.
+func TestDrainingMarkDoesNotHoldUpEndDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, e := newFaultyEntry(7)
+		e.retry(t.Context(), e.register)
+		f.Next(slices.Repeat([]faultstore.Fate{faultstore.NotExecuted}, 1000)...)
+		begun := time.Now()
+		e.announceDraining(t.Context())
+		if took := time.Since(begun); took > 2*time.Second {
+			t.Errorf("held up for %v", took)
+		}
+		f.Next()
+	})
+}
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -20,6 +20,8 @@
 	renewalsPerLease = 3
 	// tickInterval is the time between ticks, by which a pause of the process is detected.
 	tickInterval = 50 * time.Millisecond
+	// leaveTimeout bounds the mark of a stopping entry, and the removal of its registration.
+	leaveTimeout = time.Second
 	// pauseDivisor divides the lease TTL; a longer gap between ticks counts as a pause.
 	pauseDivisor = 2
 )
@@ -153,6 +155,8 @@
 		sent := time.Now()
 		err := e.store.RenewLease(ctx, id)
 		switch {
+		case e.lease.currentID() != id:
+			return // revoked at a planned stop
 		case eris.Is(err, store.ErrLeaseLapsed):
 			e.retire("lease lapsed")
 			return
@@ -196,28 +200,32 @@
 	})
 }
 
-// announceDraining marks the entry as draining in the roster.
+// announceDraining marks the entry as draining in the roster. The mark is repeated until it is
+// answered, at most for leaveTimeout: without it, others take the end of the entry for a loss.
 func (e *Entry) announceDraining(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
 	data, err := e.encodeRosterEntry(true)
 	if err != nil {
 		return
 	}
 	e.lease.mu.Lock()
-	change := store.SwapRequest{Key: e.lease.key, Data: data, ExpectedRevision: e.lease.version, LeaseID: e.lease.id}
+	id := e.lease.id
+	writer := store.Writer{Store: e.store, Key: e.lease.key, Revision: e.lease.version}
 	e.lease.mu.Unlock()
-	if change.Key == "" {
+	if writer.Key == "" {
 		return // not registered yet
 	}
-	_, err = e.store.CompareAndSwap(ctx, change)
-	e.recordStoreResult(err)
+	e.retry(ctx, func(ctx context.Context) error { return writer.Write(ctx, data, id) })
 }
 
 // unregister removes a stopping entry from the roster by revoking its lease, under which no
 // earlier write can be executed then.
 func (e *Entry) unregister() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if id := e.lease.currentID(); id != 0 {
-		_ = e.store.RevokeLease(ctx, id)
+		e.lease.setID(0)
+		e.retry(ctx, func(ctx context.Context) error { return e.store.RevokeLease(ctx, id) })
 	}
 }
