Tests: late ticket keys and claims replace no other

Both pass before: a key is read again after each write, and the store names one adopter for each generation, which recognizes its own claim.

--- a/internal/process/entry/latewrite_test.go
+++ b/internal/process/entry/latewrite_test.go
@@ -1,13 +1,17 @@
 package entry
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
 	"github.com/rosemarybay/rosemarybay/internal/standin/faultstore"
 )
 
@@ -118,3 +122,69 @@
 		f.Next()
 	})
 }
+
+// Two entries create the ticket key at the same time, one of them by a late write: both must use
+// the one that is stored, or neither accepts the tickets of the other.
+func TestLateTicketKeyReplacesNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, first := range allFates {
+			for _, second := range allFates {
+				f, a := newFaultyEntry(7)
+				_, b := newFaultyEntry(8)
+				b.store = f
+				f.Next(first, second)
+				keys := make(map[string]bool)
+				for _, e := range []*Entry{a, b, a, b, a, b} {
+					if key, err := e.readOrCreateTicketKey(t.Context()); err == nil {
+						keys[string(key)] = true
+					}
+				}
+				f.ExecuteLate()
+				keys[f.Data(ticketKeyName)] = true
+				if len(keys) != 1 {
+					t.Errorf("%v, %v: %d ticket keys", first, second, len(keys))
+				}
+			}
+		}
+	})
+}
+
+// Two entries claim the tickets of a lost one, and the answers are lost or late: exactly one may
+// hold them, and it must be the one that the store names.
+func TestUnansweredClaimsHaveOneAdopter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for _, first := range allFates {
+			for _, second := range allFates {
+				f, a := newFaultyEntry(7)
+				_, b := newFaultyEntry(8)
+				b.store = f
+				for _, e := range []*Entry{a, b} {
+					e.jobs = jobs.NewTable(e.incarnation, ticket.Key{}, time.Minute, e.dispatcher, e.counters)
+					e.retry(ctx, e.register)
+				}
+				f.Next(first, second)
+				for i, e := range []*Entry{a, b, a, b, a, b} {
+					_ = e.adopt(ctx, 9)
+					if i == 3 {
+						f.ExecuteLate()
+					}
+				}
+				stored, err := decodeAdoption(store.Value{Key: adoptedKey(9), Data: []byte(f.Data(adoptedKey(9)))})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, e := range []*Entry{a, b} {
+					if holds := e.adoptions.get(9) != nil; holds != (stored.GetAdopter() == e.incarnation) {
+						t.Errorf("%v, %v: entry %d holds the tickets: %t, adopter %d", first, second, e.incarnation, holds, stored.GetAdopter())
+					}
+				}
+				for _, e := range []*Entry{a, b} {
+					e.unregister()
+					e.adoptions.abandon(0, "end of the test")
+				}
+			}
+		}
+	})
+}
