Tokens of a restarted agent are higher than those of its former process

Orders in transit could start a run beside a later attempt if the clock was set back and both agent and target restarted: tokens begin at the time of day, so that those of the new process were lower than those of the orders, and its first poll at the new incarnation fenced nothing. The announcement that the agent stores has the token of that moment now, and the next process begins above it. Without the store at the start it begins with the clock, as before. The test failed before in both orders of events.

--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -76,6 +76,7 @@
 func (m *Manager) Announce(a Announcement) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.raiseTokensLocked(a.Token)
 	switch t := m.target; {
 	case t == nil && a.identity() == m.left:
 		return false
@@ -126,17 +127,32 @@
 	m.notifyAnnouncedLocked()
 }
 
-// nextTokenLocked returns the first token for an incarnation: higher than those of an earlier
-// process of this agent, if the clock was not set back, and than all of this process, so that the
-// first poll fences all orders in transit.
+// nextTokenLocked returns the first token for an incarnation: higher than those of this process
+// and, by the stored announcement or the clock, of earlier ones, so that the first poll fences all
+// orders in transit.
 func (m *Manager) nextTokenLocked() uint64 {
 	return max(uint64(time.Now().UnixMilli()), m.lastToken+1)
 }
 
+// raiseTokensLocked raises the tokens of this process above those of an earlier one, of which
+// one was stored; 0 means none.
+func (m *Manager) raiseTokensLocked(stored uint64) {
+	if stored == 0 {
+		return
+	}
+	m.lastToken = max(m.lastToken, stored+tokenReserve)
+	if m.target != nil {
+		m.target.token = max(m.target.token, m.lastToken+1)
+	}
+}
+
 func (m *Manager) notifyAnnouncedLocked() {
-	if m.opts.Announced != nil {
-		m.opts.Announced(m.target.Announcement)
+	if m.opts.Announced == nil {
+		return
 	}
+	a := m.target.Announcement
+	a.Token = m.target.token
+	m.opts.Announced(a)
 }
 
 func (m *Manager) updateTargetLocked(a Announcement) {
--- a/internal/process/runs/incarnation_test.go
+++ b/internal/process/runs/incarnation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -196,3 +197,26 @@
 		h.waitOutcome(a, peer.OutcomeLost)
 	})
 }
+
+// The clock was set back, the agent and its target restarted, and orders of the former process of
+// the agent are still in transit to the new incarnation of the target.
+func TestTokensOfNewProcessAreHigherThanThoseStored(t *testing.T) {
+	for _, afterTarget := range []bool{false, true} {
+		t.Run(fmt.Sprintf("read after the target announced itself %v", afterTarget), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stored := uint64(time.Now().Add(time.Minute).UnixMilli())
+				h := newHarness(t)
+				if !afterTarget {
+					h.announce(Announcement{Incarnation: 1, Token: stored})
+				}
+				h.announce(Announcement{Incarnation: 2, Sequence: 1})
+				if afterTarget {
+					h.announce(Announcement{Incarnation: 1, Token: stored})
+				}
+				if got := h.token(); got <= stored {
+					t.Errorf("token %d, stored %d", got, stored)
+				}
+			})
+		})
+	}
+}
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -16,6 +16,9 @@
 	// tokenStep raises the token above that of a former process. Tokens start at the time
 	// of day in milliseconds, and the clock of that process may have been ahead.
 	tokenStep = 10_000
+	// tokenReserve is how many tokens a process may use beyond the stored one. Each restart of the
+	// agent and each start that goes unanswered takes some.
+	tokenReserve = 100_000
 )
 
 // raiseToken raises the token, unless another call has already replaced the one used.
--- a/internal/process/runs/target.go
+++ b/internal/process/runs/target.go
@@ -35,6 +35,9 @@
 	Labels     []string
 	// Draining is set before a planned shutdown.
 	Draining bool
+	// Token is a fencing token that this agent, or an earlier process of it, has used for the
+	// target when it stored the announcement; 0 in an announcement of the target itself.
+	Token uint64
 }
 
 // maxLabels bounds the labels of a target.
@@ -45,6 +48,7 @@
 	// IncarnationRange covers a time of day for the next centuries.
 	IncarnationRange = bounds.Range[int64]{Min: 0, Max: int64(200 * 365 * 24 * time.Hour / time.Millisecond)}
 	sequenceRange    = bounds.Range[uint64]{Min: 0, Max: bounds.MaxCount}
+	tokenRange       = bounds.Range[uint64]{Min: 0, Max: bounds.MaxCount}
 )
 
 // Validate returns an error unless the announcement describes a target that can be used.
@@ -53,6 +57,7 @@
 		bounds.CheckName("target ID", a.ID),
 		IncarnationRange.Check("incarnation", a.Incarnation),
 		sequenceRange.Check("sequence", a.Sequence),
+		tokenRange.Check("token", a.Token),
 		bounds.CheckHostPort("address", a.Address),
 		bounds.CheckName("pool", a.Pool),
 		bounds.CheckName("data centre", a.DataCentre),
--- a/internal/process/server/server_test.go
+++ b/internal/process/server/server_test.go
@@ -314,7 +314,7 @@
 		t.Fatalf("read %+v from an empty store", stored)
 	}
 	go first.run(ctx)
-	announced := runs.Announcement{ID: "t", Incarnation: 4, Sequence: 80, Address: "10.0.0.1:80", Pool: "p", DataCentre: "z1"}
+	announced := runs.Announcement{ID: "t", Incarnation: 4, Sequence: 80, Address: "10.0.0.1:80", Pool: "p", DataCentre: "z1", Token: 77}
 	first.queue(runs.Announcement{ID: "t", Incarnation: 3})
 	first.queue(announced)
 	eventually(t, "the record", func() bool {
@@ -322,7 +322,7 @@
 		return v != nil && strings.Contains(string(v.Data), `"Incarnation":4`)
 	})
 	stored := newTargetRecord(f, zerolog.Nop(), ignoreInvalid(), "agent").load(ctx)
-	if stored == nil || stored.ID != "t" || stored.Incarnation != 4 || stored.Sequence != 0 {
+	if stored == nil || stored.ID != "t" || stored.Incarnation != 4 || stored.Sequence != 0 || stored.Token != 77 {
 		t.Errorf("stored announcement is %+v", stored)
 	}
 	f.set(func() { f.put(targetKeyPrefix+"agent", "junk") })
