--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -31,13 +32,15 @@
 
 func TestSoak(t *testing.T) {
 	for _, s := range seeds {
-		found, err := Run(t.Context(), Options{Seed: s.seed, Duration: 6 * time.Second, Entries: 3, Agents: 6, Rate: 25}, os.Stderr)
-		if err != nil {
-			t.Fatalf("seed %d (%s): %v", s.seed, s.cause, err)
-		}
-		for _, f := range found {
-			t.Errorf("seed %d (%s): %s", s.seed, s.cause, f)
-		}
+		t.Run(fmt.Sprintf("seed-%d", s.seed), func(t *testing.T) {
+			found, err := Run(t.Context(), Options{Seed: s.seed, Duration: 6 * time.Second, Entries: 3, Agents: 6, Rate: 25}, os.Stderr)
+			if err != nil {
+				t.Fatalf("%s: %v", s.cause, err)
+			}
+			for _, f := range found {
+				t.Errorf("%s: %s", s.cause, f)
+			}
+		})
 	}
 }
 
