An adopter's refusal of a resubmission is not reported as not run

Callers would see: a job whose home was lost is submitted again; the adopter refuses it on admission (department has left, its configuration is not confirmed, the memory for answers is full) and answers not_run, although the lost home had started tasks of the job.

The table of an adopted home took its own refusal for a statement about the ticket; it does not know what the lost home had started.

Fix: a table that does not know all jobs of its tickets raises the verdict of a refusal to may_have_run.

Ruled out: Get of such a table (answers home_lost, may_have_run already); the refusal of Resume (already may_have_run or ran).

--- a/internal/process/jobs/table.go
+++ b/internal/process/jobs/table.go
@@ -88,7 +88,8 @@
 
 // Submit starts the job of a ticket of this home, or returns the job that an earlier
 // submission of the ticket started. admit is called only for a ticket that was not
-// submitted before. A refused job is removed, so that its ticket can be submitted again.
+// submitted before. A refused job is removed, so that its ticket can be submitted again; its
+// refusal is NotRun only if no earlier submission of the ticket has run.
 func (t *Table) Submit(tk ticket.Ticket, r *apiv1.SubmitRequest, admit func() *verdict.Error) (*Job, *verdict.Error) {
 	hash := fingerprint(r)
 	t.mu.Lock()
@@ -102,7 +103,7 @@
 	}
 	if err := t.admit(admit); err != nil {
 		t.mu.Unlock()
-		return nil, err
+		return nil, t.refusal(err)
 	}
 	j := newJob(tk.ID, hash, t.dispatcher)
 	j.expires = tk.Expires
@@ -129,6 +130,20 @@
 	return admit()
 }
 
+// refusal returns the error of a submission that starts no job.
+func (t *Table) refusal(err *verdict.Error) *verdict.Error {
+	if t.knowsAllJobs() {
+		return err
+	}
+	refusal := *err
+	refusal.Verdict = verdict.Worst(refusal.Verdict, verdict.MayHaveRun)
+	return &refusal
+}
+
+// knowsAllJobs reports whether a ticket without a job in the table has started nothing. The
+// table of a lost home does not know what its home had started.
+func (t *Table) knowsAllJobs() bool { return t.adopted == nil || t.adopted.HandedOver }
+
 // insert adds a job. The caller holds t.mu.
 func (t *Table) insert(j *Job) {
 	t.jobs[j.id] = j
@@ -183,7 +198,7 @@
 	if !time.Now().Before(tk.Expires) {
 		return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_TICKET_EXPIRED, "ticket has expired")
 	}
-	if t.adopted != nil && !t.adopted.HandedOver {
+	if !t.knowsAllJobs() {
 		return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_HOME_LOST, "the home of the ticket is lost; submit the job again for its answer")
 	}
 	return nil, verdict.NotRunError(apiv1.Reason_REASON_JOB_UNKNOWN, "ticket was never submitted")
