A submission that joined a refused job gets the refusal, not an answer

Callers would see: two tries of a submission meet at the home; the first is refused for overload, the second had joined it and is answered with a failed answer of verdict not_run. A remembered answer says that no later try starts the job, but a refused job is removed, so that a third, delayed try starts it.

Evidence: TestJoinedRefusalIsNotAnAnswer on the code before: 'joined submission got state:JOB_STATE_FAILED failure:{verdict:VERDICT_NOT_RUN reason:REASON_OVERLOAD ...}, <nil>, want the refusal'. TestAnswerNotRunIsRemembered passes before and after: it pins that a real answer is kept.

Fix: Wait and Result return the refusal of a job that is not remembered as an error, which speaks for one try only.

--- a/internal/process/entry/jobservice.go
+++ b/internal/process/entry/jobservice.go
@@ -144,9 +144,9 @@
 		return nil, err
 	}
 	if m.GetNoWait() {
-		return j.Answer(), nil
+		return j.Result()
 	}
-	return j.Wait(ctx), nil
+	return j.Wait(ctx)
 }
 
 // GetJob returns the answer of a submitted job.
@@ -219,11 +219,11 @@
 	}
 	wait := min(time.Duration(m.GetWaitMs())*time.Millisecond, maxGetJobWait)
 	if wait == 0 {
-		return j.Answer(), nil
+		return j.Result()
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	return j.Wait(ctx), nil
+	return j.Wait(ctx)
 }
 
 func (e *Entry) cancelInTable(ctx context.Context, table *jobs.Table, m *apiv1.CancelJobRequest) (*apiv1.Answer, *verdict.Error) {
@@ -232,5 +232,5 @@
 		return nil, err
 	}
 	j.Fail(verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_CANCELLED, "cancelled by its caller"))
-	return j.Wait(ctx), nil
+	return j.Wait(ctx)
 }
--- a/internal/process/jobs/job.go
+++ b/internal/process/jobs/job.go
@@ -40,8 +40,10 @@
 	// worstVerdict is the worst verdict of all ended tasks.
 	worstVerdict verdict.Verdict
 	answer       *apiv1.Answer
-	timer        *time.Timer
-	done         chan struct{}
+	// refusal is set if the job was refused when it started. Such a job is not remembered.
+	refusal *verdict.Error
+	timer   *time.Timer
+	done    chan struct{}
 }
 
 func newJob(id ticket.ID, fingerprint uint64, d Dispatcher) *Job {
@@ -85,12 +87,24 @@
 	})
 	j.mu.Unlock()
 	err := j.dispatchTasks(adopted, tasks)
-	if err != nil {
+	switch {
+	case err == nil:
+	case err.Verdict == verdict.NotRun:
+		j.refuse(err)
+	default:
 		j.failNow(err)
 	}
 	return err
 }
 
+// refuse ends a job of which no task was accepted.
+func (j *Job) refuse(err *verdict.Error) {
+	j.mu.Lock()
+	j.refusal = err
+	j.mu.Unlock()
+	j.failNow(err)
+}
+
 func (j *Job) dispatchTasks(adopted *Adopted, tasks []*dispatch.Task) *verdict.Error {
 	if adopted == nil || adopted.HandedOver {
 		return j.dispatcher.Submit(tasks)
@@ -177,13 +191,25 @@
 	return a
 }
 
-// Wait returns the answer, or the running state when ctx ends first.
-func (j *Job) Wait(ctx context.Context) *apiv1.Answer {
+// Wait returns the answer, or the running state when ctx ends first. The error is the refusal
+// of a job that is not remembered, so that a later submission may start it.
+func (j *Job) Wait(ctx context.Context) (*apiv1.Answer, *verdict.Error) {
 	select {
 	case <-j.done:
 	case <-ctx.Done():
 	}
-	return j.Answer()
+	return j.Result()
+}
+
+// Result returns the answer, the running state while there is none, or the refusal.
+func (j *Job) Result() (*apiv1.Answer, *verdict.Error) {
+	j.mu.Lock()
+	refusal := j.refusal
+	j.mu.Unlock()
+	if refusal != nil {
+		return nil, refusal
+	}
+	return j.Answer(), nil
 }
 
 // Answer returns the answer, or the running state while there is none.
