An agent refuses the repeat of a start it has executed as ran, not as not run

Callers would see: nothing today, since an entry sends each start once.

Fix: the verdict of a refusal comes from the record of the attempt: only an unknown attempt or a tombstone is not run. The agent answers the repeat of a started attempt with its state and result, as for a Query, so that the first start's outcome stays the only one.

--- a/internal/process/agent/session.go
+++ b/internal/process/agent/session.go
@@ -154,10 +154,15 @@
 	}
 }
 
-// refuseStart sends a failure for a start that has not run and never will.
+// refuseStart sends the failure of a start. If the attempt has started before, its state and
+// its result, if it has one, are sent instead.
 func (s *session) refuseStart(start *peerv1.Start, err *verdict.Error) {
 	a := s.agent
 	a.counters.CountRefusal(err.Reason)
+	if err.Reason == apiv1.Reason_REASON_TOMBSTONED && err.Verdict != verdict.NotRun {
+		s.stopAttempts([]*peerv1.AttemptID{start.GetId()}, false)
+		return
+	}
 	if err.Reason == apiv1.Reason_REASON_TARGET_FULL {
 		a.addWaiter(s)
 	}
--- a/internal/process/attempts/table.go
+++ b/internal/process/attempts/table.go
@@ -79,16 +79,17 @@
 
 // Begin takes a slot for an attempt. admit is called with the table locked, so that its
 // decision holds at the moment of the start; cancel stops the running attempt. The error
-// is NotRun.
+// is NotRun, unless the attempt has started before.
 func (t *Table) Begin(s *peerv1.Start, admit func() *verdict.Error, cancel func()) *verdict.Error {
 	key := KeyOf(s.GetId())
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	known := t.records[key]
 	if t.isFenced(s) {
-		return verdict.NotRunError(apiv1.Reason_REASON_FENCED, "incarnation is fenced")
+		return verdict.New(known.verdict(), apiv1.Reason_REASON_FENCED, "incarnation is fenced")
 	}
-	if _, known := t.records[key]; known {
-		return verdict.NotRunError(apiv1.Reason_REASON_TOMBSTONED, "attempt is known")
+	if known != nil {
+		return verdict.New(known.verdict(), apiv1.Reason_REASON_TOMBSTONED, "attempt is known")
 	}
 	if err := admit(); err != nil {
 		return err
@@ -105,6 +106,15 @@
 	return nil
 }
 
+// verdict returns whether the attempt of a record, which is nil for an unknown attempt, has
+// run.
+func (r *record) verdict() verdict.Verdict {
+	if r == nil || r.phase == peerv1.AttemptPhase_ATTEMPT_PHASE_TOMBSTONE {
+		return verdict.NotRun
+	}
+	return verdict.Ran
+}
+
 // isFenced reports whether a start comes from a lost entry, or from an entry that is
 // neither the home of the attempt nor its latest adopter.
 func (t *Table) isFenced(s *peerv1.Start) bool {
