An agent remembers an attempt until no entry asks for it any more

Callers would see: a task that may not be repeated starts twice, or a job is answered not_run though it ran. The agent dropped the record of an ended attempt with its ticket. A job that is submitted shortly before its ticket expires runs on until its deadline; if the link is lost at its end, the entry asks the agent over a new link, the agent knows nothing, records a tombstone and answers 'never started', and the entry starts the task elsewhere. At the deadline the answer to the Cancel frame is the same, and the job is answered not_run.

Cause: a forgotten execution answered as one that never was.

Evidence: TestAttemptIsNotForgottenBeforeItsDeadline on the code before: '10ms after its start the attempt is ATTEMPT_PHASE_TOMBSTONE with 0 results, want done with its result'; the same in TestEndedAttemptIsKeptForALostLink.

Fix: a record lasts until its ticket has expired, the deadline of its job has passed with a grace of 10 s, and 10 s after its end. An entry waits 2 s (idle timeout) and 2 s (recovery window) for a lost link.

Ruled out: results dropped for want of memory (the record stays); tombstones (a minute, longer than a frame can be in transit).

--- a/internal/process/attempts/proof_test.go
+++ b/internal/process/attempts/proof_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
@@ -53,3 +55,47 @@
 		})
 	}
 }
+
+// An entry asks for an attempt until the deadline of its job, which may be after the ticket
+// has expired. A forgotten attempt would be taken for one that never started.
+func TestAttemptIsNotForgottenBeforeItsDeadline(t *testing.T) {
+	const (
+		ticketLeft = 10 * time.Millisecond
+		jobLeft    = 10 * time.Second
+	)
+	s := start(1)
+	s.ExpiresMs, s.DeadlineMs = uint32(ticketLeft.Milliseconds()), uint32(jobLeft.Milliseconds())
+	for _, asked := range []time.Duration{ticketLeft, jobLeft} {
+		table := New(testSlots)
+		if err := table.Begin(s, admitAll, func() {}); err != nil {
+			t.Fatal(err)
+		}
+		table.Finish(&peerv1.Result{Id: s.GetId()})
+		table.Expire(time.Now().Add(asked + time.Second))
+		states, results := table.Stop([]*peerv1.AttemptID{s.GetId()}, false)
+		if states[0].GetPhase() != peerv1.AttemptPhase_ATTEMPT_PHASE_DONE || len(results) != 1 {
+			t.Errorf("%v after its start the attempt is %v with %d results, want done with its result", asked, states[0].GetPhase(), len(results))
+		}
+	}
+}
+
+// An adopter waits for an attempt beyond the deadline that its start named.
+func TestEndedAttemptIsKeptForALostLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// lostLink exceeds the idle timeout of a link and the entry's wait for a new one.
+		const lostLink = 5 * time.Second
+		table := New(testSlots)
+		s := start(1)
+		s.ExpiresMs, s.DeadlineMs = 10, 10
+		if err := table.Begin(s, admitAll, func() {}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		table.Finish(&peerv1.Result{Id: s.GetId()})
+		time.Sleep(lostLink)
+		table.Expire(time.Now())
+		if states, _ := table.Stop([]*peerv1.AttemptID{s.GetId()}, false); states[0].GetPhase() != peerv1.AttemptPhase_ATTEMPT_PHASE_DONE {
+			t.Errorf("the attempt is %v, want done", states[0].GetPhase())
+		}
+	})
+}
--- a/internal/process/attempts/table.go
+++ b/internal/process/attempts/table.go
@@ -43,6 +43,11 @@
 // the time for which a frame can be in transit.
 const tombstoneLifetime = time.Minute
 
+// recordGrace is how long a record outlasts the end of its attempt and the deadline of its
+// job. It exceeds the time for which an entry waits for a lost link before it gives up its
+// attempts.
+const recordGrace = 10 * time.Second
+
 // MaxResultBytes limits the results kept by a table. The oldest are dropped first; the
 // records of their attempts stay.
 const MaxResultBytes = 16 << 20
@@ -100,12 +105,20 @@
 	t.busy++
 	t.records[key] = &record{
 		phase:   peerv1.AttemptPhase_ATTEMPT_PHASE_RUNNING,
-		expires: time.Now().Add(time.Duration(s.GetExpiresMs()) * time.Millisecond),
+		expires: expiryOf(s, time.Now()),
 		cancel:  cancel,
 	}
 	return nil
 }
 
+// expiryOf returns until when an entry may ask for the attempt of a start: while its ticket is
+// valid or its job is in progress.
+func expiryOf(s *peerv1.Start, now time.Time) time.Time {
+	ticket := time.Duration(s.GetExpiresMs()) * time.Millisecond
+	job := time.Duration(s.GetDeadlineMs())*time.Millisecond + recordGrace
+	return now.Add(max(ticket, job))
+}
+
 // verdict returns whether the attempt of a record, which is nil for an unknown attempt, has
 // run.
 func (r *record) verdict() verdict.Verdict {
@@ -140,6 +153,9 @@
 	rec.phase = peerv1.AttemptPhase_ATTEMPT_PHASE_DONE
 	rec.result = r
 	rec.cancel = nil
+	if earliest := time.Now().Add(recordGrace); earliest.After(rec.expires) {
+		rec.expires = earliest
+	}
 	t.storeResult(KeyOf(r.GetId()), r)
 }
 
@@ -236,8 +252,8 @@
 	return home
 }
 
-// Expire removes the records of attempts that are not running and whose tickets have
-// expired.
+// Expire removes the records of attempts that are not running and that no entry asks for any
+// more.
 func (t *Table) Expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
