A refusal of a repeated forward is not passed on as not run

Callers would see: an entry passes a submission to the home of its ticket; the link breaks before the answer, the entry repeats the call on a new link, the home refuses the repeat for overload, and the caller is told not_run. The first call may still be in the old connection's buffers or in a goroutine of the home and start the job after that.

Fix: route records its calls in verdict.Tries. RecordError gives the error of the whole call: where a refusal meets an unanswered call, the verdict is may_have_run with the reason outcome_unknown, upon which callers submit again. A joined job's answer stands, since the home remembers it. A verdict without a class proves nothing (TestEachVerdictHasAProof).

--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -50,11 +50,12 @@
 }
 
 // call sends one request to an entry and waits for its reply. It dials the entry if there
-// is no open link to this incarnation.
+// is no open link to this incarnation. link.ErrNotSent means that the entry never gets the
+// request; after any other error it may have executed it.
 func (p *peers) call(ctx context.Context, to *peerv1.RosterEntry, call *peerv1.Call) (*peerv1.Reply, error) {
 	l, err := p.linkTo(ctx, to)
 	if err != nil {
-		return nil, err
+		return nil, eris.Wrap(link.ErrNotSent, err.Error())
 	}
 	return l.Call(ctx, call)
 }
--- a/internal/process/entry/route.go
+++ b/internal/process/entry/route.go
@@ -8,6 +8,7 @@
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/connection/link"
 	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
@@ -96,13 +97,14 @@
 
 // route passes a call to the entry that is responsible for its ticket: the home, or its
 // adopter. It retries until that entry answers, which is safe since a resubmission joins
-// the job in progress.
+// the job in progress. The refusal of a retry does not speak for the earlier ones.
 func (e *Entry) route(ctx context.Context, t ticket.Ticket, call *peerv1.Call) (*apiv1.Answer, *verdict.Error) {
+	var tries verdict.Tries
 	for {
 		if answer, err, ok := e.answerLocally(ctx, t.Home, call); ok {
-			return answer, err
+			return answer, tries.RecordError(err)
 		}
-		answer, err, ok := e.forward(ctx, t.Home, call)
+		answer, err, ok := e.forward(ctx, t.Home, call, &tries)
 		if ok {
 			return answer, err
 		}
@@ -115,8 +117,8 @@
 }
 
 // forward makes one attempt to have a call answered by the home or its adopter in the
-// roster. It reports false if a retry may succeed.
-func (e *Entry) forward(ctx context.Context, home uint64, call *peerv1.Call) (*apiv1.Answer, *verdict.Error, bool) {
+// roster, and records it in tries. It reports false if a retry may succeed.
+func (e *Entry) forward(ctx context.Context, home uint64, call *peerv1.Call, tries *verdict.Tries) (*apiv1.Answer, *verdict.Error, bool) {
 	to := e.roster.Load().ByIncarnation(home)
 	if to == nil {
 		to = e.roster.Load().ByIncarnation(e.adoptions.adopter(home))
@@ -126,13 +128,23 @@
 	}
 	reply, err := e.peers.call(ctx, to, call)
 	if err != nil {
+		tries.Record(proofOfCallError(err))
 		return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN, "the entry that answers for the ticket did not: %v", err), false
 	}
-	failure := verdict.FromFailure(reply.GetFailure())
+	failure := tries.RecordError(verdict.FromFailure(reply.GetFailure()))
 	isLost := failure != nil && failure.Reason == apiv1.Reason_REASON_HOME_LOST
 	return reply.GetAnswer(), failure, !isLost
 }
 
+// proofOfCallError returns what the error of a call to another entry proves about its
+// execution there.
+func proofOfCallError(err error) verdict.Proof {
+	if eris.Is(err, link.ErrNotSent) {
+		return verdict.ProvesRejected
+	}
+	return verdict.ProvesNothing
+}
+
 // tryAdopt tries to adopt a lost home and reports whether the returned error is final.
 // Without the store no entry can adopt, so the caller has to retry later.
 func (e *Entry) tryAdopt(ctx context.Context, home uint64) (*apiv1.Answer, *verdict.Error, bool) {
--- /dev/null
+++ b/internal/request/verdict/callerror_test.go
@@ -0,0 +1,58 @@
+package verdict
+
+import (
+	"testing"
+	"time"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+)
+
+// A verdict without a class proves nothing. A new verdict fails here until it has one.
+func TestEachVerdictHasAProof(t *testing.T) {
+	want := map[Verdict]Proof{
+		apiv1.Verdict_VERDICT_UNSPECIFIED: ProvesNothing,
+		NotRun:                            ProvesRejected,
+		MayHaveRun:                        ProvesNothing,
+		Ran:                               ProvesExecuted,
+	}
+	for n, name := range apiv1.Verdict_name {
+		proof, ok := want[Verdict(n)]
+		if got := ProofOf(Verdict(n)); !ok || got != proof {
+			t.Errorf("%s proves %v, want %v (in the table: %v)", name, got, proof, ok)
+		}
+	}
+}
+
+func TestErrorOfRepeatDoesNotHideAnUnansweredTry(t *testing.T) {
+	lost := New(MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN, "connection lost")
+	overload := NotRunError(apiv1.Reason_REASON_OVERLOAD, "too many tasks are waiting")
+	overload.RetryAfter = time.Second
+	failed := New(Ran, apiv1.Reason_REASON_TARGET_FAILED, "target failed")
+	expired := New(MayHaveRun, apiv1.Reason_REASON_TICKET_EXPIRED, "ticket has expired")
+	for _, c := range []struct {
+		name   string
+		errors []*Error
+		want   Verdict
+		reason Reason
+	}{
+		{"refused", []*Error{overload}, NotRun, apiv1.Reason_REASON_OVERLOAD},
+		{"refused twice", []*Error{overload, overload}, NotRun, apiv1.Reason_REASON_OVERLOAD},
+		{"no answer, then refused", []*Error{lost, overload}, MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN},
+		{"refused, then no answer, then refused", []*Error{overload, lost, overload}, MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN},
+		{"no answer, then ran", []*Error{lost, failed}, Ran, apiv1.Reason_REASON_TARGET_FAILED},
+		{"no answer, then expired", []*Error{lost, expired}, MayHaveRun, apiv1.Reason_REASON_TICKET_EXPIRED},
+		{"expired, then refused", []*Error{expired, overload}, MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var tries Tries
+			var got *Error
+			for _, err := range c.errors {
+				got = tries.RecordError(err)
+			}
+			last := c.errors[len(c.errors)-1]
+			if got.Verdict != c.want || got.Reason != c.reason || got.RetryAfter != last.RetryAfter {
+				t.Errorf("got %v after %v, want %v and %v", got, got.RetryAfter, c.want, c.reason)
+			}
+		})
+	}
+}
