An adopter that lost its lease no longer answers for the tickets it took over

Callers would see: a successor that was frozen for longer than its lease answers, in the moment before it notices, 'job_unknown, not run' for a ticket whose job the next adopter has started. The tables of its own tickets were checked for the lease, those of taken-over tickets were not.

Evidence: TestAdopterWithoutLeaseDoesNotAnswerForTickets on the code before: 'without the lease: not_run: job_unknown: ticket was never submitted, want may have run'. Not seen in a fleet; the window is one tick of 50 ms.

Fix: the same check before both kinds of tables; the answer is home_lost, may_have_run.

--- a/internal/process/entry/route.go
+++ b/internal/process/entry/route.go
@@ -63,6 +63,9 @@
 	case <-ctx.Done():
 		return nil, errHomeLost("agents have not answered for the lost entry"), true
 	}
+	if !e.lease.isHeld(time.Now()) {
+		return nil, errHomeLost("the entry lost its lease"), true
+	}
 	answer, err := e.answerFromTable(ctx, held.table, call)
 	return answer, err, true
 }
--- a/internal/process/entry/route_test.go
+++ b/internal/process/entry/route_test.go
@@ -14,6 +14,7 @@
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/connection/identity"
 	"github.com/rosemarybay/rosemarybay/internal/connection/link"
+	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
 	"github.com/rosemarybay/rosemarybay/internal/request/ticket"
@@ -199,3 +200,26 @@
 		})
 	}
 }
+
+// Another entry may have adopted the tickets of an entry that lost its lease, and may have
+// started their jobs. Its tables no longer say that a ticket was never submitted.
+func TestAdopterWithoutLeaseDoesNotAnswerForTickets(t *testing.T) {
+	ca, err := identity.NewCA("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := newRoutingEntry(t, ca, &peerv1.RosterEntry{})
+	e.jobs = jobs.NewTable(e.incarnation, ticket.Key{1}, time.Minute, nil, e.counters)
+	a := e.newAdoption(testHome, jobs.Adopted{Generation: 1, Records: jobs.NewAttemptRecords(testHome), HandedOver: true})
+	close(a.ready)
+	e.adoptions.add(a)
+	tickets := a.table.Issue("desk", "mama", 1)
+	call := &peerv1.Call{Request: &peerv1.Call_GetJob{GetJob: &apiv1.GetJobRequest{Ticket: tickets[0], Department: "desk", Owner: "mama"}}}
+	if _, err, ok := e.answerLocally(t.Context(), testHome, call); !ok || err.Verdict != verdict.NotRun {
+		t.Errorf("with the lease: %v, want not run", err)
+	}
+	e.lease.markLost()
+	if _, err, ok := e.answerLocally(t.Context(), testHome, call); !ok || err.Verdict != verdict.MayHaveRun {
+		t.Errorf("without the lease: %v, want may have run", err)
+	}
+}
