A submission that arrives after the cancellation of its job starts nothing

Callers would see: a submission gets no answer, the caller cancels the job and is told 'job_unknown, not run'; then the submission, delayed on its way, reaches the home and runs.

Cause: the home's negative answer to one call (the cancellation) was meant to hold for another that was still open (the submission), but left no trace there.

Fix: cancelling a ticket that was not submitted records a cancelled job, which later submissions join, also at the successor of a planned stop; the answer is the job's own, cancelled and not run, and a repeated cancellation gets the same. Where the home cannot record it (memory full, stopping, expired, home lost) the verdict is may_have_run (TestCancellationThatIsNotKeptMayHaveRun).

Left: an adopter of a lost home does not know of the cancellation, as it knows of no answer of that home; it starts no task that may not be repeated.

--- a/api/v1/apiv1connect/jobs.connect.go
+++ b/api/v1/apiv1connect/jobs.connect.go
@@ -54,7 +54,8 @@
 	// GetJob returns the answer of a submitted job, or its current state if it has
 	// not ended.
 	GetJob(context.Context, *connect.Request[v1.GetJobRequest]) (*connect.Response[v1.GetJobResponse], error)
-	// CancelJob cancels a job. Tasks that have not started are never started.
+	// CancelJob cancels a job. Tasks that have not started are never started, also
+	// those of a submission that arrives after the cancellation.
 	CancelJob(context.Context, *connect.Request[v1.CancelJobRequest]) (*connect.Response[v1.CancelJobResponse], error)
 }
 
@@ -134,7 +135,8 @@
 	// GetJob returns the answer of a submitted job, or its current state if it has
 	// not ended.
 	GetJob(context.Context, *connect.Request[v1.GetJobRequest]) (*connect.Response[v1.GetJobResponse], error)
-	// CancelJob cancels a job. Tasks that have not started are never started.
+	// CancelJob cancels a job. Tasks that have not started are never started, also
+	// those of a submission that arrives after the cancellation.
 	CancelJob(context.Context, *connect.Request[v1.CancelJobRequest]) (*connect.Response[v1.CancelJobResponse], error)
 }
 
--- a/internal/process/entry/jobservice.go
+++ b/internal/process/entry/jobservice.go
@@ -204,16 +204,12 @@
 	return t, nil
 }
 
-func findJob(table *jobs.Table, m ticketRequest) (*jobs.Job, *verdict.Error) {
+func (e *Entry) getFromTable(ctx context.Context, table *jobs.Table, m *apiv1.GetJobRequest) (*apiv1.Answer, *verdict.Error) {
 	t, err := table.Decode(m.GetTicket(), m.GetDepartment(), m.GetOwner())
 	if err != nil {
 		return nil, err
 	}
-	return table.Get(t)
-}
-
-func (e *Entry) getFromTable(ctx context.Context, table *jobs.Table, m *apiv1.GetJobRequest) (*apiv1.Answer, *verdict.Error) {
-	j, err := findJob(table, m)
+	j, err := table.Get(t)
 	if err != nil {
 		return nil, err
 	}
@@ -227,10 +223,13 @@
 }
 
 func (e *Entry) cancelInTable(ctx context.Context, table *jobs.Table, m *apiv1.CancelJobRequest) (*apiv1.Answer, *verdict.Error) {
-	j, err := findJob(table, m)
+	t, err := table.Decode(m.GetTicket(), m.GetDepartment(), m.GetOwner())
+	if err != nil {
+		return nil, err
+	}
+	j, err := table.Cancel(t)
 	if err != nil {
 		return nil, err
 	}
-	j.Fail(verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_CANCELLED, "cancelled by its caller"))
 	return j.Wait(ctx)
 }
--- a/internal/process/jobs/job.go
+++ b/internal/process/jobs/job.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// newCancelledJob returns a job that was cancelled before its first submission.
+func newCancelledJob(id ticket.ID) *Job {
+	j := newJob(id, anyFingerprint, nil)
+	j.failNow(verdict.NotRunError(apiv1.Reason_REASON_CANCELLED, "cancelled before its submission"))
+	return j
+}
+
 // start submits the tasks of the job, or takes over those of an adopted job. If that is
 // refused, the job ends at once.
 func (j *Job) start(r *apiv1.SubmitRequest, adopted *Adopted) *verdict.Error {
--- a/internal/process/jobs/table.go
+++ b/internal/process/jobs/table.go
@@ -120,6 +120,14 @@
 // admit checks whether a ticket that was not submitted before may start a job. The caller
 // holds t.mu.
 func (t *Table) admit(admit func() *verdict.Error) *verdict.Error {
+	if err := t.checkCapacity(); err != nil {
+		return err
+	}
+	return admit()
+}
+
+// checkCapacity checks whether the table may take one more job. The caller holds t.mu.
+func (t *Table) checkCapacity() *verdict.Error {
 	if t.closed {
 		// The entry that takes over the tickets may have started the job.
 		return verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_STOPPING, "entry is stopping")
@@ -127,7 +135,7 @@
 	if t.memory.isFull() {
 		return verdict.NotRunError(apiv1.Reason_REASON_OVERLOAD, "remembered answers take up %d bytes", t.memory.Used())
 	}
-	return admit()
+	return nil
 }
 
 // refusal returns the error of a submission that starts no job.
@@ -182,7 +190,7 @@
 // join returns the job of an earlier submission, which must have had the same tasks.
 func (t *Table) join(j *Job, fingerprint uint64) (*Job, *verdict.Error) {
 	t.counters.Counter("jobs_joined").Inc(1)
-	if j.fingerprint != fingerprint {
+	if j.fingerprint != anyFingerprint && j.fingerprint != fingerprint {
 		return nil, verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_INVALID_ARGUMENT, "ticket was submitted before with other tasks")
 	}
 	return j, nil
@@ -192,6 +200,10 @@
 func (t *Table) Get(tk ticket.Ticket) (*Job, *verdict.Error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.get(tk)
+}
+
+func (t *Table) get(tk ticket.Ticket) (*Job, *verdict.Error) {
 	if j, ok := t.jobs[tk.ID]; ok {
 		return j, nil
 	}
@@ -204,6 +216,35 @@
 	return nil, verdict.NotRunError(apiv1.Reason_REASON_JOB_UNKNOWN, "ticket was never submitted")
 }
 
+// Cancel cancels the job of a ticket. A ticket that was not submitted gets a cancelled job, so
+// that a submission that arrives later starts nothing.
+func (t *Table) Cancel(tk ticket.Ticket) (*Job, *verdict.Error) {
+	j, err := t.findOrAddCancelled(tk)
+	if err == nil {
+		j.Fail(verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_CANCELLED, "cancelled by its caller"))
+	}
+	return j, err
+}
+
+func (t *Table) findOrAddCancelled(tk ticket.Ticket) (*Job, *verdict.Error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	j, err := t.get(tk)
+	if err == nil || err.Reason != apiv1.Reason_REASON_JOB_UNKNOWN {
+		return j, err
+	}
+	if err := t.checkCapacity(); err != nil {
+		// A submission without an answer may still arrive.
+		err.Verdict = verdict.MayHaveRun
+		return nil, err
+	}
+	j = newCancelledJob(tk.ID)
+	j.expires = tk.Expires
+	t.insert(j)
+	t.chargeMemory(j)
+	return j, nil
+}
+
 // Close makes the table refuse new jobs. Resubmissions still return the job of their
 // ticket.
 func (t *Table) Close() {
@@ -234,6 +275,9 @@
 	return t.running
 }
 
+// anyFingerprint is the fingerprint of a job that was cancelled before its first submission.
+const anyFingerprint = 0
+
 // fingerprint returns a hash of the tasks, which a resubmission must repeat. It is the
 // same at every entry.
 func fingerprint(r *apiv1.SubmitRequest) uint64 {
