The client reports not run only if no earlier try is without an answer

Callers would see: a submission gets no answer (connection broken, 502, 504), the repeat under the same ticket is refused (overload, another owner, unknown job), and the client's error says not_run, while the first may have run or may still run. The same for a job that was accepted without waiting, for a submission beside another in flight, and for 'job_unknown, not run' to a query or a cancellation. A cancellation repeated after silence that finds no job was reported as an error instead of as done.

Fix: the client keeps verdict.Tries for each ticket that it fetched; a ticket from elsewhere, or one dropped for want of space, counts as submitted before. Tries gains Begin and End for tries in flight, and the error of a call keeps the reason of the latest refusal and gets the verdict of all tries, as the entries already do for requests that name a ticket (so the reason of a repeated forward is now the refusal's, no longer outcome_unknown). A job state without a class is not final.

The chaos run and the replay judge the verdicts of entries, so they read the answer to each try (LastTry); their checks see what they saw before.

--- a/client/client.go
+++ b/client/client.go
@@ -51,8 +51,9 @@
 
 // Client submits the jobs of one owner. It is safe for concurrent use.
 type Client struct {
-	config Config
-	jobs   apiv1connect.JobServiceClient
+	config      Config
+	jobs        apiv1connect.JobServiceClient
+	submissions submissions
 
 	mu      sync.Mutex
 	tickets [][]byte
@@ -110,6 +111,9 @@
 	}
 	lifetime := time.Duration(response.Msg.GetExpiresInMs()) * time.Millisecond
 	c.tickets = response.Msg.GetTickets()
+	for _, t := range c.tickets {
+		c.submissions.add(t)
+	}
 	c.expires = time.Now().Add(lifetime - min(expiryMargin, lifetime/2))
 	return nil
 }
@@ -125,20 +129,40 @@
 
 // Resubmit submits a job under a ticket that may already have been used for it, and
 // waits for its answer. The failure of a failed answer is returned as an *Error.
+//
+// An error without an answer has the verdict NotRun only if this client fetched the ticket and
+// no earlier submission is without an answer. With the verdict MayHaveRun, submit the job again
+// under the same ticket.
 func (c *Client) Resubmit(ctx context.Context, ticket []byte, j Job) (*apiv1.Answer, error) {
-	response, err := c.jobs.Submit(ctx, connect.NewRequest(c.submitRequest(ticket, j)))
+	return c.submit(ctx, c.submitRequest(ticket, j))
+}
+
+func (c *Client) submit(ctx context.Context, r *apiv1.SubmitRequest) (*apiv1.Answer, error) {
+	sub := c.submissions.beginSubmit(r.GetTicket())
+	response, err := c.jobs.Submit(ctx, connect.NewRequest(r))
 	if err != nil {
-		e := verdict.FromError(err)
+		e := c.submissions.endSubmit(sub, verdict.FromError(err))
 		if e.Reason == apiv1.Reason_REASON_HOME_LOST {
-			c.Discard(ticket)
+			c.Discard(r.GetTicket())
 		}
 		return nil, e
 	}
-	answer, err := answerWithError(response.Msg.GetAnswer())
+	answer := response.Msg.GetAnswer()
 	if answer.GetFailure().GetReason() == apiv1.Reason_REASON_HOME_LOST {
-		c.Discard(ticket)
+		c.Discard(r.GetTicket())
+	}
+	return c.receive(r.GetTicket(), answer)
+}
+
+// receive returns the answer of a job and, if it is a failure, the matching *Error.
+func (c *Client) receive(ticket []byte, a *apiv1.Answer) (*apiv1.Answer, error) {
+	if isFinal(a) {
+		c.submissions.forget(ticket)
+	}
+	if f := a.GetFailure(); f != nil {
+		return a, verdict.FromFailure(f)
 	}
-	return answer, err
+	return a, nil
 }
 
 // Discard drops the fetched tickets issued by the same entry as the given one. Call it
@@ -149,12 +173,12 @@
 	c.tickets = slices.DeleteFunc(c.tickets, func(t []byte) bool { return ticket.IsSameHome(t, lost) })
 }
 
-// Start submits a job without waiting for its answer.
+// Start submits a job without waiting for its answer. Its errors are those of Resubmit.
 func (c *Client) Start(ctx context.Context, ticket []byte, j Job) error {
 	r := c.submitRequest(ticket, j)
 	r.NoWait = true
-	if _, err := c.jobs.Submit(ctx, connect.NewRequest(r)); err != nil {
-		return verdict.FromError(err)
+	if answer, err := c.submit(ctx, r); answer == nil {
+		return err
 	}
 	return nil
 }
@@ -180,28 +204,22 @@
 		WaitMs:     uint32(wait.Milliseconds()),
 	}))
 	if err != nil {
-		return nil, verdict.FromError(err)
+		return nil, c.submissions.qualify(ticket, verdict.FromError(err))
 	}
-	return answerWithError(response.Msg.GetAnswer())
+	return c.receive(ticket, response.Msg.GetAnswer())
 }
 
-// Cancel cancels a job and returns its answer.
+// Cancel cancels a job and returns its answer. The error of a cancelled job has the reason
+// REASON_CANCELLED, also if its answer was lost with an earlier cancellation.
 func (c *Client) Cancel(ctx context.Context, ticket []byte) (*apiv1.Answer, error) {
+	sub := c.submissions.beginCancel(ticket)
 	response, err := c.jobs.CancelJob(ctx, connect.NewRequest(&apiv1.CancelJobRequest{
 		Ticket:     ticket,
 		Department: c.config.Department,
 		Owner:      c.config.Owner,
 	}))
 	if err != nil {
-		return nil, verdict.FromError(err)
-	}
-	return answerWithError(response.Msg.GetAnswer())
-}
-
-// answerWithError returns the answer and, if it is a failure, the matching *Error.
-func answerWithError(a *apiv1.Answer) (*apiv1.Answer, error) {
-	if f := a.GetFailure(); f != nil {
-		return a, verdict.FromFailure(f)
+		return nil, c.submissions.endCancel(sub, verdict.FromError(err))
 	}
-	return a, nil
+	return c.receive(ticket, response.Msg.GetAnswer())
 }
--- a/internal/bench/chaos/caller.go
+++ b/internal/bench/chaos/caller.go
@@ -55,7 +55,8 @@
 	replies       []reply
 }
 
-// reply is the outcome of one submission.
+// reply is the outcome of one submission. Its error is what the entry answered to this one, so
+// that each verdict of an entry is checked.
 type reply struct {
 	sentAt     time.Time
 	receivedAt time.Time
@@ -148,7 +149,7 @@
 	via := j.random.IntN(len(r.fleet.Entries))
 	next := reply{sentAt: time.Now()}
 	answer, err := r.clients[j.owner][via].Resubmit(ctx, ticket, j.request)
-	next.answer, next.err, next.receivedAt = answer, verdict.FromError(err), time.Now()
+	next.answer, next.err, next.receivedAt = answer, verdict.FromError(err).LastTry(), time.Now()
 	if len(j.replies) == 0 {
 		j.firstReply = next.receivedAt
 	}
--- a/internal/bench/replay/job.go
+++ b/internal/bench/replay/job.go
@@ -31,7 +31,8 @@
 	replies []reply // guarded by player.mu
 }
 
-// reply is the result of one submission.
+// reply is the result of one submission. Its error is what the entry answered to this one, so
+// that each verdict of an entry is checked.
 type reply struct {
 	via        string
 	sentAt     time.Time
@@ -119,7 +120,7 @@
 	defer cancel()
 	sent := time.Now()
 	answer, err := c.Resubmit(ctx, j.ticket, j.request)
-	p.record(j, reply{via: via.Name, sentAt: sent, receivedAt: time.Now(), answer: answer, err: verdict.FromError(err)})
+	p.record(j, reply{via: via.Name, sentAt: sent, receivedAt: time.Now(), answer: answer, err: verdict.FromError(err).LastTry()})
 }
 
 func (p *player) cancel(ctx context.Context, e *trace.Cancel) {
--- a/internal/request/verdict/verdict.go
+++ b/internal/request/verdict/verdict.go
@@ -35,6 +35,8 @@
 	Reason     Reason
 	Message    string
 	RetryAfter time.Duration
+	// lastTry is the error of the latest try of a call, if that of the whole call differs.
+	lastTry *Error
 }
 
 // New returns an Error with a formatted message.
@@ -52,6 +54,14 @@
 	return fmt.Sprintf("%s: %s: %s", Name(e.Verdict), ReasonName(e.Reason), e.Message)
 }
 
+// LastTry returns the error of the latest try of the call that failed with e.
+func (e *Error) LastTry() *Error {
+	if e == nil || e.lastTry == nil {
+		return e
+	}
+	return e.lastTry
+}
+
 // Failure returns the protobuf form of e.
 func (e *Error) Failure() *apiv1.Failure {
 	return &apiv1.Failure{
