A change repeated after silence is recognised by its ID and not reported as not run

Operators would see: a change gets no answer, the command repeats it, the repeat is refused (store unavailable, rate limit, token, an entry without the call, a conflict whose history no longer reaches back) and the command exits with 1 and 'verdict: not_run', though the first try may have been written. The same when the command itself is repeated with -change-id. A conflict with the change's own first write was reported as another change.

Fix: the command records its tries; an earlier command counts as one if -change-id is given.

Ruled out: entries answer a conflict only after they looked for the ID, so that the own-write conflict was not reachable with the present entries.

--- a/internal/command/change.go
+++ b/internal/command/change.go
@@ -14,6 +14,7 @@
 
 	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+	"github.com/rosemarybay/rosemarybay/internal/version/config"
 )
 
 const (
@@ -53,15 +54,13 @@
 	if m.GetChangeId() == "" {
 		m.ChangeId = newChangeID()
 	}
-	if err := c.setBaseRevision(ctx, m); err != nil {
-		return err
+	tries := c.newChangeTries(m)
+	if err := c.setBaseRevision(ctx, m, tries); err != nil {
+		return c.changeError(m, err)
 	}
-	response, err := c.sendChange(ctx, m)
+	response, err := c.sendChange(ctx, m, tries)
 	if err != nil {
-		if isUnknown(fromError(err)) {
-			_, _ = fmt.Fprintf(c.Err, "change ID %s\n", m.GetChangeId())
-		}
-		return err
+		return c.changeError(m, err)
 	}
 	if err := c.printMessage(response, func() [][]string { return objectRows([]*apiv1.Object{response.GetObject()}) }); err != nil {
 		return err
@@ -73,6 +72,14 @@
 	return c.waitInForce(ctx, response)
 }
 
+// changeError prints the ID of a change whose outcome is unknown, and returns its error.
+func (c *invocation) changeError(m *apiv1.ChangeRequest, err error) error {
+	if isUnknown(fromError(err)) {
+		_, _ = fmt.Fprintf(c.Err, "change ID %s\n", m.GetChangeId())
+	}
+	return err
+}
+
 func newChangeID() string {
 	b := make([]byte, changeIDBytes)
 	_, _ = rand.Read(b) // never fails
@@ -81,8 +88,8 @@
 
 // setBaseRevision sets the base revision to the value of -base or to the current
 // revision of the object. An object that does not exist yet has the base revision 0. A
-// failed read is reported as not run, because the change has not been sent.
-func (c *invocation) setBaseRevision(ctx context.Context, m *apiv1.ChangeRequest) error {
+// failed read is reported as not run, because the change has not been sent by this command.
+func (c *invocation) setBaseRevision(ctx context.Context, m *apiv1.ChangeRequest, tries *changeTries) error {
 	if c.change.base >= 0 {
 		m.BaseRevision = uint64(c.change.base)
 		return nil
@@ -97,20 +104,24 @@
 		if isUnknown(e) {
 			e.Reason = apiv1.Reason_REASON_LINK_LOST
 		}
-		return e
+		return tries.record(e)
 	}
 	return nil
 }
 
 // sendChange sends a change and retries it under the same change ID while its outcome
 // is unknown.
-func (c *invocation) sendChange(ctx context.Context, m *apiv1.ChangeRequest) (*apiv1.ChangeResponse, error) {
+func (c *invocation) sendChange(ctx context.Context, m *apiv1.ChangeRequest, tries *changeTries) (*apiv1.ChangeResponse, error) {
 	backoff := initialChangeBackoff
 	for try := 1; ; try++ {
 		response, err := c.config().Change(ctx, connect.NewRequest(m))
 		if err == nil {
 			return response.Msg, nil
 		}
+		if o := conflictObject(err); config.HasChange(o, m.GetChangeId()) {
+			return &apiv1.ChangeResponse{Object: o, AcceptedRevision: config.AcceptedRevision(o, m.GetChangeId())}, nil
+		}
+		err = tries.record(err)
 		if try == maxChangeAttempts || !isUnknown(fromError(err)) || !sleep(ctx, backoff) {
 			return nil, err
 		}
--- a/internal/command/change_test.go
+++ b/internal/command/change_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -189,3 +190,67 @@
 		checkOutput(t, status, errs.String(), c.want, "next:")
 	}
 }
+
+// The repeat of a change whose first try got no answer may be refused, or conflict with the
+// first write itself. It must be recognised by its ID, and never be reported as not run.
+func TestRefusedRepeatOfAChangeIsNotReportedAsNotRun(t *testing.T) {
+	lost := verdict.New(verdict.MayHaveRun, apiv1.Reason_REASON_OUTCOME_UNKNOWN, "answer lost").ToConnect()
+	conflict := func(o *apiv1.Object) error {
+		err := verdict.NotRunError(apiv1.Reason_REASON_CONFLICT, "object is at revision %d", o.GetRevision()).ToConnect()
+		detail, detailErr := connect.NewErrorDetail(o)
+		if detailErr != nil {
+			t.Fatal(detailErr)
+		}
+		err.AddDetail(detail)
+		return err
+	}
+	record := func(id string, base uint64) *apiv1.ChangeRecord {
+		return &apiv1.ChangeRecord{ChangeId: id, By: "someone", BaseRevision: base}
+	}
+	const refused = "verdict: may_have_run"
+	for _, c := range []struct {
+		name  string
+		first error
+		then  error
+		args  []string
+		want  int
+		text  string
+	}{
+		{"conflict with its own write", lost, conflict(&apiv1.Object{Revision: 9, History: []*apiv1.ChangeRecord{record("other", 0), record("c1", 5), record("later", 8)}}), nil, exitOK, "accepted at revision 8"},
+		{"conflict with another change", lost, conflict(&apiv1.Object{Revision: 8, History: []*apiv1.ChangeRecord{record("first", 0), record("other", 5)}}), nil, exitFailed, "verdict: not_run"},
+		{"conflict, history is cut", lost, conflict(&apiv1.Object{Revision: 80, History: []*apiv1.ChangeRecord{record("other", 60)}}), nil, exitUnknown, refused},
+		{"conflict with an older object", lost, conflict(&apiv1.Object{Revision: 4, History: []*apiv1.ChangeRecord{record("first", 0)}}), nil, exitUnknown, refused},
+		{"store unavailable", lost, verdict.NotRunError(apiv1.Reason_REASON_STORE_UNAVAILABLE, "store").ToConnect(), nil, exitUnknown, refused},
+		{"unauthenticated", lost, verdict.NotRunError(apiv1.Reason_REASON_UNAUTHENTICATED, "token").ToConnect(), nil, exitUnknown, refused},
+		{"rate limit", lost, verdict.NotRunError(apiv1.Reason_REASON_RATE_LIMIT, "rate").ToConnect(), nil, exitUnknown, refused},
+		{"404", lost, connect.NewError(connect.CodeUnimplemented, errors.New("404 Not Found")), nil, exitUnknown, refused},
+		{"first try refused", verdict.NotRunError(apiv1.Reason_REASON_UNAUTHENTICATED, "token").ToConnect(), nil, nil, exitFailed, "verdict: not_run"},
+		{"first try of a repeated command", verdict.NotRunError(apiv1.Reason_REASON_UNAUTHENTICATED, "token").ToConnect(), nil, []string{"-change-id", "c1"}, exitUnknown, refused},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := &fakeConfig{onChange: func(try int) error {
+				if try == 1 || c.then == nil {
+					return c.first
+				}
+				return c.then
+			}}
+			args := append([]string{"datacentre", "out", "nbo1", "-no-wait", "-base", "5"}, c.args...)
+			if c.then != nil {
+				args = append(args, "-change-id", "c1")
+			}
+			status, _, stderr := runTool(t.Context(), t, f, args...)
+			checkOutput(t, status, stderr, c.want, c.text)
+		})
+	}
+}
+
+// A command that is repeated with its change ID may find no entry to read the object from. Its
+// first run may have made the change.
+func TestUnreadObjectOfARepeatedCommandMayHaveRun(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	var out, errs bytes.Buffer
+	status := Main(t.Context(), []string{"datacentre", "out", "nbo1", "-change-id", "c1", "-address", server.URL}, Streams{Out: &out, Err: &errs})
+	checkOutput(t, status, errs.String(), exitUnknown, "verdict: may_have_run", "change ID c1", "-change-id")
+}
--- a/internal/process/entry/change.go
+++ b/internal/process/entry/change.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if hasChange(o, m.GetChangeId()) {
+	if config.HasChange(o, m.GetChangeId()) {
 		return o, nil
 	}
 	if !m.GetAnyBase() && m.GetBaseRevision() != o.GetRevision() {
@@ -206,15 +206,6 @@
 	return verdict.NotRunError(apiv1.Reason_REASON_STORE_UNAVAILABLE, "%v", err)
 }
 
-func hasChange(o *apiv1.Object, changeID string) bool {
-	for _, record := range o.GetHistory() {
-		if record.GetChangeId() == changeID {
-			return true
-		}
-	}
-	return false
-}
-
 // applyChange applies a change to o and appends it to the history of o.
 func applyChange(o *apiv1.Object, m *apiv1.ChangeRequest) *verdict.Error {
 	exists := o.GetRevision() > 0
--- a/internal/process/entry/configservice.go
+++ b/internal/process/entry/configservice.go
@@ -12,6 +12,7 @@
 	"github.com/rosemarybay/rosemarybay/api/v1/apiv1connect"
 	"github.com/rosemarybay/rosemarybay/internal/process/jobs"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+	"github.com/rosemarybay/rosemarybay/internal/version/config"
 )
 
 type configService struct {
@@ -34,7 +35,7 @@
 		return nil, withCurrentObject(s.entry.refuse(err), err, o)
 	}
 	s.entry.counters.Counter("config_changes").Inc(1)
-	accepted := acceptedRevision(o, r.Msg.GetChangeId())
+	accepted := config.AcceptedRevision(o, r.Msg.GetChangeId())
 	return connect.NewResponse(&apiv1.ChangeResponse{
 		Object:           o,
 		AcceptedRevision: accepted,
@@ -42,18 +43,6 @@
 	}), nil
 }
 
-// acceptedRevision returns the revision at which a change was stored: the base revision
-// of the next change in the history, or the revision of the object.
-func acceptedRevision(o *apiv1.Object, changeID string) uint64 {
-	history := o.GetHistory()
-	for i, record := range history {
-		if record.GetChangeId() == changeID && i+1 < len(history) {
-			return history[i+1].GetBaseRevision()
-		}
-	}
-	return o.GetRevision()
-}
-
 // withCurrentObject adds the current object to the error of a conflict.
 func withCurrentObject(err error, cause *verdict.Error, current *apiv1.Object) error {
 	var rpc *connect.Error
