A return of slots that is repeated after silence releases them once

Operators would see: a department with a quota uses more slots than it. An entry reports ended tasks and unused slots to the broker of their target; when the link breaks before the answer, it repeats the call up to three times, and the broker counts each one that arrives.

Cause: a repeat executed as if the first had not been; the count is relative, so the repeat speaks for tasks that still run.

Ruled out: repeating only what was certainly not sent: the report of an ended task would be lost with each broken link, and the department would run below its quota.

Left: a return that the broker gets after it took over the entry's own count lowers the count once too often, until the entry has had no grant for 2 s; as before.

--- a/internal/process/entry/slots.go
+++ b/internal/process/entry/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +19,8 @@
 // slotBrokers sends requests to the slot brokers of targets, in this entry or in others.
 type slotBrokers struct {
 	entry *Entry
+	// lastReturn is the number of the latest return.
+	lastReturn atomic.Uint64
 }
 
 // Acquire implements dispatch.SlotBrokers.
@@ -41,14 +44,15 @@
 	return s.entry.broker.TryAcquire(req)
 }
 
-// Return implements dispatch.SlotBrokers. If the broker cannot be reached,
-// its sweeps reclaim the unused slots, and a later Acquire corrects its count of slots in
-// use.
+// Return implements dispatch.SlotBrokers. It repeats a call without an answer under the same
+// number, so that the broker executes it once. If the broker cannot be reached, its sweeps
+// reclaim the unused slots, and a later Acquire corrects its count of slots in use.
 func (s *slotBrokers) Return(broker uint64, m *peerv1.ReturnSlots) {
 	if broker == s.entry.incarnation {
 		s.entry.broker.Return(m)
 		return
 	}
+	m.Sequence = s.lastReturn.Add(1)
 	go func() {
 		call := &peerv1.Call{Request: &peerv1.Call_ReturnSlots{ReturnSlots: m}}
 		ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
--- a/internal/process/slots/broker.go
+++ b/internal/process/slots/broker.go
@@ -45,6 +45,7 @@
 	nextInRing      int
 	waitingRequests int
 	outliers        outliers
+	returns         returnLog
 }
 
 // New returns a broker without targets.
@@ -58,6 +59,7 @@
 		dataCentres:    make(map[string]*dataCentre),
 		departments:    make(map[string]*departmentQueue),
 		outliers:       newOutliers(counters),
+		returns:        make(returnLog),
 	}
 }
 
@@ -83,6 +85,7 @@
 func (b *Broker) sweep() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.returns.expire(b.now())
 	for _, t := range b.targets {
 		if n := t.sweep(); n > 0 {
 			b.slotsUnclaimed.Inc(int64(n))
@@ -249,10 +252,14 @@
 	}
 }
 
-// Return handles unused slots that an entry returns and its reports of ended tasks.
+// Return handles unused slots that an entry returns and its reports of ended tasks. It ignores
+// a repeat.
 func (b *Broker) Return(m *peerv1.ReturnSlots) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.returns.isRepeat(m.GetEntry(), m.GetSequence(), b.now()) {
+		return
+	}
 	for _, s := range m.GetSlots() {
 		if t := b.targets[s.GetTarget()]; t != nil {
 			t.claim(int(s.GetSlots()))
