A target's overload or its proxy's error is not reported as ran

Callers would see: a target that refuses a task as busy (429, 503), or a proxy in front of it that does not reach it (502, 504), makes the job end with the verdict 'ran', though nothing need have run. Nothing was started twice: an attempt is one POST, sent once.

Fix: a status has a class; one without a class proves nothing (TestEachStatusHasAProof over all codes). 429 and 503 have the reason target_full, so that three of them are not taken for three crashes of a target. 4xx and 500 stay the target's own answer to the task.

Ruled out: not_run for 429 and 503: HTTP does not promise that nothing was done, and a task that may not be repeated would be placed elsewhere upon it.

--- a/internal/connection/target/target.go
+++ b/internal/connection/target/target.go
@@ -70,16 +70,43 @@
 	defer func() { _ = response.Body.Close() }()
 	output, err := io.ReadAll(io.LimitReader(response.Body, MaxOutputBytes+1))
 	switch {
+	case response.StatusCode != http.StatusOK:
+		return nil, statusError(response.StatusCode)
 	case err != nil:
 		return nil, verdict.New(verdict.Ran, reasonOf(ctx), "read output: %v", err)
 	case len(output) > MaxOutputBytes:
 		return nil, verdict.New(verdict.Ran, apiv1.Reason_REASON_TARGET_FAILED, "output exceeds %d bytes", MaxOutputBytes)
-	case response.StatusCode != http.StatusOK:
-		return nil, verdict.New(verdict.Ran, apiv1.Reason_REASON_TARGET_FAILED, "target answered %d", response.StatusCode)
 	}
 	return output, nil
 }
 
+// proofOfStatus returns what the status of a response proves about the task. Only the target
+// itself answers with 500 or refuses the task by a 4xx; overload and what stands in front of
+// the target say nothing about the task.
+func proofOfStatus(code int) verdict.Proof {
+	switch {
+	case code == http.StatusOK, code == http.StatusInternalServerError:
+		return verdict.ProvesExecuted
+	case code == http.StatusTooManyRequests:
+		return verdict.ProvesNothing
+	case code >= 400 && code < 500:
+		return verdict.ProvesExecuted
+	default:
+		return verdict.ProvesNothing
+	}
+}
+
+// statusError returns the error for a response with a status other than 200.
+func statusError(code int) *verdict.Error {
+	var tries verdict.Tries
+	v := tries.Record(proofOfStatus(code))
+	reason := apiv1.Reason_REASON_TARGET_FAILED
+	if code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable {
+		reason = apiv1.Reason_REASON_TARGET_FULL
+	}
+	return verdict.New(v, reason, "target answered %d", code)
+}
+
 // requestError returns the error for a request without a response. Only a failed dial proves
 // that the task has not run.
 func requestError(ctx context.Context, err error) *verdict.Error {
