The own fleet under targets that do not answer

A target of the own fleet gets faults at each call, as independent choices: executed without an answer, neither executed nor answered, executed late, reset after or without execution, refused as busy. TestVerdictsHoldWithTargetsThatDoNotAnswer runs an entry and three agents against them, with callers that give up and submit again: no task that may not be repeated starts twice, a job answered not_run has not run, a complete answer holds every result.

With the agent's class of an unanswered call changed to not_run it fails: 'task 2-1/1 started 2 times', 'task 0-0/0 started, its job was answered not_run: deadline_exceeded'.

--- a/internal/process/daemon/fixture_test.go
+++ b/internal/process/daemon/fixture_test.go
@@ -48,6 +48,8 @@
 	entrySettings settings.Settings
 	agentSettings settings.Settings
 	http          http.RoundTripper
+	ledger        standintarget.Ledger
+	target        *standintarget.Target // of the first agent
 }
 
 // shortIdle is the time limit for a request to arrive completely. It is short so that tests
@@ -69,14 +71,13 @@
 	host := netip.AddrFrom4([4]byte{127, 240, byte(rand.N(250)), byte(1 + rand.N(250))}).String()
 	store := standinstore.New()
 	storeServer := httptest.NewServer(store.Handler())
-	target := httptest.NewServer(standintarget.New("r1", "nbo1", &standintarget.Ledger{}))
 	t.Cleanup(func() {
 		store.Close()
 		storeServer.CloseClientConnections()
 		storeServer.Close()
-		target.CloseClientConnections()
-		target.Close()
 	})
+	var targetURL string
+	p.target, targetURL = p.startTarget("r1")
 	p.callerPair = mustPair(t, func() (identity.KeyPair, error) { return identity.NewServerCertificate(p.ca, "entry", []string{host}) })
 	p.entrySettings = settings.Settings{
 		Role: settings.RoleEntry, Name: entryName, DataCentre: "nbo1", TLS: p.nodeKeys(p.ca, entryName, identity.RoleEntry),
@@ -95,7 +96,7 @@
 		Role: settings.RoleAgent, Name: agentName, DataCentre: "nbo1", TLS: p.nodeKeys(p.ca, agentName, identity.RoleAgent),
 		Agent: &settings.Agent{
 			Entries: []string{host + ":7000"}, StatusListen: host + ":7002",
-			Target: settings.Target{Name: "r1", Rack: "a", URL: target.URL, Slots: 8, CPUs: 30, MemoryMB: 130000},
+			Target: settings.Target{Name: "r1", Rack: "a", URL: targetURL, Slots: 8, CPUs: 30, MemoryMB: 130000},
 		},
 	}
 	p.http = p.transport()
@@ -103,6 +104,17 @@
 	return p
 }
 
+// startTarget starts a stand-in target, which records its starts in the fixture's ledger.
+func (p *fixture) startTarget(name string) (*standintarget.Target, string) {
+	target := standintarget.New(name, "nbo1", &p.ledger)
+	server := httptest.NewServer(target)
+	p.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return target, server.URL
+}
+
 // run starts both nodes, creates the department "desk" and waits until a job completes. The
 // nodes stop at the end of the test.
 func (p *fixture) run() {
@@ -132,12 +144,13 @@
 // runAgent starts an agent and stops it at the end of the test.
 func (p *fixture) runAgent(s *settings.Settings) {
 	p.t.Helper()
-	var err error
-	if p.agent, err = agent.New(s, zerolog.Nop()); err != nil {
+	a, err := agent.New(s, zerolog.Nop())
+	if err != nil {
 		p.t.Fatal(err)
 	}
+	p.agent = a
 	stop, done := make(chan struct{}), make(chan struct{})
-	go func() { p.agent.Run(stop); close(done) }()
+	go func() { a.Run(stop); close(done) }()
 	p.t.Cleanup(func() {
 		close(stop)
 		<-done
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -47,9 +47,11 @@
 	starts []*Start
 }
 
+// add records a start that begins now.
 func (l *Ledger) add(s *Start) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	s.At = time.Now()
 	l.starts = append(l.starts, s)
 }
 
@@ -76,9 +78,10 @@
 	dataCentre string
 	ledger     *Ledger
 
-	mu     sync.Mutex
-	mode   Mode
-	factor float64
+	mu        sync.Mutex
+	mode      Mode
+	factor    float64
+	callFault func() CallFault
 }
 
 // New returns a target that records its starts in ledger.
@@ -118,7 +121,10 @@
 		DataCentre: t.dataCentre,
 		Department: r.Header.Get("Rosemarybay-Department"),
 		Owner:      r.Header.Get("Rosemarybay-Owner"),
-		At:         time.Now(),
+	}
+	if fault := t.nextCallFault(); fault != Answered {
+		t.serveFaulty(w, r, start, fault)
+		return
 	}
 	t.ledger.add(start)
 	run := time.Duration(payload.RunMS) * time.Millisecond
