A failure without a verdict counts as may have run

Callers would see: a job answered not_run although one of its tasks may have run. A failure whose verdict is missing (the zero value), as from a node that does not set it, ranked below not_run, so that the worst verdict of a job's tasks became not_run.

Evidence: TestFailureWithoutVerdictMayHaveRun on the code before: 'VERDICT_UNSPECIFIED: the worst with not run is VERDICT_NOT_RUN, want VERDICT_MAY_HAVE_RUN'. No node of ours sends such a failure today.

Fix: a verdict without a class, missing or unknown, becomes may_have_run where it is read.

--- a/internal/request/verdict/callerror_test.go
+++ b/internal/request/verdict/callerror_test.go
@@ -79,3 +79,21 @@
 		}
 	}
 }
+
+// A failure whose verdict is missing or unknown counts like no answer. Below not_run, it would
+// be lost among the verdicts of a job's other tasks.
+func TestFailureWithoutVerdictMayHaveRun(t *testing.T) {
+	const unknown = Verdict(100)
+	for v, want := range map[Verdict]Verdict{
+		apiv1.Verdict_VERDICT_UNSPECIFIED: MayHaveRun,
+		unknown:                           MayHaveRun,
+		NotRun:                            NotRun,
+		MayHaveRun:                        MayHaveRun,
+		Ran:                               Ran,
+	} {
+		e := FromFailure(&apiv1.Failure{Verdict: v})
+		if e.Verdict != want || Worst(NotRun, e.Verdict) != want {
+			t.Errorf("%v: %v, the worst with not run is %v, want %v", v, e.Verdict, Worst(NotRun, e.Verdict), want)
+		}
+	}
+}
--- a/internal/request/verdict/verdict.go
+++ b/internal/request/verdict/verdict.go
@@ -72,13 +72,18 @@
 	}
 }
 
-// FromFailure returns the Error for a protobuf Failure, or nil for nil.
+// FromFailure returns the Error for a protobuf Failure, or nil for nil. A verdict that is
+// missing or unknown becomes MayHaveRun.
 func FromFailure(f *apiv1.Failure) *Error {
 	if f == nil {
 		return nil
 	}
+	v := f.GetVerdict()
+	if ProofOf(v) == ProvesNothing {
+		v = MayHaveRun
+	}
 	return &Error{
-		Verdict:    f.GetVerdict(),
+		Verdict:    v,
 		Reason:     f.GetReason(),
 		Message:    f.GetMessage(),
 		RetryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
