An execution proved by one try in flight is remembered for the others

Tries.Executed came with the run manager's use of the type; End, for tries in flight, did not set it, so that a refusal after 'ran' would have been not_run. TestTryInFlightIsOpenUntilItsAnswer failed with its stricter expectation before.

--- a/internal/request/verdict/callerror.go
+++ b/internal/request/verdict/callerror.go
@@ -55,5 +55,6 @@
 	if p != ProvesNothing {
 		t.Open = max(0, t.Open-1)
 	}
+	t.Executed = t.Executed || p == ProvesExecuted
 	return t.Verdict(p)
 }
--- a/internal/request/verdict/callerror_test.go
+++ b/internal/request/verdict/callerror_test.go
@@ -65,7 +65,7 @@
 	}{
 		{ProvesNothing, MayHaveRun, MayHaveRun},
 		{ProvesRejected, MayHaveRun, NotRun},
-		{ProvesExecuted, Ran, NotRun},
+		{ProvesExecuted, Ran, Ran},
 		{ProvesNeverExecuted, NotRun, NotRun},
 	} {
 		var tries Tries
