--- a/internal/process/entry/route_test.go
+++ b/internal/process/entry/route_test.go
@@ -105,6 +105,12 @@
 	})
 }
 
+func (h *fakeHome) callCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.calls
+}
+
 func (h *fakeHome) nextReply() *peerv1.Reply {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -122,7 +128,7 @@
 	t.Helper()
 	counters := metrics.New()
 	e := &Entry{
-		settings: &settings.Settings{Name: "entry", DataCentre: "nbo1"}, incarnation: testEntryNumber, counters: counters,
+		settings: &settings.Settings{Name: "entry", DataCentre: "nbo1", Entry: &settings.Entry{}}, incarnation: testEntryNumber, counters: counters,
 		stats: link.NewStats(counters.Registry()), config: config.NewView(), roster: roster.NewView(), adoptions: newAdoptions(),
 		transport: newTestTransport(t), access: &access{keys: newTestKeys(t, ca, "entry")}, lease: newLease(time.Minute),
 	}
@@ -163,8 +169,8 @@
 			if refusal != nil {
 				got = refusal.Verdict
 			}
-			if got != c.want || home.calls != len(c.replies) {
-				t.Errorf("got %v, %v after %d calls, want %v", answer, refusal, home.calls, c.want)
+			if got != c.want || home.callCount() != len(c.replies) {
+				t.Errorf("got %v, %v after %d calls, want %v", answer, refusal, home.callCount(), c.want)
 			}
 		})
 	}
