The property test of jobs submits to adopters that refuse

A refusal as not run must not follow a start. With the adopter's table counted as complete, as before the fix, it fails: 'job 5 was refused as NotRun, but task 0 has started'.

--- a/internal/process/jobs/property_test.go
+++ b/internal/process/jobs/property_test.go
@@ -31,6 +31,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"submit":   c.submit,
 			"resubmit": c.resubmit,
+			"refuse":   c.refuse,
 			"cancel":   c.cancel,
 			"toAgent":  func(t *rapid.T) { c.toAgent(agent(t), entry(t)) },
 			"toAgent2": func(t *rapid.T) { c.toAgent(agent(t), entry(t)) },
@@ -76,6 +77,23 @@
 	c.submitTo(t, j, c.adoptedTable)
 }
 
+// refuse submits a job again to an entry that admits no job.
+func (c *testCluster) refuse(t *rapid.T) {
+	if len(c.jobs) == 0 || c.adopted == nil || len(c.unacknowledged) > 0 {
+		return
+	}
+	j := c.jobs[rapid.IntRange(0, len(c.jobs)-1).Draw(t, "job")]
+	_, err := c.adoptedTable.Submit(j.ticket, j.request, refuseAll)
+	if err == nil || err.Verdict != verdict.NotRun {
+		return
+	}
+	for i := range j.request.GetTasks() {
+		if n := c.starts[j.taskName(uint32(i))]; n > 0 {
+			t.Fatalf("job %d was refused as NotRun, but task %d has started", j.ticket.Sequence, i)
+		}
+	}
+}
+
 func (c *testCluster) cancel(t *rapid.T) {
 	if len(c.jobs) == 0 || rapid.IntRange(0, 3).Draw(t, "cancels") > 0 {
 		return
