The model's paused agent receives no answer of its target until it resumes

Before, only calls waited for the end of a pause, so that no schedule had an answer that is read long after it was sent.

--- a/internal/process/model/target_test.go
+++ b/internal/process/model/target_test.go
@@ -111,8 +111,8 @@
 	}
 }
 
-// conn is the connection of one agent process to a target. Its calls wait while the
-// process is paused.
+// conn is the connection of one agent process to a target. Its calls and their answers wait
+// while the process is paused.
 type conn struct {
 	*target
 	agent *agent
@@ -148,7 +148,7 @@
 	c.clock, c.clockReadAt = clock, time.Now()
 }
 
-// do sends a call once the process is no longer paused.
+// do sends a call and returns the answer, each once the process is no longer paused.
 func (c *conn) do(ctx context.Context, token uint64, call runtarget.Call) (runtarget.Reply, runs.Answer, error) {
 	if !c.agent.waitRunnable(c.process) {
 		return runtarget.Reply{}, 0, runtarget.ErrSilent
@@ -159,6 +159,9 @@
 	time.Sleep(roundTrip)
 	call.Target, call.Token = c.id, token-uint64(c.clockBack.Milliseconds())
 	reply, err := c.Do(ctx, call)
+	if !c.agent.waitRunnable(c.process) {
+		return runtarget.Reply{}, 0, runtarget.ErrSilent
+	}
 	if errors.Is(err, runtarget.ErrRefused) {
 		return reply, 0, runs.ErrRefused
 	}
