Model: print the log of crashes with a job that has failed

A job that failed after one crash was seen twice, in 1 of many thousand schedules; neither the violation nor the schedule said which reports had led to it, since the order of goroutines varies. The violation now carries the lines about crashes and about the job. The check is unchanged.

--- a/internal/process/model/agent_test.go
+++ b/internal/process/model/agent_test.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/runs"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
@@ -112,7 +110,7 @@
 		Name:        a.name,
 		Incarnation: a.sim.incarnations.Add(1),
 		DataCentre:  "dc",
-		Log:         zerolog.Nop(),
+		Log:         a.sim.checker.log.logger(a.name),
 		Counters:    metrics.New(),
 		TargetLease: targetLease,
 		Dial: func(to runs.Announcement) runs.TargetClient {
--- a/internal/process/model/checker_test.go
+++ b/internal/process/model/checker_test.go
@@ -15,6 +15,7 @@
 // checker records the events that targets and callers see and checks the invariants.
 type checker struct {
 	startedAt time.Time
+	log       *crashLog
 
 	mu sync.Mutex
 	// running lists the targets that currently run each task.
@@ -51,6 +52,7 @@
 		crashes:     make(map[task.Key]int),
 		startsAfter: make(map[task.Key]int),
 		startedAt:   time.Now(),
+		log:         &crashLog{epoch: time.Now()},
 		running:     make(map[task.Key][]string),
 		starts:      make(map[string]int),
 		answers:     make(map[string][]scheduler.Answer),
@@ -130,7 +132,7 @@
 		c.violationLocked("%s is refused with the verdict %v", job, a.Verdict)
 	}
 	if a.State == scheduler.StateFailed && c.crashesUnderLocked(job) < minCrashesToFail {
-		c.violationLocked("%s has failed after %d crashes", job, c.crashesUnderLocked(job))
+		c.violationLocked("%s has failed after %d crashes%s", job, c.crashesUnderLocked(job), c.log.about(job))
 	}
 }
 
--- a/internal/process/model/simulation_test.go
+++ b/internal/process/model/simulation_test.go
@@ -13,8 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/runs"
@@ -157,7 +155,7 @@
 	number := e.next()
 	s := scheduler.New(scheduler.Options{
 		DataCentre:    "dc",
-		Log:           zerolog.Nop(),
+		Log:           e.sim.checker.log.logger(e.name),
 		Counters:      metrics.New(),
 		View:          e.sim.view,
 		TargetLease:   targetLease,
