Answer a job as failed only for two certain crashes under a task

Cause, from the log of a repetition (job-5, virtual seconds): 1.073 a target crashes with its run (certain, age 279 ms); 1.758 its next start order is refused by a target that has just crashed (unconfirmed: it never ran there); 3.828 the third target, muted by the schedule, leaves polls unanswered for 310 ms and is reported as a silence. Three reports, so the job was answered as failed at 3.829. At 4.708 the target answered, the silence was withdrawn, and the run ended as done. The count was over reports of any certainty, the answer is final: a silence can be withdrawn, an answer cannot.

Now a job that must not be started again is answered as failed only if two crashes are certain: the target has ended, had confirmed the task, and no other one crashed at that moment.

Evidence: TestJobIsNotAnsweredAsFailedForCrashesThatAreNotCertain failed before ("State:failed"). Ruled out by the log: a report counted under two identities, a repeated report after a restart of the agent, a withdrawal that came late by the entry (it was sent at once).

--- a/internal/process/load/suspects.go
+++ b/internal/process/load/suspects.go
@@ -9,8 +9,8 @@
 
 const (
 	// crashesBeforeGivingUp is the number of crashes under a task after which its job is
-	// given up, if they prove that it is the cause. maxCrashes is the number
-	// after which it is given up in any case.
+	// given up, if they prove that it is the cause. maxCrashes is the number, with those that
+	// are not certain, after which it is given up in any case.
 	crashesBeforeGivingUp = 2
 	maxCrashes            = 3
 	// suspectShare is the share of the suspicion for one crash from which a job is kept
@@ -29,13 +29,14 @@
 
 // Suspicion is what the crashes under the tasks of a job say about it.
 type Suspicion struct {
-	// Crashes is the highest number of crashes under one of its tasks.
-	Crashes int
+	// Crashes is the highest number of crashes under one of its tasks, CertainCrashes that of
+	// those that were certainly under it: the target has not only stopped answering, it had
+	// confirmed the task, and no other one crashed at the same moment.
+	Crashes, CertainCrashes int
 	// Alone is set if a target has crashed with runs of this job only.
 	Alone bool
 	// Proven is set if one did so at about the same age of a run as another target under the
-	// same task. A target that has only stopped answering proves nothing, nor does one that
-	// had not confirmed the task or crashed at the same moment as another one.
+	// same task, and both crashes are certain.
 	Proven bool
 	// Share is its highest share of the suspicion for one crash, from 0 to 1.
 	Share float64
@@ -46,6 +47,10 @@
 	return s.Crashes >= maxCrashes || (s.Crashes >= crashesBeforeGivingUp && s.Proven)
 }
 
+// MayFail reports whether a job that is given up may be answered as failed. Otherwise crashes
+// under it may be withdrawn, so that it can be run later.
+func (s Suspicion) MayFail() bool { return s.CertainCrashes >= crashesBeforeGivingUp }
+
 // MustIsolate reports whether the job may be started only apart from other jobs.
 func (s Suspicion) MustIsolate() bool {
 	return s.Crashes >= crashesBeforeGivingUp || s.Alone || s.Share >= suspectShare
@@ -66,8 +71,7 @@
 	age time.Duration
 	// alone is set if only runs of its job were on the target.
 	alone bool
-	// certain is set if the target has certainly crashed, no other one at that moment, and the
-	// task has certainly run there.
+	// certain is set if it counts as one of Suspicion.CertainCrashes.
 	certain bool
 }
 
@@ -102,7 +106,11 @@
 // with returns the suspicion with the crashes under one more task of the job.
 func (s Suspicion) with(crashes []taskCrash) Suspicion {
 	s.Crashes = max(s.Crashes, len(crashes))
+	certain := 0
 	for i, c := range crashes {
+		if c.certain {
+			certain++
+		}
 		s.Alone = s.Alone || c.alone
 		for n, other := range crashes {
 			if c.alone && n != i && c.certain && other.certain && isSameAge(c.age, other.age) {
@@ -110,6 +118,7 @@
 			}
 		}
 	}
+	s.CertainCrashes = max(s.CertainCrashes, certain)
 	return s
 }
 
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -31,7 +31,7 @@
 		return j.refusal(apiv1.Reason_REASON_STOPPING, stoppingRetry, "this entry stops"), false
 	}
 	if j.suspicion.MustGiveUp() {
-		return crashedAnswer(), false
+		return crashedAnswer(j.suspicion), false
 	}
 	if j.separation == load.Isolated {
 		return s.admitIsolated(j, now)
--- a/internal/process/scheduler/crash_test.go
+++ b/internal/process/scheduler/crash_test.go
@@ -76,6 +76,35 @@
 	})
 }
 
+// One target crashed under a job, another one before its order arrived there, and a third one is
+// only silent. The job must not be answered as failed, and runs again once the third one answers.
+func TestJobIsNotAnsweredAsFailedForCrashesThatAreNotCertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, agents := clusterOf(t, 6)
+		run := crash.Run{Task: task.Key{Job: "j"}, Queue: "q", Age: 300 * time.Millisecond}
+		agents[0].reportCrash(1, run)
+		time.Sleep(crashGap)
+		run.Unconfirmed = true
+		agents[1].reportCrash(1, run)
+		time.Sleep(crashGap)
+		run.Unconfirmed = false
+		silence := crash.Report{ID: crash.ID{Target: agents[2].name, Incarnation: 1}, Agent: agents[2].name, Runs: []crash.Run{run}, Silent: true}
+		agents[2].link.Send(peer.Frame{Crashes: []crash.Report{silence}})
+		time.Sleep(time.Millisecond)
+		answered, _ := tc.submit(tc.job("j", 1, 1000))
+		if got := await(t, answered); got.State != StateUnfinished || got.Verdict != verdict.Ran {
+			t.Errorf("answer %+v", got)
+		}
+		silence.Withdrawn = true
+		agents[2].link.Send(peer.Frame{Crashes: []crash.Report{silence}})
+		time.Sleep(time.Millisecond)
+		tc.submit(tc.job("j", 1, 1000))
+		if _, s := nextStartOfAny(t, agents); s.Attempt.Key.Job != "j" {
+			t.Errorf("%v is started", s.Attempt)
+		}
+	})
+}
+
 // A job has crashed targets at another entry, and its caller turns to this one.
 func TestCrashesAtAnotherEntryCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -17,6 +17,7 @@
 
 const (
 	messageCrashed       = "targets have crashed under one of its tasks"
+	messageMayCrash      = "targets may have crashed under one of its tasks"
 	messageNoTargetApart = "it must run apart from other jobs, and no target is free for that"
 )
 
@@ -119,12 +120,12 @@
 	suspicion := s.suspects[j.spec.ID]
 	if suspicion != j.suspicion {
 		j.suspicion = suspicion
-		s.opts.Log.Info().Str("job", j.spec.ID).Int("crashes", suspicion.Crashes).Bool("alone", suspicion.Alone).Bool("proven", suspicion.Proven).
-			Float64("share", suspicion.Share).Bool("isolate", suspicion.MustIsolate()).Msg("suspicion of a job changed")
+		s.opts.Log.Info().Str("job", j.spec.ID).Int("crashes", suspicion.Crashes).Int("certain_crashes", suspicion.CertainCrashes).
+			Bool("alone", suspicion.Alone).Bool("proven", suspicion.Proven).Float64("share", suspicion.Share).Bool("isolate", suspicion.MustIsolate()).Msg("suspicion of a job changed")
 	}
 	switch {
 	case suspicion.MustGiveUp():
-		s.failCrashed(j)
+		s.giveUpSuspect(j)
 	case suspicion.Alone && j.begun && s.confinement.Separation(j.queue.Name) != load.Shared:
 		// Its caller may return; until then the targets set apart serve others.
 		s.giveUp(j, apiv1.Reason_REASON_TARGET_CRASHED, messageCrashed)
@@ -144,20 +145,25 @@
 	j.separation = s.separationOf(j)
 }
 
-// failCrashed ends a job whose tasks have crashed as many targets as is allowed.
-func (s *Scheduler) failCrashed(j *job) {
+// giveUpSuspect ends a job whose tasks may have crashed as many targets as is allowed.
+func (s *Scheduler) giveUpSuspect(j *job) {
 	s.opts.Counters.Counter("jobs_given_up_after_crashes").Inc(1)
-	s.finish(j, crashedAnswer())
+	s.finish(j, crashedAnswer(j.suspicion))
 }
 
-// crashedAnswer is the answer to a job that must not be started again.
-func crashedAnswer() Answer {
-	return Answer{
+// crashedAnswer is the answer to a job that must not be started again. While the crashes are not
+// certain, it is not final.
+func crashedAnswer(suspicion load.Suspicion) Answer {
+	a := Answer{
 		State:   StateFailed,
 		Verdict: verdict.Ran,
 		Reason:  apiv1.Reason_REASON_TARGET_CRASHED,
 		Message: messageCrashed,
 	}
+	if !suspicion.MayFail() {
+		a.State, a.Message = StateUnfinished, messageMayCrash
+	}
+	return a
 }
 
 // separationOf returns how far the tasks of a job that are not started yet are kept apart. A
