Count a crash that follows a withdrawn silence of the same target

What callers would see: a target is mute for a moment, its agent reports a silence and withdraws it once the target answers; later a task crashes that target. The report of the crash had the ID of the silence, and a log of crashes lets a withdrawal stand for good, so that no process counted it: the task was free to be started again as if nothing had happened, and its runs were suspects nowhere.

The ID of a report now has the number of earlier reports about the incarnation that were withdrawn, from the log, which entries give an agent that starts again. An entry derives whether a target is down from all reports about it.

TestCrashAfterAWithdrawnSilenceIsReported failed before ("expected frame not received within 3 s").

--- a/internal/process/runs/crash.go
+++ b/internal/process/runs/crash.go
@@ -76,7 +76,10 @@
 // crashLocked returns the report of a crash of the target at a time, with the runs ordered until
 // another time, the youngest first.
 func (m *Manager) crashLocked(t *targetIncarnation, at, until time.Duration) crash.Report {
-	c := crash.Report{ID: crash.ID{Target: t.ID, Incarnation: t.Incarnation}, Agent: m.opts.Name, Age: bounds.RunTime.Clamp(m.clock() - at), Rates: m.starts.Rates(m.clock())}
+	c := crash.Report{
+		ID: m.crashes.NextID(t.ID, t.Incarnation), Agent: m.opts.Name,
+		Age: bounds.RunTime.Clamp(m.clock() - at), Rates: m.starts.Rates(m.clock()),
+	}
 	for _, r := range m.runs {
 		if r.phase != phaseMisdirected && r.orderedAt <= until {
 			c.Runs = append(c.Runs, crash.Run{
@@ -106,7 +109,7 @@
 		return
 	}
 	t.crashed = false
-	m.shareCrashLocked(crash.Report{ID: crash.ID{Target: t.ID, Incarnation: t.Incarnation}, Agent: m.opts.Name, Withdrawn: true}, 0)
+	m.shareCrashLocked(crash.Report{ID: m.crashes.NextID(t.ID, t.Incarnation), Agent: m.opts.Name, Withdrawn: true}, 0)
 	m.broadcastTargetLocked()
 	m.opts.Counters.Counter("crashes_withdrawn").Inc(1)
 	m.opts.Log.Info().Str("target", t.ID).Int64("incarnation", t.Incarnation).Msg("target has not crashed: it answers")
--- a/internal/process/runs/crash_test.go
+++ b/internal/process/runs/crash_test.go
@@ -213,6 +213,25 @@
 	})
 }
 
+// A target was silent for a moment, and then one of its tasks crashes it. The withdrawal of its
+// silence must not hide the crash.
+func TestCrashAfterAWithdrawnSilenceIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.waitStarted(h.start(0, 1, task.Resources{CPU: 1000}))
+		h.target.set(func() { h.target.unresponsive = true })
+		silence := h.waitCrash()
+		h.target.set(func() { h.target.unresponsive = false })
+		if r := h.waitCrash(); !r.Withdrawn {
+			t.Fatalf("report is %+v", r)
+		}
+		h.refuse()
+		if r := h.waitCrash(); r.Withdrawn || r.Silent || r.ID == silence.ID || len(r.Runs) != 1 {
+			t.Errorf("report is %+v", r)
+		}
+	})
+}
+
 // The entry that started a task is killed right after a crash. The one that its caller turns
 // to links later, and must learn of the crash.
 func TestEntryThatLinksLaterLearnsOfCrashes(t *testing.T) {
--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -55,9 +55,6 @@
 		Int("runs", len(r.Runs)).Bool("alone", r.IsAlone()).Bool("silent", r.Silent).Dur("uncertainty", r.Uncertainty).
 		Bool("withdrawn", r.Withdrawn).Msg("crash of a target reported")
 	if t := s.targets[r.Agent]; t != nil {
-		if t.info.ID == r.ID.Target && t.info.Incarnation == r.ID.Incarnation {
-			t.crashed = !r.Withdrawn
-		}
 		s.updateLastCrash(t, now)
 	}
 	s.expectSuspects(now)
@@ -68,15 +65,18 @@
 	}
 }
 
-// updateLastCrash sets when a target of an agent crashed last, whatever its incarnation: all
-// entries must agree on it, also those that have started since.
+// updateLastCrash sets whether the present target of an agent has crashed, and when one crashed
+// last, whatever its incarnation: all entries must agree on it, also those that have started since.
 func (s *Scheduler) updateLastCrash(t *target, now time.Duration) {
-	t.lastCrash, t.hasCrashed = 0, false
+	t.lastCrash, t.hasCrashed, t.crashed = 0, false, false
 	for _, r := range s.crashes.Reports(now) {
-		if r.Agent == t.name && !r.Withdrawn {
+		if r.Agent != t.name || r.Withdrawn {
+			continue
+		}
+		if !t.hasCrashed {
 			t.lastCrash, t.hasCrashed = now-r.Age, true
-			return
 		}
+		t.crashed = t.crashed || (r.ID.Target == t.info.ID && r.ID.Incarnation == t.info.Incarnation)
 	}
 }
 
--- a/internal/request/crash/crash_test.go
+++ b/internal/request/crash/crash_test.go
@@ -71,3 +71,18 @@
 		t.Errorf("%d reports, the latest is %v", len(got), got[0].ID)
 	}
 }
+
+// A target stops answering, answers again, and then crashes: that must not count as the first
+// report, which is withdrawn.
+func TestCrashAfterAWithdrawnReportIsNew(t *testing.T) {
+	var l Log
+	id := l.NextID("a", 1)
+	l.Add(0, Report{ID: id, Agent: "a", Silent: true})
+	if l.NextID("a", 1) != id {
+		t.Error("a crash has two IDs")
+	}
+	l.Add(0, Report{ID: id, Agent: "a", Withdrawn: true})
+	if next := l.NextID("a", 1); next == id || !l.Add(0, Report{ID: next, Agent: "a"}) {
+		t.Errorf("the crash after %v is %v", id, next)
+	}
+}
--- a/internal/request/crash/log.go
+++ b/internal/request/crash/log.go
@@ -46,6 +46,17 @@
 	return true
 }
 
+// NextID returns the ID of a new report about an incarnation of a target.
+func (l *Log) NextID(target string, incarnation int64) ID {
+	next := ID{Target: target, Incarnation: incarnation}
+	for id, k := range l.kept {
+		if k.report.Withdrawn && id.Target == target && id.Incarnation == incarnation {
+			next.Withdrawals = max(next.Withdrawals, id.Withdrawals+1)
+		}
+	}
+	return next
+}
+
 // AddRelease keeps a release for as long as the crash that it followed.
 func (l *Log) AddRelease(r Release) {
 	if l.kept[r.Latest] == nil || len(l.released) >= maxReports {
--- a/internal/request/crash/report.go
+++ b/internal/request/crash/report.go
@@ -17,12 +17,17 @@
 	MaxRuns = 512
 	// MaxRates bounds the queues of which one report gives the rates.
 	MaxRates = 64
+	// MaxWithdrawals bounds the withdrawn reports about one incarnation.
+	MaxWithdrawals = 1 << 20
 )
 
-// ID identifies a crash: an incarnation of a target ends only once.
+// ID identifies a crash. An incarnation of a target ends only once, but it may stop answering
+// several times before.
 type ID struct {
 	Target      string `cbor:"1,keyasint" json:"target"`
 	Incarnation int64  `cbor:"2,keyasint" json:"incarnation"`
+	// Withdrawals is the number of earlier reports about this incarnation that were withdrawn.
+	Withdrawals int `cbor:"3,keyasint,omitempty" json:"withdrawals,omitempty"`
 }
 
 // Report says that a target ended without notice, and which runs were on it. Agents and
@@ -89,6 +94,9 @@
 	if len(r.Rates) > MaxRates {
 		return eris.Errorf("crash report has rates of %d queues, at most %d are allowed", len(r.Rates), MaxRates)
 	}
+	if r.ID.Withdrawals < 0 || r.ID.Withdrawals > MaxWithdrawals {
+		return eris.Errorf("crash report follows %d withdrawals, at most %d are allowed", r.ID.Withdrawals, MaxWithdrawals)
+	}
 	errs := []error{bounds.RunTime.Check("age of crash", r.Age), bounds.RunTime.Check("uncertainty", r.Uncertainty)}
 	for i := range r.Runs {
 		errs = append(errs, bounds.RunTime.Check("age of crashed run", r.Runs[i].Age))
