Count crashes of one moment as one crash when their cause is estimated

The estimate took them for independent, so that one coincidence counted twice for each pair (probability 0.91 after two pairs).

The likelihood of crashes of one moment now counts once: each of n is raised to 1/n.

--- a/internal/process/load/cause.go
+++ b/internal/process/load/cause.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"math"
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
@@ -112,7 +113,9 @@
 		n := countBetween(r.ages[queue], from, to)
 		expected := max(r.rates[queue], minStartRate) * (to - from).Seconds()
 		other := otherCauseShare[min(r.atSameMoment, len(otherCauseShare)-1)]
-		ratio *= other + (1-other)*min(float64(n)/expected, maxLikelihoodRatio)
+		evidence := other + (1-other)*min(float64(n)/expected, maxLikelihoodRatio)
+		// The same jobs are on the targets of one moment, so that these count as one crash.
+		ratio *= math.Pow(evidence, 1/float64(1+r.atSameMoment))
 		if n > 0 {
 			crashes++
 		}
