Judge a crash once the others of its moment are known

Agents find two crashes of one moment up to 10 ms apart, with their polls. The last one was the worst: the target was set apart with runs of the suspected queue only, which is taken for proof, and its jobs were isolated for 3.4 s.

An entry now judges a crash when it has known it for 25 ms, by the reports of crashes up to that moment; a crash beside others of its moment proves nothing against a queue. Suspects are still derived at once. A release that comes with the reports, when an entry links, is taken after judging them.

TestQueueIsNotIsolatedForTargetsThatCrashTogether failed before ("the queue is isolated"). TestCrashesReportedWithTheReleaseOfAQueueDoNotConfineIt holds that the delay does not undo a release; it fails if releases do not judge first.

--- a/internal/process/load/confinement.go
+++ b/internal/process/load/confinement.go
@@ -1,12 +1,16 @@
 package load
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 )
 
 const (
+	// SettleTime is how long a crash is known before it is judged, so that the reports of other
+	// crashes of the same moment are known as well.
+	SettleTime = 25 * time.Millisecond
 	// cleanJobs is the number of isolated jobs of a confined queue that must end without a
 	// crash before its jobs run beside others again. It doubles with each relapse within
 	// relapsePeriod, up to maxCleanJobs.
@@ -74,16 +78,19 @@
 	dangerAge time.Duration
 }
 
-// Observe takes a crash into account. reports are all reports of crashes, with this one, and
-// suspects those derived from them; size is the number of targets. It returns the most likely
-// cause, and the queues whose separation has changed.
+// Observe takes a crash into account that has been known for SettleTime. reports are all reports
+// of crashes, with this one, in the order of their ages, and suspects those derived from them;
+// size is the number of targets. It returns the most likely cause, and the queues whose
+// separation has changed.
 func (c *Confinement) Observe(now time.Duration, r *crash.Report, reports []crash.Report, suspects Suspects, size int) (queue string, cause Cause, changed []string) {
 	if r.Withdrawn || len(r.Runs) == 0 {
 		return "", Cause{}, nil
 	}
+	reports = upToMoment(reports, r)
 	causes := FindCauses(reports)
 	queue, cause = causes.MostLikely()
 	only, single := onlyQueue(r)
+	single = single && !isOneOfSeveral(reports, r)
 	if single && r.IsAlone() && r.Runs[0].Isolated {
 		q := c.queue(only)
 		q.dangerAge = max(q.dangerAge, youngestRun(r))
@@ -111,6 +118,19 @@
 	return queue, cause, changed
 }
 
+// upToMoment returns the reports without those of crashes long after r. All entries must judge a
+// crash by the same reports, also those that have started since.
+func upToMoment(reports []crash.Report, r *crash.Report) []crash.Report {
+	first := slices.IndexFunc(reports, func(other crash.Report) bool { return other.Age >= r.Age-SettleTime })
+	return reports[max(first, 0):]
+}
+
+// isOneOfSeveral reports whether other targets crashed at the same moment.
+func isOneOfSeveral(reports []crash.Report, r *crash.Report) bool {
+	i := slices.IndexFunc(reports, func(other crash.Report) bool { return other.ID == r.ID })
+	return i >= 0 && neighbours(reports, i) > 0
+}
+
 // releaseUnlikely ends the separation of the queues that another one has replaced as the
 // likely cause, and returns them.
 func (c *Confinement) releaseUnlikely(now time.Duration, likely string, causes Causes) (released []string) {
--- a/internal/process/scheduler/crash_test.go
+++ b/internal/process/scheduler/crash_test.go
@@ -143,6 +143,45 @@
 	})
 }
 
+// Two of the targets that are set apart for a queue lose power together. The report about one is
+// first, and must not be taken for proof that the queue is the cause.
+func TestQueueIsNotIsolatedForTargetsThatCrashTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, agents := clusterOf(t, 11)
+		rates := []crash.QueueRate{{Queue: "q", PerSecond: 40}}
+		report := func(i int) {
+			run := crash.Run{Task: task.Key{Job: fmt.Sprint("j", i)}, Queue: "q", Age: 8 * time.Millisecond}
+			id := crash.ID{Target: agents[i].name, Incarnation: 1}
+			agents[i].link.Send(peer.Frame{Crashes: []crash.Report{{ID: id, Agent: agents[i].name, Runs: []crash.Run{run}, Rates: rates}}})
+		}
+		for i := range 3 {
+			report(i)
+			time.Sleep(crashGap)
+		}
+		if got := tc.queueSeparation("q"); got != load.Apart {
+			t.Fatalf("after three crashes the queue is %v", got)
+		}
+		report(3)
+		time.Sleep(10 * time.Millisecond)
+		report(4)
+		time.Sleep(crashGap)
+		if got := tc.queueSeparation("q"); got != load.Apart {
+			t.Errorf("the queue is %v", got)
+		}
+		report(5)
+		time.Sleep(crashGap)
+		if got := tc.queueSeparation("q"); got != load.Isolated {
+			t.Errorf("after another crash the queue is %v", got)
+		}
+	})
+}
+
+func (tc *testCluster) queueSeparation(queue string) load.Separation {
+	tc.scheduler.mu.Lock()
+	defer tc.scheduler.mu.Unlock()
+	return tc.scheduler.confinement.Separation(queue)
+}
+
 // A new report is passed on, so that it survives the agent that made it.
 func TestReportOfACrashIsForwarded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -219,17 +258,40 @@
 
 // isolateQueue makes the entry isolate the jobs of its queue.
 func (tc *testCluster) isolateQueue() {
-	s := tc.scheduler
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	tc.scheduler.mu.Lock()
+	tc.scheduler.receiveCrashes(nil, tc.crashesOfQueue())
+	tc.scheduler.mu.Unlock()
+	time.Sleep(2 * load.SettleTime)
+	if got := tc.queueSeparation(tc.queue.Name); got != load.Isolated {
+		tc.t.Fatalf("the queue is %v", got)
+	}
+}
+
+// crashesOfQueue returns crashes for which the queue of the cluster is certainly to blame.
+func (tc *testCluster) crashesOfQueue() []crash.Report {
+	var reports []crash.Report
 	for n := range int64(8) {
 		run := crash.Run{Task: task.Key{Job: fmt.Sprint("killer-", n)}, Queue: tc.queue.Name}
-		r := crash.Report{ID: crash.ID{Target: "gone", Incarnation: n}, Runs: []crash.Run{run}, Age: time.Duration(n) * time.Second, Rates: queueRates}
-		s.receiveCrashes(nil, []crash.Report{r})
-	}
-	if got := s.confinement.Separation(tc.queue.Name); got != load.Isolated {
-		tc.t.Fatalf("the queue is %v", got)
+		reports = append(reports, crash.Report{
+			ID: crash.ID{Target: "gone", Incarnation: n}, Runs: []crash.Run{run}, Age: time.Duration(n) * time.Second, Rates: queueRates,
+		})
 	}
+	return reports
+}
+
+// An entry links with an agent after the others have released a queue. The crashes come in the same
+// frame and must not confine the queue again.
+func TestCrashesReportedWithTheReleaseOfAQueueDoNotConfineIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, agents := clusterOf(t, 8)
+		reports := tc.crashesOfQueue()
+		release := crash.Release{Queue: tc.queue.Name, Latest: reports[0].ID}
+		agents[0].link.Send(peer.Frame{Crashes: reports, Released: []crash.Release{release}})
+		time.Sleep(4 * load.SettleTime)
+		if got := tc.queueSeparation(tc.queue.Name); got != load.Shared {
+			t.Errorf("the queue is %v", got)
+		}
+	})
 }
 
 // While all targets set apart are down, a job that must be isolated is refused at once.
--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// observeCrash records which target has crashed, and confines the queue that is to blame.
+// observeCrash records which target has crashed.
 func (s *Scheduler) observeCrash(now time.Duration, r *crash.Report) {
 	s.opts.Counters.Counter("crashes_reported").Inc(1)
 	s.opts.Log.Warn().Str("target", r.ID.Target).Int64("incarnation", r.ID.Incarnation).Str("agent", r.Agent).Dur("age", r.Age).
@@ -58,11 +58,50 @@
 		s.updateLastCrash(t, now)
 	}
 	s.expectSuspects(now)
-	queue, cause, changed := s.confinement.Observe(now, r, s.crashes.Reports(now), s.suspects, len(s.targets))
-	s.opts.Log.Info().Str("queue", queue).Float64("probability", cause.Probability).Int("explained", cause.Crashes).Msg("cause of crashes estimated")
+	if !r.Withdrawn {
+		s.unjudged = append(s.unjudged, unjudgedCrash{id: r.ID, since: now})
+	}
+}
+
+// unjudgedCrash is a crash that has been reported since a time and of which the cause is not
+// estimated yet.
+type unjudgedCrash struct {
+	id    crash.ID
+	since time.Duration
+}
+
+// judgeCrashes confines the queues that are to blame for the crashes that have been known for a
+// time.
+func (s *Scheduler) judgeCrashes(now, known time.Duration) {
+	settled := make(map[crash.ID]bool)
+	for len(s.unjudged) > 0 && now-s.unjudged[0].since >= known {
+		settled[s.unjudged[0].id] = true
+		s.unjudged = s.unjudged[1:]
+	}
+	if len(settled) == 0 {
+		return
+	}
+	reports := s.crashes.Reports(now)
+	changed := false
+	for i := range slices.Backward(reports) {
+		if settled[reports[i].ID] {
+			changed = s.judgeCrash(now, &reports[i], reports) || changed
+		}
+	}
+	if changed {
+		s.applySuspicion(now)
+	}
+}
+
+// judgeCrash reports whether a crash has changed how far a queue is kept apart.
+func (s *Scheduler) judgeCrash(now time.Duration, r *crash.Report, reports []crash.Report) bool {
+	queue, cause, changed := s.confinement.Observe(now, r, reports, s.suspects, len(s.targets))
+	s.opts.Log.Info().Str("target", r.ID.Target).Str("queue", queue).Float64("probability", cause.Probability).
+		Int("explained", cause.Crashes).Msg("cause of crashes estimated")
 	for _, name := range changed {
 		s.logConfinement(name)
 	}
+	return len(changed) > 0
 }
 
 // updateLastCrash sets whether the present target of an agent has crashed, and when one crashed
@@ -227,7 +266,12 @@
 	}
 }
 
+// receiveReleases ends confinements as other entries have done, after the crashes that were
+// reported with the releases have been judged.
 func (s *Scheduler) receiveReleases(released []crash.Release) {
+	if len(released) > 0 {
+		s.judgeCrashes(s.now(), 0)
+	}
 	for _, r := range released {
 		if s.confinement.Release(s.now(), r.Queue, r.Latest) {
 			s.releaseQueue(r.Queue)
@@ -235,8 +279,9 @@
 	}
 }
 
-// sweepConfinement ends confinements by time and keeps the targets set apart up to date.
+// sweepConfinement begins and ends confinements and keeps the targets set apart up to date.
 func (s *Scheduler) sweepConfinement(now time.Duration) {
+	s.judgeCrashes(now, load.SettleTime)
 	for _, queue := range s.confinement.Expire(now) {
 		s.releaseQueue(queue)
 	}
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -78,8 +78,9 @@
 	// contendedPool is valid for the current round of placement.
 	contendedPool contendedPool
 	// crashes holds the crashes reported, suspects what they say about jobs, confinement
-	// what they say about queues.
+	// what they say about queues. unjudged holds those not yet observed by confinement.
 	crashes     crash.Log
+	unjudged    []unjudgedCrash
 	suspects    load.Suspects
 	confinement load.Confinement
 	// apartQueue holds the waiting tasks of jobs that are kept apart.
