Withdraw a silence that an earlier process of the agent has reported

What callers would see: an agent reports that its target is silent and ends before the target answers again.

The target's first answer to a process now withdraws a report about its incarnation that still stands, and a report that arrives after that answer is withdrawn at once: an incarnation that answers has not ended.

TestSilenceReportedByAnEarlierProcessIsWithdrawn failed before, both for a report before the first answer and after it ("expected frame not received").

--- a/internal/process/runs/crash.go
+++ b/internal/process/runs/crash.go
@@ -103,16 +103,33 @@
 	}
 }
 
-// withdrawCrashLocked withdraws the report of a crash once the same incarnation has answered.
+// withdrawCrashLocked withdraws the report of a crash, by this process or an earlier one of this
+// agent, once the same incarnation has answered.
 func (m *Manager) withdrawCrashLocked(t *targetIncarnation) {
-	if !t.crashed || m.target != t {
+	if m.target != t || (!t.crashed && t.reported) {
 		return
 	}
-	t.crashed = false
-	m.shareCrashLocked(crash.Report{ID: m.crashes.NextID(t.ID, t.Incarnation), Agent: m.opts.Name, Withdrawn: true}, 0)
-	m.broadcastTargetLocked()
+	id := m.crashes.NextID(t.ID, t.Incarnation)
+	if m.crashes.Stands(id) {
+		m.shareWithdrawalLocked(id)
+	}
+	if t.crashed {
+		t.crashed = false
+		m.broadcastTargetLocked()
+	}
+}
+
+func (m *Manager) shareWithdrawalLocked(id crash.ID) {
+	m.shareCrashLocked(crash.Report{ID: id, Agent: m.opts.Name, Withdrawn: true}, 0)
 	m.opts.Counters.Counter("crashes_withdrawn").Inc(1)
-	m.opts.Log.Info().Str("target", t.ID).Int64("incarnation", t.Incarnation).Msg("target has not crashed: it answers")
+	m.opts.Log.Info().Str("target", id.Target).Int64("incarnation", id.Incarnation).Msg("target has not crashed: it answers")
+}
+
+// isDisprovedLocked reports whether the target has answered this process since an earlier one
+// reported its crash.
+func (m *Manager) isDisprovedLocked(r *crash.Report) bool {
+	t := m.target
+	return !r.Withdrawn && t != nil && t.reported && !t.crashed && r.ID.Target == t.ID && r.ID.Incarnation == t.Incarnation
 }
 
 // shareCrashLocked keeps a report and sends it to all entries but the one that it came from.
@@ -128,6 +145,9 @@
 	if r.Agent == m.opts.Name && m.opts.Crashed != nil {
 		m.opts.Crashed(m.ownCrashesLocked())
 	}
+	if m.isDisprovedLocked(&r) {
+		m.shareWithdrawalLocked(r.ID)
+	}
 }
 
 // ownCrashesLocked returns the reports about this agent's target.
--- a/internal/process/runs/crash_test.go
+++ b/internal/process/runs/crash_test.go
@@ -232,6 +232,35 @@
 	})
 }
 
+// An earlier process of this agent has reported a silence of the target, and ended before the target
+// answered again. The report reaches this process from the store or an entry, before or after the
+// target's first answer.
+func TestSilenceReportedByAnEarlierProcessIsWithdrawn(t *testing.T) {
+	for _, when := range []string{"before the first answer", "after it"} {
+		t.Run(when, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				silence := crash.Report{
+					ID: crash.ID{Target: "t1", Incarnation: 2}, Agent: "agent", Silent: true,
+					Runs: []crash.Run{{Task: task.Key{Job: "j"}}},
+				}
+				if when == "after it" {
+					silence.ID.Incarnation = 1
+				}
+				h.manager.RestoreCrashes([]crash.Report{silence})
+				if when == "before the first answer" {
+					h.waitCrash()
+					h.announce(Announcement{Incarnation: 2, Sequence: 1})
+				}
+				r := h.waitFor(func(f *peer.Frame) bool { return len(f.Crashes) > 0 && f.Crashes[len(f.Crashes)-1].Withdrawn })
+				if got := r.Crashes[len(r.Crashes)-1]; got.ID != silence.ID {
+					t.Errorf("report is %+v", got)
+				}
+			})
+		})
+	}
+}
+
 // The entry that started a task is killed right after a crash. The one that its caller turns
 // to links later, and must learn of the crash.
 func TestEntryThatLinksLaterLearnsOfCrashes(t *testing.T) {
--- a/internal/request/crash/log.go
+++ b/internal/request/crash/log.go
@@ -57,6 +57,12 @@
 	return next
 }
 
+// Stands reports whether a report is kept and not withdrawn.
+func (l *Log) Stands(id ID) bool {
+	k := l.kept[id]
+	return k != nil && !k.report.Withdrawn
+}
+
 // AddRelease keeps a release for as long as the crash that it followed.
 func (l *Log) AddRelease(r Release) {
 	if l.kept[r.Latest] == nil || len(l.released) >= maxReports {
