Compare the ages of runs at a silence as the ranges that are known

The age of a run at a silence now counts as the range that the agent knows, with the part of it that is in a range of ages. Crashes that are noticed at once keep their exact ages.

--- a/internal/process/load/cause.go
+++ b/internal/process/load/cause.go
@@ -110,10 +110,10 @@
 		if len(r.ages) == 1 && len(r.ages[queue]) == 0 {
 			continue
 		}
-		n := countBetween(r.ages[queue], from, to)
+		n := expectedBetween(r.ages[queue], from, to)
 		expected := max(r.rates[queue], minStartRate) * (to - from).Seconds()
 		other := otherCauseShare[min(r.atSameMoment, len(otherCauseShare)-1)]
-		evidence := other + (1-other)*min(float64(n)/expected, maxLikelihoodRatio)
+		evidence := other + (1-other)*min(n/expected, maxLikelihoodRatio)
 		// The same jobs are on the targets of one moment, so that these count as one crash.
 		ratio *= math.Pow(evidence, 1/float64(1+r.atSameMoment))
 		if n > 0 {
@@ -123,12 +123,26 @@
 	return crashes, ratio
 }
 
-func countBetween(ages []time.Duration, from, to time.Duration) int {
-	n := 0
+// ageRange is the range in which the age of a run at the crash is, uniformly.
+type ageRange struct{ from, to time.Duration }
+
+// share returns the probability that the age is in [from, to).
+func (a ageRange) share(from, to time.Duration) float64 {
+	switch {
+	case a.from < a.to:
+		return max(0, (min(a.to, to)-max(a.from, from)).Seconds()/(a.to-a.from).Seconds())
+	case a.from >= from && a.from < to:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// expectedBetween returns the expected number of ages in [from, to).
+func expectedBetween(ages []ageRange, from, to time.Duration) float64 {
+	n := 0.0
 	for _, age := range ages {
-		if age >= from && age < to {
-			n++
-		}
+		n += age.share(from, to)
 	}
 	return n
 }
@@ -145,8 +159,8 @@
 
 // recentCrash is a crash that tasks may have caused.
 type recentCrash struct {
-	// ages holds, by queue, the age of the youngest run of each job.
-	ages map[string][]time.Duration
+	// ages holds, by queue, the range of the age of the youngest run of each job.
+	ages map[string][]ageRange
 	// atSameMoment is the number of other crashes at the same moment.
 	atSameMoment int
 	// rates holds how many jobs of each queue have begun on the target each second.
@@ -208,9 +222,9 @@
 	return mean
 }
 
-// agesByQueue returns, by queue, the age of the youngest run of each job. Of a target that has
+// agesByQueue returns, by queue, the range of the age of the youngest run of each job. Of a target that has
 // stopped answering, the first run without an answer says nothing: there always is one.
-func agesByQueue(r *crash.Report) map[string][]time.Duration {
+func agesByQueue(r *crash.Report) map[string][]ageRange {
 	type job struct{ queue, id string }
 	youngest := make(map[job]time.Duration)
 	for i := range r.Runs {
@@ -220,16 +234,24 @@
 		}
 		of := job{run.Queue, run.Task.Job}
 		if age, known := youngest[of]; run.Queue != "" && (!known || run.Age < age) {
-			youngest[of] = max(run.Age, minRunAge)
+			youngest[of] = run.Age
 		}
 	}
-	ages := make(map[string][]time.Duration)
+	ages := make(map[string][]ageRange)
 	for of, age := range youngest {
-		ages[of.queue] = append(ages[of.queue], age)
+		ages[of.queue] = append(ages[of.queue], rangeOf(r, age))
 	}
 	return ages
 }
 
+// rangeOf returns the range of the age of a run. A crash is noticed at once, a silence is not.
+func rangeOf(r *crash.Report, age time.Duration) ageRange {
+	if !r.Silent {
+		return ageRange{from: max(age, minRunAge), to: max(age, minRunAge)}
+	}
+	return ageRange{from: max(age-r.Uncertainty, minRunAge), to: max(age+r.Uncertainty, minRunAge)}
+}
+
 // neighbours returns how many other targets crashed at the same moment as the i-th. reports
 // are in the order of their ages.
 func neighbours(reports []crash.Report, i int) int {
