Know the moment of a crash from the poll that it breaks

What callers see: of a queue with tasks that crash their targets more jobs are refused, and more targets go, than must.

Cause: two crashes are of one moment, thus likely from outside, if they are 15 ms apart and what their times are uncertain by. For a target that refuses connections that was the time since its latest answer, up to 50 ms, while a poll is held.

The uncertainty is now at most backoffMin unless a poll may have been left unanswered in between.

TestTimeOfACrashIsCertainWhileAPollIsHeld failed before ("Uncertainty:50ms").

--- a/internal/process/runs/crash.go
+++ b/internal/process/runs/crash.go
@@ -28,11 +28,21 @@
 func (m *Manager) noteCrashLocked(t *targetIncarnation, evidence string) {
 	if m.mayHaveCrashedLocked(t) && time.Since(t.answeredAt) <= crashEvidenceWindow {
 		c := m.crashLocked(t, m.clock(), m.clock())
-		c.Uncertainty = bounds.RunTime.Clamp(time.Since(t.answeredAt))
+		c.Uncertainty = bounds.RunTime.Clamp(t.noticedWithin())
 		m.reportCrashLocked(t, c, evidence)
 	}
 }
 
+// noticedWithin returns how long ago the target may have ended when its address refuses
+// connections. Its end breaks the poll that it holds, and the next one follows within backoffMin.
+func (t *targetIncarnation) noticedWithin() time.Duration {
+	silent := time.Since(t.answeredAt)
+	if silent < pollWait+pollGrace {
+		return min(silent, backoffMin)
+	}
+	return silent
+}
+
 // noteSilenceLocked records that the target has stopped answering. The report is withdrawn
 // if it answers again.
 func (m *Manager) noteSilenceLocked(t *targetIncarnation) {
--- a/internal/process/runs/crash_test.go
+++ b/internal/process/runs/crash_test.go
@@ -261,6 +261,23 @@
 	}
 }
 
+// The end of a target breaks the poll that it holds, so that its agent notices it at once although
+// the latest answer may be much older. Else crashes of tasks are taken for those of one moment.
+func TestTimeOfACrashIsCertainWhileAPollIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.waitStarted(h.start(0, 1, task.Resources{CPU: 1000}))
+		h.manager.mu.Lock()
+		target := h.manager.target
+		target.answeredAt = time.Now().Add(-pollWait)
+		h.manager.mu.Unlock()
+		h.manager.pollFailed(target, ErrRefused)
+		if r := h.waitCrash(); r.Uncertainty > backoffMin {
+			t.Errorf("report is %+v", r)
+		}
+	})
+}
+
 // The entry that started a task is killed right after a crash. The one that its caller turns
 // to links later, and must learn of the crash.
 func TestEntryThatLinksLaterLearnsOfCrashes(t *testing.T) {
