Keep the evidence of crashes that come soon after each other

In its place only what is counted twice is left out: the jobs that were on another target of the moment. How likely two crashes of one moment have an outside cause now follows from how often targets crash: the fewer, the less likely they meet by chance (before: one half). A crash of which another one of its moment is known is judged at once.

TestQueueIsNotIsolatedForTargetsThatCrashTogether draws 45 jobs a second in place of 40: with three crashes the queue is apart as before, and two of one moment must not isolate it; it fails as before without the delay.

--- a/internal/process/load/cause.go
+++ b/internal/process/load/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
@@ -30,9 +31,14 @@
 	minStartRate = 0.1
 )
 
-// otherCauseShare is the assumed part of the crashes with another cause than tasks of one
-// queue, by the number of other crashes at the same moment.
-var otherCauseShare = [...]float64{0.1, 0.5, 0.9}
+const (
+	// otherCauseShare is the assumed part of the crashes with another cause than tasks of one
+	// queue, alone at their moment, and manyCauseShare that of three or more of one moment.
+	otherCauseShare = 0.1
+	manyCauseShare  = 0.9
+	// minCrashTime is the time in which the first crash may have been by chance.
+	minCrashTime = time.Second
+)
 
 // Causes holds the queues that may be the cause of recent crashes.
 //
@@ -112,10 +118,7 @@
 		}
 		n := expectedBetween(r.ages[queue], from, to)
 		expected := max(r.rates[queue], minStartRate) * (to - from).Seconds()
-		other := otherCauseShare[min(r.atSameMoment, len(otherCauseShare)-1)]
-		evidence := other + (1-other)*min(n/expected, maxLikelihoodRatio)
-		// The same jobs are on the targets of one moment, so that these count as one crash.
-		ratio *= math.Pow(evidence, 1/float64(1+r.atSameMoment))
+		ratio *= r.otherCause + (1-r.otherCause)*min(n/expected, maxLikelihoodRatio)
 		if n > 0 {
 			crashes++
 		}
@@ -161,8 +164,8 @@
 type recentCrash struct {
 	// ages holds, by queue, the range of the age of the youngest run of each job.
 	ages map[string][]ageRange
-	// atSameMoment is the number of other crashes at the same moment.
-	atSameMoment int
+	// otherCause is the assumed probability that the cause is no task of one queue.
+	otherCause float64
 	// rates holds how many jobs of each queue have begun on the target each second.
 	rates map[string]float64
 }
@@ -170,13 +173,18 @@
 // recentCrashes returns the crashes that tasks may have caused, or false if no report gives
 // rates of starts. reports are in the order of their ages.
 func recentCrashes(reports []crash.Report) (recent []recentCrash, ok bool) {
+	moments := momentsPerSecond(reports)
 	for i := range reports {
 		r := &reports[i]
 		if r.Age > causeWindow || len(recent) == maxExplainedCrashes {
 			break
 		}
-		if ages := agesByQueue(r); !r.Withdrawn && len(ages) > 0 {
-			recent = append(recent, recentCrash{ages: ages, atSameMoment: neighbours(reports, i), rates: ratesOf(r)})
+		if r.Withdrawn {
+			continue
+		}
+		others := neighbours(reports, i)
+		if ages := agesByQueue(r, others); len(ages) > 0 {
+			recent = append(recent, recentCrash{ages: ages, otherCause: otherCause(r, others, moments), rates: ratesOf(r)})
 		}
 	}
 	mean := meanRates(recent)
@@ -188,6 +196,44 @@
 	return recent, mean != nil
 }
 
+// otherCause returns the assumed probability that a crash has another cause than tasks of one queue.
+// Tasks crash one target at a time, so that the fewer crashes come, the less likely two of them are
+// at one moment by chance.
+func otherCause(r *crash.Report, atSameMoment []*crash.Report, momentsPerSecond float64) float64 {
+	switch len(atSameMoment) {
+	case 0:
+		return otherCauseShare
+	case 1:
+		around := 2 * momentWidth(r, atSameMoment[0]).Seconds()
+		byChance := 1 - math.Exp(-momentsPerSecond*around)
+		return otherCauseShare / (otherCauseShare + (1-otherCauseShare)*byChance)
+	default:
+		return manyCauseShare
+	}
+}
+
+// momentsPerSecond returns how often targets have crashed recently. Those that crashed at the same
+// moment count once.
+func momentsPerSecond(reports []crash.Report) float64 {
+	moments := 0.0
+	var newest, oldest time.Duration
+	for i := range reports {
+		r := &reports[i]
+		if r.Age > causeWindow {
+			break
+		}
+		if r.Withdrawn {
+			continue
+		}
+		if moments == 0 {
+			newest = r.Age
+		}
+		oldest = r.Age
+		moments += 1 / float64(1+len(neighbours(reports, i)))
+	}
+	return moments / (oldest - newest + minCrashTime).Seconds()
+}
+
 // ratesOf returns the rates of starts that a report gives, or nil.
 func ratesOf(r *crash.Report) map[string]float64 {
 	if len(r.Rates) == 0 {
@@ -223,13 +269,15 @@
 }
 
 // agesByQueue returns, by queue, the range of the age of the youngest run of each job. Of a target that has
-// stopped answering, the first run without an answer says nothing: there always is one.
-func agesByQueue(r *crash.Report) map[string][]ageRange {
+// stopped answering, the first run without an answer says nothing: there always is one. Nor does
+// a job that was on another target that crashed at the same moment: a task crashes one.
+func agesByQueue(r *crash.Report, atSameMoment []*crash.Report) map[string][]ageRange {
 	type job struct{ queue, id string }
+	elsewhere := jobsOf(atSameMoment)
 	youngest := make(map[job]time.Duration)
 	for i := range r.Runs {
 		run := &r.Runs[i]
-		if r.Silent && run.Age == 0 {
+		if (r.Silent && run.Age == 0) || elsewhere[run.Task.Job] {
 			continue
 		}
 		of := job{run.Queue, run.Task.Job}
@@ -252,21 +300,41 @@
 	return ageRange{from: max(age-r.Uncertainty, minRunAge), to: max(age+r.Uncertainty, minRunAge)}
 }
 
-// neighbours returns how many other targets crashed at the same moment as the i-th. reports
-// are in the order of their ages.
-func neighbours(reports []crash.Report, i int) int {
-	n := 0
+// jobsOf returns the jobs with runs in any of the reports.
+func jobsOf(reports []*crash.Report) map[string]bool {
+	jobs := make(map[string]bool)
+	for _, r := range reports {
+		for i := range r.Runs {
+			jobs[r.Runs[i].Task.Job] = true
+		}
+	}
+	return jobs
+}
+
+// neighbours returns the crashes of other targets at the same moment as the i-th. reports are in
+// the order of their ages.
+func neighbours(reports []crash.Report, i int) []*crash.Report {
+	var others []*crash.Report
 	for _, step := range []int{-1, 1} {
 		for at := i + step; at >= 0 && at < len(reports) && (reports[at].Age-reports[i].Age).Abs() <= sameMoment+maxUncertainty; at += step {
 			if !reports[at].Withdrawn && isSameMoment(&reports[at], &reports[i]) {
-				n++
+				others = append(others, &reports[at])
 			}
 		}
 	}
-	return n
+	return others
 }
 
-func isSameMoment(a, b *crash.Report) bool {
-	uncertainty := min(max(a.Uncertainty, b.Uncertainty), maxUncertainty)
-	return (a.Age - b.Age).Abs() <= sameMoment+uncertainty
+// IsOneOfSeveral reports whether other targets crashed at the same moment as that of a report, of
+// which reports are all that are known.
+func IsOneOfSeveral(reports []crash.Report, id crash.ID) bool {
+	i := slices.IndexFunc(reports, func(r crash.Report) bool { return r.ID == id })
+	return i >= 0 && len(neighbours(reports, i)) > 0
+}
+
+func isSameMoment(a, b *crash.Report) bool { return (a.Age - b.Age).Abs() <= momentWidth(a, b) }
+
+// momentWidth returns the longest time between two crashes that may be of the same moment.
+func momentWidth(a, b *crash.Report) time.Duration {
+	return sameMoment + min(max(a.Uncertainty, b.Uncertainty), maxUncertainty)
 }
--- a/internal/process/load/confinement.go
+++ b/internal/process/load/confinement.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// SettleTime is how long a crash is known before it is judged, so that the reports of other
-	// crashes of the same moment are known as well.
+	// SettleTime is how long a crash is known before it is judged, unless another one of the same
+	// moment is known sooner.
 	SettleTime = 25 * time.Millisecond
 	// cleanJobs is the number of isolated jobs of a confined queue that must end without a
 	// crash before its jobs run beside others again. It doubles with each relapse within
@@ -78,7 +78,7 @@
 	dangerAge time.Duration
 }
 
-// Observe takes a crash into account that has been known for SettleTime. reports are all reports
+// Observe takes a crash into account, SettleTime after its report. reports are all reports
 // of crashes, with this one, in the order of their ages, and suspects those derived from them;
 // size is the number of targets. It returns the most likely cause, and the queues whose
 // separation has changed.
@@ -90,7 +90,7 @@
 	causes := FindCauses(reports)
 	queue, cause = causes.MostLikely()
 	only, single := onlyQueue(r)
-	single = single && !isOneOfSeveral(reports, r)
+	single = single && !IsOneOfSeveral(reports, r.ID)
 	if single && r.IsAlone() && r.Runs[0].Isolated {
 		q := c.queue(only)
 		q.dangerAge = max(q.dangerAge, youngestRun(r))
@@ -125,12 +125,6 @@
 	return reports[max(first, 0):]
 }
 
-// isOneOfSeveral reports whether other targets crashed at the same moment.
-func isOneOfSeveral(reports []crash.Report, r *crash.Report) bool {
-	i := slices.IndexFunc(reports, func(other crash.Report) bool { return other.ID == r.ID })
-	return i >= 0 && neighbours(reports, i) > 0
-}
-
 // releaseUnlikely ends the separation of the queues that another one has replaced as the
 // likely cause, and returns them.
 func (c *Confinement) releaseUnlikely(now time.Duration, likely string, causes Causes) (released []string) {
--- a/internal/process/load/moment_test.go
+++ b/internal/process/load/moment_test.go
@@ -13,18 +13,28 @@
 // that half of its jobs on one of the two are on the other as well.
 func drawPair(random *rand.Rand, ago time.Duration) []crash.Report {
 	a, b := drawCrash(random, "", 0, ago), drawCrash(random, "", 0, ago+8*time.Millisecond)
+	for i := range b.Runs {
+		b.Runs[i].Task.Job += "-b"
+	}
 	for _, run := range a.Runs {
 		if run.Queue == "short" && random.IntN(2) == 0 {
-			i := slices.IndexFunc(b.Runs, func(r crash.Run) bool { return r.Queue == "short" && r.Age > run.Age/2 && r.Age < 2*run.Age })
-			if i >= 0 {
-				b.Runs[i].Age = run.Age
-			}
+			shareJob(&b, run)
 		}
 	}
 	a.Uncertainty, b.Uncertainty = 10*time.Millisecond, 15*time.Millisecond
 	return []crash.Report{a, b}
 }
 
+// shareJob makes a run of a crash with about the same age one of the same job.
+func shareJob(r *crash.Report, run crash.Run) {
+	for i, other := range r.Runs {
+		if other.Queue == run.Queue && other.Age > run.Age/2 && other.Age < 2*run.Age {
+			r.Runs[i] = run
+			return
+		}
+	}
+}
+
 // Targets crash two at a time, every two seconds, for a reason that has nothing to do with their
 // tasks. The same jobs are on both, which must not count twice.
 func TestTargetsThatCrashTwoAtATimeBlameNoQueue(t *testing.T) {
--- a/internal/process/load/suspects.go
+++ b/internal/process/load/suspects.go
@@ -86,7 +86,7 @@
 			continue
 		}
 		shares := suspicionShares(r)
-		outside := neighbours(reports, i) > 0 // the cause is likely to be outside the targets
+		outside := len(neighbours(reports, i)) > 0 // the cause is likely to be outside the targets
 		if outside {
 			clear(shares)
 		}
--- a/internal/process/scheduler/crash_test.go
+++ b/internal/process/scheduler/crash_test.go
@@ -148,7 +148,7 @@
 func TestQueueIsNotIsolatedForTargetsThatCrashTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tc, agents := clusterOf(t, 11)
-		rates := []crash.QueueRate{{Queue: "q", PerSecond: 40}}
+		rates := []crash.QueueRate{{Queue: "q", PerSecond: 45}}
 		report := func(i int) {
 			run := crash.Run{Task: task.Key{Job: fmt.Sprint("j", i)}, Queue: "q", Age: 8 * time.Millisecond}
 			id := crash.ID{Target: agents[i].name, Incarnation: 1}
--- a/internal/process/scheduler/crashes.go
+++ b/internal/process/scheduler/crashes.go
@@ -33,6 +33,7 @@
 		s.observeCrash(now, &r)
 		s.applySuspicion(now)
 	}
+	s.judgeCrashes(now, load.SettleTime)
 }
 
 func (s *Scheduler) forwardCrash(from *target, r crash.Report) {
@@ -71,17 +72,17 @@
 }
 
 // judgeCrashes confines the queues that are to blame for the crashes that have been known for a
-// time.
+// time, or of which others of the same moment are known.
 func (s *Scheduler) judgeCrashes(now, known time.Duration) {
-	settled := make(map[crash.ID]bool)
-	for len(s.unjudged) > 0 && now-s.unjudged[0].since >= known {
-		settled[s.unjudged[0].id] = true
-		s.unjudged = s.unjudged[1:]
-	}
-	if len(settled) == 0 {
+	if len(s.unjudged) == 0 {
 		return
 	}
 	reports := s.crashes.Reports(now)
+	settled := make(map[crash.ID]bool)
+	s.unjudged = slices.DeleteFunc(s.unjudged, func(c unjudgedCrash) bool {
+		settled[c.id] = now-c.since >= known || load.IsOneOfSeveral(reports, c.id)
+		return settled[c.id]
+	})
 	changed := false
 	for i := range slices.Backward(reports) {
 		if settled[reports[i].ID] {
