--- a/internal/process/runs/incarnation_test.go
+++ b/internal/process/runs/incarnation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,21 +16,29 @@
 // agent receives it.
 type interruptedTarget struct {
 	*fakeTarget
-	afterStart, afterFencingPoll func()
+	// afterStart and afterFencingPoll are called once.
+	afterStart, afterFencingPoll atomic.Pointer[func()]
+}
+
+// interrupt calls a hook that has not been called yet.
+func interrupt(hook *atomic.Pointer[func()]) {
+	if f := hook.Swap(nil); f != nil {
+		(*f)()
+	}
 }
 
 func (f *interruptedTarget) Start(ctx context.Context, permit Permit, s peer.Start) (Answer, error) {
 	answer, err := f.fakeTarget.Start(ctx, permit, s)
-	if f.afterStart != nil && err == nil {
-		f.afterStart()
+	if err == nil {
+		interrupt(&f.afterStart)
 	}
 	return answer, err
 }
 
 func (f *interruptedTarget) Poll(ctx context.Context, request PollRequest) (Report, error) {
 	report, err := f.fakeTarget.Poll(ctx, request)
-	if f.afterFencingPoll != nil && err == nil && !request.Renew {
-		f.afterFencingPoll()
+	if err == nil && !request.Renew {
+		interrupt(&f.afterFencingPoll)
 	}
 	return report, err
 }
@@ -73,7 +82,8 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				h, target := newInterruptedHarness(t)
-				target.afterStart = func() { end(h) }
+				hook := func() { end(h) }
+				target.afterStart.Store(&hook)
 				h.waitOutcome(h.startAt(2), peer.OutcomeLost)
 			})
 		})
@@ -86,11 +96,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		h, target := newInterruptedHarness(t)
 		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = startTries, true })
-		target.afterFencingPoll = func() {
-			target.afterFencingPoll = nil
+		hook := func() {
 			h.restart()
 			h.announce(Announcement{Incarnation: 3, Sequence: 1})
 		}
+		target.afterFencingPoll.Store(&hook)
 		a := h.startAt(2)
 		h.waitResult(a, peer.OutcomeLost, peer.OutcomeStopped)
 		h.target.set(func() {
