--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/rosemarybayd ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin -case adopted-runs -record review/1/record.txt
+exec target/review-standin -case frozen-entry -record review/1/record.txt
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -4,12 +4,51 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // restartDelay is the time after which the platform starts a killed process again.
 const restartDelay = 500 * time.Millisecond
 
+// playFrozenEntry freezes an entry while clients send it jobs. They wait until their deadline, and
+// send the jobs again to the next entry.
+func playFrozenEntry(f *fleet, trouble bool) ([]string, error) {
+	const (
+		jobs, tasks = 24, 3
+		firstJob    = 0xf000
+		runTime     = 1200 * time.Millisecond
+		deadline    = 1500 * time.Millisecond
+		// sendInterval is the time between two jobs.
+		sendInterval = 20 * time.Millisecond
+		// frozenFor is the length of the freeze, 4.0 s at most in the days of the site.
+		frozenFor = 3500 * time.Millisecond
+	)
+	c := newClient(f.record)
+	var clients sync.WaitGroup
+	if trouble {
+		entry := f.entries[0]
+		entry.signal(syscall.SIGSTOP)
+		f.record.addf("%s is frozen for %v", entry.name, frozenFor)
+		time.AfterFunc(frozenFor, func() {
+			entry.signal(syscall.SIGCONT)
+			f.record.addf("%s wakes", entry.name)
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	for i := range jobs {
+		clients.Go(func() {
+			c.submit(f.entries, fmt.Sprintf("%016x", firstJob+i), jobBody(1, tasks, taskCPU, runTime), deadline)
+		})
+		time.Sleep(sendInterval)
+	}
+	clients.Wait()
+	if n := len(f.record.runsOf(fmt.Sprintf("%016x", firstJob))); n < tasks {
+		return nil, fmt.Errorf("the first job has %d runs", n)
+	}
+	return f.record.overlaps(), nil
+}
+
 // playAdoptedRuns kills an entry and an agent at the same moment, and the agent again after its
 // restart.
 func playAdoptedRuns(f *fleet, trouble bool) ([]string, error) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 }
 
 var scenarios = map[string]scenario{
+	"frozen-entry":     {entries: 3, agents: 6, play: playFrozenEntry},
 	"adopted-runs":     {entries: 3, agents: 6, play: playAdoptedRuns},
 	"evacuation":       {entries: 3, agents: 6, play: playEvacuation},
 	"cancel-cut":       {entries: 3, agents: 3, play: playCancelAtCutEntry},
