--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -11,42 +12,62 @@
 // restartDelay is the time after which the platform starts a killed process again.
 const restartDelay = 500 * time.Millisecond
 
-// playFrozenEntry freezes an entry while clients send it jobs. They wait until their deadline, and
-// send the jobs again to the next entry.
+// playFrozenEntry freezes one entry after the other while clients send it jobs. They wait until
+// their deadline, and send the jobs again to the next entry.
 func playFrozenEntry(f *fleet, trouble bool) ([]string, error) {
 	const (
-		jobs, tasks = 24, 3
-		firstJob    = 0xf000
+		rounds   = 6
+		firstJob = 0xf000
+		// pause is the time between two rounds, in which all machines are left alone.
+		pause = 3 * time.Second
+	)
+	for round := range rounds {
+		first := round % len(f.entries)
+		entries := slices.Concat(f.entries[first:], f.entries[:first])
+		if err := f.freezeRound(entries, firstJob+round*0x100, trouble); err != nil {
+			return nil, err
+		}
+		if found := f.record.overlaps(); len(found) > 0 {
+			return found, nil
+		}
+		time.Sleep(pause)
+	}
+	return nil, nil
+}
+
+// freezeRound freezes the first of the entries while clients send it jobs.
+func (f *fleet) freezeRound(entries []*node, firstJob int, trouble bool) error {
+	const (
+		jobs, tasks = 10, 2
 		runTime     = 1200 * time.Millisecond
 		deadline    = 1500 * time.Millisecond
 		// sendInterval is the time between two jobs.
-		sendInterval = 20 * time.Millisecond
+		sendInterval = 50 * time.Millisecond
 		// frozenFor is the length of the freeze, 4.0 s at most in the days of the site.
 		frozenFor = 3500 * time.Millisecond
 	)
 	c := newClient(f.record)
 	var clients sync.WaitGroup
 	if trouble {
-		entry := f.entries[0]
-		entry.signal(syscall.SIGSTOP)
-		f.record.addf("%s is frozen for %v", entry.name, frozenFor)
+		entries[0].signal(syscall.SIGSTOP)
+		f.record.addf("%s is frozen for %v", entries[0].name, frozenFor)
 		time.AfterFunc(frozenFor, func() {
-			entry.signal(syscall.SIGCONT)
-			f.record.addf("%s wakes", entry.name)
+			f.record.addf("%s wakes", entries[0].name)
+			entries[0].signal(syscall.SIGCONT)
 		})
 	}
 	time.Sleep(100 * time.Millisecond)
 	for i := range jobs {
 		clients.Go(func() {
-			c.submit(f.entries, fmt.Sprintf("%016x", firstJob+i), jobBody(1, tasks, taskCPU, runTime), deadline)
+			c.submit(entries, fmt.Sprintf("%016x", firstJob+i), jobBody(1, tasks, taskCPU, runTime), deadline)
 		})
 		time.Sleep(sendInterval)
 	}
 	clients.Wait()
 	if n := len(f.record.runsOf(fmt.Sprintf("%016x", firstJob))); n < tasks {
-		return nil, fmt.Errorf("the first job has %d runs", n)
+		return fmt.Errorf("the first job has %d runs", n)
 	}
-	return f.record.overlaps(), nil
+	return nil
 }
 
 // playAdoptedRuns kills an entry and an agent at the same moment, and the agent again after its
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -49,7 +49,7 @@
 }
 
 // newFleet starts a deployment and waits until each entry is ready.
-func newFleet(r *record, entries, agents int) (*fleet, error) {
+func newFleet(r *record, s scenario) (*fleet, error) {
 	f := &fleet{record: r, store: standin.NewStore(), done: make(chan struct{})}
 	var err error
 	if f.dir, err = os.MkdirTemp("", "review-"); err != nil {
@@ -59,13 +59,13 @@
 		return f, err
 	}
 	go f.store.Run(f.done)
-	f.store.Put(wire.ConfigKey, []byte(wire.Config))
-	for i := range entries {
+	f.store.Put(wire.ConfigKey, fmt.Appendf(nil, wire.Config, s.timeoutMS))
+	for i := range s.entries {
 		if err := f.addEntry(i); err != nil {
 			return f, err
 		}
 	}
-	for i := range agents {
+	for i := range s.agents {
 		if err := f.addAgent(i); err != nil {
 			return f, err
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,15 +26,17 @@
 // could not run.
 type scenario struct {
 	entries, agents int
-	play            func(f *fleet, trouble bool) ([]string, error)
+	// timeoutMS is the timeout of the queue in milliseconds.
+	timeoutMS int
+	play      func(f *fleet, trouble bool) ([]string, error)
 }
 
 var scenarios = map[string]scenario{
-	"frozen-entry":     {entries: 3, agents: 6, play: playFrozenEntry},
-	"adopted-runs":     {entries: 3, agents: 6, play: playAdoptedRuns},
-	"evacuation":       {entries: 3, agents: 6, play: playEvacuation},
-	"cancel-cut":       {entries: 3, agents: 3, play: playCancelAtCutEntry},
-	"cancel-duplicate": {entries: 3, agents: 3, play: playDuplicateAfterCancel},
+	"frozen-entry":     {entries: 3, agents: 11, timeoutMS: 1500, play: playFrozenEntry},
+	"adopted-runs":     {entries: 3, agents: 6, timeoutMS: 30000, play: playAdoptedRuns},
+	"evacuation":       {entries: 3, agents: 6, timeoutMS: 30000, play: playEvacuation},
+	"cancel-cut":       {entries: 3, agents: 3, timeoutMS: 30000, play: playCancelAtCutEntry},
+	"cancel-duplicate": {entries: 3, agents: 3, timeoutMS: 30000, play: playDuplicateAfterCancel},
 }
 
 func main() {
@@ -52,7 +54,7 @@
 // playCase plays one case and returns the exit status.
 func playCase(s scenario, path string, trouble bool) int {
 	r := newRecord()
-	f, err := newFleet(r, s.entries, s.agents)
+	f, err := newFleet(r, s)
 	defer f.close()
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
