--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -251,3 +251,47 @@
 	}
 	return found, nil
 }
+
+// playLateOrder lets one start order without an answer be carried out by the next incarnation of a
+// target that has crashed, while the agent beside it is down.
+func playLateOrder(f *fleet, trouble bool) ([]string, error) {
+	const (
+		jobs, tasks = 16, 3
+		firstJob    = 0xd000
+		runTime     = 3500 * time.Millisecond
+		deadline    = 14 * time.Second
+		// lateBy is how late the order is carried out, 2 to 12 s in the pages.
+		lateBy = 4300 * time.Millisecond
+		// interval is the time between two jobs. The target crashes after the last one and stays
+		// dark for a time; the agent is killed shortly before its end.
+		interval = 100 * time.Millisecond
+		dark     = 2500 * time.Millisecond
+		lead     = 300 * time.Millisecond
+	)
+	c := newClient(f.record)
+	t := f.targets[0]
+	if trouble {
+		t.mu.Lock()
+		t.lateBy = lateBy
+		t.mu.Unlock()
+	}
+	var clients sync.WaitGroup
+	for i := range jobs {
+		clients.Go(func() {
+			c.submit(f.entries[i%len(f.entries):], fmt.Sprintf("%016x", firstJob+i), jobBody(1, tasks, taskCPU, runTime), deadline)
+		})
+		time.Sleep(interval)
+	}
+	if trouble {
+		t.crash(dark)
+		time.Sleep(dark - lead)
+		if err := killAndRestart(f.record, f.agents[0]); err != nil {
+			return nil, err
+		}
+	}
+	clients.Wait()
+	if n := len(f.record.runsOf(fmt.Sprintf("%016x", firstJob))); n < tasks {
+		return nil, fmt.Errorf("the first job has %d runs", n)
+	}
+	return f.record.overlaps(), nil
+}
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -41,6 +41,10 @@
 	lastEnd uint64
 	// changed is closed and replaced at each end.
 	changed chan struct{}
+	// dark is set while the target is down and silent.
+	dark bool
+	// lateBy is not 0 if the next start order is left without an answer and carried out late.
+	lateBy time.Duration
 }
 
 type activeRun struct {
@@ -65,7 +69,7 @@
 	}
 }
 
-func (t *target) clock() time.Duration { return time.Since(t.boot) }
+func (t *target) clockLocked() time.Duration { return time.Since(t.boot) }
 
 // serve ends expired leases and sends announcements until done is closed.
 func (t *target) serve(done <-chan struct{}) {
@@ -88,7 +92,7 @@
 func (t *target) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.clock() < t.until {
+	if t.clockLocked() < t.until {
 		return
 	}
 	for task, r := range t.runs {
@@ -99,11 +103,15 @@
 // announce sends one announcement to the agent. A failed one is ignored: the next follows.
 func (t *target) announce() {
 	t.mu.Lock()
+	if t.dark {
+		t.mu.Unlock()
+		return
+	}
 	t.sequence++
 	body, err := json.Marshal(map[string]any{
 		"service": "desk", "address": t.address, "zone": t.zone, "version": "v1", "slots": 8, "state": "ready",
 		"cold_remaining_ms": 0, "capacity": map[string]int64{"cpu": targetCPU, "mem_mb": 131072, "gpu": 0},
-		"labels": []string{"a", "r1"}, "clock_ms": t.clock().Milliseconds(), "sequence": t.sequence, "born": t.boot.UnixMilli(),
+		"labels": []string{"a", "r1"}, "clock_ms": t.clockLocked().Milliseconds(), "sequence": t.sequence, "born": t.boot.UnixMilli(),
 	})
 	t.mu.Unlock()
 	if err != nil {
@@ -133,6 +141,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if t.leavesUnanswered(r.URL.Path, request) {
+		<-r.Context().Done()
+		return
+	}
 	if id := r.Header.Get(wire.ExpectedIncarnationHeader); id != "" && id != t.id {
 		t.reply(w, http.StatusMisdirectedRequest, nil)
 		return
@@ -153,6 +165,58 @@
 	}
 }
 
+// leavesUnanswered reports whether a call gets no answer, since the target is down or the order
+// is carried out late.
+func (t *target) leavesUnanswered(path string, request targetRequest) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.dark {
+		return true
+	}
+	if t.lateBy == 0 || path != wire.StartPath {
+		return false
+	}
+	t.record.addf("%s leaves the order to start task %s, run %d without an answer", t.id, request.Task, request.Run)
+	time.AfterFunc(t.lateBy, func() { t.carryOutLate(request) })
+	t.lateBy = 0
+	return true
+}
+
+// carryOutLate carries out a start order at the incarnation that is up now: both have the same ID.
+func (t *target) carryOutLate(request targetRequest) {
+	reason := "fence"
+	if t.accepts(request.Token) {
+		reason = t.startRefusal(request)
+	}
+	if reason == "" {
+		reason = "done"
+	}
+	t.record.addf("%s carries out the late order for task %s, run %d: %s", t.id, request.Task, request.Run, reason)
+}
+
+// crash ends all runs and lets the target be silent for a time. It is then up again under the
+// same ID, without state, and announces itself.
+func (t *target) crash(dark time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dark = true
+	t.record.addf("%s crashes", t.id)
+	for task, r := range t.runs {
+		t.endLocked(task, r, "crashed")
+	}
+	time.AfterFunc(dark, t.restart)
+}
+
+func (t *target) restart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.boot, t.dark = time.Now(), false
+	t.sequence, t.token, t.until, t.lastEnd = 0, 0, 0, 0
+	t.runs, t.highest, t.ends = make(map[string]*activeRun), make(map[string]uint64), nil
+	t.record.addf("%s is up again", t.id)
+	go t.announce()
+}
+
 // accepts reports whether a fencing token is not lower than the highest one seen.
 func (t *target) accepts(token uint64) bool {
 	t.mu.Lock()
@@ -165,7 +229,9 @@
 }
 
 func (t *target) reply(w http.ResponseWriter, status int, fields map[string]any) {
-	body := map[string]any{"clock_ms": t.clock().Milliseconds(), "born": t.boot.UnixMilli()}
+	t.mu.Lock()
+	body := map[string]any{"clock_ms": t.clockLocked().Milliseconds(), "born": t.boot.UnixMilli()}
+	t.mu.Unlock()
 	for name, value := range fields {
 		body[name] = value
 	}
@@ -181,7 +247,7 @@
 // renewLocked extends the lease of all runs. It is never shortened.
 func (t *target) renewLocked(untilMS int64) {
 	until := time.Duration(untilMS) * time.Millisecond
-	t.until = max(t.until, min(until, t.clock()+maxLease))
+	t.until = max(t.until, min(until, t.clockLocked()+maxLease))
 }
 
 func (t *target) start(w http.ResponseWriter, request targetRequest) {
@@ -196,7 +262,7 @@
 func (t *target) startRefusal(request targetRequest) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if time.Duration(request.UntilMS)*time.Millisecond <= t.clock() {
+	if time.Duration(request.UntilMS)*time.Millisecond <= t.clockLocked() {
 		return "late"
 	}
 	t.renewLocked(request.UntilMS)
@@ -265,7 +331,7 @@
 	for len(t.ends) > 0 && t.ends[0].number <= request.LastSeen {
 		t.ends = t.ends[1:]
 	}
-	waiting, changed := len(t.ends) == 0, t.changed
+	waiting, changed, boot := len(t.ends) == 0, t.changed, t.boot
 	t.mu.Unlock()
 	if waiting && request.WaitMS > 0 {
 		select {
@@ -275,9 +341,20 @@
 		case <-time.After(time.Duration(request.WaitMS) * time.Millisecond):
 		}
 	}
+	if !t.isUp(boot) {
+		<-r.Context().Done() // the target crashed while the call was waiting
+		return
+	}
 	t.reply(w, http.StatusOK, t.lists())
 }
 
+// isUp reports whether the incarnation that booted at a time is still up.
+func (t *target) isUp(boot time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.dark && t.boot.Equal(boot)
+}
+
 func (t *target) lists() map[string]any {
 	t.mu.Lock()
 	defer t.mu.Unlock()
