--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -122,16 +122,17 @@
 	// cancelLimit is the time after which no task of a cancelled job may start, cancel_ms of the
 	// pages.
 	cancelLimit = 3 * time.Second
-	// cutTime is the length of a cut, in which machines are in touch until its end.
-	cutTime = 5500 * time.Millisecond
+	// contactTime is the time without disruption after which a machine is in touch, contact_ms of
+	// the pages.
+	contactTime = 3 * time.Second
 )
 
 // startsAfter returns the starts of a job later than cancelLimit after its cancelling was
-// acknowledged.
-func startsAfter(r *record, job string, acknowledged time.Duration) []string {
+// acknowledged, and later than the time from which all machines are in touch.
+func startsAfter(r *record, job string, acknowledged, inTouch time.Duration) []string {
 	var found []string
 	for _, n := range r.runsOf(job) {
-		if n.started > acknowledged+cancelLimit {
+		if n.started > acknowledged+cancelLimit && n.started > inTouch {
 			found = append(found, fmt.Sprintf("task %s (run %d) started on %s %.3f s after the cancelling of its job was acknowledged",
 				n.task, n.number, n.target, (n.started-acknowledged).Seconds()))
 		}
@@ -139,19 +140,23 @@
 	return found
 }
 
-// playCancelAtCutEntry cancels a job at an entry that is cut off from all agents.
+// playCancelAtCutEntry cancels a job at an entry that is cut off from all agents, on a channel that
+// was open before.
 func playCancelAtCutEntry(f *fleet, trouble bool) ([]string, error) {
 	const (
 		job      = "00000000000000b1"
-		steps    = 5
+		steps    = 8
 		runTime  = 1200 * time.Millisecond
-		deadline = 20 * time.Second
+		deadline = 30 * time.Second
+		cutTime  = 3 * time.Second
 	)
 	c := newClient(f.record)
+	c.request(http.MethodGet, f.entries[1], "", "", 2*time.Second)
 	if trouble {
 		f.record.addf("entry-2 is cut off from all agents for %v", cutTime)
 		f.links[1].cutFor(cutTime)
 	}
+	inTouch := f.record.now() + cutTime + contactTime
 	time.Sleep(1500 * time.Millisecond)
 	var posted sync.WaitGroup
 	posted.Go(func() {
@@ -167,7 +172,7 @@
 	if status != http.StatusOK && status != http.StatusGone {
 		return nil, nil // not acknowledged
 	}
-	return startsAfter(f.record, job, acknowledged), nil
+	return startsAfter(f.record, job, acknowledged, inTouch), nil
 }
 
 // playDuplicateAfterCancel lets the request of a cancelled job arrive again, seconds after its
@@ -193,7 +198,7 @@
 	if trouble {
 		c.request(http.MethodPost, f.entries[1], job, body, deadline)
 	}
-	return startsAfter(f.record, job, acknowledged), nil
+	return startsAfter(f.record, job, acknowledged, 0), nil
 }
 
 // playEvacuation takes a data centre out of service while the store turns all entries away.
@@ -260,19 +265,20 @@
 		firstJob    = 0xd000
 		runTime     = 3500 * time.Millisecond
 		deadline    = 14 * time.Second
-		// lateBy is how late the order is carried out, 2 to 12 s in the pages.
-		lateBy = 4300 * time.Millisecond
-		// interval is the time between two jobs. The target crashes after the last one and stays
-		// dark for a time; the agent is killed shortly before its end.
-		interval = 100 * time.Millisecond
-		dark     = 2500 * time.Millisecond
-		lead     = 300 * time.Millisecond
+		// firstJobs are sent at once, the others one after each interval. The target crashes after
+		// the last one and stays dark for a time; the agent is killed shortly before its end.
+		firstJobs = 4
+		interval  = 100 * time.Millisecond
+		dark      = 2500 * time.Millisecond
+		lead      = 300 * time.Millisecond
+		// afterRestart is the time from the target's restart to the execution of the late order.
+		afterRestart = 150 * time.Millisecond
 	)
 	c := newClient(f.record)
 	t := f.targets[0]
 	if trouble {
 		t.mu.Lock()
-		t.lateBy = lateBy
+		t.lateAt = time.Now().Add((jobs-firstJobs)*interval + dark + afterRestart)
 		t.mu.Unlock()
 	}
 	var clients sync.WaitGroup
@@ -280,7 +286,9 @@
 		clients.Go(func() {
 			c.submit(f.entries[i%len(f.entries):], fmt.Sprintf("%016x", firstJob+i), jobBody(1, tasks, taskCPU, runTime), deadline)
 		})
-		time.Sleep(interval)
+		if i >= firstJobs {
+			time.Sleep(interval)
+		}
 	}
 	if trouble {
 		t.crash(dark)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,7 +35,7 @@
 	"frozen-entry":     {entries: 3, agents: 11, timeoutMS: 1500, play: playFrozenEntry},
 	"adopted-runs":     {entries: 3, agents: 6, timeoutMS: 30000, play: playAdoptedRuns},
 	"evacuation":       {entries: 3, agents: 6, timeoutMS: 30000, play: playEvacuation},
-	"late-order":       {entries: 3, agents: 6, timeoutMS: 30000, play: playLateOrder},
+	"late-order":       {entries: 3, agents: 11, timeoutMS: 30000, play: playLateOrder},
 	"cancel-cut":       {entries: 3, agents: 3, timeoutMS: 30000, play: playCancelAtCutEntry},
 	"cancel-duplicate": {entries: 3, agents: 3, timeoutMS: 30000, play: playDuplicateAfterCancel},
 }
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -43,8 +43,9 @@
 	changed chan struct{}
 	// dark is set while the target is down and silent.
 	dark bool
-	// lateBy is not 0 if the next start order is left without an answer and carried out late.
-	lateBy time.Duration
+	// lateAt is not zero if the next start order is left without an answer and carried out at
+	// that time.
+	lateAt time.Time
 }
 
 type activeRun struct {
@@ -173,12 +174,12 @@
 	if t.dark {
 		return true
 	}
-	if t.lateBy == 0 || path != wire.StartPath {
+	if t.lateAt.IsZero() || path != wire.StartPath {
 		return false
 	}
 	t.record.addf("%s leaves the order to start task %s, run %d without an answer", t.id, request.Task, request.Run)
-	time.AfterFunc(t.lateBy, func() { t.carryOutLate(request) })
-	t.lateBy = 0
+	time.AfterFunc(time.Until(t.lateAt), func() { t.carryOutLate(request) })
+	t.lateAt = time.Time{}
 	return true
 }
 
