Start nothing for a caller that has left while the entry was paused

The caller had left after its deadline and sent the job to another entry.

Cause: an entry that wakes from a pause reads the requests of callers that have left, or still holds their jobs, and starts tasks before it looks at a connection.

Ruled out: an older deadline alone, since callers also leave before their deadline.

Why it works: before the start of a task the scheduler asks the kernel, by a peek at the socket, whether a caller of the job still has its connection open. The end of a connection that arrived in the pause is seen there even if the engine has not read it. The result holds for 20 ms, so that a job of many tasks costs one call.

The model now has callers that leave a request unread at a paused entry and repeat the job elsewhere.

--- /dev/null
+++ b/internal/connection/caller/connected_test.go
@@ -0,0 +1,82 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+)
+
+// acceptedConn is a connection of which the engine has not read the end.
+type acceptedConn struct{ *net.TCPConn }
+
+func (acceptedConn) IsClosed() (bool, error) { return false, nil }
+
+// connectedPair returns the context of a request and the client's side of its connection.
+func connectedPair(t *testing.T) (context.Context, *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = client.Close(), conn.Close() })
+	return context.WithValue(context.Background(), connKey{}, acceptedConn{conn.(*net.TCPConn)}), client.(*net.TCPConn)
+}
+
+// awaitDisconnect waits until the client of a request no longer counts as connected.
+func awaitDisconnect(t *testing.T, ctx context.Context) {
+	t.Helper()
+	for begun := time.Now(); IsConnected(ctx); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > 10*time.Second {
+			t.Fatal("the client still counts as connected")
+		}
+	}
+}
+
+// The process was paused, and the engine has not read that the client has closed its connection.
+func TestClosedConnectionIsSeenBeforeEngineReadsIt(t *testing.T) {
+	ctx, client := connectedPair(t)
+	if !IsConnected(ctx) {
+		t.Fatal("a connected client counts as disconnected")
+	}
+	_ = client.Close()
+	awaitDisconnect(t, ctx)
+}
+
+func TestResetConnectionIsSeenBeforeEngineReadsIt(t *testing.T) {
+	ctx, client := connectedPair(t)
+	_ = client.SetLinger(0)
+	_ = client.Close()
+	awaitDisconnect(t, ctx)
+}
+
+func TestClientThatSendsFurtherRequestIsConnected(t *testing.T) {
+	ctx, client := connectedPair(t)
+	if _, err := client.Write([]byte("GET / HTTP/1.1\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		if !IsConnected(ctx) {
+			t.Fatal("a client that has sent a further request counts as disconnected")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestRequestWhoseContextHasEndedIsDisconnected(t *testing.T) {
+	ctx, _ := connectedPair(t)
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	if IsConnected(ended) {
+		t.Error("a cancelled request counts as connected")
+	}
+}
--- a/internal/connection/caller/disconnect.go
+++ b/internal/connection/caller/disconnect.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	llibtls "github.com/lesismal/llib/std/crypto/tls"
@@ -19,6 +20,7 @@
 type pollableConn interface {
 	IsClosed() (bool, error)
 	SetReadDeadline(time.Time) error
+	SyscallConn() (syscall.RawConn, error)
 }
 
 // withDisconnect cancels the context of a request when its client disconnects.
@@ -29,7 +31,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		ctx, cancel := context.WithCancel(r.Context())
+		ctx, cancel := context.WithCancel(context.WithValue(r.Context(), connKey{}, conn))
 		defer cancel()
 		go watchDisconnect(ctx, cancel, conn)
 		next.ServeHTTP(w, r.WithContext(ctx))
--- a/internal/process/loadreplay/replay_test.go
+++ b/internal/process/loadreplay/replay_test.go
@@ -346,7 +346,7 @@
 	job := a.job
 	job.Arrived = time.Now()
 	job.Deadline = deadline
-	answered, cancel := entry.Submit(&job, w.queues[a.kind.name])
+	answered, cancel := entry.Submit(&job, w.queues[a.kind.name], func() bool { return true })
 	select {
 	case answer := <-answered:
 		return answer.State
--- a/internal/process/model/checker_test.go
+++ b/internal/process/model/checker_test.go
@@ -21,9 +21,9 @@
 	// running lists the targets that currently run each task.
 	running map[task.Key][]string
 	starts  map[string]int // by job
-	// killers is n if each n-th job has a task that crashes its targets, or 0. crashes counts
-	// the crashes under each task, startsAfter its starts once maxCrashes were under it.
-	killers     int
+	// crashes counts the crashes under each task, startsAfter its starts once maxCrashes were
+	// under it.
+	workload    workload
 	crashes     map[task.Key]int
 	startsAfter map[task.Key]int
 	// answers holds the answers to a caller's requests by job; tries counts the requests,
@@ -46,9 +46,17 @@
 // killTime is the age at which a task crashes its target.
 const killTime = 15 * time.Millisecond
 
-func newChecker(killers int) *checker {
+// workload describes the jobs of a simulation.
+type workload struct {
+	// killers is n if each n-th job has a task that crashes its targets, or 0.
+	killers int
+	// slowdown is how many times longer tasks run than usual, or 0 for once.
+	slowdown int
+}
+
+func newChecker(w workload) *checker {
 	return &checker{
-		killers:     killers,
+		workload:    w,
 		crashes:     make(map[task.Key]int),
 		startsAfter: make(map[task.Key]int),
 		startedAt:   time.Now(),
@@ -91,7 +99,7 @@
 func (c *checker) isKiller(k task.Key) bool {
 	n := 0
 	_, err := fmt.Sscanf(k.Job, "job-%d", &n)
-	return err == nil && c.killers > 0 && n%c.killers == 2 && k.Index == 0
+	return err == nil && c.workload.killers > 0 && n%c.workload.killers == 2 && k.Index == 0
 }
 
 // crashed records that a target has crashed on which a task ran as far as its agent knows.
@@ -109,11 +117,12 @@
 	}
 }
 
-// runTime returns the run time of a task, between 20 and 820 ms, derived from its key.
+// runTime returns the run time of a task, between 20 and 820 ms times the slowdown of the
+// workload, derived from its key.
 func (c *checker) runTime(k task.Key) time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(k.String()))
-	return time.Duration(20+h.Sum32()%800) * time.Millisecond
+	return time.Duration(20+h.Sum32()%800) * time.Millisecond * time.Duration(max(c.workload.slowdown, 1))
 }
 
 func (c *checker) submitted(job string) {
--- a/internal/process/model/schedule_test.go
+++ b/internal/process/model/schedule_test.go
@@ -138,12 +138,11 @@
 	}
 }
 
-// runSchedule runs a schedule in virtual time; each killers-th job has a task that crashes its
-// targets, or none if it is 0. It returns the violated invariants and the
+// runSchedule runs a schedule in virtual time. It returns the violated invariants and the
 // number of completed jobs.
-func runSchedule(t *testing.T, schedule []step, killers int) (violations []string, complete int) {
+func runSchedule(t *testing.T, schedule []step, w workload) (violations []string, complete int) {
 	synctest.Test(t, func(*testing.T) {
-		sim := newSimulation(agents, entries, killers)
+		sim := newSimulation(agents, entries, w)
 		time.Sleep(200 * time.Millisecond)
 		for _, s := range schedule {
 			go func() {
@@ -151,9 +150,10 @@
 				sim.apply(s)
 			}()
 		}
-		for n := range int(submitPhase / jobInterval) {
+		interval := jobInterval * time.Duration(max(w.slowdown, 1))
+		for n := range int(submitPhase / interval) {
 			go sim.call(fmt.Sprintf("job-%d", n), 1+n%3, n)
-			time.Sleep(jobInterval)
+			time.Sleep(interval)
 		}
 		time.Sleep(settlePhase)
 		violations, complete = sim.checker.check(), sim.checker.complete()
@@ -171,7 +171,7 @@
 }
 
 func TestScheduleWithoutFaultsCompletesJobs(t *testing.T) {
-	violations, complete := runSchedule(t, nil, 0)
+	violations, complete := runSchedule(t, nil, workload{})
 	if len(violations) > 0 || complete < int(submitPhase/jobInterval)*9/10 {
 		t.Errorf("%d jobs complete, violations: %v", complete, violations)
 	}
@@ -180,7 +180,7 @@
 // Without other faults the count of crashes holds, and no other job fails.
 func TestTasksThatCrashTargetsAreGivenUp(t *testing.T) {
 	for killers := 5; killers < 25; killers += 5 {
-		violations, complete := runSchedule(t, nil, killers)
+		violations, complete := runSchedule(t, nil, workload{killers: killers})
 		if len(violations) > 0 || complete == 0 {
 			t.Errorf("each %d. job kills: %d jobs complete, violations: %v", killers, complete, violations)
 		}
@@ -195,7 +195,7 @@
 
 // TestRandomSchedulesWithTasksThatCrashTargets checks them with such tasks as well.
 func TestRandomSchedulesWithTasksThatCrashTargets(t *testing.T) {
-	checkSchedules(t, drawSchedule, func(rt *rapid.T) int { return rapid.IntRange(3, 12).Draw(rt, "killers") })
+	checkSchedules(t, drawSchedule, func(rt *rapid.T) workload { return workload{killers: rapid.IntRange(3, 12).Draw(rt, "killers")} })
 }
 
 // An order that was executed without an answer, and whose repeat is rejected, is neither
@@ -215,12 +215,12 @@
 	checkSchedules(t, drawFaulty(append([]action{restartTarget}, faultyActions...)), withoutKillers)
 }
 
-func withoutKillers(*rapid.T) int { return 0 }
+func withoutKillers(*rapid.T) workload { return workload{} }
 
 // defaultSeed makes regular runs check the same schedules; -rapid.seed draws others.
 const defaultSeed = "1"
 
-func checkSchedules(t *testing.T, draw func(*rapid.T) []step, drawKillers func(*rapid.T) int) {
+func checkSchedules(t *testing.T, draw func(*rapid.T) []step, drawWorkload func(*rapid.T) workload) {
 	setFlag(t, "rapid.checks", fmt.Sprint(*schedules))
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
 		setFlag(t, "rapid.seed", defaultSeed)
@@ -228,9 +228,9 @@
 	// The first violation may not show again when rapid repeats its schedule.
 	var logFirst sync.Once
 	rapid.Check(t, func(rt *rapid.T) {
-		schedule, killers := draw(rt), drawKillers(rt)
+		schedule, w := draw(rt), drawWorkload(rt)
 		for range *repeats {
-			violations, _ := runSchedule(t, schedule, killers)
+			violations, _ := runSchedule(t, schedule, w)
 			if len(violations) == 0 {
 				continue
 			}
--- a/internal/process/model/simulation_test.go
+++ b/internal/process/model/simulation_test.go
@@ -16,7 +16,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/runs"
-	"github.com/rosemarybay/rosemarybay/internal/process/scheduler"
+	scheduling "github.com/rosemarybay/rosemarybay/internal/process/scheduler"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 	"github.com/rosemarybay/rosemarybay/internal/version/policy"
 )
@@ -28,12 +28,18 @@
 	callerRetry = 1300 * time.Millisecond
 	// callerTimeout is the deadline of a job, counted from its first submission.
 	callerTimeout = 4 * time.Second
-	sweepInterval = 10 * time.Millisecond
+	// requestTimeout is how long an impatient caller waits for the answer to one request.
+	requestTimeout = 1500 * time.Millisecond
+	// disconnectInterval is how long an entry takes to notice that a caller has left.
+	disconnectInterval = 100 * time.Millisecond
+	// maxBacklogTime is how long an entry takes to read the requests that arrived in a pause.
+	maxBacklogTime = 200 * time.Millisecond
+	sweepInterval  = 10 * time.Millisecond
 	// queues is the number of queues; each has another priority.
 	queues         = 2
 	redialInterval = 20 * time.Millisecond
 	// unfinished is the state in an answer after which a caller retries.
-	unfinished = scheduler.StateUnfinished
+	unfinished = scheduling.StateUnfinished
 )
 
 // process simulates the life cycle of an entry or agent: it can be killed, started and
@@ -78,7 +84,7 @@
 	process
 	sim       *simulation
 	name      string
-	scheduler *scheduler.Scheduler
+	scheduler *scheduling.Scheduler
 }
 
 type simulation struct {
@@ -92,8 +98,8 @@
 	view         *policy.View
 }
 
-func newSimulation(agents, entries, killers int) *simulation {
-	sim := &simulation{checker: newChecker(killers), view: &policy.View{}}
+func newSimulation(agents, entries int, w workload) *simulation {
+	sim := &simulation{checker: newChecker(w), view: &policy.View{}}
 	byName := make(map[string]*policy.Queue)
 	for priority := range queues {
 		q := &policy.Queue{
@@ -153,7 +159,7 @@
 
 func (e *entry) start() {
 	number := e.next()
-	s := scheduler.New(scheduler.Options{
+	s := scheduling.New(scheduling.Options{
 		DataCentre:    "dc",
 		Log:           e.sim.checker.log.logger(e.name),
 		Counters:      metrics.New(),
@@ -288,7 +294,7 @@
 }
 
 // serve runs the entry's side of a link.
-func (e *entry) serve(s *scheduler.Scheduler, c net.Conn, number int) {
+func (e *entry) serve(s *scheduling.Scheduler, c net.Conn, number int) {
 	var name atomic.Pointer[string]
 	link := peer.NewLink(c, func(f *peer.Frame) {
 		if n := name.Load(); n != nil {
@@ -315,47 +321,101 @@
 }
 
 // call simulates a caller. It submits a job to an entry, and to the next one after
-// callerRetry if the connection breaks or the job did not finish.
+// callerRetry if the connection breaks or the job did not finish. Each third caller also does so
+// after requestTimeout without an answer.
 func (sim *simulation) call(id string, tasks, first int) {
 	deadline := time.Now().Add(callerTimeout)
+	patience := callerTimeout
+	if first%3 == 0 {
+		patience = requestTimeout
+	}
 	for try := first; time.Now().Before(deadline); try++ {
-		e := sim.entries[try%len(sim.entries)]
-		if sim.submit(e, sim.queues[first%queues], id, tasks, deadline) {
+		r := &request{
+			sim: sim, entry: sim.entries[try%len(sim.entries)], queue: sim.queues[first%queues], id: id, tasks: tasks,
+			timeout: min(patience, time.Until(deadline)), left: make(chan struct{}),
+		}
+		if r.send() {
 			return
 		}
 		time.Sleep(callerRetry)
 	}
 }
 
-// submit sends a job to an entry. It reports whether the caller is done: it has a final
-// answer or its deadline has passed.
-func (sim *simulation) submit(e *entry, q *policy.Queue, id string, tasks int, deadline time.Time) bool {
-	number, alive, _ := e.state()
-	if !alive || !e.waitRunnable(number) {
+// request is one request of a caller, sent to one entry.
+type request struct {
+	sim   *simulation
+	entry *entry
+	queue *policy.Queue
+	id    string
+	tasks int
+	// timeout is how long the caller waits. The entry counts it from when it reads the request.
+	timeout time.Duration
+	// left is closed once the caller no longer waits.
+	left chan struct{}
+}
+
+// send sends the request and waits. It reports whether the caller has a final answer.
+func (r *request) send() bool {
+	number, alive, _ := r.entry.state()
+	if !alive {
 		return false
 	}
-	e.mu.Lock()
-	died, scheduler, same := e.died, e.scheduler, e.number == number
-	e.mu.Unlock()
+	r.entry.mu.Lock()
+	died, scheduler, same := r.entry.died, r.entry.scheduler, r.entry.number == number
+	r.entry.mu.Unlock()
 	if !same {
 		return false
 	}
-	sim.checker.submitted(id)
-	answered, cancel := scheduler.Submit(&task.Job{
-		ID:       id,
-		Queue:    q.Name,
-		Steps:    []task.Step{{Count: tasks, Need: task.Resources{CPU: 1000}, Estimate: 300 * time.Millisecond}},
-		Arrived:  time.Now(),
-		Deadline: deadline,
-	}, q)
+	defer close(r.left)
+	answered := make(chan scheduling.Answer, 1)
+	go r.read(number, scheduler, answered)
 	select {
 	case a := <-answered:
-		sim.checker.answered(id, a)
 		return a.State != unfinished
 	case <-died:
 		return false
-	case <-time.After(time.Until(deadline)):
-		cancel()
+	case <-time.After(r.timeout):
+		return false
+	}
+}
+
+// read submits the request once the entry is not paused, also if the caller has left meanwhile,
+// and withdraws it when the entry notices that the caller has left.
+func (r *request) read(number int, s *scheduling.Scheduler, answered chan<- scheduling.Answer) {
+	_, _, pauseLeft := r.entry.state()
+	if !r.entry.waitRunnable(number) {
+		return
+	}
+	if pauseLeft > 0 {
+		time.Sleep(r.sim.checker.runTime(task.Key{Job: r.id}) % maxBacklogTime)
+	}
+	r.sim.checker.submitted(r.id)
+	now := time.Now()
+	answer, cancel := s.Submit(&task.Job{
+		ID:       r.id,
+		Queue:    r.queue.Name,
+		Steps:    []task.Step{{Count: r.tasks, Need: task.Resources{CPU: 1000}, Estimate: 300 * time.Millisecond}},
+		Arrived:  now,
+		Deadline: now.Add(r.timeout),
+	}, r.queue, r.isConnected)
+	select {
+	case a := <-answer:
+		r.sim.checker.answered(r.id, a)
+		answered <- a
+	case <-r.left:
+		time.Sleep(disconnectInterval)
+		if r.entry.waitRunnable(number) {
+			cancel()
+		}
+	}
+}
+
+// isConnected reports whether the caller still waits.
+func (r *request) isConnected() bool {
+	select {
+	case <-r.left:
+		return false
+	default:
 		return true
 	}
 }
--- a/internal/process/scheduler/cluster_test.go
+++ b/internal/process/scheduler/cluster_test.go
@@ -210,9 +210,12 @@
 }
 
 func (tc *testCluster) submit(j *task.Job) (<-chan Answer, func()) {
-	return tc.scheduler.Submit(j, tc.queue)
+	return tc.scheduler.Submit(j, tc.queue, connected)
 }
 
+// connected is the state of the connection of a caller that waits for its answer.
+func connected() bool { return true }
+
 func await(t *testing.T, answered <-chan Answer) Answer {
 	t.Helper()
 	select {
--- a/internal/process/scheduler/fuzz_test.go
+++ b/internal/process/scheduler/fuzz_test.go
@@ -55,7 +55,7 @@
 			Steps:    []task.Step{{Count: 2, Need: task.Resources{CPU: 1000}}},
 			Arrived:  time.Now(),
 			Deadline: time.Now().Add(time.Second),
-		}, queue)
+		}, queue, connected)
 		for _, body := range [][]byte{first, second} {
 			frame := &peer.Frame{}
 			if cbor.Unmarshal(body, frame) != nil {
--- a/internal/process/scheduler/isolation.go
+++ b/internal/process/scheduler/isolation.go
@@ -223,7 +223,7 @@
 		return false
 	}
 	t := s.chooseIsolated(it, r)
-	if t == nil {
+	if t == nil || !s.hasCaller(it.job) {
 		return false
 	}
 	s.start(it, t)
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -57,7 +57,9 @@
 	// predecessor is an answered job of the same ID of which attempts may still run, or
 	// nil.
 	predecessor *job
-	waiters     []chan Answer
+	waiters     []*waiter
+	// callerSeenAt is when a caller was last found connected, 0 if it has not been checked.
+	callerSeenAt time.Duration
 }
 
 // capacityPrediction is how much capacity a job lacked on arrival, and how long it takes
@@ -239,7 +241,7 @@
 	}
 	s.logAnswer(j, a)
 	for _, w := range j.waiters {
-		w <- a
+		w.answer <- a
 	}
 }
 
--- a/internal/process/scheduler/overload_test.go
+++ b/internal/process/scheduler/overload_test.go
@@ -183,7 +183,7 @@
 		less.Priority = 1
 		lessUrgent := tc.job("less-urgent", 1, 2000)
 		lessUrgent.Steps[0].Estimate = time.Second
-		answered, _ := tc.scheduler.Submit(lessUrgent, &less)
+		answered, _ := tc.scheduler.Submit(lessUrgent, &less, connected)
 		equal, _ := tc.submit(tc.job("equal", 1, 2000))
 		s := a.nextStart()
 		if s.Attempt.Key.Job != "equal" {
@@ -225,7 +225,7 @@
 		urgent := *tc.queue
 		waiting := tc.job("waiting", 2, 2000)
 		waiting.Steps[0].Estimate = time.Second
-		tc.scheduler.Submit(waiting, &urgent)
+		tc.scheduler.Submit(waiting, &urgent, connected)
 		time.Sleep(50 * time.Millisecond)
 		for _, agent := range agents {
 			if got := agent.demand(); got.UpTo(0) != 2000 {
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -66,6 +66,8 @@
 		case slices.Contains(skippedJobs, it.job):
 		case tryStart(it, r):
 			continue
+		case it.job.ended:
+			continue
 		default:
 			skippedJobs = append(skippedJobs, it.job)
 		}
@@ -84,7 +86,7 @@
 		return false
 	}
 	t := s.choose(it, r)
-	if t == nil || (!it.Begun() && !s.mayBegin(it, r)) {
+	if t == nil || (!it.Begun() && !s.mayBegin(it, r)) || !s.hasCaller(it.job) {
 		return false
 	}
 	s.start(it, t)
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -117,15 +117,16 @@
 
 // Submit queues the tasks of a job, or joins the job in progress with the same ID. The
 // answer is sent on the returned channel. cancel withdraws this caller; the job ends
-// when its last caller withdraws.
-func (s *Scheduler) Submit(spec *task.Job, queue *policy.Queue) (answered <-chan Answer, cancel func()) {
+// when its last caller withdraws. connected reports, without blocking, whether the caller
+// still waits; it is asked before the job's tasks are started.
+func (s *Scheduler) Submit(spec *task.Job, queue *policy.Queue, connected func() bool) (answered <-chan Answer, cancel func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	waiter := make(chan Answer, 1)
+	w := &waiter{answer: make(chan Answer, 1), connected: connected}
 	if a, ok := s.answers.get(spec.ID, s.now()); ok {
 		s.opts.Counters.Counter("jobs_answered_again").Inc(1)
-		waiter <- a
-		return waiter, func() {}
+		w.answer <- a
+		return w.answer, func() {}
 	}
 	j := s.jobs[spec.ID]
 	if j == nil {
@@ -135,17 +136,17 @@
 		s.suspectOnArrival(j)
 		if refused, ok := s.admit(j); !ok {
 			s.logAnswer(j, refused)
-			waiter <- refused
-			return waiter, func() {}
+			w.answer <- refused
+			return w.answer, func() {}
 		}
 		s.enqueue(j)
 	} else {
 		s.opts.Counters.Counter("jobs_joined").Inc(1)
 		s.opts.Log.Info().Str("job", spec.ID).Msg("request joined the job in progress")
 	}
-	j.waiters = append(j.waiters, waiter)
+	j.waiters = append(j.waiters, w)
 	s.placeQueued()
-	return waiter, func() { s.withdraw(j, waiter) }
+	return w.answer, func() { s.withdraw(j, w) }
 }
 
 // earlierVerdict returns whether a job of an ID may have run here.
@@ -192,27 +193,6 @@
 	}
 }
 
-// withdraw removes a caller that no longer waits, and ends the job if it was the last
-// one.
-func (s *Scheduler) withdraw(j *job, waiter chan Answer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if j.ended {
-		return
-	}
-	for i, w := range j.waiters {
-		if w == waiter {
-			j.waiters = append(j.waiters[:i], j.waiters[i+1:]...)
-			break
-		}
-	}
-	if len(j.waiters) > 0 {
-		return
-	}
-	s.finish(j, Answer{State: StateAbandoned, Verdict: j.verdict(), Reason: apiv1.Reason_REASON_CANCELLED, Message: "its caller left"})
-	s.placeQueued()
-}
-
 // Cancel ends a job at its caller's request. It reports whether the job was in progress
 // at this entry or its answer is still kept. Attempts that other entries have sent for
 // the job are stopped as well.
