Forget the clock of an agent's former process when it links again

What callers can see: a job runs twice at the same time (TWICE), or runs of an entry that is frozen or cut off go on.

Cause: an agent measures the lease of an entry from the latest time of its own clock that the entry has echoed. The entry kept the highest time it had ever received from an agent of that name. A restarted agent counts its clock from zero, so the entry echoed the former process's time, which lies ahead of the new one's clock by the whole life of the former process: until then the lease could not run out, and a frozen entry's runs were renewed up to the limit of a broken link (1,000 + 150 ms) in place of 500 ms.

--- a/internal/process/runs/harness_test.go
+++ b/internal/process/runs/harness_test.go
@@ -124,6 +124,14 @@
 	}()
 }
 
+// receive passes a frame to the manager as one of the entry's present link.
+func (h *harness) receive(incarnation uint64, f peer.Frame) {
+	h.manager.mu.Lock()
+	link := h.manager.owners[incarnation].link
+	h.manager.mu.Unlock()
+	h.manager.Receive(incarnation, link, &f)
+}
+
 // expireOwnerLease sets the clocks as after a pause of the agent that is longer than the
 // lease of its entries, before any frame is read.
 func (h *harness) expireOwnerLease() {
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -154,7 +154,7 @@
 		m.opts.Counters.Counter("frames_from_replaced_links").Inc(1)
 		return
 	}
-	o.lastEcho = max(o.lastEcho, time.Duration(f.Echo))
+	m.recordEchoLocked(o, time.Duration(f.Echo))
 	o.echo = f.Sent
 	o.acknowledge(f.AckedResults)
 	m.updateDemandLocked(o, f.Demand)
@@ -178,6 +178,16 @@
 	m.cancelJobsLocked(o, f.CancelJobs)
 }
 
+// recordEchoLocked renews the lease of an entry by a time of this process's clock that the entry
+// has echoed. A time that has not come yet is that of another process.
+func (m *Manager) recordEchoLocked(o *owner, echo time.Duration) {
+	if echo > m.clock() {
+		m.opts.Counters.Counter("echoes_from_the_future").Inc(1)
+		return
+	}
+	o.lastEcho = max(o.lastEcho, echo)
+}
+
 // acknowledge drops the results up to a number.
 func (o *owner) acknowledge(number uint64) {
 	n := 0
--- a/internal/process/runs/owner_test.go
+++ b/internal/process/runs/owner_test.go
@@ -384,3 +384,20 @@
 		})
 	}
 }
+
+// An entry echoes the clock of a former process of the agent, which was ahead of this one's, and
+// falls silent.
+func TestEchoOfFormerProcessDoesNotExtendTheLeaseOfItsEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		h.receive(7, peer.Frame{Echo: int64(time.Hour)})
+		close(h.entrySilent)
+		silent := time.Now()
+		h.waitOutcome(a, peer.OutcomeStopped)
+		if after := time.Since(silent); after > peer.OwnerLease+100*time.Millisecond {
+			t.Errorf("the run ended %v after the latest valid echo, lease %v", after, peer.OwnerLease)
+		}
+	})
+}
--- a/internal/process/scheduler/cluster_test.go
+++ b/internal/process/scheduler/cluster_test.go
@@ -39,6 +39,9 @@
 	exclusiveJob string
 	// crashes is the number of reports of crashes received.
 	crashes int
+	// epoch is the start of the agent's clock, echo the latest time of it that the entry echoed.
+	epoch time.Time
+	echo  int64
 	// others is the demand that the agent reports, received that of the entry.
 	others, received task.Demand
 }
@@ -56,6 +59,15 @@
 	return a.crashes
 }
 
+// clock returns the time that the agent's frames carry.
+func (a *fakeAgent) clock() time.Duration { return time.Since(a.epoch) }
+
+func (a *fakeAgent) echoed() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Duration(a.echo)
+}
+
 func (a *fakeAgent) demand() task.Demand {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -99,9 +111,14 @@
 }
 
 func (tc *testCluster) agentIn(dataCentre, name string, runs ...task.Attempt) *fakeAgent {
+	return tc.agentWithClock(dataCentre, name, time.Unix(0, 0), runs...)
+}
+
+// agentWithClock connects an agent whose clock counts from epoch.
+func (tc *testCluster) agentWithClock(dataCentre, name string, epoch time.Time, runs ...task.Attempt) *fakeAgent {
 	here, there := net.Pipe()
 	a := &fakeAgent{
-		t: tc.t, name: name, cluster: tc,
+		t: tc.t, name: name, cluster: tc, epoch: epoch,
 		starts: make(chan peer.Start, 100),
 		stops:  make(chan task.Attempt, 100),
 		free:   task.Resources{CPU: 8000},
@@ -112,7 +129,7 @@
 		defer a.mu.Unlock()
 		f.Accepted = a.accepted
 		f.Room = &peer.Room{Free: a.free, Demand: a.others, ExclusiveJob: a.exclusiveJob}
-		f.Sent = time.Now().UnixNano()
+		f.Sent = int64(a.clock())
 	})
 	tc.t.Cleanup(a.link.Close)
 	tc.t.Cleanup(link.Close)
@@ -154,7 +171,7 @@
 		}
 		a.mu.Lock()
 		a.accepted += uint64(len(f.Starts))
-		a.received = f.Demand
+		a.received, a.echo = f.Demand, f.Echo
 		a.crashes += len(f.Crashes)
 		if f.Claims != nil {
 			a.claims = append(a.claims, f.Claims.Attempts...)
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -129,6 +129,24 @@
 	})
 }
 
+// The clock of a new agent process begins anew. An entry that echoed that of the former process
+// would hold a lease which does not run out for as long as that process had run.
+func TestClockOfFormerAgentProcessIsNotEchoed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t)
+		time.Sleep(time.Hour)
+		a := tc.agent("a")
+		before := a.clock()
+		a.link.Close()
+		time.Sleep(time.Second)
+		restarted := tc.agentWithClock("dc1", "a", time.Now())
+		time.Sleep(time.Second)
+		if echo := restarted.echoed(); echo >= before || echo > restarted.clock() {
+			t.Errorf("echoed %v at the time %v of the new process; the former one was at %v", echo, restarted.clock(), before)
+		}
+	})
+}
+
 // An agent falls silent. Its attempts may be repeated elsewhere only once they must
 // have ended.
 func TestAttemptsOfASilentAgentAreRepeatedOnlyAfterExpiry(t *testing.T) {
