Renew a target's lease only for runs whose entries are known to live

Cause: a new agent process renewed the target's lease on all runs that it found, although no entry had claimed them, and began a time of its own (400 ms) to stop them; a second process began it again. In general, the lease counted from the latest poll of whichever process polled, not from the latest evidence that the entry lives: an agent that is paused again and again, or whose stop orders fail, renewed the runs of a silent entry without end.

Fix: the lease in each order and poll ends 1,000 ms after the oldest time at which an entry with runs at the target was last known to be alive, and the lease is not extended at all while a run has no entry, before the first report, or by starts beside such a run. Unclaimed runs are stopped after 300 ms (400 before), since the claimed runs beside them wait for that.

TestNewProcessDoesNotRenewRunThatNoEntryClaims, TestRunOfSilentEntryEndsByLeaseIfItCannotBeStopped, TestRunOfSilentEntryEndsDespitePausesOfTheAgent and TestStartOfAnotherEntryDoesNotExtendRunOfSilentEntry fail without it.

TestAdoptedRunCountsWithWhatItUses expected free capacity beside an unclaimed run of known use: a start there would extend that run's lease, so it now expects none (TestNoCapacityIsFreeBesideRunWithoutAnEntry, for known and unknown use).

--- a/internal/process/model/target_test.go
+++ b/internal/process/model/target_test.go
@@ -196,7 +196,7 @@
 }
 
 func (c *conn) Start(ctx context.Context, permit runs.Permit, s peer.Start) (runs.Answer, error) {
-	call := runtarget.Call{Kind: runtarget.Start, Start: s, Until: c.leaseUntil(permit.IssuedAt)}
+	call := runtarget.Call{Kind: runtarget.Start, Start: s, Until: c.leaseUntil(permit.LeaseFrom)}
 	_, answer, err := c.do(ctx, permit.Token, call)
 	return answer, err
 }
@@ -220,7 +220,7 @@
 func (c *conn) Poll(ctx context.Context, request runs.PollRequest) (runs.Report, error) {
 	call := runtarget.Call{Kind: runtarget.Poll, LastSeen: request.LastSeen, Wait: min(request.Wait, maxPollWait)}
 	if request.Renew {
-		call.Until = c.leaseUntil(request.IssuedAt)
+		call.Until = c.leaseUntil(request.LeaseFrom)
 	}
 	reply, answer, err := c.do(ctx, request.Token, call)
 	if err != nil || answer != runs.AnswerDone {
--- a/internal/process/runs/faketarget_test.go
+++ b/internal/process/runs/faketarget_test.go
@@ -96,7 +96,7 @@
 		f.calls++
 		return 0, errSilent
 	}
-	call := runtarget.Call{Kind: runtarget.Start, Target: fakeTargetID, Token: permit.Token, Start: s, Until: f.leaseUntil(permit.IssuedAt)}
+	call := runtarget.Call{Kind: runtarget.Start, Target: fakeTargetID, Token: permit.Token, Start: s, Until: f.leaseUntil(permit.LeaseFrom)}
 	if f.startsToLeaveUnanswered > 0 {
 		f.startsToLeaveUnanswered--
 		if f.delayStarts {
@@ -155,7 +155,7 @@
 	}
 	call := runtarget.Call{Kind: runtarget.Poll, Target: fakeTargetID, Token: request.Token, LastSeen: request.LastSeen}
 	if request.Renew {
-		call.Until = f.leaseUntil(request.IssuedAt)
+		call.Until = f.leaseUntil(request.LeaseFrom)
 	}
 	reply := f.machine.Execute(call)
 	answer := answersOfTarget[reply.Answer]
--- a/internal/process/runs/harness_test.go
+++ b/internal/process/runs/harness_test.go
@@ -33,7 +33,7 @@
 	target  *fakeTarget
 	entry   *peer.Link
 	frames  chan *peer.Frame
-	// entrySilent, once closed, stops the entry's answers.
+	// entrySilent, once closed, stops the answers of the entries that are connected meanwhile.
 	entrySilent chan struct{}
 	// demand is sent with each frame of the entries that are connected later.
 	demand task.Demand
@@ -98,7 +98,7 @@
 		f.Demand = demand
 	})
 	h.t.Cleanup(h.entry.Close)
-	entry := h.entry
+	entry, silent := h.entry, h.entrySilent
 	go func() {
 		for {
 			f, err := entry.Receive()
@@ -112,7 +112,7 @@
 			}
 			mu.Unlock()
 			select {
-			case <-h.entrySilent:
+			case <-silent:
 			default:
 				entry.Send(peer.Frame{})
 			}
--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -66,11 +66,6 @@
 	crashed bool
 }
 
-// permit returns a permit that is issued now.
-func (t *targetIncarnation) permit() Permit {
-	return Permit{Token: t.token, IssuedAt: time.Now()}
-}
-
 // Announce processes an announcement of the target. It returns false if the announcement
 // is ignored because it belongs to an earlier incarnation.
 func (m *Manager) Announce(a Announcement) bool {
--- /dev/null
+++ b/internal/process/runs/lease_test.go
@@ -0,0 +1,124 @@
+package runs
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+)
+
+// latestEnd is the time after the latest echo of an entry by which its runs must have ended.
+const latestEnd = maxRunWithoutEntry*(100+maxClockDriftPercent)/100 + 50*time.Millisecond
+
+// expectEndWithin fails the test unless a run ends within a time.
+func (h *harness) expectEndWithin(a task.Attempt, limit time.Duration) {
+	h.t.Helper()
+	begun := time.Now()
+	for h.target.isRunning(a) {
+		if time.Since(begun) > limit {
+			h.t.Errorf("the run goes on %v later", limit)
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// An agent is killed with the entry whose run is at its target, and its next process is killed
+// soon as well: the run ends by the lease that the first process had renewed.
+func TestNewProcessDoesNotRenewRunThatNoEntryClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := task.Attempt{Key: task.Key{Job: "j"}, Run: 1}
+		h.manager.mu.Lock()
+		h.manager.adoptRunLocked(ActiveRun{Attempt: a})
+		h.manager.mu.Unlock()
+		h.target.place(a)
+		time.Sleep(5 * time.Millisecond) // a poll that was in progress may renew
+		var before int
+		h.target.set(func() { before = h.target.renewals })
+		time.Sleep(orphanLease / 2)
+		h.target.set(func() {
+			if h.target.renewals > before {
+				t.Errorf("%d renewals before the run was claimed", h.target.renewals-before)
+			}
+		})
+		h.entry.Send(peer.Frame{Claims: &peer.Claims{Attempts: []peer.Claim{{Attempt: a, Need: task.Resources{CPU: 500}}}}})
+		time.Sleep(orphanLease)
+		h.target.set(func() {
+			if h.target.renewals == before || !h.target.isRunning(a) {
+				t.Error("the run was not kept once it was claimed")
+			}
+		})
+	})
+}
+
+// The first poll of a process may find runs of an earlier one.
+func TestNothingIsRenewedBeforeFirstReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.manager.mu.Lock()
+		h.manager.target.reported = false
+		h.manager.mu.Unlock()
+		if poll := h.manager.nextPoll(h.manager.target, 0); poll.Renew {
+			t.Error("a poll before the first report renews the lease")
+		}
+	})
+}
+
+// An entry falls silent, and its run cannot be stopped: the target does not carry out stop orders.
+func TestRunOfSilentEntryEndsByLeaseIfItCannotBeStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		h.target.set(func() { h.target.stopsToReject = 1000 })
+		close(h.entrySilent)
+		h.expectEndWithin(a, latestEnd)
+	})
+}
+
+// The agent is paused again and again, so that it takes no entry for silent.
+func TestRunOfSilentEntryEndsDespitePausesOfTheAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		close(h.entrySilent)
+		done := make(chan struct{})
+		defer close(done)
+		go func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(resumeGrace / 2):
+					h.manager.mu.Lock()
+					h.manager.lastSweep = h.manager.lastSweep.Add(-2 * pauseThreshold)
+					h.manager.mu.Unlock()
+				}
+			}
+		}()
+		h.expectEndWithin(a, latestEnd)
+	})
+}
+
+// The run of one entry is not renewed any more; another entry must not extend it by a start.
+func TestStartOfAnotherEntryDoesNotExtendRunOfSilentEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		h.target.set(func() { h.target.stopsToReject = 1000 })
+		close(h.entrySilent)
+		silent := time.Now()
+		h.entrySilent = make(chan struct{})
+		h.connect(8)
+		for i := 1; time.Since(silent) < latestEnd-100*time.Millisecond; i++ {
+			h.start(i, 1, task.Resources{CPU: 100})
+			time.Sleep(100 * time.Millisecond)
+		}
+		h.expectEndWithin(a, latestEnd-time.Since(silent))
+	})
+}
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -146,14 +146,15 @@
 }
 
 // freeLocked returns the free capacity. Runs that are being stopped still count as used. None is
-// free beside a run of which it is not known what it needs or uses.
+// free beside a run of which no entry is known: it may need more than it uses, and a start would
+// extend its lease.
 func (m *Manager) freeLocked() task.Resources {
 	if m.target == nil {
 		return task.Resources{}
 	}
 	free := m.target.Capacity
 	for _, r := range m.runs {
-		if r.owner == 0 && r.need.CPU == 0 {
+		if r.owner == 0 {
 			return task.Resources{}
 		}
 		free = free.Sub(r.need)
--- a/internal/process/runs/owner_test.go
+++ b/internal/process/runs/owner_test.go
@@ -144,32 +144,22 @@
 	})
 }
 
-// The need of an adopted run is unknown until an entry claims it.
-func TestNoCapacityIsFreeBesideRunOfUnknownNeed(t *testing.T) {
+// The need of an adopted run is unknown until an entry claims it, whatever it uses, and a start
+// would extend its lease.
+func TestNoCapacityIsFreeBesideRunWithoutAnEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a := task.Attempt{Key: task.Key{Job: "j"}, Run: 1}
-		h := newHarness(t)
-		h.manager.mu.Lock()
-		h.manager.adoptRunLocked(ActiveRun{Attempt: a})
-		h.manager.mu.Unlock()
-		h.target.place(a)
-		if r := h.waitOutcome(h.start(1, 1, task.Resources{CPU: 1000}), peer.OutcomeRefused); r.Refusal != peer.RefusalNoCapacity {
-			t.Errorf("refused for %q", r.Refusal)
-		}
-		h.entry.Send(peer.Frame{Claims: &peer.Claims{Attempts: []peer.Claim{{Attempt: a, Need: task.Resources{CPU: 500}}}}})
-		h.waitFor(func(f *peer.Frame) bool { return f.Room != nil && f.Room.Free.CPU == testCapacity.CPU-500 })
-	})
-}
-
-// The processor time that a run uses stands for its need until an entry claims it.
-func TestAdoptedRunCountsWithWhatItUses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newHarness(t)
-		h.manager.mu.Lock()
-		defer h.manager.mu.Unlock()
-		h.manager.adoptRunLocked(ActiveRun{Attempt: task.Attempt{Key: task.Key{Job: "j"}, Run: 1}, CPU: 500})
-		if free := h.manager.freeLocked().CPU; free != testCapacity.CPU-500 {
-			t.Errorf("%d free", free)
+		for _, used := range []int64{0, 500} {
+			a := task.Attempt{Key: task.Key{Job: "j"}, Run: 1}
+			h := newHarness(t)
+			h.manager.mu.Lock()
+			h.manager.adoptRunLocked(ActiveRun{Attempt: a, CPU: used})
+			h.manager.mu.Unlock()
+			h.target.place(a)
+			if r := h.waitOutcome(h.start(1, 1, task.Resources{CPU: 1000}), peer.OutcomeRefused); r.Refusal != peer.RefusalNoCapacity {
+				t.Errorf("refused for %q beside a run that uses %d", r.Refusal, used)
+			}
+			h.entry.Send(peer.Frame{Claims: &peer.Claims{Attempts: []peer.Claim{{Attempt: a, Need: task.Resources{CPU: 500}}}}})
+			h.waitFor(func(f *peer.Frame) bool { return f.Room != nil && f.Room.Free.CPU == testCapacity.CPU-500 })
 		}
 	})
 }
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -21,11 +21,6 @@
 	// unresponsiveAfter is the time without an answer after which the target gets no new
 	// work and its lease is no longer renewed, so that its runs end within a known time.
 	unresponsiveAfter = 250 * time.Millisecond
-	// maxClockDriftPercent is how much slower than the agent's clock the target's may
-	// run.
-	maxClockDriftPercent = 2
-	// leaseMargin is added to the target's lease for stopping the runs.
-	leaseMargin = 60 * time.Millisecond
 )
 
 // pollTarget renews the lease and processes ended runs until the incarnation ends.
@@ -52,11 +47,13 @@
 func (m *Manager) nextPoll(t *targetIncarnation, wait time.Duration) PollRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	poll := PollRequest{Permit: t.permit(), LastSeen: t.lastSeen, Wait: wait, Renew: !t.unresponsive && !t.unconfirmed && !t.leaving}
-	if poll.Renew {
-		t.renewedAt = poll.IssuedAt
+	permit, mayRenew := m.permitLocked(t)
+	// Before the first report, runs of an earlier process of the agent may be at the target.
+	renew := mayRenew && t.reported && !t.unresponsive && !t.unconfirmed && !t.leaving
+	if renew {
+		t.recordRenewal(permit)
 	}
-	return poll
+	return PollRequest{Permit: permit, LastSeen: t.lastSeen, Wait: wait, Renew: renew}
 }
 
 // handleReport processes a report and returns how long the next poll may wait.
@@ -123,8 +120,7 @@
 func (m *Manager) expireTargetLease(t *targetIncarnation) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	lease := m.opts.TargetLease*(100+maxClockDriftPercent)/100 + leaseMargin
-	if m.target != t || time.Since(t.renewedAt) < lease {
+	if m.target != t || time.Since(t.renewedAt) < m.targetLease() {
 		return false
 	}
 	t.replaceable = true
@@ -303,11 +299,10 @@
 }
 
 // adoptRunLocked keeps a run that an earlier process of this agent has started until an
-// entry claims it and says what it needs. Until then it counts with the processor time that it
-// uses.
+// entry claims it and says what it needs. Until then its target's lease is not renewed.
 func (m *Manager) adoptRunLocked(active ActiveRun) {
 	a := active.Attempt
-	m.runs[a.Key] = &run{attempt: a, need: task.Resources{CPU: active.CPU}, phase: phaseRunning, confirmedAt: time.Now()}
+	m.runs[a.Key] = &run{attempt: a, phase: phaseRunning, confirmedAt: time.Now()}
 	m.opts.Log.Info().Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).
 		Int64("used_cpu", active.CPU).Msg("run adopted")
 }
--- a/internal/process/runs/resolve.go
+++ b/internal/process/runs/resolve.go
@@ -66,7 +66,8 @@
 		return PollRequest{}, false
 	}
 	t.token++
-	return PollRequest{Permit: t.permit(), LastSeen: t.lastSeen}, true
+	permit, _ := m.permitLocked(t)
+	return PollRequest{Permit: permit, LastSeen: t.lastSeen}, true
 }
 
 // resolvingPollFailed handles a poll that had no answer or was rejected.
@@ -150,7 +151,7 @@
 // stopMisdirected sends stop orders until one is executed, a report settles the run, or the
 // target's lease has certainly expired, and then reports the run as lost.
 func (m *Manager) stopMisdirected(r *run) {
-	lease := m.opts.TargetLease*(100+maxClockDriftPercent)/100 + leaseMargin
+	lease := m.targetLease()
 	for startTime := time.Now(); time.Since(startTime) < lease && m.isMisdirected(r); {
 		if m.stopAtCurrentTarget(r) {
 			time.Sleep(leaseMargin)
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -209,8 +209,12 @@
 		m.opts.Counters.Counter("start_permits_lapsed").Inc(1)
 		return Permit{}, refusal
 	}
-	permit := t.permit()
-	t.renewedAt = permit.IssuedAt
+	permit, mayRenew := m.permitLocked(t)
+	if !mayRenew {
+		m.opts.Counters.Counter("start_permits_lapsed").Inc(1)
+		return Permit{}, peer.RefusalUnavailable
+	}
+	t.recordRenewal(permit)
 	r.orderToken = permit.Token
 	return permit, peer.RefusalNone
 }
--- a/internal/process/runs/sweep.go
+++ b/internal/process/runs/sweep.go
@@ -9,8 +9,9 @@
 const (
 	// sweepInterval is the time between calls of Sweep.
 	sweepInterval = 10 * time.Millisecond
-	// orphanLease is how long a run that no entry has claimed is kept.
-	orphanLease = 400 * time.Millisecond
+	// orphanLease is how long a run that no entry has claimed is kept. Its target's lease is not
+	// renewed meanwhile.
+	orphanLease = 300 * time.Millisecond
 	// ownerRetention is how long the results for a disconnected entry are kept.
 	ownerRetention = 5 * time.Second
 	// pauseThreshold is the time between sweeps above which this process counts as having
--- a/internal/process/runs/target.go
+++ b/internal/process/runs/target.go
@@ -92,9 +92,11 @@
 type Permit struct {
 	// Token is the fencing token of the order.
 	Token uint64
-	// IssuedAt is when the permission was checked. The lease in the order counts from it, so
-	// that the target rejects or ends what a pause of this process has delayed too long.
+	// IssuedAt is when the permission was checked.
 	IssuedAt time.Time
+	// LeaseFrom is when the lease in the order begins, IssuedAt or earlier. The target rejects
+	// or ends what a pause of this process has delayed too long.
+	LeaseFrom time.Time
 }
 
 // PollRequest is a request for the state of the runs at a target.
