Let agents read the data centres out of service while no entry follows the store

Cause: the permission to start in a data centre rested on knowledge without an age. Entries learn of evacuations from the store, agents only from entries. While the store turned all entries away and served the agents, nobody who started tasks could know, and went on.

Fix: knowledge has an age. An entry puts on its frames how long ago it last confirmed its policy with the store, once that is over 1.5 s. An agent of which no linked entry has followed the store for 2.5 s reads the keys itself, at most once in that time (every 1.5 s while the store fails), and passes a change on to its entries; an entry passes it on to its other agents, so that agents which the store turns away know as well. While an entry follows the store, this costs no call and no byte. If the store serves nobody, starts go on: stopping them would cost the callers and nobody could know better.

--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -49,6 +49,9 @@
 	// Released lists the queues whose jobs an entry no longer keeps apart. An agent forwards
 	// the list to its other entries.
 	Released []crash.Release `cbor:"19,keyasint,omitempty"`
+	// PolicyAge is how long ago the entry last confirmed its policy with the store. An age up to
+	// FreshPolicyAge is left out.
+	PolicyAge time.Duration `cbor:"20,keyasint,omitempty"`
 }
 
 // Subscribe is a subscription to the list of entries, with the revision and the number of
@@ -247,6 +250,9 @@
 	EchoInterval = 60 * time.Millisecond
 	// IdleHeartbeat is the heartbeat interval while the entry has no attempts there.
 	IdleHeartbeat = 250 * time.Millisecond
+	// FreshPolicyAge is the age of a policy below which an entry follows the store without a
+	// fault: its watches last one second.
+	FreshPolicyAge = 1500 * time.Millisecond
 	// SilenceLimit is the time without a received frame after which a link fails.
 	SilenceLimit = 1000 * time.Millisecond
 	// SuspectAfter is the time without a frame from the agent after which an entry sends
--- a/internal/connection/peer/validate.go
+++ b/internal/connection/peer/validate.go
@@ -37,6 +37,9 @@
 	if err := validateDemand(f.Demand); err != nil {
 		return err
 	}
+	if err := bounds.RunTime.Check("age of the policy", f.PolicyAge); err != nil {
+		return err
+	}
 	if f.Room != nil {
 		return errors.Join(
 			eris.Wrap(validateFree(f.Room.Free), "free capacity"),
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -47,8 +47,11 @@
 	mu     sync.Mutex
 	target *targetIncarnation
 	policy peer.Policy
-	owners map[uint64]*owner
-	runs   map[task.Key]*run
+	// policyConfirmedAt is the latest time at which the policy was that of the store, as
+	// returned by Manager.clock.
+	policyConfirmedAt time.Duration
+	owners            map[uint64]*owner
+	runs              map[task.Key]*run
 	// crashes holds the crashes of this target and those reported by other agents.
 	crashes crash.Log
 	// starts measures how often jobs of each queue begin here.
@@ -206,32 +209,6 @@
 		Msg("malformed announcement ignored")
 }
 
-// applyPolicyLocked applies a policy received from an entry if it is newer than the known
-// one, and forwards it to all entries.
-func (m *Manager) applyPolicyLocked(p *peer.Policy, from string) {
-	if p.Revision <= m.policy.Revision {
-		return
-	}
-	m.opts.Log.Info().Uint64("revision", p.Revision).Uint64("former", m.policy.Revision).
-		Uint64("config_version", p.ConfigVersion).Strs("out", p.Out).Str("from", from).Msg("newer policy received")
-	m.policy = *p
-	for _, o := range m.owners {
-		if o.link != nil {
-			o.link.Send(peer.Frame{Policy: p})
-		}
-	}
-}
-
-// isDataCentreOutLocked reports whether the target's data centre is out of service.
-func (m *Manager) isDataCentreOutLocked() bool {
-	for _, dc := range m.policy.Out {
-		if dc == m.target.DataCentre {
-			return true
-		}
-	}
-	return false
-}
-
 // Drain prevents further starts, and returns once no run is left or ctx ends.
 func (m *Manager) Drain(ctx context.Context) {
 	m.mu.Lock()
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -161,6 +161,7 @@
 	if f.Policy != nil {
 		m.applyPolicyLocked(f.Policy, o.name)
 	}
+	m.recordPolicyAgeLocked(f.PolicyAge)
 	if f.Claims != nil {
 		m.claimLocked(o, f.Claims)
 	}
--- a/internal/process/scheduler/cluster_test.go
+++ b/internal/process/scheduler/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -42,6 +43,8 @@
 	// epoch is the start of the agent's clock, echo the latest time of it that the entry echoed.
 	epoch time.Time
 	echo  int64
+	// policy is the latest policy received.
+	policy *peer.Policy
 	// others is the demand that the agent reports, received that of the entry.
 	others, received task.Demand
 }
@@ -68,6 +71,12 @@
 	return time.Duration(a.echo)
 }
 
+func (a *fakeAgent) isOut(dataCentre string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.policy != nil && slices.Contains(a.policy.Out, dataCentre)
+}
+
 func (a *fakeAgent) demand() task.Demand {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -173,6 +182,9 @@
 		a.accepted += uint64(len(f.Starts))
 		a.received, a.echo = f.Demand, f.Echo
 		a.crashes += len(f.Crashes)
+		if f.Policy != nil {
+			a.policy = f.Policy
+		}
 		if f.Claims != nil {
 			a.claims = append(a.claims, f.Claims.Attempts...)
 		}
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -36,6 +36,9 @@
 	Random func() float64
 	// OnNewerPolicy is called when an agent has a newer policy than this entry.
 	OnNewerPolicy func(*peer.Policy)
+	// PolicyAge returns how long ago the policy was last confirmed with the store; nil means that
+	// it is always fresh.
+	PolicyAge func() time.Duration
 	// Entries returns the number of entries that share the targets.
 	Entries func() int
 }
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -5,6 +5,7 @@
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
+	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
 
@@ -191,10 +192,34 @@
 	f.Echo, f.AckedResults = t.echo, t.lastResult
 	f.Sent = int64(s.now())
 	f.Demand = t.demand
+	f.PolicyAge = s.reportedPolicyAge()
 	t.sentDemand = t.demand
 	t.sentEcho, t.lastSentAt = t.echo, s.now()
 }
 
+// reportedPolicyAge returns the age of the policy for a frame, 0 while it is fresh.
+func (s *Scheduler) reportedPolicyAge() time.Duration {
+	if s.opts.PolicyAge == nil {
+		return 0
+	}
+	age := s.opts.PolicyAge()
+	if age <= peer.FreshPolicyAge {
+		return 0
+	}
+	return bounds.RunTime.Clamp(age)
+}
+
+// forwardPolicy sends a policy that one agent has brought to all others: the store may turn them
+// and the other entries away.
+func (s *Scheduler) forwardPolicy(from *target) {
+	p := s.policy()
+	for _, t := range s.targets {
+		if t != from {
+			t.send(peer.Frame{Policy: p})
+		}
+	}
+}
+
 // Receive handles a frame of an agent.
 func (s *Scheduler) Receive(name string, link *peer.Link, f *peer.Frame) {
 	s.mu.Lock()
@@ -233,6 +258,7 @@
 	}
 	if f.Policy != nil && f.Policy.Revision > s.opts.View.Outages().Revision {
 		s.opts.OnNewerPolicy(f.Policy)
+		s.forwardPolicy(t)
 	}
 	for _, p := range f.Progress {
 		s.handleProgress(t, p)
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -35,6 +35,7 @@
 	record      *targetRecord
 	crashes     *crashRecord
 	httpServer  *caller.Server
+	policies    *policyReader
 	links       *links
 	listFailing bool
 }
@@ -63,6 +64,7 @@
 			return platform.NewTargetClient(announced, p.node.IP, p.node.TargetLease.Std())
 		},
 	})
+	a.policies = &policyReader{store: kv, log: p.log, invalid: p.invalid, holder: a.runs}
 	a.links.maintain = a.maintainLink
 	a.links.retire = a.runs.Retire
 	a.links.resume = a.runs.CancelRetire
@@ -92,6 +94,7 @@
 	go a.findEntries(ctx)
 	go a.syncRecord(ctx)
 	go a.syncCrashes(ctx)
+	go a.policies.run(ctx)
 	<-stop
 	a.log.Info().Msg("stopping")
 	draining, cancelDraining := context.WithTimeout(context.Background(), a.stopTimeout().Std()-stopReserve)
--- a/internal/process/server/configwatcher.go
+++ b/internal/process/server/configwatcher.go
@@ -18,6 +18,8 @@
 	// configWatchTimeout is how long a watch call waits for a change. It bounds how long
 	// a change stays undetected when the connection is dead without a reset.
 	configWatchTimeout = 1000 * time.Millisecond
+	// unconfirmedAge is the age before the first read.
+	unconfirmedAge = time.Hour
 	// configRetryDelay is the delay after a failed call of the store.
 	configRetryDelay = 100 * time.Millisecond
 )
@@ -34,8 +36,21 @@
 	changed func()
 	// storeLost is set while the store cannot be reached.
 	storeLost bool
+	// confirmedAt is the latest time at which what is known was that of the store; nil before
+	// the first read.
+	confirmedAt atomic.Pointer[time.Time]
 }
 
+// age returns how long ago what is known was last confirmed with the store.
+func (w *configWatcher) age() time.Duration {
+	if at := w.confirmedAt.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return unconfirmedAge
+}
+
+func (w *configWatcher) confirm(at time.Time) { w.confirmedAt.Store(&at) }
+
 // run reads the configuration and then watches it. After a failed call it reads it again.
 func (w *configWatcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -55,10 +70,12 @@
 }
 
 func (w *configWatcher) read(ctx context.Context) (uint64, error) {
+	sent := time.Now()
 	listing, err := w.store.List(ctx, platform.KeyPrefix)
 	if err != nil {
 		return 0, err
 	}
+	defer w.confirm(sent)
 	if w.storeLost {
 		w.log.Info().Uint64("revision", listing.Revision).Msg("store reachable again")
 		w.storeLost = false
@@ -71,6 +88,7 @@
 // watch waits for changes and applies them. If the revision of the store has risen without
 // an event, all is read again, since a watch may miss changes.
 func (w *configWatcher) watch(ctx context.Context, after uint64) (uint64, error) {
+	sent := time.Now()
 	listing, err := w.store.Watch(ctx, platform.KeyPrefix, after, configWatchTimeout)
 	if err != nil {
 		return 0, err
@@ -83,8 +101,11 @@
 		if listing.Revision > after {
 			return w.read(ctx)
 		}
+		// The store has waited so long without a change, however late its answer is read.
+		w.confirm(sent.Add(min(configWatchTimeout, time.Since(sent))))
 		return after, nil
 	}
+	defer w.confirm(sent)
 	decoded := w.decode(listing)
 	out := w.view.Outages().Out
 	for _, dc := range decoded.OutOfService {
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -68,6 +68,7 @@
 		TargetLease:   p.node.TargetLease.Std(),
 		Random:        rand.Float64,
 		OnNewerPolicy: e.applyOutages,
+		PolicyAge:     func() time.Duration { return e.configWatcher.age() },
 		Entries:       func() int { return min(e.directory.Len(), entries.MaxLinks) },
 	})
 	e.patience = &patienceRecord{store: kv, log: p.log, invalid: p.invalid, estimator: e.scheduler}
