Count the time in which an agent's machine was suspended

What callers can see: a job runs twice at the same time (TWICE) after the machine of an agent was suspended for some seconds.

Cause: all leases were measured by the clock of package time. After a suspension a start that had waited in the agent's buffer was executed: the lease of its entry seemed to be valid, the target's "lease expired" only led to the same order with a new clock, and the entry, which had missed the agent for longer than 1,670 ms, had started the task elsewhere.

Fix: the agent's clock adds the time that only CLOCK_BOOTTIME has counted. It is measured before each permission is given (starts, renewals), so that what waited is judged by the true age. A suspension counts as a pause of the process, like a freeze.

--- a/internal/process/runs/crash.go
+++ b/internal/process/runs/crash.go
@@ -73,7 +73,7 @@
 // stopped answering, as returned by Manager.clock: that of its latest answer, and that of the
 // first order or the end of the poll without one.
 func (m *Manager) silenceBeganLocked(t *targetIncarnation) (from, to time.Duration) {
-	from = t.answeredAt.Sub(m.epoch)
+	from = m.clockAt(t.answeredAt)
 	to = from + maxAnswerGap
 	for _, r := range m.runs {
 		if r.phase == phaseStarting && r.orderedAt >= from {
--- a/internal/process/runs/harness_test.go
+++ b/internal/process/runs/harness_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/process/uptime"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
 
@@ -35,6 +36,8 @@
 	frames  chan *peer.Frame
 	// entrySilent, once closed, stops the answers of the entries that are connected meanwhile.
 	entrySilent chan struct{}
+	// suspended is the time that only the clock of the system has counted.
+	suspended time.Duration
 	// demand is sent with each frame of the entries that are connected later.
 	demand task.Demand
 }
@@ -47,6 +50,7 @@
 		Counters:    metrics.New(),
 		Dial:        func(Announcement) TargetClient { return h.target },
 		TargetLease: testLease,
+		SinceBoot:   h.sinceBoot(),
 	})
 	h.run()
 	h.announce(Announcement{Incarnation: 1, Sequence: 1})
@@ -55,6 +59,12 @@
 	return h
 }
 
+// sinceBoot returns the clock of the system. h.manager.mu guards the time that it adds.
+func (h *harness) sinceBoot() uptime.Source {
+	begun := time.Now()
+	return func() (time.Duration, bool) { return time.Since(begun) + h.suspended, true }
+}
+
 // run starts the run manager and ends it with the test. The time is that of the synctest
 // bubble; the last sleep lets pending timers of its goroutines expire.
 func (h *harness) run() {
@@ -132,16 +142,25 @@
 	h.manager.Receive(incarnation, link, &f)
 }
 
-// expireOwnerLease sets the clocks as after a pause of the agent that is longer than the
-// lease of its entries, before any frame is read.
-func (h *harness) expireOwnerLease() {
-	const pause = 2 * peer.OwnerLease
+// pause sets the clock as after a pause of the agent, before any frame is read.
+func (h *harness) pause(length time.Duration) {
+	h.suspend(length)
 	h.manager.mu.Lock()
 	defer h.manager.mu.Unlock()
-	h.manager.epoch = h.manager.epoch.Add(-pause)
-	h.manager.lastSweep = h.manager.lastSweep.Add(-pause)
+	h.manager.uptime.Measure()
 }
 
+// suspend lets the clock of the system run ahead, as while the machine is suspended.
+func (h *harness) suspend(length time.Duration) {
+	h.manager.mu.Lock()
+	defer h.manager.mu.Unlock()
+	h.suspended += length
+}
+
+// expireOwnerLease sets the clock as after a pause of the agent that is longer than the
+// lease of its entries, before any frame is read.
+func (h *harness) expireOwnerLease() { h.pause(2 * peer.OwnerLease) }
+
 func (h *harness) start(index int, run uint64, need task.Resources) task.Attempt {
 	a := task.Attempt{Key: task.Key{Job: "j", Index: index}, Run: run}
 	h.entry.Send(peer.Frame{Starts: []peer.Start{{Attempt: a, Need: need, Incarnation: 1, Expected: 100 * time.Millisecond}}})
--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -18,7 +18,8 @@
 // extend the target's lease: the lease covers all runs there, and those that no living entry is
 // known to hold must end.
 func (m *Manager) permitLocked(t *targetIncarnation) (Permit, bool) {
-	now := time.Now()
+	m.uptime.Measure()
+	now, clock := time.Now(), m.clock()
 	until := now.Add(min(m.opts.TargetLease, maxRunWithoutEntry))
 	claimed := true
 	for _, r := range m.runs {
@@ -27,7 +28,7 @@
 			claimed = false
 			continue
 		}
-		if limit := m.epoch.Add(o.lastEcho + maxRunWithoutEntry); limit.Before(until) {
+		if limit := now.Add(o.lastEcho + maxRunWithoutEntry - clock); limit.Before(until) {
 			until = limit
 		}
 	}
--- a/internal/process/runs/lease_test.go
+++ b/internal/process/runs/lease_test.go
@@ -95,7 +95,7 @@
 					return
 				case <-time.After(resumeGrace / 2):
 					h.manager.mu.Lock()
-					h.manager.lastSweep = h.manager.lastSweep.Add(-2 * pauseThreshold)
+					h.manager.lastSweep -= 2 * pauseThreshold
 					h.manager.mu.Unlock()
 				}
 			}
@@ -122,3 +122,34 @@
 		h.expectEndWithin(a, latestEnd-time.Since(silent))
 	})
 }
+
+// The machine of an agent is suspended while a start waits to be read. The clock of package time
+// stands still meanwhile, and the entry has started the task elsewhere since.
+func TestStartThatWaitedWhileMachineWasSuspendedIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.suspend(4 * time.Second)
+		a := task.Attempt{Key: task.Key{Job: "j"}, Run: 1}
+		h.receive(7, peer.Frame{Starts: []peer.Start{{Attempt: a, Need: task.Resources{CPU: 1000}, Incarnation: 1}}})
+		if r := h.waitOutcome(a, peer.OutcomeRefused); r.Refusal != peer.RefusalUnavailable {
+			t.Errorf("refused for %q", r.Refusal)
+		}
+		if h.target.startsOf(a) > 0 {
+			t.Error("the task was started")
+		}
+	})
+}
+
+// A suspension counts as a pause of the process: frames of its entries have queued meanwhile.
+func TestRunsSurviveShortSuspensionOfTheMachine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		h.suspend(peer.OwnerLease + 50*time.Millisecond)
+		time.Sleep(2 * resumeGrace)
+		if !h.target.isRunning(a) {
+			t.Error("the run was stopped")
+		}
+	})
+}
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/process/uptime"
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
@@ -34,6 +35,8 @@
 	// Crashed is called with the reports of this target's recent crashes when one is added. It
 	// must not block. Optional.
 	Crashed func([]crash.Report)
+	// SinceBoot returns a time that also counts while the machine is suspended. Optional.
+	SinceBoot uptime.Source
 	// Retired is called once a retiring entry has no runs and results left here.
 	// Optional.
 	Retired func(address string)
@@ -41,8 +44,8 @@
 
 // Manager tracks and controls the runs at one target. It is safe for concurrent use.
 type Manager struct {
-	opts  Options
-	epoch time.Time
+	opts   Options
+	uptime *uptime.Clock
 
 	mu     sync.Mutex
 	target *targetIncarnation
@@ -72,9 +75,10 @@
 	reported bool
 	// stopping is set once the process is shutting down: no run is started any more.
 	stopping bool
-	// lastSweep is when the latest sweep was, resumedAt when the latest pause of this
-	// process was detected.
-	lastSweep, resumedAt time.Time
+	// lastSweep is when the latest sweep was, as returned by clock; resumedAt is when the latest
+	// pause of this process was detected.
+	lastSweep time.Duration
+	resumedAt time.Time
 }
 
 // phase is the state of a run in the agent.
@@ -133,14 +137,18 @@
 func New(opts Options) *Manager {
 	return &Manager{
 		opts:   opts,
-		epoch:  time.Now(),
+		uptime: uptime.New(opts.SinceBoot),
 		owners: make(map[uint64]*owner),
 		runs:   make(map[task.Key]*run),
 	}
 }
 
-// clock returns the time since the start of the process. Leases are measured with it.
-func (m *Manager) clock() time.Duration { return time.Since(m.epoch) }
+// clock returns the time since the start of the process, including the time in which its machine
+// was suspended. Leases are measured with it.
+func (m *Manager) clock() time.Duration { return m.uptime.Now() }
+
+// clockAt returns what clock returned at a time since which the machine was not suspended.
+func (m *Manager) clockAt(at time.Time) time.Duration { return m.clock() - time.Since(at) }
 
 // availableLocked reports whether the target may be given work.
 func (m *Manager) availableLocked() bool {
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -82,7 +82,8 @@
 	}
 	o.address, o.link, o.linkLostAt, o.accepted = address, link, time.Time{}, 0
 	o.retiring, o.retired = false, false
-	o.lastEcho = max(o.lastEcho, link.OpenedAt().Sub(m.epoch))
+	// The machine may have been suspended since the link was opened.
+	o.lastEcho = max(o.lastEcho, m.uptime.At(link.OpenedAt()))
 	m.opts.Log.Info().Str("entry", o.name).Uint64("incarnation", o.incarnation).
 		Int("runs", o.runCount).Int("results", len(o.results)).Msg("entry linked")
 	link.Send(peer.Frame{
--- a/internal/process/runs/owner_test.go
+++ b/internal/process/runs/owner_test.go
@@ -257,11 +257,7 @@
 			h := newHarness(t)
 			a := h.start(0, 1, task.Resources{CPU: 1000})
 			h.waitStarted(a)
-			h.manager.mu.Lock()
-			// Sets the clocks as after the pause, before any frame is read.
-			h.manager.epoch = h.manager.epoch.Add(-pause)
-			h.manager.lastSweep = h.manager.lastSweep.Add(-pause)
-			h.manager.mu.Unlock()
+			h.pause(pause)
 			h.manager.Sweep()
 			time.Sleep(2 * resumeGrace)
 			h.target.set(func() {
@@ -328,10 +324,7 @@
 		h.waitStarted(a)
 		close(h.entrySilent)
 		const pause = time.Second
-		h.manager.mu.Lock()
-		h.manager.epoch = h.manager.epoch.Add(-pause)
-		h.manager.lastSweep = h.manager.lastSweep.Add(-pause)
-		h.manager.mu.Unlock()
+		h.pause(pause)
 		startTime := time.Now()
 		h.manager.Sweep()
 		h.waitOutcome(a, peer.OutcomeStopped)
--- a/internal/process/runs/policy.go
+++ b/internal/process/runs/policy.go
@@ -12,7 +12,7 @@
 func (m *Manager) ApplyStoredPolicy(revision uint64, out []string, sent time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.policyConfirmedAt = max(m.policyConfirmedAt, sent.Sub(m.epoch))
+	m.policyConfirmedAt = max(m.policyConfirmedAt, m.clockAt(sent))
 	m.applyPolicyLocked(&peer.Policy{Revision: revision, ConfigVersion: m.policy.ConfigVersion, Out: out}, "store")
 }
 
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -91,6 +91,7 @@
 
 // permissionLocked returns why no start order of an entry may be sent to the target now.
 func (m *Manager) permissionLocked(o *owner) peer.Refusal {
+	m.uptime.Measure()
 	if !m.availableLocked() || o == nil {
 		return peer.RefusalUnavailable
 	}
--- a/internal/process/runs/sweep.go
+++ b/internal/process/runs/sweep.go
@@ -31,7 +31,7 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	clock := m.clock()
-	m.detectPauseLocked(now)
+	m.detectPauseLocked(now, clock)
 	m.offerProbeLocked(clock)
 	for incarnation, o := range m.owners {
 		if reason, expired := o.leaseExpired(clock, now); expired && o.runCount > 0 && now.Sub(m.resumedAt) > resumeGrace {
@@ -54,13 +54,13 @@
 
 // detectPauseLocked detects a pause of this process, so that it is not mistaken for
 // silence of all entries.
-func (m *Manager) detectPauseLocked(now time.Time) {
-	if paused := now.Sub(m.lastSweep); !m.lastSweep.IsZero() && paused > pauseThreshold {
+func (m *Manager) detectPauseLocked(now time.Time, clock time.Duration) {
+	if paused := clock - m.lastSweep; paused > pauseThreshold {
 		m.resumedAt = now
 		m.opts.Counters.Counter("pauses").Inc(1)
-		m.opts.Log.Warn().Dur("paused", paused).Int("runs", len(m.runs)).Msg("process was paused")
+		m.opts.Log.Warn().Dur("paused", paused).Dur("suspended", m.uptime.Suspended()).Int("runs", len(m.runs)).Msg("process was paused")
 	}
-	m.lastSweep = now
+	m.lastSweep = clock
 }
 
 // offerProbeLocked offers a due probe to one entry after the other. If all entries could
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -12,6 +12,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/connection/caller"
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/runs"
+	"github.com/rosemarybay/rosemarybay/internal/process/uptime"
 	"github.com/rosemarybay/rosemarybay/platform"
 )
 
@@ -57,6 +58,7 @@
 		Log:         p.log,
 		Counters:    p.counters,
 		TargetLease: p.node.TargetLease.Std(),
+		SinceBoot:   uptime.SinceBoot,
 		Announced:   a.record.queue,
 		Retired:     a.links.linkRetired,
 		Crashed:     a.crashes.queue,
