--- a/internal/bench/soak/callers.go
+++ b/internal/bench/soak/callers.go
@@ -20,18 +20,24 @@
 	retryDelay  = 1300 * time.Millisecond
 	jobTimeout  = 3 * time.Second
 	maxAttempts = 4
-	host        = "desk.example"
-	prefix      = "/jobs/"
+	// patience is how long impatient callers wait for a response, impatientShare that one in so
+	// many callers is impatient.
+	patience       = 500 * time.Millisecond
+	impatientShare = 3
+	host           = "desk.example"
+	prefix         = "/jobs/"
 )
 
 // submittedJob records one job and the responses that its caller received.
 type submittedJob struct {
-	id       string
-	tasks    int
-	began    time.Time
-	ended    time.Time // of the last attempt
-	statuses []int     // HTTP status of each attempt; 0 without a response
-	state    string    // of the job, in the last response
+	id    string
+	tasks int
+	// impatient is set if the caller leaves after patience and sends the job again.
+	impatient bool
+	began     time.Time
+	ended     time.Time // of the last attempt
+	statuses  []int     // HTTP status of each attempt; 0 without a response
+	state     string    // of the job, in the last response
 }
 
 // isRefused reports whether every attempt was answered with 503 or 429, which
@@ -62,7 +68,8 @@
 // submit starts one job, whose retries run in the background. The job's content
 // and the first entry are drawn from random.
 func (c *callers) submit(ctx context.Context, random *rand.Rand) *submittedJob {
-	job := &submittedJob{id: fmt.Sprintf("%016x", random.Uint64()), tasks: 1 + random.IntN(5), began: time.Now()}
+	number := random.Uint64()
+	job := &submittedJob{id: fmt.Sprintf("%016x", number), tasks: 1 + random.IntN(5), impatient: number%impatientShare == 0, began: time.Now()}
 	body := standin.JobBody(job.tasks, 1000, time.Duration(20+random.IntN(250))*time.Millisecond)
 	first := random.IntN(len(c.entries))
 	c.mu.Lock()
@@ -81,7 +88,11 @@
 		if remaining <= 0 {
 			return
 		}
-		status, state := c.post(ctx, c.entries[(first+attempt)%len(c.entries)], job.id, body, remaining)
+		wait := remaining
+		if job.impatient {
+			wait = min(wait, patience)
+		}
+		status, state := c.post(ctx, c.entries[(first+attempt)%len(c.entries)], job.id, body, wait, remaining)
 		c.mu.Lock()
 		job.statuses = append(job.statuses, status)
 		job.state, job.ended = state, time.Now()
@@ -93,10 +104,10 @@
 	}
 }
 
-// post sends one attempt and returns the HTTP status, 0 without a response, and
-// the state of the job.
-func (c *callers) post(ctx context.Context, entry, id string, body []byte, timeout time.Duration) (int, string) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// post sends one attempt, waits for the response and returns its HTTP status, 0 without one, and
+// the state of the job. The request says that the caller waits for timeout.
+func (c *callers) post(ctx context.Context, entry, id string, body []byte, wait, timeout time.Duration) (int, string) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+prefix+id, bytes.NewReader(body))
 	if err != nil {
