Remember cancelled jobs where tasks are started, and acknowledge once that is so

And a request of a cancelled job that arrived again at another entry seconds later ran the job.

Cause: a cancelling was an event. It was sent to the agents that had a link at that moment, if any, and nobody remembered it: neither an entry that linked later, nor one that received the job's request later.

Fix: a cancelling is a state, kept for 30 s by agents and entries (bounded). Entries answer a later request of the job with its state.

--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -33,8 +33,8 @@
 	// Accepted is the number of Starts on this link that the agent has processed.
 	Accepted uint64     `cbor:"12,keyasint,omitempty"`
 	Progress []Progress `cbor:"13,keyasint,omitempty"`
-	// CancelJobs lists jobs that were cancelled at an entry that does not hold them. An
-	// agent forwards the list to its other entries.
+	// CancelJobs lists jobs that were cancelled. An agent starts nothing of them any more, and
+	// forwards the list to its other entries.
 	CancelJobs []string `cbor:"14,keyasint,omitempty"`
 	// Subscribe subscribes an agent to the list of entries. The full list is sent first,
 	// unless revision and count match; each later change follows.
@@ -52,6 +52,8 @@
 	// PolicyAge is how long ago the entry last confirmed its policy with the store. An age up to
 	// FreshPolicyAge is left out.
 	PolicyAge time.Duration `cbor:"20,keyasint,omitempty"`
+	// CancelsRecorded lists the jobs of CancelJobs of this entry that the agent has recorded.
+	CancelsRecorded []string `cbor:"21,keyasint,omitempty"`
 }
 
 // Subscribe is a subscription to the list of entries, with the revision and the number of
@@ -191,6 +193,8 @@
 	RefusalUnanswered Refusal = "unanswered"
 	// RefusalStopped: the attempt was stopped before it started.
 	RefusalStopped Refusal = "stopped"
+	// RefusalCancelled: the job of the attempt was cancelled.
+	RefusalCancelled Refusal = "cancelled"
 	// RefusalIsolation: the attempt or a run at the target must be kept apart from others.
 	RefusalIsolation Refusal = "isolation"
 )
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -91,6 +91,7 @@
 		f.Progress = o.Progress
 	}
 	f.CancelJobs = append(f.CancelJobs, o.CancelJobs...)
+	f.CancelsRecorded = append(f.CancelsRecorded, o.CancelsRecorded...)
 	f.Crashes = append(f.Crashes, o.Crashes...)
 	f.Released = append(f.Released, o.Released...)
 	f.Subscribe = latest(f.Subscribe, o.Subscribe)
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/process/recent"
 	"github.com/rosemarybay/rosemarybay/internal/process/uptime"
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
@@ -57,6 +58,8 @@
 	runs              map[task.Key]*run
 	// crashes holds the crashes of this target and those reported by other agents.
 	crashes crash.Log
+	// cancelled holds the jobs that were cancelled recently.
+	cancelled *recent.IDs
 	// starts measures how often jobs of each queue begin here.
 	starts load.StartRates
 	// resultsSent is the number of the latest result.
@@ -140,6 +143,8 @@
 		uptime: uptime.New(opts.SinceBoot),
 		owners: make(map[uint64]*owner),
 		runs:   make(map[task.Key]*run),
+
+		cancelled: recent.NewIDs(cancelRetention, maxCancelled),
 	}
 }
 
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -92,6 +92,8 @@
 		Results: append([]peer.Result(nil), o.results...),
 		Policy:  m.policyLocked(),
 		Crashes: m.crashes.Reports(m.clock()),
+		// The entry may not have been linked when they were cancelled.
+		CancelJobs: m.cancelled.All(m.clock()),
 		// After the reports, so that they end what these bring about.
 		Released: m.crashes.Releases(m.clock()),
 	})
@@ -219,29 +221,3 @@
 	}
 	m.markFreeCapacityDirtyLocked()
 }
-
-// cancelJobsLocked cancels jobs on behalf of an entry that does not hold them, and
-// forwards the list to the other entries: that entry may have no link to the one that
-// holds a job.
-func (m *Manager) cancelJobsLocked(from *owner, jobs []string) {
-	if len(jobs) == 0 {
-		return
-	}
-	for _, o := range m.owners {
-		if o != from && o.link != nil {
-			o.link.Send(peer.Frame{CancelJobs: jobs})
-		}
-	}
-	for _, job := range jobs {
-		m.cancelJobLocked(job)
-	}
-}
-
-// cancelJobLocked stops the runs of a job, whichever entry sent them.
-func (m *Manager) cancelJobLocked(job string) {
-	for key, r := range m.runs {
-		if key.Job == job {
-			m.stopLocked(r.attempt, "job cancelled")
-		}
-	}
-}
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -79,6 +79,8 @@
 	switch {
 	case refusal != peer.RefusalNone:
 		return refusal
+	case m.cancelled.Has(s.Attempt.Key.Job, m.clock()):
+		return peer.RefusalCancelled
 	case o.retiring, s.Incarnation != m.target.Incarnation:
 		return peer.RefusalUnavailable
 	case !m.isolationAllowsLocked(s):
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -86,6 +86,7 @@
 		s.sweepTarget(t, now)
 	}
 	s.sweepConfinement(now)
+	s.sweepCancels(now)
 	for _, j := range s.jobs {
 		s.sweepJob(j, now)
 	}
--- /dev/null
+++ b/internal/process/scheduler/cancel.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"time"
+
+	apiv1 "github.com/rosemarybay/rosemarybay/api/v1"
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+const (
+	// cancelRetention is how long an entry remembers that a job was cancelled. Its request may
+	// arrive again some seconds after its response.
+	cancelRetention = 30 * time.Second
+	// maxCancelled bounds the cancelled jobs remembered.
+	maxCancelled = 20_000
+	// cancelTimeout is how long a cancelling waits to be recorded by an agent.
+	cancelTimeout = 2 * time.Second
+)
+
+// cancelling is the cancelling of a job that no agent has recorded yet.
+type cancelling struct {
+	recorded chan struct{}
+	// since is when it was last requested.
+	since time.Duration
+}
+
+// Cancel ends a job at its caller's request, and has the agents stop its attempts, whichever
+// entry has sent them, and start no others. known reports whether the job was in progress here
+// or its answer is kept. recorded is closed once an agent has recorded the cancelling: before
+// that, the job may go on at another entry.
+func (s *Scheduler) Cancel(id string) (known bool, recorded <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.cancels[id]
+	if c == nil {
+		c = &cancelling{recorded: make(chan struct{})}
+		s.cancels[id] = c
+	}
+	c.since = s.now()
+	for _, t := range s.targets {
+		t.send(peer.Frame{CancelJobs: []string{id}})
+	}
+	known = s.answers.has(id, s.now())
+	if s.cancelLocal(id) {
+		s.placeQueued()
+		known = true
+	}
+	return known, c.recorded
+}
+
+// cancelLocal ends a cancelled job if it is in progress at this entry, and remembers that it was
+// cancelled.
+func (s *Scheduler) cancelLocal(id string) bool {
+	s.cancelled.Add(id, s.now())
+	j := s.jobs[id]
+	if j == nil {
+		return false
+	}
+	s.finish(j, cancelledAnswer(j.verdict()))
+	return true
+}
+
+func cancelledAnswer(v verdict.Verdict) Answer {
+	return Answer{State: StateCancelled, Verdict: v, Reason: apiv1.Reason_REASON_CANCELLED, Message: "cancelled"}
+}
+
+// recordCancels handles the jobs of which an agent has recorded the cancelling.
+func (s *Scheduler) recordCancels(t *target, ids []string) {
+	for _, id := range ids {
+		c := s.cancels[id]
+		if c == nil {
+			continue
+		}
+		s.opts.Log.Info().Str("job", id).Str("agent", t.name).Dur("after", s.now()-c.since).Msg("cancelling recorded by an agent")
+		close(c.recorded)
+		delete(s.cancels, id)
+	}
+}
+
+// sweepCancels forgets cancellings that no agent has recorded in time.
+func (s *Scheduler) sweepCancels(now time.Duration) {
+	for id, c := range s.cancels {
+		if now-c.since > cancelTimeout {
+			s.opts.Counters.Counter("cancellings_unrecorded").Inc(1)
+			s.opts.Log.Warn().Str("job", id).Int("agents", len(s.targets)).Msg("cancelling recorded by no agent")
+			delete(s.cancels, id)
+		}
+	}
+}
--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -22,6 +22,7 @@
 	peer.RefusalInvalid:       apiv1.Reason_REASON_INVALID_ARGUMENT,
 	peer.RefusalUnanswered:    apiv1.Reason_REASON_FENCED,
 	peer.RefusalStopped:       apiv1.Reason_REASON_CANCELLED,
+	peer.RefusalCancelled:     apiv1.Reason_REASON_CANCELLED,
 	peer.RefusalIsolation:     apiv1.Reason_REASON_TARGET_CRASHED,
 }
 
@@ -180,6 +181,9 @@
 	case peer.RefusalInvalid:
 		s.giveUp(it.job, apiv1.Reason_REASON_INVALID_ARGUMENT, "the target does not take such a task")
 		return
+	case peer.RefusalCancelled:
+		s.cancelLocal(it.job.spec.ID)
+		return
 	case peer.RefusalStaleRun:
 		it.run += staleRunStep
 	case peer.RefusalNoCapacity, peer.RefusalIsolation:
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/process/recent"
 	"github.com/rosemarybay/rosemarybay/internal/request/crash"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
@@ -57,10 +58,14 @@
 	answers answerCache
 	// unfinished holds the answers of recent jobs that have not ended but may have run.
 	unfinished answerCache
-	queue      load.Queue[*item]
-	drain      load.DrainRate
-	estimate   *load.Estimator
-	patience   *load.Patience
+	// cancelled holds the jobs that were cancelled recently, here or at another entry, and
+	// cancels the cancellings that no agent has recorded yet.
+	cancelled *recent.IDs
+	cancels   map[string]*cancelling
+	queue     load.Queue[*item]
+	drain     load.DrainRate
+	estimate  *load.Estimator
+	patience  *load.Patience
 	// contention measures how often other entries take the capacity first.
 	contention load.Contention
 	// delays tracks delayed starts by data centre.
@@ -108,6 +113,8 @@
 		closing:       make(map[string]*job),
 		answers:       newAnswerCache(),
 		unfinished:    newAnswerCache(),
+		cancelled:     recent.NewIDs(cancelRetention, maxCancelled),
+		cancels:       make(map[string]*cancelling),
 		estimate:      load.NewEstimator(),
 		patience:      load.NewPatience(),
 		delays:        load.NewStartDelays(),
@@ -131,6 +138,12 @@
 		w.answer <- a
 		return w.answer, func() {}
 	}
+	if s.cancelled.Has(spec.ID, s.now()) {
+		s.opts.Counters.Counter("jobs_cancelled_before").Inc(1)
+		s.opts.Log.Info().Str("job", spec.ID).Msg("request of a cancelled job")
+		w.answer <- cancelledAnswer(s.earlierVerdict(spec.ID))
+		return w.answer, func() {}
+	}
 	j := s.jobs[spec.ID]
 	if j == nil {
 		j = s.newJob(spec, queue)
@@ -196,32 +209,6 @@
 	}
 }
 
-// Cancel ends a job at its caller's request. It reports whether the job was in progress
-// at this entry or its answer is still kept. Attempts that other entries have sent for
-// the job are stopped as well.
-func (s *Scheduler) Cancel(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, t := range s.targets {
-		t.send(peer.Frame{CancelJobs: []string{id}})
-	}
-	if s.cancelLocal(id) {
-		s.placeQueued()
-		return true
-	}
-	return s.answers.has(id, s.now())
-}
-
-// cancelLocal ends a cancelled job if it is in progress at this entry.
-func (s *Scheduler) cancelLocal(id string) bool {
-	j := s.jobs[id]
-	if j == nil {
-		return false
-	}
-	s.finish(j, Answer{State: StateCancelled, Verdict: j.verdict(), Reason: apiv1.Reason_REASON_CANCELLED, Message: "cancelled"})
-	return true
-}
-
 // State returns the state of a job. It reports false if the job is not in progress at
 // this entry and its answer is not kept.
 func (s *Scheduler) State(id string) (State, bool) {
@@ -233,8 +220,10 @@
 		}
 		return StateQueued, true
 	}
-	a, ok := s.answers.get(id, s.now())
-	return a.State, ok
+	if a, ok := s.answers.get(id, s.now()); ok {
+		return a.State, true
+	}
+	return StateCancelled, s.cancelled.Has(id, s.now())
 }
 
 // Pending returns the number of jobs of a queue of which no task has been sent.
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -301,7 +301,7 @@
 		a := tc.agent("a")
 		answered, _ := tc.submit(tc.job("j", 1, 1000))
 		s := a.nextStart()
-		if !tc.scheduler.Cancel("j") {
+		if known, _ := tc.scheduler.Cancel("j"); !known {
 			t.Error("the job is not known")
 		}
 		if got := await(t, answered); got.State != StateCancelled {
@@ -310,7 +310,7 @@
 		if stopped := <-a.stops; stopped != s.Attempt {
 			t.Errorf("stopped %v", stopped)
 		}
-		if tc.scheduler.Cancel("unknown") {
+		if known, _ := tc.scheduler.Cancel("unknown"); known {
 			t.Error("an unknown job was cancelled")
 		}
 		if state, ok := tc.scheduler.State("j"); !ok || state != StateCancelled {
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -256,6 +256,7 @@
 	for _, id := range f.CancelJobs {
 		s.cancelLocal(id)
 	}
+	s.recordCancels(t, f.CancelsRecorded)
 	if f.Policy != nil && f.Policy.Revision > s.opts.View.Outages().Revision {
 		s.opts.OnNewerPolicy(f.Policy)
 		s.forwardPolicy(t)
