Keep runs with an unanswered order until the next incarnation has stopped them

A target had left a start order unanswered and run its repeat; it crashed, and its next incarnation, under the same ID, executed the order while the agent was down.

Cause: the end of the target's lease was taken as the end of the attempt, also if an order of it could still be executed. The next incarnation has seen no fencing token, its clock has begun anew, and no field of an order names the incarnation.

Fix: a run of which the target left a start order unanswered, while it answered others, is not reported as lost by the lease alone: the agent keeps it until the next incarnation has stopped it, or 15 s after the order. Orders to a target that has answered nothing since count as before, so that a plain crash costs no caller any time.

TestLateOrderAtRestartedTargetIsStoppedBeforeRunCountsAsLost and TestRunWithUnansweredOrderIsLostOnceNoOrderCanBeExecuted fail without it; TestRunOnCrashedTargetIsLostOnceItsLeaseHasExpired guards the plain crash.

What remains: an agent that is away for longer than the entry waits (1,670 ms), and the moment between the restart and the agent's first poll.

--- a/internal/process/runs/resolve.go
+++ b/internal/process/runs/resolve.go
@@ -46,9 +46,7 @@
 			continue
 		}
 		m.resolvingPollFailed(t, r, poll.Token, report.Answer, err)
-		if m.expireTargetLease(t) {
-			return
-		}
+		m.expireTargetLease(t)
 		retry.sleep(t.ctx, sent)
 	}
 }
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
@@ -144,6 +145,7 @@
 	answer, err := t.client.Start(ctx, permit, s)
 	if err != nil {
 		m.recordStartOrder(r, verdict.ProvesNothing)
+		m.recordUnanswered(r, permit, err)
 		m.orderUnanswered(t, "start", s.Attempt, err)
 		return answer, err
 	}
@@ -178,6 +180,17 @@
 	r.orders.Record(proof)
 }
 
+// recordUnanswered records that a start order has no answer, unless nothing listens at the
+// target's address.
+func (m *Manager) recordUnanswered(r *run, permit Permit, err error) {
+	if errors.Is(err, ErrRefused) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.unansweredAt = permit.IssuedAt
+}
+
 // logStartAnswer counts the answer to a start order, and logs one other than success.
 func (m *Manager) logStartAnswer(r *run, answer Answer) {
 	m.mu.Lock()
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -97,6 +97,58 @@
 	}
 }
 
+// A target leaves one start order without an answer, runs its repeat, and crashes. The next
+// incarnation under the same ID has seen no token and may execute the order: the entry must not
+// start the task elsewhere before that incarnation has stopped it.
+func TestLateOrderAtRestartedTargetIsStoppedBeforeRunCountsAsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true })
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		time.Sleep(100 * time.Millisecond)
+		h.target.set(func() { h.target.unresponsive = true })
+		h.expectNoResult(a, 3*testLease)
+		h.target.set(func() { h.target.unresponsive = false })
+		h.target.restart()
+		h.announce(Announcement{Incarnation: 2, Sequence: 1})
+		h.waitOutcome(a, peer.OutcomeLost)
+		h.target.set(func() { h.target.delayedStarts[0]() })
+		if h.target.isRunning(a) {
+			t.Error("the late order was executed after the run was reported as lost")
+		}
+	})
+}
+
+// The same target does not come back.
+func TestRunWithUnansweredOrderIsLostOnceNoOrderCanBeExecuted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true })
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		time.Sleep(100 * time.Millisecond)
+		h.target.set(func() { h.target.unresponsive = true })
+		h.expectNoResult(a, maxOrderDelay-time.Second)
+		h.waitOutcome(a, peer.OutcomeLost)
+	})
+}
+
+// Orders that reach a target which has crashed, and no longer answers anything, are not executed
+// by the next incarnation.
+func TestRunOnCrashedTargetIsLostOnceItsLeaseHasExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() { h.target.unresponsive = true })
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		begun := time.Now()
+		h.waitOutcome(a, peer.OutcomeLost)
+		if took := time.Since(begun); took > 2*testLease {
+			t.Errorf("lost after %v", took)
+		}
+	})
+}
+
 // Each poll of a target that answers slowly resolves all starts before it.
 func TestOnePollResolvesAllUnansweredStarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
