--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -1,6 +1,10 @@
 package runs
 
-import "time"
+import (
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+)
 
 const (
 	// maxClockDriftPercent is how much slower than the agent's clock the target's may
@@ -12,6 +16,9 @@
 	// whatever happens to this process or the next one of the agent. With the drift of the
 	// target's clock it ends before a caller that the entry has lost turns to another one.
 	maxRunWithoutEntry = time.Second
+	// maxOrderDelay is how long after it was sent a start order without an answer may be
+	// executed.
+	maxOrderDelay = 15 * time.Second
 )
 
 // permitLocked returns a permit that is issued now. It reports false if the order must not
@@ -48,3 +55,28 @@
 func (m *Manager) targetLease() time.Duration {
 	return m.opts.TargetLease*(100+maxClockDriftPercent)/100 + leaseMargin
 }
+
+// expireTargetLease reports all runs as lost once the target's lease on them has
+// certainly expired. The lease counts from the latest renewal sent, answered or not, since
+// the target may have received it.
+func (m *Manager) expireTargetLease(t *targetIncarnation) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.target != t || time.Since(t.renewedAt) < m.targetLease() {
+		return
+	}
+	t.replaceable = true
+	for _, r := range m.runs {
+		if !m.mayStartLateLocked(t, r) {
+			m.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
+		}
+	}
+}
+
+// mayStartLateLocked reports whether the next incarnation of a target may execute a start order
+// of a run. It has seen no fencing token, and if it has the same ID, no field of the order tells
+// it from the former one. That can happen to an order that the target left unanswered
+// while it answered others; the run is then kept until the next incarnation has stopped it.
+func (m *Manager) mayStartLateLocked(t *targetIncarnation, r *run) bool {
+	return !r.unansweredAt.IsZero() && t.answeredAt.After(r.unansweredAt) && time.Since(r.unansweredAt) < maxOrderDelay
+}
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -18,9 +18,6 @@
 	// pollBackoff is the delay after a poll that the target refused, and between tries to
 	// stop a misdirected run.
 	pollBackoff = 10 * time.Millisecond
-	// maxOrderDelay is how long after it was sent a start order without an answer may be
-	// executed.
-	maxOrderDelay = 15 * time.Second
 	// unresponsiveAfter is the time without an answer after which the target gets no new
 	// work and its lease is no longer renewed, so that its runs end within a known time.
 	unresponsiveAfter = 250 * time.Millisecond
@@ -117,31 +114,6 @@
 	m.expireTargetLease(t)
 }
 
-// expireTargetLease reports all runs as lost once the target's lease on them has
-// certainly expired. The lease counts from the latest renewal sent, answered or not, since
-// the target may have received it.
-func (m *Manager) expireTargetLease(t *targetIncarnation) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.target != t || time.Since(t.renewedAt) < m.targetLease() {
-		return
-	}
-	t.replaceable = true
-	for _, r := range m.runs {
-		if !m.mayStartLateLocked(t, r) {
-			m.finishLocked(r, peer.OutcomeLost, peer.RefusalNone)
-		}
-	}
-}
-
-// mayStartLateLocked reports whether the next incarnation of a target may execute a start order
-// of a run. It has seen no fencing token, and if it has the same ID, no field of the order tells
-// it from the former one. That can happen to an order that the target left unanswered
-// while it answered others; the run is then kept until the next incarnation has stopped it.
-func (m *Manager) mayStartLateLocked(t *targetIncarnation, r *run) bool {
-	return !r.unansweredAt.IsZero() && t.answeredAt.After(r.unansweredAt) && time.Since(r.unansweredAt) < maxOrderDelay
-}
-
 // targetAnswered records that the target has answered.
 func (m *Manager) targetAnswered(t *targetIncarnation) {
 	m.mu.Lock()
--- a/internal/process/scheduler/cancel.go
+++ b/internal/process/scheduler/cancel.go
@@ -14,12 +14,12 @@
 	cancelRetention = 30 * time.Second
 	// maxCancelled bounds the cancelled jobs remembered.
 	maxCancelled = 20_000
-	// cancelTimeout is how long a cancelling waits to be recorded by an agent.
+	// cancelTimeout is how long a cancellation waits to be recorded by an agent.
 	cancelTimeout = 2 * time.Second
 )
 
-// cancelling is the cancelling of a job that no agent has recorded yet.
-type cancelling struct {
+// cancellation is the cancellation of a job that no agent has recorded yet.
+type cancellation struct {
 	recorded chan struct{}
 	// since is when it was last requested.
 	since time.Duration
@@ -27,14 +27,14 @@
 
 // Cancel ends a job at its caller's request, and has the agents stop its attempts, whichever
 // entry has sent them, and start no others. known reports whether the job was in progress here
-// or its answer is kept. recorded is closed once an agent has recorded the cancelling: before
+// or its answer is kept. recorded is closed once an agent has recorded the cancellation: before
 // that, the job may go on at another entry.
 func (s *Scheduler) Cancel(id string) (known bool, recorded <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.cancels[id]
 	if c == nil {
-		c = &cancelling{recorded: make(chan struct{})}
+		c = &cancellation{recorded: make(chan struct{})}
 		s.cancels[id] = c
 	}
 	c.since = s.now()
@@ -65,25 +65,25 @@
 	return Answer{State: StateCancelled, Verdict: v, Reason: apiv1.Reason_REASON_CANCELLED, Message: "cancelled"}
 }
 
-// recordCancels handles the jobs of which an agent has recorded the cancelling.
+// recordCancels handles the jobs of which an agent has recorded the cancellation.
 func (s *Scheduler) recordCancels(t *target, ids []string) {
 	for _, id := range ids {
 		c := s.cancels[id]
 		if c == nil {
 			continue
 		}
-		s.opts.Log.Info().Str("job", id).Str("agent", t.name).Dur("after", s.now()-c.since).Msg("cancelling recorded by an agent")
+		s.opts.Log.Info().Str("job", id).Str("agent", t.name).Dur("after", s.now()-c.since).Msg("cancellation recorded by an agent")
 		close(c.recorded)
 		delete(s.cancels, id)
 	}
 }
 
-// sweepCancels forgets cancellings that no agent has recorded in time.
+// sweepCancels forgets cancellations that no agent has recorded in time.
 func (s *Scheduler) sweepCancels(now time.Duration) {
 	for id, c := range s.cancels {
 		if now-c.since > cancelTimeout {
-			s.opts.Counters.Counter("cancellings_unrecorded").Inc(1)
-			s.opts.Log.Warn().Str("job", id).Int("agents", len(s.targets)).Msg("cancelling recorded by no agent")
+			s.opts.Counters.Counter("cancellations_unrecorded").Inc(1)
+			s.opts.Log.Warn().Str("job", id).Int("agents", len(s.targets)).Msg("cancellation recorded by no agent")
 			delete(s.cancels, id)
 		}
 	}
--- a/internal/process/scheduler/cancel_test.go
+++ b/internal/process/scheduler/cancel_test.go
@@ -20,7 +20,7 @@
 }
 
 // An entry without a link to any agent cannot prevent that a job goes on at another entry.
-func TestCancellingIsRecordedOnlyByAnAgent(t *testing.T) {
+func TestCancellationIsRecordedOnlyByAnAgent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tc := newTestCluster(t)
 		if _, recorded := tc.scheduler.Cancel("j"); isClosed(recorded) {
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -59,9 +59,9 @@
 	// unfinished holds the answers of recent jobs that have not ended but may have run.
 	unfinished answerCache
 	// cancelled holds the jobs that were cancelled recently, here or at another entry, and
-	// cancels the cancellings that no agent has recorded yet.
+	// cancels the cancellations that no agent has recorded yet.
 	cancelled *recent.IDs
-	cancels   map[string]*cancelling
+	cancels   map[string]*cancellation
 	queue     load.Queue[*item]
 	drain     load.DrainRate
 	estimate  *load.Estimator
@@ -114,7 +114,7 @@
 		answers:       newAnswerCache(),
 		unfinished:    newAnswerCache(),
 		cancelled:     recent.NewIDs(cancelRetention, maxCancelled),
-		cancels:       make(map[string]*cancelling),
+		cancels:       make(map[string]*cancellation),
 		estimate:      load.NewEstimator(),
 		patience:      load.NewPatience(),
 		delays:        load.NewStartDelays(),
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -5,7 +5,6 @@
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/load"
-	"github.com/rosemarybay/rosemarybay/internal/request/bounds"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
 
@@ -129,45 +128,6 @@
 	t.unaccounted = t.unaccounted[n:]
 }
 
-// Connect attaches the link of an agent that has sent its Hello.
-func (s *Scheduler) Connect(hello *peer.Hello, link *peer.Link) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.targets[hello.Name]
-	if t == nil {
-		t = &target{name: hello.Name, attempts: make(map[task.Attempt]*attempt)}
-		s.targets[hello.Name] = t
-		s.updateLastCrash(t, s.now())
-	}
-	s.opts.Log.Info().Str("agent", hello.Name).Uint64("incarnation", hello.Incarnation).
-		Int("runs", len(hello.Runs)).Int("attempts", len(t.attempts)).Msg("agent linked")
-	t.link, t.unaccounted, t.startsSent = link, nil, 0
-	// A new process of the agent counts its clock from its own start.
-	t.echo, t.sentEcho = 0, 0
-	t.lastFrameAt = s.now()
-	t.reportedFree = task.Resources{}
-	t.sentDemand = nil
-	s.updateOthersDemand(t, nil)
-	t.lastResult = 0
-	link.Send(peer.Frame{Policy: s.policy()})
-}
-
-// Disconnect detaches a broken link. The attempts there stay unresolved until the agent
-// reports on them, or until they must have ended.
-func (s *Scheduler) Disconnect(name string, link *peer.Link, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.targets[name]
-	if t == nil || t.link != link {
-		return
-	}
-	t.link = nil
-	s.updateOthersDemand(t, nil)
-	s.opts.Log.Info().Err(err).Str("agent", name).Int("attempts", len(t.attempts)).
-		Dur("silent", s.now()-t.lastFrameAt).Msg("agent lost")
-	s.placeQueued()
-}
-
 // HasTargets reports whether any target may be given work.
 func (s *Scheduler) HasTargets() bool {
 	s.mu.Lock()
@@ -180,140 +140,6 @@
 	return false
 }
 
-// Stamp sets the clock fields and the latest result number in a frame to an agent, just
-// before the frame is encoded.
-func (s *Scheduler) Stamp(name string, f *peer.Frame) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.targets[name]
-	if t == nil {
-		return
-	}
-	f.Echo, f.AckedResults = t.echo, t.lastResult
-	f.Sent = int64(s.now())
-	f.Demand = t.demand
-	f.PolicyAge = s.reportedPolicyAge()
-	t.sentDemand = t.demand
-	t.sentEcho, t.lastSentAt = t.echo, s.now()
-}
-
-// reportedPolicyAge returns the age of the policy for a frame, 0 while it is fresh.
-func (s *Scheduler) reportedPolicyAge() time.Duration {
-	if s.opts.PolicyAge == nil {
-		return 0
-	}
-	age := s.opts.PolicyAge()
-	if age <= peer.FreshPolicyAge {
-		return 0
-	}
-	return bounds.RunTime.Clamp(age)
-}
-
-// forwardPolicy sends a policy that one agent has brought to all others: the store may turn them
-// and the other entries away.
-func (s *Scheduler) forwardPolicy(from *target) {
-	p := s.policy()
-	for _, t := range s.targets {
-		if t != from {
-			t.send(peer.Frame{Policy: p})
-		}
-	}
-}
-
-// Receive handles a frame of an agent.
-func (s *Scheduler) Receive(name string, link *peer.Link, f *peer.Frame) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.targets[name]
-	if t == nil || t.link != link {
-		return
-	}
-	t.lastFrameAt = s.now()
-	t.echo = max(t.echo, f.Sent)
-	s.receiveCrashes(t, f.Crashes)
-	s.receiveReleases(f.Released)
-	if f.Target != nil {
-		s.describe(t, f.Target)
-	}
-	t.dropAccepted(f.Accepted)
-	if f.Room != nil {
-		t.reportedFree = f.Room.Free
-		t.probation, t.probe = f.Room.Probation, f.Room.Probe
-		t.shared, t.isolated = f.Room.Shared, f.Room.Isolated
-		t.exclusiveJob, t.exclusiveUntil = f.Room.ExclusiveJob, 0
-		if f.Room.ExclusiveFor > 0 {
-			t.exclusiveUntil = s.now() + f.Room.ExclusiveFor
-		}
-		s.updateOthersDemand(t, f.Room.Demand)
-	}
-	for _, r := range f.Results {
-		s.handleResult(t, r)
-		t.lastResult = max(t.lastResult, r.Number)
-	}
-	if f.Hello != nil {
-		s.reconcile(t, f.Hello)
-	}
-	for _, id := range f.CancelJobs {
-		s.cancelLocal(id)
-	}
-	s.recordCancels(t, f.CancelsRecorded)
-	if f.Policy != nil && f.Policy.Revision > s.opts.View.Outages().Revision {
-		s.opts.OnNewerPolicy(f.Policy)
-		s.forwardPolicy(t)
-	}
-	for _, p := range f.Progress {
-		s.handleProgress(t, p)
-	}
-	s.placeQueued()
-	if t.sentEcho != t.echo && s.now()-t.lastSentAt >= peer.EchoInterval {
-		t.lastSentAt = s.now()
-		t.send(peer.Frame{})
-	}
-}
-
-func (s *Scheduler) describe(t *target, info *peer.Target) {
-	s.opts.Log.Info().Str("agent", t.name).Str("target", info.ID).Int64("incarnation", info.Incarnation).
-		Bool("available", info.Available).Int64("cpu", info.Capacity.CPU).Str("data_centre", info.DataCentre).
-		Msg("target described")
-	if info.ID != t.info.ID || info.Incarnation != t.info.Incarnation {
-		t.crashed = false
-	}
-	restarted := t.isDown(s.now())
-	t.info = *info
-	if info.Pool != "" {
-		t.lastPool = info.Pool
-	}
-	if restarted && t.usable(s.now()) {
-		s.recordRestart(t, s.now())
-	}
-	s.assignTargetsApart(s.now())
-}
-
-// reconcile compares the attempts sent to an agent with those that the agent lists after
-// reconnecting. An attempt that the agent neither runs nor has reported never reached
-// the agent, or ended with an earlier process of it.
-func (s *Scheduler) reconcile(t *target, hello *peer.Hello) {
-	present := make(map[task.Attempt]bool, len(hello.Runs))
-	claims := &peer.Claims{}
-	for _, id := range hello.Runs {
-		present[id] = true
-		if at := t.attempts[id]; at != nil {
-			claims.Attempts = append(claims.Attempts, peer.Claim{Attempt: id, Need: at.item.step.Need})
-			if at.stopping {
-				t.send(peer.Frame{Stops: []task.Attempt{id}})
-			}
-		}
-	}
-	if len(claims.Attempts) > 0 {
-		t.send(peer.Frame{Claims: claims})
-	}
-	for id, at := range t.attempts {
-		if !present[id] {
-			s.resolve(at, peer.OutcomeLost, peer.RefusalNone)
-		}
-	}
-}
-
 // attemptExpiry returns the time after an agent's last frame by which its attempts must
 // have ended: an agent stops the attempts of an entry that is silent, and if the agent
 // fails, the target ends them when their lease expires.
