Notice within 10 ms that a caller's connection was closed

Cause: a caller whose connection is reset while its request is on the way sends the job to another entry at once, not 1,300 ms later. The first entry reads the request, starts the tasks, starts lost ones again, and looked at the connection 100 ms later.

What was started before the reset arrived still ran for up to 100 ms; now one goroutine polls the state of all connections with requests every 10 ms, which costs a read of a flag each, in place of a ticker of 100 ms for each request.

TestRequestIsCancelledSoonAfterItsConnectionIsClosed fails with the former interval.

What remains: a job whose first starts precede the reset by some milliseconds, and whose repeat starts within the 10 + 50 ms that stopping them takes.

--- a/internal/connection/caller/connected_test.go
+++ b/internal/connection/caller/connected_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -80,3 +82,47 @@
 		t.Error("a cancelled request counts as connected")
 	}
 }
+
+// closedConn is a connection that the engine has closed once closed is set.
+type closedConn struct {
+	acceptedConn
+	closed atomic.Bool
+}
+
+func (c *closedConn) IsClosed() (bool, error) { return c.closed.Load(), nil }
+
+func (c *closedConn) SetReadDeadline(time.Time) error { return nil }
+
+// noticeLimit is the time within which a closed connection must be noticed.
+const noticeLimit = 25 * time.Millisecond
+
+// A caller whose connection is reset sends its job to another entry within some tens of
+// milliseconds.
+func TestRequestIsCancelledSoonAfterItsConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &disconnectWatcher{}
+		for range 3 {
+			conn := &closedConn{}
+			ctx, cancel := context.WithCancel(context.Background())
+			r := &watchedRequest{conn: conn, cancel: cancel}
+			d.add(r)
+			time.Sleep(time.Second)
+			if ctx.Err() != nil {
+				t.Fatal("cancelled while the connection was open")
+			}
+			conn.closed.Store(true)
+			time.Sleep(noticeLimit)
+			if ctx.Err() == nil {
+				t.Error("not cancelled")
+			}
+			d.remove(r)
+			time.Sleep(2 * disconnectPollInterval)
+			d.mu.Lock()
+			running := d.running
+			d.mu.Unlock()
+			if running {
+				t.Error("the watcher runs without a request")
+			}
+		}
+	})
+}
--- a/internal/connection/caller/disconnect.go
+++ b/internal/connection/caller/disconnect.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -11,10 +12,17 @@
 	"github.com/lesismal/nbio/nbhttp"
 )
 
-// disconnectPollInterval is the interval at which the connection of a request in progress
-// is polled. Polling is needed because the engine queues its close callback behind the
-// request itself.
-const disconnectPollInterval = 100 * time.Millisecond
+const (
+	// disconnectPollInterval is the interval at which the connections of all requests in progress
+	// are polled. Polling is needed because the engine queues its close callback behind the
+	// request itself. A caller whose connection is reset may turn to another entry within some
+	// tens of milliseconds.
+	disconnectPollInterval = 10 * time.Millisecond
+	// deadlineRenewInterval is the interval at which the read deadline of a request in progress is
+	// renewed: the engine sets its own after it has begun to poll a new connection, possibly
+	// after the request has arrived.
+	deadlineRenewInterval = 100 * time.Millisecond
+)
 
 // pollableConn is an engine connection whose state can be polled.
 type pollableConn interface {
@@ -23,8 +31,25 @@
 	SyscallConn() (syscall.RawConn, error)
 }
 
-// withDisconnect cancels the context of a request when its client disconnects.
-func withDisconnect(next http.Handler) http.Handler {
+// disconnectWatcher cancels the contexts of requests whose clients disconnect. One goroutine
+// polls all connections, while there are any requests.
+type disconnectWatcher struct {
+	mu       sync.Mutex
+	requests map[*watchedRequest]struct{}
+	// running is set while the goroutine runs.
+	running bool
+}
+
+// watchedRequest is a request in progress.
+type watchedRequest struct {
+	conn   pollableConn
+	cancel context.CancelFunc
+	// renewAt is when its read deadline is renewed next.
+	renewAt time.Time
+}
+
+// wrap cancels the context of a request of next when its client disconnects.
+func (d *disconnectWatcher) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := engineConn(w).(pollableConn)
 		if !ok {
@@ -33,11 +58,65 @@
 		}
 		ctx, cancel := context.WithCancel(context.WithValue(r.Context(), connKey{}, conn))
 		defer cancel()
-		go watchDisconnect(ctx, cancel, conn)
+		request := &watchedRequest{conn: conn, cancel: cancel, renewAt: time.Now().Add(deadlineRenewInterval)}
+		d.add(request)
+		defer d.remove(request)
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
+func (d *disconnectWatcher) add(r *watchedRequest) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.requests == nil {
+		d.requests = make(map[*watchedRequest]struct{})
+	}
+	d.requests[r] = struct{}{}
+	if !d.running {
+		d.running = true
+		go d.run()
+	}
+}
+
+func (d *disconnectWatcher) remove(r *watchedRequest) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.requests, r)
+}
+
+// run polls the connections until no request is in progress.
+func (d *disconnectWatcher) run() {
+	ticker := time.NewTicker(disconnectPollInterval)
+	defer ticker.Stop()
+	for now := range ticker.C {
+		if !d.poll(now) {
+			return
+		}
+	}
+}
+
+// poll polls all connections once. It reports false if no request is in progress.
+func (d *disconnectWatcher) poll(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for r := range d.requests {
+		r.poll(now)
+	}
+	d.running = len(d.requests) > 0
+	return d.running
+}
+
+func (r *watchedRequest) poll(now time.Time) {
+	if closed, _ := r.conn.IsClosed(); closed {
+		r.cancel()
+		return
+	}
+	if now.After(r.renewAt) {
+		r.renewAt = now.Add(deadlineRenewInterval)
+		_ = r.conn.SetReadDeadline(now.Add(requestTimeout))
+	}
+}
+
 // engineConn returns the connection below HTTP and TLS that the engine polls, or nil if
 // w is not a response of the engine.
 func engineConn(w http.ResponseWriter) net.Conn {
@@ -54,25 +133,3 @@
 	}
 	return conn
 }
-
-// watchDisconnect polls the connection of a request in progress and cancels the request
-// when the client disconnects. It also renews the read deadline: the engine sets its own
-// after it has begun to poll a new connection, possibly after the request has arrived.
-func watchDisconnect(ctx context.Context, cancel context.CancelFunc, conn pollableConn) {
-	ticker := time.NewTicker(disconnectPollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if closed, _ := conn.IsClosed(); closed {
-				cancel()
-				return
-			}
-			if ctx.Err() == nil {
-				_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
-			}
-		}
-	}
-}
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -69,7 +69,8 @@
 	options Options
 	engine  *nbhttp.Engine
 	// limiters holds a *rate.Limiter for each open connection.
-	limiters sync.Map
+	limiters    sync.Map
+	disconnects disconnectWatcher
 	// openRequests counts the requests that are read and whose handler has not returned.
 	openRequests atomic.Int64
 }
@@ -98,7 +99,7 @@
 		KeepaliveTime:     o.IdleTimeout,
 		ServerExecutor:    func(f func()) { go f() },
 		SupportServerOnly: true,
-		Handler:           s.withDeadlines(withDisconnect(handler)),
+		Handler:           s.withDeadlines(s.disconnects.wrap(handler)),
 	}
 	if o.Keys == nil {
 		config.Addrs = addresses
