Count the age of an agent's policy from evidence, not from the look at a frame

What operators could see: tasks that start in an evacuated data centre later than the bound of promises.

An agent took a frame of an entry as fresh when it read it, although the frame may have waited while the agent was paused; a new process counted as confirmed at its start; an entry took a watch that the store had cut early as one that had waited for a whole second.

TestFrameThatWaitedDoesNotConfirmPolicy, TestPolicyOfNewProcessIsNotFresh and TestCutWatchConfirmsOnlyItsBeginning fail with the respective part taken out.

--- a/internal/process/runs/harness_test.go
+++ b/internal/process/runs/harness_test.go
@@ -142,6 +142,9 @@
 	h.manager.Receive(incarnation, link, &f)
 }
 
+// clock returns the time that the frames of the agent carry.
+func (h *harness) clock() int64 { return int64(h.manager.clock()) }
+
 // pause sets the clock as after a pause of the agent, before any frame is read.
 func (h *harness) pause(length time.Duration) {
 	h.suspend(length)
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -146,7 +146,8 @@
 		owners: make(map[uint64]*owner),
 		runs:   make(map[task.Key]*run),
 
-		cancelled: recent.NewIDs(cancelRetention, maxCancelled),
+		policyConfirmedAt: neverConfirmed,
+		cancelled:         recent.NewIDs(cancelRetention, maxCancelled),
 	}
 }
 
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -164,7 +164,7 @@
 	if f.Policy != nil {
 		m.applyPolicyLocked(f.Policy, o.name)
 	}
-	m.recordPolicyAgeLocked(f.PolicyAge)
+	m.recordPolicyAgeLocked(f)
 	if f.Claims != nil {
 		m.claimLocked(o, f.Claims)
 	}
--- a/internal/process/runs/policy.go
+++ b/internal/process/runs/policy.go
@@ -7,6 +7,9 @@
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 )
 
+// neverConfirmed is the time of the latest confirmation before the first one.
+const neverConfirmed = -time.Hour
+
 // ApplyStoredPolicy applies the data centres out of service that were read from the store at a
 // revision. sent is when the read was sent.
 func (m *Manager) ApplyStoredPolicy(revision uint64, out []string, sent time.Time) {
@@ -24,13 +27,17 @@
 	return m.clock() - m.policyConfirmedAt
 }
 
-// recordPolicyAgeLocked records the age of the policy of an entry, as received just now. The
-// frame carries the entry's policy, or the agent has it.
-func (m *Manager) recordPolicyAgeLocked(age time.Duration) {
+// recordPolicyAgeLocked records the age of the policy of an entry. The age counts from the time
+// that the frame echoes, since the frame may have waited to be read. It carries the entry's
+// policy, or the agent has it.
+func (m *Manager) recordPolicyAgeLocked(f *peer.Frame) {
+	age := f.PolicyAge
 	if age == 0 {
 		age = peer.FreshPolicyAge
 	}
-	m.policyConfirmedAt = max(m.policyConfirmedAt, m.clock()-age)
+	if echo := time.Duration(f.Echo); echo <= m.clock() {
+		m.policyConfirmedAt = max(m.policyConfirmedAt, echo-age)
+	}
 }
 
 // applyPolicyLocked applies a policy if it is newer than the known one, and forwards it to all
--- a/internal/process/runs/policy_test.go
+++ b/internal/process/runs/policy_test.go
@@ -32,13 +32,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
 		time.Sleep(10 * time.Second)
-		h.receive(7, peer.Frame{})
+		h.receive(7, peer.Frame{Echo: h.clock()})
 		if age := h.manager.PolicyAge(); age > peer.FreshPolicyAge {
 			t.Errorf("age %v after a frame of an entry that follows the store", age)
 		}
 		close(h.entrySilent)
 		time.Sleep(time.Second)
-		h.receive(7, peer.Frame{PolicyAge: 4 * time.Second})
+		h.receive(7, peer.Frame{Echo: h.clock(), PolicyAge: 4 * time.Second})
 		if age, want := h.manager.PolicyAge(), peer.FreshPolicyAge+time.Second; age < want || age > want+100*time.Millisecond {
 			t.Errorf("age %v, want %v: an entry with an older policy confirms nothing", age, want)
 		}
@@ -48,3 +48,27 @@
 		}
 	})
 }
+
+// A frame waits to be read while the agent is paused: it says nothing about the time since.
+func TestFrameThatWaitedDoesNotConfirmPolicy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		close(h.entrySilent)
+		time.Sleep(time.Second)
+		sent := h.clock()
+		time.Sleep(4 * time.Second)
+		h.receive(7, peer.Frame{Echo: sent})
+		if age, want := h.manager.PolicyAge(), 4*time.Second+peer.FreshPolicyAge; age < want {
+			t.Errorf("age %v, want %v", age, want)
+		}
+	})
+}
+
+// A new process has not read the store, and no entry has confirmed its policy.
+func TestPolicyOfNewProcessIsNotFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if age := New(Options{}).PolicyAge(); age < time.Minute {
+			t.Errorf("age %v", age)
+		}
+	})
+}
--- a/internal/process/server/configwatcher.go
+++ b/internal/process/server/configwatcher.go
@@ -101,8 +101,7 @@
 		if listing.Revision > after {
 			return w.read(ctx)
 		}
-		// The store has waited so long without a change, however late its answer is read.
-		w.confirm(sent.Add(min(configWatchTimeout, time.Since(sent))))
+		w.confirm(unchangedUntil(sent))
 		return after, nil
 	}
 	defer w.confirm(sent)
@@ -120,6 +119,16 @@
 	return listing.Revision, nil
 }
 
+// unchangedUntil returns the latest time at which the store is known to have had no change, after
+// a watch without events that was sent at a time. The answer may have waited to be read; one
+// that comes early is that of a watch which the store has cut.
+func unchangedUntil(sent time.Time) time.Time {
+	if time.Since(sent) < configWatchTimeout {
+		return sent
+	}
+	return sent.Add(configWatchTimeout)
+}
+
 // decode decodes the operators' keys of a listing. Without a valid configuration the one in
 // force stays.
 func (w *configWatcher) decode(listing store.Listing) platform.OperatorConfig {
--- a/internal/process/server/policyreader_test.go
+++ b/internal/process/server/policyreader_test.go
@@ -117,3 +117,19 @@
 		}
 	})
 }
+
+// A watch that the store cuts says nothing about the time after it was sent: its answer may have
+// waited to be read.
+func TestCutWatchConfirmsOnlyItsBeginning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct{ answeredAfter, want time.Duration }{
+			{configWatchTimeout / 2, 0}, {configWatchTimeout, configWatchTimeout}, {5 * configWatchTimeout, configWatchTimeout},
+		} {
+			sent := time.Now()
+			time.Sleep(c.answeredAfter)
+			if got := unchangedUntil(sent).Sub(sent); got != c.want {
+				t.Errorf("read after %v: unchanged for %v, want %v", c.answeredAfter, got, c.want)
+			}
+		}
+	})
+}
