Take the limit of runs without an entry from the time after which callers repeat

The limit of 1,000 ms of fitted one size of the users' sites: it was a constant that belongs to a resend of 1,300 ms. A deployment whose callers repeat sooner would have had no protection, one with a later repeat a needlessly short limit. TestRunLimitFollowsTheRetryOfCallers.

--- a/internal/process/model/agent_test.go
+++ b/internal/process/model/agent_test.go
@@ -113,6 +113,7 @@
 		Log:         a.sim.checker.log.logger(a.name),
 		Counters:    metrics.New(),
 		TargetLease: targetLease,
+		CallerRetry: callerRetry,
 		Dial: func(to runs.Announcement) runs.TargetClient {
 			return &conn{target: a.target, agent: a, process: number, id: to.ID, incarnation: to.Incarnation, clockBack: clockBack}
 		},
--- a/internal/process/runs/harness_test.go
+++ b/internal/process/runs/harness_test.go
@@ -50,6 +50,7 @@
 		Counters:    metrics.New(),
 		Dial:        func(Announcement) TargetClient { return h.target },
 		TargetLease: testLease,
+		CallerRetry: callerRetry,
 		SinceBoot:   h.sinceBoot(),
 	})
 	h.run()
--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -12,22 +12,31 @@
 	maxClockDriftPercent = 2
 	// leaseMargin is added to the target's lease for stopping the runs.
 	leaseMargin = 60 * time.Millisecond
-	// maxRunWithoutEntry is how long after its entry was last known to be alive a run can go on,
-	// whatever happens to this process or the next one of the agent. With the drift of the
-	// target's clock it ends before a caller that the entry has lost turns to another one.
-	maxRunWithoutEntry = time.Second
+	// callerRetryMargin is the time between the latest end of a run whose entry has failed and
+	// the time at which its caller turns to another one.
+	callerRetryMargin = 280 * time.Millisecond
+	// minRunLimit leaves time to stop the runs of a silent entry before the target ends all runs.
+	minRunLimit = peer.OwnerLease + 100*time.Millisecond
 	// maxOrderDelay is how long after it was sent a start order without an answer may be
 	// executed.
 	maxOrderDelay = 15 * time.Second
 )
 
+// runLimit returns how long after its entry was last known to be alive a run can go on, whatever
+// happens to this process or the next one of the agent. With the drift of the target's clock it
+// ends before a caller that the entry has lost turns to another one.
+func runLimit(callerRetry time.Duration) time.Duration {
+	return max((callerRetry-callerRetryMargin)*100/(100+maxClockDriftPercent), minRunLimit)
+}
+
 // permitLocked returns a permit that is issued now. It reports false if the order must not
 // extend the target's lease: the lease covers all runs there, and those that no living entry is
 // known to hold must end.
 func (m *Manager) permitLocked(t *targetIncarnation) (Permit, bool) {
 	m.uptime.Measure()
 	now, clock := time.Now(), m.clock()
-	until := now.Add(min(m.opts.TargetLease, maxRunWithoutEntry))
+	limit := runLimit(m.opts.CallerRetry)
+	until := now.Add(min(m.opts.TargetLease, limit))
 	claimed := true
 	for _, r := range m.runs {
 		o := m.owners[r.owner]
@@ -35,8 +44,8 @@
 			claimed = false
 			continue
 		}
-		if limit := now.Add(o.lastEcho + maxRunWithoutEntry - clock); limit.Before(until) {
-			until = limit
+		if end := now.Add(o.lastEcho + limit - clock); end.Before(until) {
+			until = end
 		}
 	}
 	permit := Permit{Token: t.token, IssuedAt: now, LeaseFrom: until.Add(-m.opts.TargetLease)}
--- a/internal/process/runs/lease_test.go
+++ b/internal/process/runs/lease_test.go
@@ -10,7 +10,18 @@
 )
 
 // latestEnd is the time after the latest echo of an entry by which its runs must have ended.
-const latestEnd = maxRunWithoutEntry*(100+maxClockDriftPercent)/100 + 50*time.Millisecond
+const latestEnd = 1020*time.Millisecond + 50*time.Millisecond
+
+// With the drift of the target's clock, a run ends before its caller turns to another entry.
+func TestRunLimitFollowsTheRetryOfCallers(t *testing.T) {
+	for retry, want := range map[time.Duration]time.Duration{
+		callerRetry: time.Second, 3 * time.Second: 2666666666, 500 * time.Millisecond: minRunLimit, 0: minRunLimit,
+	} {
+		if got := runLimit(retry); got != want {
+			t.Errorf("limit %v for a retry after %v, want %v", got, retry, want)
+		}
+	}
+}
 
 // expectEndWithin fails the test unless a run ends within a time.
 func (h *harness) expectEndWithin(a task.Attempt, limit time.Duration) {
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -33,6 +33,8 @@
 	Announced func(Announcement)
 	// TargetLease is how long the target continues its runs without a renewal.
 	TargetLease time.Duration
+	// CallerRetry is how long after its entry has failed a caller turns to another one.
+	CallerRetry time.Duration
 	// Crashed is called with the reports of this target's recent crashes when one is added. It
 	// must not block. Optional.
 	Crashed func([]crash.Report)
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -58,6 +58,7 @@
 		Log:         p.log,
 		Counters:    p.counters,
 		TargetLease: p.node.TargetLease.Std(),
+		CallerRetry: p.node.CallerRetryTime(),
 		SinceBoot:   uptime.SinceBoot,
 		Announced:   a.record.queue,
 		Retired:     a.links.linkRetired,
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"net"
 	"net/netip"
 	"strings"
@@ -37,16 +38,30 @@
 	Store string `json:"store"`
 	// TargetLease is how long a target continues its tasks without a renewal of their lease.
 	TargetLease Duration `json:"target_lease"`
+	// CallerRetry is how long after a failure of its entry a caller sends its job to another one;
+	// 0 means defaultCallerRetry.
+	CallerRetry Duration `json:"caller_retry,omitempty"`
 	// MemoryMB is the memory at which the process is killed.
 	MemoryMB int `json:"memory_mb"`
 }
 
+// defaultCallerRetry is used if no CallerRetry is set.
+const defaultCallerRetry = 1300 * time.Millisecond
+
+// callerRetryRange is the range of Node.CallerRetry.
+var callerRetryRange = bounds.Range[time.Duration]{Min: 0, Max: time.Hour}
+
 // minTargetLease leaves time for several renewals within one lease.
 const minTargetLease = 400 * time.Millisecond
 
 // targetLeaseRange is the range of Node.TargetLease.
 var targetLeaseRange = bounds.Range[time.Duration]{Min: minTargetLease, Max: time.Hour}
 
+// CallerRetryTime returns CallerRetry or its default.
+func (n *Node) CallerRetryTime() time.Duration {
+	return cmp.Or(n.CallerRetry.Std(), defaultCallerRetry)
+}
+
 // SeedIPs returns the hosts in Seeds.
 func (n *Node) SeedIPs() []string {
 	var ips []string
@@ -74,6 +89,9 @@
 	if err := targetLeaseRange.Check("node.target_lease", n.TargetLease.Std()); err != nil {
 		return err
 	}
+	if err := callerRetryRange.Check("node.caller_retry", n.CallerRetry.Std()); err != nil {
+		return err
+	}
 	if err := memoryRange.Check("node.memory_mb", n.MemoryMB); err != nil {
 		return err
 	}
--- a/internal/process/settings/node_test.go
+++ b/internal/process/settings/node_test.go
@@ -22,6 +22,9 @@
 	if s.Node.TargetLease.Std() != time.Second || s.StopTimeout.Std() != 6*time.Second {
 		t.Errorf("lease %v, stop %v", s.Node.TargetLease.Std(), s.StopTimeout.Std())
 	}
+	if got := s.Node.CallerRetryTime(); got != defaultCallerRetry {
+		t.Errorf("caller retry %v by default", got)
+	}
 }
 
 func TestInvalidNodeSettingIsNamed(t *testing.T) {
@@ -32,6 +35,7 @@
 		{`"store":"10.200.1.7:8169"`, `"store":""`, `node.store is missing`},
 		{`"peer_port":7720`, `"peer_port":0`, `node.peer_port is 0`},
 		{`"1000ms"`, `"100ms"`, `node.target_lease is 100ms, expected a number from 400ms to 1h0m0s`},
+		{`"memory_mb":284`, `"memory_mb":284,"caller_retry":"-1s"`, `node.caller_retry is -1s, expected a number from 0s to 1h0m0s`},
 		{`"memory_mb":284`, `"memory_mb":0`, `node.memory_mb is 0`},
 		{`"memory_mb":284`, `"memory_mb":9223372036854775807`, `node.memory_mb is 9223372036854775807, expected a number from 1 to 1073741824`},
 		{`"1000ms"`, `"2562047h"`, `node.target_lease is 2562047h0m0s`},
