Ablation: two patches applied only with fuzz

confinement.patch and stored-target.patch had lost their context; patch found the place by fuzz, git apply did not.

--- a/tools/ablation/check.sh
+++ b/tools/ablation/check.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks that each patch of this folder still applies and that the result builds.
+# Checks that each patch of this folder still applies without fuzz and that the result builds.
 set -eu
 root=$(cd "$(dirname "$0")/../.." && pwd)
 copy=$(mktemp -d)
@@ -8,7 +8,7 @@
 git ls-files -z '*.go' go.mod go.sum | xargs -0 cp --parents -t "$copy"
 cd "$copy"
 for patch in "$root"/tools/ablation/*.patch; do
-  patch -s -p1 < "$patch"
+  patch -s -p1 -F0 < "$patch"
   go build ./internal/process/... || { echo "does not build: $(basename "$patch")"; exit 1; }
   patch -s -p1 -R < "$patch"
 done
