--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -83,9 +83,10 @@
 }
 
 // mayStartLateLocked reports whether the next incarnation of a target may execute a start order
-// of a run. It has seen no fencing token, and if it has the same ID, no field of the order tells
-// it from the former one. That can happen to an order that the target left unanswered
-// while it answered others; the run is then kept until the next incarnation has stopped it.
+// of a run. It has seen no fencing token, and if it has the same ID, no field of the order
+// distinguishes it from the former one. That can happen to an order that the target left
+// unanswered while it answered others; the run is then kept until the next incarnation has
+// stopped it.
 func (m *Manager) mayStartLateLocked(t *targetIncarnation, r *run) bool {
 	return !r.unansweredAt.IsZero() && t.answeredAt.After(r.unansweredAt) && time.Since(r.unansweredAt) < maxOrderDelay
 }
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -186,7 +186,7 @@
 // has echoed. A time that has not come yet is that of another process.
 func (m *Manager) recordEchoLocked(o *owner, echo time.Duration) {
 	if echo > m.clock() {
-		m.opts.Counters.Counter("echoes_from_the_future").Inc(1)
+		m.opts.Counters.Counter("echoes_ahead_of_clock").Inc(1)
 		return
 	}
 	o.lastEcho = max(o.lastEcho, echo)
--- a/internal/process/scheduler/cancel_test.go
+++ b/internal/process/scheduler/cancel_test.go
@@ -29,7 +29,7 @@
 		a := tc.agent("a")
 		_, recorded := tc.scheduler.Cancel("j")
 		if isClosed(recorded) {
-			t.Error("recorded before an agent has said so")
+			t.Error("recorded before an agent has confirmed it")
 		}
 		_, again := tc.scheduler.Cancel("j")
 		a.link.Send(peer.Frame{CancelsRecorded: []string{"j", "unknown"}})
--- a/internal/process/scheduler/policy_test.go
+++ b/internal/process/scheduler/policy_test.go
@@ -26,7 +26,7 @@
 	})
 }
 
-// An entry that the store turns away tells its agents how old its policy is.
+// An entry that the store turns away sends the age of its policy to its agents.
 func TestFramesCarryTheAgeOfAnOldPolicy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tc := newTestCluster(t)
