Start nothing on a new link before the agent's runs are known

What callers saw: a task without declared resources could run twice at the same time. When an agent links again, its entry attaches the link, and compares its attempts with the runs in the agent's first frame a moment later. A job that is submitted in between is placed on the agent if its tasks fit into no free capacity, as tasks do that declare neither processor nor memory. The agent does not list that attempt yet, so the entry takes it for lost and sends it again, while the agent executes the first one.

Why it works: a target gets work only once the runs listed on its present link have been compared.

--- a/internal/process/scheduler/agentlink.go
+++ b/internal/process/scheduler/agentlink.go
@@ -21,6 +21,7 @@
 	s.opts.Log.Info().Str("agent", hello.Name).Uint64("incarnation", hello.Incarnation).
 		Int("runs", len(hello.Runs)).Int("attempts", len(t.attempts)).Msg("agent linked")
 	t.link, t.unaccounted, t.startsSent = link, nil, 0
+	t.reconciled = false
 	// A new process of the agent counts its clock from its own start.
 	t.echo, t.sentEcho = 0, 0
 	t.lastFrameAt = s.now()
@@ -185,4 +186,5 @@
 			s.resolve(at, peer.OutcomeLost, peer.RefusalNone)
 		}
 	}
+	t.reconciled = true
 }
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -158,7 +158,7 @@
 
 // isInService reports whether a target may be given work of its pool.
 func (r placementRound) isInService(t *target) bool {
-	return t.usable(r.now) && !r.outages.Has(t.info.DataCentre)
+	return t.usable(r.now) && t.reconciled && !r.outages.Has(t.info.DataCentre)
 }
 
 // start sends the next attempt of a task to a target.
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -18,7 +18,11 @@
 type target struct {
 	name string
 	link *peer.Link
-	info peer.Target
+	// reconciled is set once the attempts here have been compared with the runs that the agent
+	// lists in the first frame of its link. A start that is sent earlier would be missing there
+	// and count as lost.
+	reconciled bool
+	info       peer.Target
 	// reportedFree is the free capacity in the latest frame, which does not count
 	// starts that the agent had not received by then.
 	reportedFree task.Resources
