--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -48,7 +48,7 @@
 	}
 	r.stopRequested = true
 	m.opts.Log.Info().Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).
-		Str("reason", reason).Msg("run stopped")
+		Str("reason", reason).Dur("entry_heard", m.sinceEchoLocked(r.owner)).Msg("run stopped")
 	m.opts.Counters.Counter("runs_stopped").Inc(1)
 	switch r.phase {
 	case phaseRunning:
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -192,6 +192,16 @@
 	o.lastEcho = max(o.lastEcho, echo)
 }
 
+// sinceEchoLocked returns how long ago an entry is known to have been alive, for the log; 0 if
+// no entry of that incarnation is known.
+func (m *Manager) sinceEchoLocked(incarnation uint64) time.Duration {
+	o := m.owners[incarnation]
+	if o == nil {
+		return 0
+	}
+	return m.clock() - o.lastEcho
+}
+
 // acknowledge drops the results up to a number.
 func (o *owner) acknowledge(number uint64) {
 	n := 0
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -184,7 +184,8 @@
 	s.drain.RecordStart(now, it.Work())
 	s.opts.Counters.Counter("attempts_sent").Inc(1)
 	s.opts.Log.Info().Str("job", it.key.Job).Stringer("task", it.key).Uint64("run", it.run).Str("target", t.info.ID).
-		Int64("free_cpu", t.free().CPU).Dur("room_age", now-t.lastFrameAt).Bool("isolated", at.isolated).Msg("attempt sent")
+		Int64("free_cpu", t.free().CPU).Dur("room_age", now-t.lastFrameAt).Dur("caller_seen_ago", now-it.job.callerSeenAt).
+		Bool("isolated", at.isolated).Msg("attempt sent")
 	t.addAttempt(at)
 	s.contendedPool.free -= it.step.Need.CPU
 	t.send(peer.Frame{Starts: []peer.Start{{
