Fence unanswered start orders by the poll after a failed one

A target leaves a start order unanswered, runs its repeat, crashes and starts again under its ID. Until that incarnation has announced itself the agent polls its address with the token of the order, which does not fence it: the order was executed there after several polls had arrived, for as long as the announcement took.

Cause: only a fencing poll and an announcement raised the token. The polls between the end of an incarnation and the announcement of the next one kept the token of the orders in transit.

Why the fix works: an incarnation ends with a failed poll, or with the answer of another one to a poll. Either raises the token above those of all start orders without an answer, so that the next poll, 10 to 80 ms later, fences them wherever it arrives. It costs nothing while polls are answered and no order is open, and one repeated order of 1 ms if another order is in transit meanwhile.

Ruled out: raising the token with each unanswered order.

Evidence, TestPollsBeforeAnnouncementFenceUnansweredOrder without the change:

--- FAIL: TestPollsBeforeAnnouncementFenceUnansweredOrder (0.00s) unanswered_test.go:138: the late order was executed after polls had reached the next incarnation

--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -37,6 +37,8 @@
 	// poll was sent that renews the target's lease.
 	answeredAt time.Time
 	renewedAt  time.Time
+	// unansweredToken is the highest token of a start order that the target has not answered.
+	unansweredToken uint64
 	// unanswered is the number of polls since the latest answer.
 	unanswered int
 	// strays is when a stop order was last sent to each run that is listed beside another
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -30,6 +30,13 @@
 	}
 }
 
+// fenceUnansweredLocked raises the token above those of all start orders without an answer. The
+// next poll may reach another incarnation of the target that has not announced itself. It has
+// seen no token, and would execute such an order if it came late.
+func (t *targetIncarnation) fenceUnansweredLocked() {
+	t.token = max(t.token, t.unansweredToken+1)
+}
+
 func (m *Manager) orderUnanswered(t *targetIncarnation, order string, a task.Attempt, err error) {
 	if t.ctx.Err() != nil {
 		return
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -82,6 +82,7 @@
 func (m *Manager) markReplaced(t *targetIncarnation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	t.fenceUnansweredLocked()
 	if t.replaceable {
 		return
 	}
@@ -98,6 +99,7 @@
 	m.opts.Counters.Counter("looks_unanswered").Inc(1)
 	m.mu.Lock()
 	t.unanswered++
+	t.fenceUnansweredLocked()
 	if errors.Is(err, ErrRefused) {
 		m.noteCrashLocked(t, "its address refuses connections")
 	}
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -145,7 +145,7 @@
 	answer, err := t.client.Start(ctx, permit, s)
 	if err != nil {
 		m.recordStartOrder(r, verdict.ProvesNothing)
-		m.recordUnanswered(r, permit, err)
+		m.recordUnanswered(t, r, permit, err)
 		m.orderUnanswered(t, "start", s.Attempt, err)
 		return answer, err
 	}
@@ -182,13 +182,14 @@
 
 // recordUnanswered records that a start order has no answer, unless nothing listens at the
 // target's address.
-func (m *Manager) recordUnanswered(r *run, permit Permit, err error) {
+func (m *Manager) recordUnanswered(t *targetIncarnation, r *run, permit Permit, err error) {
 	if errors.Is(err, ErrRefused) {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r.unansweredAt = permit.IssuedAt
+	t.unansweredToken = max(t.unansweredToken, permit.Token)
 }
 
 // logStartAnswer counts the answer to a start order, and logs one other than success.
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -120,6 +120,26 @@
 	})
 }
 
+// A target leaves a start order unanswered, runs its repeat, and restarts under its ID. The polls
+// that reach the next incarnation before it announces itself must fence the order.
+func TestPollsBeforeAnnouncementFenceUnansweredOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true })
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		h.target.set(func() {
+			h.target.restart()
+			h.target.pollsByOther = true
+		})
+		time.Sleep(2 * pollWait)
+		h.target.set(func() { h.target.delayedStarts[0]() })
+		if h.target.isRunning(a) {
+			t.Error("the late order was executed after polls had reached the next incarnation")
+		}
+	})
+}
+
 // The same target does not come back.
 func TestRunWithUnansweredOrderIsLostOnceNoOrderCanBeExecuted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
