Poll a target every 10 ms while an order may still reach its next incarnation

A target leaves a start order unanswered, runs its repeat or is fenced, crashes and starts again under its ID. Failed polls are up to 80 ms apart, so that the next incarnation could execute the order for up to 80 ms before the first poll fenced it.

Cause: polls of a target that is down back off to 80 ms, whatever is still in transit to it.

Why the fix works: while a start order that the target left unanswered, beside others that it answered, is younger than 15 s, failed polls follow each other after 10 ms where the address refuses connections, and after 30 ms, the time of a poll without an answer, where it is silent.

Evidence, TestFirstPollAfterRestartFencesUnansweredOrder without the change:

--- FAIL: TestFirstPollAfterRestartFencesUnansweredOrder (0.00s) unanswered_test.go:162: back 500ms after the crash: the late order was executed before a poll arrived

--- a/internal/process/runs/backoff.go
+++ b/internal/process/runs/backoff.go
@@ -20,8 +20,11 @@
 
 // sleep blocks until the next call is due, counted from the start of the failed one, or
 // until ctx ends.
-func (b *backoff) sleep(ctx context.Context, start time.Time) {
-	b.interval = min(max(2*b.interval, backoffMin), backoffMax)
+func (b *backoff) sleep(ctx context.Context, start time.Time) { b.sleepUpTo(ctx, start, backoffMax) }
+
+// sleepUpTo is sleep with another longest time between retries.
+func (b *backoff) sleepUpTo(ctx context.Context, start time.Time, longest time.Duration) {
+	b.interval = min(max(2*b.interval, backoffMin), longest)
 	timer := time.NewTimer(b.interval - time.Since(start))
 	defer timer.Stop()
 	select {
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -71,6 +71,10 @@
 	left identity
 	// lastToken is the highest token of former incarnations.
 	lastToken uint64
+	// unansweredAt is when the latest start order without an answer was sent, lateOrderAt when the
+	// latest one was that the target left unanswered while it answered others: it may be executed
+	// late.
+	unansweredAt, lateOrderAt time.Time
 	// earlierEnds holds the results of runs of an earlier process of this agent that had ended
 	// when the first report arrived, at firstReportAt.
 	earlierEnds   []peer.Result
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -35,7 +35,7 @@
 		cancel()
 		if err != nil {
 			m.pollFailed(t, err)
-			retry.sleep(t.ctx, sent)
+			retry.sleepUpTo(t.ctx, sent, m.longestPollBackoff())
 			wait = 0
 			continue
 		}
@@ -44,6 +44,18 @@
 	}
 }
 
+// longestPollBackoff returns the longest time between polls that fail. While a start order may
+// still be executed late, the next incarnation of the target is polled as soon as it is up: until
+// then it would execute the order.
+func (m *Manager) longestPollBackoff() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if time.Since(m.lateOrderAt) < maxOrderDelay {
+		return backoffMin
+	}
+	return backoffMax
+}
+
 func (m *Manager) nextPoll(t *targetIncarnation, wait time.Duration) PollRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -121,6 +133,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t.answeredAt, t.unanswered = time.Now(), 0
+	m.lateOrderAt = m.unansweredAt
 	m.withdrawCrashLocked(t)
 	if t.unresponsive {
 		t.unresponsive = false
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -188,7 +188,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r.unansweredAt = permit.IssuedAt
+	r.unansweredAt, m.unansweredAt = permit.IssuedAt, permit.IssuedAt
 	t.unansweredToken = max(t.unansweredToken, permit.Token)
 }
 
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -140,6 +140,31 @@
 	})
 }
 
+// A target leaves a start order unanswered and crashes, and its address refuses connections. It
+// comes back under its ID, and the order is executed soon after that, but not at once: whenever it
+// comes back, a poll must have fenced the order.
+func TestFirstPollAfterRestartFencesUnansweredOrder(t *testing.T) {
+	for phase := 0 * time.Millisecond; phase < backoffMax; phase += 7 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t)
+			h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true })
+			a := h.start(0, 1, task.Resources{CPU: 1000})
+			h.waitStarted(a)
+			h.target.set(func() { h.target.refuses = true })
+			time.Sleep(testLease + phase)
+			h.target.set(func() {
+				h.target.refuses, h.target.pollsByOther = false, true
+				h.target.restart()
+			})
+			time.Sleep(2 * backoffMin)
+			h.target.set(func() { h.target.delayedStarts[0]() })
+			if h.target.isRunning(a) {
+				t.Errorf("back %v after the crash: the late order was executed before a poll arrived", testLease+phase)
+			}
+		})
+	}
+}
+
 // The same target does not come back.
 func TestRunWithUnansweredOrderIsLostOnceNoOrderCanBeExecuted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
