Keep a run whose first start order may come late, whatever became of its repeats

A target leaves the start orders of an attempt unanswered while it answers polls, and crashes before the last of them. The agent reported the attempt as lost when the lease had ended, the entry started the task elsewhere, and the next incarnation under the same ID executed the first order.

Cause: whether an order may come late was decided by the latest one without an answer. That one was sent to a target that answered nothing afterwards, and counted as lost in the crash; the first one, sent while the target answered polls, was forgotten.

Why the fix works: the time of the first order without an answer decides. A target that answers nothing since that one counts as before (TestRunOnCrashedTargetIsLostOnceItsLeaseHasExpired), so that a plain crash costs no caller any time.

Evidence, TestRepeatsToCrashedTargetDoNotHideLateOrder without the change:

--- FAIL: TestRepeatsToCrashedTargetDoNotHideLateOrder (0.02s) unanswered_test.go:132: unexpected result of {j/0/0 1}: [{1 {j/0/0 1} lost }] unanswered_test.go:136: expected frame not received within 3 s

--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -86,7 +86,8 @@
 // of a run. It has seen no fencing token, and if it has the same ID, no field of the order
 // distinguishes it from the former one. That can happen to an order that the target left
 // unanswered while it answered others; the run is then kept until the next incarnation has
-// stopped it.
+// stopped it. The first such order decides: its repeats may have been sent to a target that had
+// crashed already.
 func (m *Manager) mayStartLateLocked(t *targetIncarnation, r *run) bool {
 	return !r.unansweredAt.IsZero() && t.answeredAt.After(r.unansweredAt) && time.Since(r.unansweredAt) < maxOrderDelay
 }
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -119,7 +119,7 @@
 	// or event that ended the start, for the log.
 	orders    verdict.Tries
 	decidedBy string
-	// unansweredAt is when the latest start order was sent that the target has not answered.
+	// unansweredAt is when the first start order was sent that the target has not answered.
 	unansweredAt time.Time
 	// orderToken is the token of the latest start order.
 	orderToken uint64
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -188,7 +188,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r.unansweredAt, m.unansweredAt = permit.IssuedAt, permit.IssuedAt
+	if r.unansweredAt.IsZero() {
+		r.unansweredAt = permit.IssuedAt
+	}
+	m.unansweredAt = permit.IssuedAt
 	t.unansweredToken = max(t.unansweredToken, permit.Token)
 }
 
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -120,6 +120,27 @@
 	})
 }
 
+// A target leaves all start orders of an attempt unanswered, answers polls meanwhile, and crashes
+// before the last order. The first one may still be executed by the next incarnation.
+func TestRepeatsToCrashedTargetDoNotHideLateOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = startTries, true })
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		time.Sleep(4 * backoffMin)
+		h.target.set(func() { h.target.unresponsive = true })
+		h.expectNoResult(a, 3*testLease)
+		h.target.set(func() { h.target.unresponsive = false })
+		h.target.restart()
+		h.announce(Announcement{Incarnation: 2, Sequence: 1})
+		h.waitOutcome(a, peer.OutcomeLost)
+		h.target.set(func() { h.target.delayedStarts[0]() })
+		if h.target.isRunning(a) {
+			t.Error("the late order was executed after the run was reported as lost")
+		}
+	})
+}
+
 // A target leaves a start order unanswered, runs its repeat, and restarts under its ID. The polls
 // that reach the next incarnation before it announces itself must fence the order.
 func TestPollsBeforeAnnouncementFenceUnansweredOrder(t *testing.T) {
