Entries keep attempts that may start late until their agent is back

A target leaves a start order unanswered and runs its repeat. Its agent is killed or paused for more than 1,670 ms, the entry takes the attempt for lost and starts the task elsewhere; the target restarts under its ID meanwhile and executes the late order, which no poll has fenced.

Cause: only the agent knew that an order may come late. When it was away, the entry took the end of the target's lease for the end of the attempt.

Why the fix works: an agent reports each attempt of which a start order has no answer (peer.Frame.LateOrders), at once and on each new link; an order to an address that refuses connections does not count. The entry keeps such an attempt until the agent links again, when a poll with a higher token has fenced the orders, or reports its end, and for 15 s at most. If the caller's deadline comes first, the answer is that the job may have run.

Cost: none while the agent is linked: it reports the end of an attempt as before, also after a plain crash of its target. A task with an unanswered order waits for its agent, which was started elsewhere after 1,670 ms so far; if the agent does not come back, its job is not completed.

Evidence: with the check of sweepTarget taken out:

--- FAIL: TestAttemptWithLateOrderOutlastsAbsenceOfItsAgent (0.05s) late_test.go:55: the task was started elsewhere while its late order may be executed late_test.go:61: the attempt or its target is kept for good --- FAIL: TestTaskWithLateOrderStartsAgainOnceItsAgentIsBack (0.00s) late_test.go:72: the task was started elsewhere while its late order may be executed

--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -54,6 +54,10 @@
 	PolicyAge time.Duration `cbor:"20,keyasint,omitempty"`
 	// CancelsRecorded lists the jobs of CancelJobs of this entry that the agent has recorded.
 	CancelsRecorded []string `cbor:"21,keyasint,omitempty"`
+	// LateOrders lists attempts of the entry of which the target left a start order unanswered.
+	// Such an order may be executed until MaxOrderDelay after it was sent, also by the next
+	// incarnation of the target.
+	LateOrders []task.Attempt `cbor:"22,keyasint,omitempty"`
 }
 
 // Subscribe is a subscription to the list of entries, with the revision and the number of
@@ -242,6 +246,9 @@
 const (
 	// OwnerLease is how long an agent runs the attempts of an entry that sends no new echo.
 	OwnerLease = 500 * time.Millisecond
+	// MaxOrderDelay is how long after it was sent a start order without an answer may be
+	// executed.
+	MaxOrderDelay = 15 * time.Second
 	// BrokenLinkLease is the shorter lease once the link is broken: a live entry accepts
 	// the agent's next connection within a few round trips.
 	BrokenLinkLease = 150 * time.Millisecond
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -92,6 +92,7 @@
 	}
 	f.CancelJobs = append(f.CancelJobs, o.CancelJobs...)
 	f.CancelsRecorded = append(f.CancelsRecorded, o.CancelsRecorded...)
+	f.LateOrders = append(f.LateOrders, o.LateOrders...)
 	f.Crashes = append(f.Crashes, o.Crashes...)
 	f.Released = append(f.Released, o.Released...)
 	f.Subscribe = latest(f.Subscribe, o.Subscribe)
--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
 
 const (
@@ -17,9 +18,6 @@
 	callerRetryMargin = 280 * time.Millisecond
 	// minRunLimit leaves time to stop the runs of a silent entry before the target ends all runs.
 	minRunLimit = peer.OwnerLease + 100*time.Millisecond
-	// maxOrderDelay is how long after it was sent a start order without an answer may be
-	// executed.
-	maxOrderDelay = 15 * time.Second
 )
 
 // runLimit returns how long after its entry was last known to be alive a run can go on, whatever
@@ -89,5 +87,25 @@
 // stopped it. The first such order decides: its repeats may have been sent to a target that had
 // crashed already.
 func (m *Manager) mayStartLateLocked(t *targetIncarnation, r *run) bool {
-	return !r.unansweredAt.IsZero() && t.answeredAt.After(r.unansweredAt) && time.Since(r.unansweredAt) < maxOrderDelay
+	return !r.unansweredAt.IsZero() && t.answeredAt.After(r.unansweredAt) && time.Since(r.unansweredAt) < peer.MaxOrderDelay
+}
+
+// lateOrdersLocked returns the attempts of an entry with a start order that has no answer and may be
+// executed yet. Whether the target has crashed, so that it is not, may be known to this process
+// only: while it is away, the entry must not take the end of the lease for the end of the attempt.
+func (m *Manager) lateOrdersLocked(o *owner) []task.Attempt {
+	var late []task.Attempt
+	for _, r := range m.runs {
+		if r.owner == o.incarnation && !r.unansweredAt.IsZero() && time.Since(r.unansweredAt) < peer.MaxOrderDelay {
+			late = append(late, r.attempt)
+		}
+	}
+	return late
+}
+
+// reportLateOrderLocked reports to its entry that an order of a run may be executed late.
+func (m *Manager) reportLateOrderLocked(r *run) {
+	if o := m.owners[r.owner]; o != nil && o.link != nil {
+		o.link.Send(peer.Frame{LateOrders: []task.Attempt{r.attempt}})
+	}
 }
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -50,7 +50,7 @@
 func (m *Manager) longestPollBackoff() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if time.Since(m.lateOrderAt) < maxOrderDelay {
+	if time.Since(m.lateOrderAt) < peer.MaxOrderDelay {
 		return backoffMin
 	}
 	return backoffMax
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -190,6 +190,7 @@
 	defer m.mu.Unlock()
 	if r.unansweredAt.IsZero() {
 		r.unansweredAt = permit.IssuedAt
+		m.reportLateOrderLocked(r)
 	}
 	m.unansweredAt = permit.IssuedAt
 	t.unansweredToken = max(t.unansweredToken, permit.Token)
--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -120,6 +120,26 @@
 	})
 }
 
+// The entry learns of an order that may be executed late at once, before the target answers
+// anything, and on its next link: the agent may be killed at any time.
+func TestEntryLearnsOfOrderThatMayBeExecutedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		plain := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(plain)
+		h.target.set(func() { h.target.unresponsive = true })
+		a := h.start(1, 1, task.Resources{CPU: 1000})
+		sent := time.Now()
+		reported := func(f *peer.Frame) bool { return slices.Equal(f.LateOrders, []task.Attempt{a}) }
+		h.waitFor(reported)
+		if after := time.Since(sent); after > orderTimeout {
+			t.Errorf("reported after %v", after)
+		}
+		h.connect(7)
+		h.waitFor(func(f *peer.Frame) bool { return f.Hello != nil && reported(f) })
+	})
+}
+
 // A target leaves all start orders of an attempt unanswered, answers polls meanwhile, and crashes
 // before the last order. The first one may still be executed by the next incarnation.
 func TestRepeatsToCrashedTargetDoNotHideLateOrder(t *testing.T) {
@@ -195,7 +215,7 @@
 		h.waitStarted(a)
 		time.Sleep(100 * time.Millisecond)
 		h.target.set(func() { h.target.unresponsive = true })
-		h.expectNoResult(a, maxOrderDelay-time.Second)
+		h.expectNoResult(a, peer.MaxOrderDelay-time.Second)
 		h.waitOutcome(a, peer.OutcomeLost)
 	})
 }
--- a/internal/process/scheduler/agentlink.go
+++ b/internal/process/scheduler/agentlink.go
@@ -110,6 +110,7 @@
 	if f.Room != nil {
 		s.updateRoom(t, f.Room)
 	}
+	t.recordLateOrders(f.LateOrders, s.now())
 	for _, r := range f.Results {
 		s.handleResult(t, r)
 		t.lastResult = max(t.lastResult, r.Number)
--- /dev/null
+++ b/internal/process/scheduler/late_test.go
@@ -0,0 +1,80 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/request/verdict"
+)
+
+// beat sends a frame every 50 ms until the end of the test, as an agent that is well.
+func (a *fakeAgent) beat() {
+	done := make(chan struct{})
+	a.t.Cleanup(func() { close(done) })
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(50 * time.Millisecond):
+				a.link.Send(peer.Frame{})
+			}
+		}
+	}()
+}
+
+// loseAgentWithLateOrder starts a task on one of two agents, which reports that an order of it may
+// be executed late and ends.
+func loseAgentWithLateOrder(t *testing.T) (tc *testCluster, lost, other *fakeAgent, answered <-chan Answer) {
+	tc = newTestCluster(t)
+	lost = tc.agent("lost")
+	answered, _ = tc.submit(tc.job("j", 1, 1000))
+	s := lost.nextStart()
+	other = tc.agent("other")
+	other.beat()
+	lost.report(s.Attempt, s.Need, peer.OutcomeStarted, "")
+	lost.link.Send(peer.Frame{LateOrders: []task.Attempt{s.Attempt}})
+	time.Sleep(reportDelay)
+	lost.link.Close()
+	return tc, lost, other, answered
+}
+
+// The target of an agent that is away may restart under its ID and execute a late order: the task
+// must not be started elsewhere once the lease has ended, and the caller is told that it may have
+// run.
+func TestAttemptWithLateOrderOutlastsAbsenceOfItsAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, _, other, answered := loseAgentWithLateOrder(t)
+		if a := await(t, answered); a.State != StateUnfinished || a.Verdict == verdict.NotRun {
+			t.Errorf("answer %+v", a)
+		}
+		if len(other.starts) > 0 {
+			t.Error("the task was started elsewhere while its late order may be executed")
+		}
+		time.Sleep(peer.MaxOrderDelay)
+		tc.scheduler.mu.Lock()
+		defer tc.scheduler.mu.Unlock()
+		if len(tc.scheduler.closing) > 0 || tc.scheduler.targets["lost"] != nil {
+			t.Error("the attempt or its target is kept for good")
+		}
+	})
+}
+
+// The next process of the agent has fenced the order before it links, and does not list the run.
+func TestTaskWithLateOrderStartsAgainOnceItsAgentIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, _, other, answered := loseAgentWithLateOrder(t)
+		time.Sleep(tc.scheduler.attemptExpiry() + 100*time.Millisecond)
+		if len(other.starts) > 0 {
+			t.Error("the task was started elsewhere while its late order may be executed")
+		}
+		tc.agent("lost")
+		other.done(other.nextStart())
+		if a := await(t, answered); a.State != StateComplete {
+			t.Errorf("answer %+v", a)
+		}
+	})
+}
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -147,17 +147,36 @@
 	return peer.OwnerLease + s.opts.TargetLease*(100+maxClockDriftPercent)/100 + expiryMargin
 }
 
+// recordLateOrders records the attempts of which an order may be executed late.
+func (t *target) recordLateOrders(late []task.Attempt, now time.Duration) {
+	for _, id := range late {
+		if at := t.attempts[id]; at != nil && at.lateOrderAt == 0 {
+			at.lateOrderAt = now
+		}
+	}
+}
+
+// mayStartLate reports whether an order of the attempt may still be executed after the lease of
+// its target has ended. While the agent is away the target may restart under its ID, and no token
+// prevents that its next incarnation executes the order.
+func (at *attempt) mayStartLate(now time.Duration) bool {
+	return at.lateOrderAt > 0 && now-at.lateOrderAt < peer.MaxOrderDelay
+}
+
 // sweepTarget resolves the attempts at a target whose agent has been silent for longer
-// than attemptExpiry, and removes the target if its agent stays disconnected.
+// than attemptExpiry, and removes the target if its agent stays disconnected. Attempts that may
+// start late wait for the next link of the agent, which has fenced their orders by then.
 func (s *Scheduler) sweepTarget(t *target, now time.Duration) {
 	silent := now - t.lastFrameAt
 	if silent < s.attemptExpiry() {
 		return
 	}
 	for _, at := range t.attempts {
-		s.resolve(at, peer.OutcomeLost, peer.RefusalNone)
+		if !at.mayStartLate(now) {
+			s.resolve(at, peer.OutcomeLost, peer.RefusalNone)
+		}
 	}
-	if t.link == nil && silent > targetRetention {
+	if t.link == nil && silent > targetRetention && len(t.attempts) == 0 {
 		delete(s.targets, t.name)
 	}
 }
