--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -120,6 +120,92 @@
 	})
 }
 
+// The entry learns of an order that may be executed late at once, before the target answers
+// anything, and on its next link: the agent may be killed at any time.
+func TestEntryLearnsOfOrderThatMayBeExecutedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		plain := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(plain)
+		h.target.set(func() { h.target.unresponsive = true })
+		a := h.start(1, 1, task.Resources{CPU: 1000})
+		sent := time.Now()
+		reported := func(f *peer.Frame) bool { return slices.Equal(f.LateOrders, []task.Attempt{a}) }
+		h.waitFor(reported)
+		if after := time.Since(sent); after > orderTimeout {
+			t.Errorf("reported after %v", after)
+		}
+		h.connect(7)
+		h.waitFor(func(f *peer.Frame) bool { return f.Hello != nil && reported(f) })
+	})
+}
+
+// A target leaves all start orders of an attempt unanswered, answers polls meanwhile, and crashes
+// before the last order. The first one may still be executed by the next incarnation.
+func TestRepeatsToCrashedTargetDoNotHideLateOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = startTries, true })
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		time.Sleep(4 * backoffMin)
+		h.target.set(func() { h.target.unresponsive = true })
+		h.expectNoResult(a, 3*testLease)
+		h.target.set(func() { h.target.unresponsive = false })
+		h.target.restart()
+		h.announce(Announcement{Incarnation: 2, Sequence: 1})
+		h.waitOutcome(a, peer.OutcomeLost)
+		h.target.set(func() { h.target.delayedStarts[0]() })
+		if h.target.isRunning(a) {
+			t.Error("the late order was executed after the run was reported as lost")
+		}
+	})
+}
+
+// A target leaves a start order unanswered, runs its repeat, and restarts under its ID. The polls
+// that reach the next incarnation before it announces itself must fence the order.
+func TestPollsBeforeAnnouncementFenceUnansweredOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true })
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		h.target.set(func() {
+			h.target.restart()
+			h.target.pollsByOther = true
+		})
+		time.Sleep(2 * pollWait)
+		h.target.set(func() { h.target.delayedStarts[0]() })
+		if h.target.isRunning(a) {
+			t.Error("the late order was executed after polls had reached the next incarnation")
+		}
+	})
+}
+
+// A target leaves a start order unanswered and crashes, and its address refuses connections. It
+// comes back under its ID, and the order is executed soon after that, but not at once: whenever it
+// comes back, a poll must have fenced the order.
+func TestFirstPollAfterRestartFencesUnansweredOrder(t *testing.T) {
+	for phase := 0 * time.Millisecond; phase < backoffMax; phase += 7 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t)
+			h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true })
+			a := h.start(0, 1, task.Resources{CPU: 1000})
+			h.waitStarted(a)
+			h.target.set(func() { h.target.refuses = true })
+			time.Sleep(testLease + phase)
+			h.target.set(func() {
+				h.target.refuses, h.target.pollsByOther = false, true
+				h.target.restart()
+			})
+			time.Sleep(2 * backoffMin)
+			h.target.set(func() { h.target.delayedStarts[0]() })
+			if h.target.isRunning(a) {
+				t.Errorf("back %v after the crash: the late order was executed before a poll arrived", testLease+phase)
+			}
+		})
+	}
+}
+
 // The same target does not come back.
 func TestRunWithUnansweredOrderIsLostOnceNoOrderCanBeExecuted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -129,7 +215,7 @@
 		h.waitStarted(a)
 		time.Sleep(100 * time.Millisecond)
 		h.target.set(func() { h.target.unresponsive = true })
-		h.expectNoResult(a, maxOrderDelay-time.Second)
+		h.expectNoResult(a, peer.MaxOrderDelay-time.Second)
 		h.waitOutcome(a, peer.OutcomeLost)
 	})
 }
