A reset of a caller's connection is noticed when it is read, not by the next poll

What callers saw: a caller whose connection is reset sends its job to another entry within some milliseconds; the runs of the first entry went on until the poll of all connections, up to 10 ms later, and so beside those of the second entry.

Cause: the engine queues its close callback behind the request itself, so the entry polled the connections of all requests every 10 ms. The engine also has a callback after each read, which comes before the close and is not queued. A read while a request is in progress is nearly always the end of the connection, and the kernel is asked only then.

Evidence: TestResetConnectionCancelsRequestWithoutPoll on the code before, "request was not cancelled" (10.21 s).

The poll stays: it finds connections that end for another reason, such as a failed write.

--- a/internal/connection/caller/disconnect.go
+++ b/internal/connection/caller/disconnect.go
@@ -14,9 +14,9 @@
 
 const (
 	// disconnectPollInterval is the interval at which the connections of all requests in progress
-	// are polled. Polling is needed because the engine queues its close callback behind the
-	// request itself. A caller whose connection is reset may turn to another entry within some
-	// tens of milliseconds.
+	// are polled. Polling finds those that were closed for another reason than the end of the
+	// client's data, such as a failed write: the engine queues its close callback behind the
+	// request itself.
 	disconnectPollInterval = 10 * time.Millisecond
 	// deadlineRenewInterval is the interval at which the read deadline of a request in progress is
 	// renewed: the engine sets its own after it has begun to poll a new connection, possibly
@@ -31,11 +31,14 @@
 	SyscallConn() (syscall.RawConn, error)
 }
 
-// disconnectWatcher cancels the contexts of requests whose clients disconnect. One goroutine
-// polls all connections, while there are any requests.
+// disconnectWatcher cancels the contexts of requests whose clients disconnect: at once when the
+// engine has read the end of a connection, since the client of one that is reset may send its
+// request to another entry within milliseconds. One goroutine also polls all connections, while
+// there are any requests.
 type disconnectWatcher struct {
-	mu       sync.Mutex
-	requests map[*watchedRequest]struct{}
+	mu sync.Mutex
+	// requests holds the requests in progress, at most one of each connection.
+	requests map[pollableConn]*watchedRequest
 	// running is set while the goroutine runs.
 	running bool
 }
@@ -69,9 +72,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.requests == nil {
-		d.requests = make(map[*watchedRequest]struct{})
+		d.requests = make(map[pollableConn]*watchedRequest)
 	}
-	d.requests[r] = struct{}{}
+	d.requests[r.conn] = r
 	if !d.running {
 		d.running = true
 		go d.run()
@@ -81,7 +84,17 @@
 func (d *disconnectWatcher) remove(r *watchedRequest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.requests, r)
+	delete(d.requests, r.conn)
+}
+
+// afterRead cancels the request in progress on a connection that the engine has read to its end.
+// The engine calls it after each read, before it closes the connection.
+func (d *disconnectWatcher) afterRead(conn pollableConn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.requests[conn]; r != nil && hasEnded(conn) {
+		r.cancel()
+	}
 }
 
 // run polls the connections until no request is in progress.
@@ -99,7 +112,7 @@
 func (d *disconnectWatcher) poll(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for r := range d.requests {
+	for _, r := range d.requests {
 		r.poll(now)
 	}
 	d.running = len(d.requests) > 0
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
@@ -109,6 +110,7 @@
 	}
 	s.engine = nbhttp.NewEngine(config)
 	s.engine.OnClose(s.connectionClosed)
+	s.engine.OnReadBufferFree(func(conn *nbio.Conn, _ *[]byte) { s.disconnects.afterRead(conn) })
 	if err := s.engine.Start(); err != nil {
 		return nil, eris.Wrapf(err, "listen for callers on %s", o.Address)
 	}
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -99,6 +99,38 @@
 	}
 }
 
+// A caller whose connection is reset sends its job to another entry within milliseconds. The
+// request is cancelled when the engine has read the reset, not only by the next poll.
+func TestResetConnectionCancelsRequestWithoutPoll(t *testing.T) {
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	s, err := Listen(Options{Address: "127.0.0.1:0", IdleTimeout: time.Minute, MaxConnections: 10, NoLimits: true,
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			close(started)
+			<-r.Context().Done()
+			close(cancelled)
+		})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close(t.Context())
+	s.disconnects.running = true // no poll begins
+	client, err := net.Dial("tcp", s.engine.Addrs[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	<-started
+	_ = client.(*net.TCPConn).SetLinger(0)
+	_ = client.Close()
+	select {
+	case <-cancelled:
+	case <-time.After(10 * time.Second):
+		t.Error("request was not cancelled")
+	}
+}
+
 func TestListenRefusesPortInUse(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
