An agent whose link is reset dials the entry again at once

What callers saw: the connections of an entry to its callers and to its agents are reset at the same moment. The callers send their jobs to another entry within milliseconds; the runs of the first entry go on until the agents have linked again, since a stop can't be sent before.

Cause: an agent waited 5 to 15 ms before its first dial after a link that had worked. Now it dials at once if the link has lasted 100 ms. An entry that ends each link sooner is dialled with the delay of before, and so is one that refuses the dial.

--- a/internal/process/server/redial.go
+++ b/internal/process/server/redial.go
@@ -11,6 +11,11 @@
 	earlyRedialPeriod   = time.Second
 	// maxRedialDelay bounds the delay after earlyRedialPeriod.
 	maxRedialDelay = 500 * time.Millisecond
+	// steadyLinkTime is how long a link must have lasted for its entry to be dialled again
+	// without a delay: an entry whose connections are reset holds stop orders back until the
+	// next link, and the callers of their jobs may have turned to another entry already. It
+	// bounds the dials of an entry that ends each link at once.
+	steadyLinkTime = 100 * time.Millisecond
 )
 
 // redialBackoff is the exponential backoff, with jitter, between dials of an entry that
@@ -21,11 +26,22 @@
 	// firstFailure is the time of the first failure.
 	firstFailure time.Time
 	delay        time.Duration
+	// atOnce is set while the next dial needs no delay.
+	atOnce bool
 }
 
-// next returns the delay after a failed dial. random, in [0, 1), is the jitter that spreads
+// linkEnded resets the delay after a link that has lasted for a time.
+func (r *redialBackoff) linkEnded(lasted time.Duration) {
+	*r = redialBackoff{atOnce: lasted >= steadyLinkTime}
+}
+
+// next returns the delay after a failed dial or a link that has ended. random, in [0, 1), is the jitter that spreads
 // the dials of agents that lost an entry at the same time.
 func (r *redialBackoff) next(now time.Time, random float64) time.Duration {
+	if r.atOnce {
+		r.atOnce = false
+		return 0
+	}
 	if r.firstFailure.IsZero() {
 		r.firstFailure = now
 	}
@@ -37,5 +53,5 @@
 	return r.delay/2 + time.Duration(random*float64(r.delay))
 }
 
-// reset resets the delay: the entry has answered, or is known to have restarted.
+// reset resets the delay: the entry is known to have restarted.
 func (r *redialBackoff) reset() { *r = redialBackoff{} }
