Model: links keep frames in buffers as they were sent

A frame that waited for a paused receiver or a cut link was still in its sender, and was stamped when it went on: its echo was always fresh, so that no frame of the model was ever old. Data of a sender that has been killed now reaches the receiver as well. Connections of callers and links can be reset; no schedule does so yet.

--- a/internal/process/model/callers_test.go
+++ b/internal/process/model/callers_test.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"sync/atomic"
 	"time"
 
 	scheduling "github.com/rosemarybay/rosemarybay/internal/process/scheduler"
@@ -22,13 +23,36 @@
 			sim: sim, entry: sim.entries[try%len(sim.entries)], queue: sim.queues[first%queues], id: id, tasks: tasks,
 			timeout: min(patience, time.Until(deadline)), left: make(chan struct{}),
 		}
-		if r.send() {
+		switch r.send() {
+		case answered:
 			return
+		case connectionReset:
+			time.Sleep(resendDelay)
+		default:
+			time.Sleep(callerRetry)
 		}
-		time.Sleep(callerRetry)
 	}
 }
 
+// ending is how a request has ended for its caller.
+type ending int
+
+const (
+	// failed: without a final answer, or with that of a job that did not finish.
+	failed ending = iota
+	answered
+	// connectionReset: the caller repeats its request at once.
+	connectionReset
+)
+
+const (
+	// resendDelay is how long a caller whose connection is reset takes until its request is at
+	// another entry.
+	resendDelay = 2 * time.Millisecond
+	// resetDetection is how long an entry takes to notice that a caller's connection was reset.
+	resetDetection = 10 * time.Millisecond
+)
+
 // request is one request of a caller, sent to one entry.
 type request struct {
 	sim   *simulation
@@ -40,36 +64,44 @@
 	timeout time.Duration
 	// left is closed once the caller no longer waits.
 	left chan struct{}
+	// wasReset is set before left is closed if the connection was reset.
+	wasReset atomic.Bool
 }
 
-// send sends the request and waits. It reports whether the caller has a final answer.
-func (r *request) send() bool {
+// send sends the request and waits.
+func (r *request) send() ending {
 	number, alive, _ := r.entry.state()
 	if !alive {
-		return false
+		return failed
 	}
 	r.entry.mu.Lock()
-	died, scheduler, same := r.entry.died, r.entry.scheduler, r.entry.number == number
+	died, reset, scheduler, same := r.entry.died, r.entry.callerReset, r.entry.scheduler, r.entry.number == number
 	r.entry.mu.Unlock()
 	if !same {
-		return false
+		return failed
 	}
 	defer close(r.left)
-	answered := make(chan scheduling.Answer, 1)
-	go r.read(number, scheduler, answered)
+	answers := make(chan scheduling.Answer, 1)
+	go r.read(number, scheduler, answers)
 	select {
-	case a := <-answered:
-		return a.State != unfinished
+	case a := <-answers:
+		if a.State != unfinished {
+			return answered
+		}
+		return failed
+	case <-reset:
+		r.wasReset.Store(true)
+		return connectionReset
 	case <-died:
-		return false
+		return failed
 	case <-time.After(r.timeout):
-		return false
+		return failed
 	}
 }
 
 // read submits the request once the entry is not paused, also if the caller has left meanwhile,
 // and withdraws it when the entry notices that the caller has left.
-func (r *request) read(number int, s *scheduling.Scheduler, answered chan<- scheduling.Answer) {
+func (r *request) read(number int, s *scheduling.Scheduler, answers chan<- scheduling.Answer) {
 	_, _, pauseLeft := r.entry.state()
 	if !r.entry.waitRunnable(number) {
 		return
@@ -89,9 +121,13 @@
 	select {
 	case a := <-answer:
 		r.sim.checker.answered(r.id, a)
-		answered <- a
+		answers <- a
 	case <-r.left:
-		time.Sleep(disconnectInterval)
+		if r.wasReset.Load() {
+			time.Sleep(resetDetection)
+		} else {
+			time.Sleep(disconnectInterval)
+		}
 		if r.entry.waitRunnable(number) {
 			cancel()
 		}
--- a/internal/process/model/links_test.go
+++ b/internal/process/model/links_test.go
@@ -11,6 +11,9 @@
 	scheduling "github.com/rosemarybay/rosemarybay/internal/process/scheduler"
 )
 
+// linkDelay is how long data takes from one end of a link to the other.
+const linkDelay = time.Millisecond
+
 func linkKey(a, e string) string { return a + "/" + e }
 
 func (sim *simulation) cut(a *agent, e *entry, d time.Duration) {
@@ -42,17 +45,17 @@
 func (a *agent) link(e *entry, agentNumber, entryNumber int) {
 	ours, relayA := net.Pipe()
 	relayB, theirs := net.Pipe()
-	closeAll := func() {
-		for _, c := range []net.Conn{ours, relayA, relayB, theirs} {
+	closeAll := func(conns ...net.Conn) {
+		for _, c := range conns {
 			_ = c.Close()
 		}
 	}
-	defer closeAll()
+	defer closeAll(ours, relayA, relayB, theirs)
 	a.mu.Lock()
 	agentDied, manager, sameAgent := a.died, a.manager, a.number == agentNumber
 	a.mu.Unlock()
 	e.mu.Lock()
-	entryDied, scheduler, sameEntry := e.died, e.scheduler, e.number == entryNumber
+	entryDied, reset, scheduler, sameEntry := e.died, e.linkReset, e.scheduler, e.number == entryNumber
 	e.mu.Unlock()
 	if !sameAgent || !sameEntry {
 		return
@@ -62,41 +65,68 @@
 	go func() {
 		select {
 		case <-agentDied:
+			closeAll(ours)
 		case <-entryDied:
+			closeAll(theirs)
+		case <-reset:
+			closeAll(ours, relayA, relayB, theirs)
 		case <-broken:
 		}
-		closeAll()
 	}()
-	go a.relay(e, relayA, relayB)
-	go a.relay(e, relayB, relayA)
+	go a.relay(e, &a.process, &e.process, relayA, relayB)
+	go a.relay(e, &e.process, &a.process, relayB, relayA)
 	go e.serve(scheduler, theirs, entryNumber)
 	a.serve(manager, e, ours, agentNumber)
 }
 
-// relay copies one direction of a link. It waits while the link is cut or one of the
-// processes is paused. Data is lost only if it is in transit when the link ends.
-func (a *agent) relay(e *entry, from, to net.Conn) {
-	buffer := make([]byte, 64<<10)
-	for {
-		n, err := from.Read(buffer)
-		if err != nil {
-			_ = to.Close()
-			return
-		}
+// transmission is data on its way in one direction of a link.
+type transmission struct {
+	data   []byte
+	sentAt time.Time
+}
+
+// maxInTransit bounds the transmissions that wait in the buffers of a connection.
+const maxInTransit = 1 << 12
+
+// relay copies one direction of a link. What the sender has written before it is killed reaches
+// the receiver. While the link is cut or the receiver is paused, data waits in buffers, as it was
+// when it was sent; a paused sender sends nothing.
+func (a *agent) relay(e *entry, sender, receiver *process, from, to net.Conn) {
+	inTransit := make(chan transmission, maxInTransit)
+	go func() {
+		defer close(inTransit)
 		for {
-			_, _, agentPause := a.state()
-			_, _, entryPause := e.state()
-			wait := max(agentPause, entryPause, a.sim.cutRemaining(a, e))
-			if wait <= 0 || a.sim.finished.Load() {
-				break
+			a.sim.waitPaused(sender)
+			buffer := make([]byte, 64<<10)
+			n, err := from.Read(buffer)
+			if err != nil {
+				return
 			}
+			inTransit <- transmission{data: buffer[:n], sentAt: time.Now()}
+		}
+	}()
+	var failed error
+	for sent := range inTransit {
+		time.Sleep(time.Until(sent.sentAt.Add(linkDelay)))
+		for wait := a.sim.cutRemaining(a, e); wait > 0 && !a.sim.finished.Load(); wait = a.sim.cutRemaining(a, e) {
 			time.Sleep(min(wait, 50*time.Millisecond))
 		}
-		time.Sleep(time.Millisecond)
-		if _, err := to.Write(buffer[:n]); err != nil {
-			_ = from.Close()
+		a.sim.waitPaused(receiver)
+		if failed == nil {
+			_, failed = to.Write(sent.data)
+		}
+	}
+	_ = to.Close()
+}
+
+// waitPaused waits while a process is paused.
+func (sim *simulation) waitPaused(p *process) {
+	for {
+		_, _, left := p.state()
+		if left <= 0 || sim.finished.Load() {
 			return
 		}
+		time.Sleep(min(left, 50*time.Millisecond))
 	}
 }
 
--- a/internal/process/model/simulation_test.go
+++ b/internal/process/model/simulation_test.go
@@ -81,6 +81,21 @@
 	sim       *simulation
 	name      string
 	scheduler *scheduling.Scheduler
+	// linkReset and callerReset are closed and replaced when its links to agents, or the
+	// connections of its callers, are reset.
+	linkReset, callerReset chan struct{}
+}
+
+// reset resets the connections of the entry's callers, and its links if links is set.
+func (e *entry) reset(links bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.callerReset)
+	e.callerReset = make(chan struct{})
+	if links {
+		close(e.linkReset)
+		e.linkReset = make(chan struct{})
+	}
 }
 
 type simulation struct {
@@ -115,7 +130,10 @@
 		a.start()
 	}
 	for i := range entries {
-		e := &entry{sim: sim, name: fmt.Sprintf("entry-%d", i)}
+		e := &entry{
+			sim: sim, name: fmt.Sprintf("entry-%d", i),
+			linkReset: make(chan struct{}), callerReset: make(chan struct{}),
+		}
 		sim.entries = append(sim.entries, e)
 		e.start()
 	}
