A run that cannot be stopped is not renewed for long after its caller has left

What callers saw: a caller gives up after 1.5 s and sends its job to another entry 1,300 ms later; its first run goes on beside the second one.

Cause: with the entry alive, each poll renewed the lease at the target, whatever became of the stop orders. All other bounds count from the entry's last sign of life; this one counted from nothing.

Why it works: a run whose stop is requested counts like one whose entry was last alive at that time, so that the target's lease ends 1,020 ms later at most. Other runs at that target end as well then; a target that executes no stop order for a second is of no use to them either. Misdirected runs, which are taken for lost after one lease, have the same limit.

--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -44,7 +44,7 @@
 			claimed = false
 			continue
 		}
-		if end := now.Add(o.lastEcho + limit - clock); end.Before(until) {
+		if end := now.Add(r.lastNeeded(o) + limit - clock); end.Before(until) {
 			until = end
 		}
 	}
@@ -52,6 +52,16 @@
 	return permit, claimed && until.After(now)
 }
 
+// lastNeeded returns the latest time at which a caller may have waited for a run: its entry was
+// alive, and no stop had been requested. A caller that has left turns to another entry as one does
+// whose entry has failed.
+func (r *run) lastNeeded(o *owner) time.Duration {
+	if r.stopRequested {
+		return min(o.lastEcho, r.stopRequestedAt)
+	}
+	return o.lastEcho
+}
+
 // recordRenewal records that an order was sent which extends the target's lease.
 func (t *targetIncarnation) recordRenewal(p Permit) {
 	if p.LeaseFrom.After(t.renewedAt) {
--- a/internal/process/runs/lease_test.go
+++ b/internal/process/runs/lease_test.go
@@ -164,3 +164,36 @@
 		}
 	})
 }
+
+// A caller leaves while its entry lives, and the target answers polls but no stop order, or
+// rejects them all: the run ends before the caller sends its job to another entry.
+func TestRunOfCallerThatHasLeftEndsByLeaseIfItCannotBeStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		h.target.set(func() { h.target.stopsToReject = 1000 })
+		h.entry.Send(peer.Frame{Stops: []task.Attempt{a}})
+		h.expectEndWithin(a, latestEnd)
+		h.waitOutcome(a, peer.OutcomeLost)
+	})
+}
+
+// A stop order that succeeds ends no other run, and starts go on meanwhile.
+func TestStoppedRunDoesNotEndTheLeaseOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		b := h.start(1, 1, task.Resources{CPU: 1000})
+		h.waitStarted(b)
+		h.target.set(func() { h.target.stopsToReject = 5 })
+		h.entry.Send(peer.Frame{Stops: []task.Attempt{a}})
+		h.waitOutcome(a, peer.OutcomeStopped)
+		time.Sleep(2 * latestEnd)
+		if !h.target.isRunning(b) {
+			t.Error("the other run has ended")
+		}
+		h.waitStarted(h.start(2, 1, task.Resources{CPU: 1000}))
+	})
+}
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -125,6 +125,9 @@
 	orderedAt time.Duration
 	// stopRequested is set when the run must be stopped, also if it has not started yet.
 	stopRequested bool
+	// stopRequestedAt is when that was, as returned by Manager.clock: from then on no caller may
+	// wait for the run.
+	stopRequestedAt time.Duration
 	// otherClaimants are further entries that have sent an attempt of the same number.
 	otherClaimants []uint64
 	// refusedAtEnd lists the starts of the same task that are refused once the run is over.
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -46,7 +46,7 @@
 	if r == nil || r.attempt != a || r.stopRequested {
 		return
 	}
-	r.stopRequested = true
+	r.stopRequested, r.stopRequestedAt = true, m.clock()
 	m.opts.Log.Info().Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).
 		Str("reason", reason).Msg("run stopped")
 	m.opts.Counters.Counter("runs_stopped").Inc(1)
@@ -59,8 +59,7 @@
 	}
 }
 
-// stop sends a stop order until one is executed or the run is gone: polls renew the target's
-// lease meanwhile, so that a run that is not stopped would go on. The end of the run is then
+// stop sends a stop order until one is executed or the run is gone. The end of the run is then
 // reported by pollTarget.
 func (m *Manager) stop(t *targetIncarnation, r *run) {
 	var retry backoff
--- a/internal/process/runs/resolve.go
+++ b/internal/process/runs/resolve.go
@@ -139,7 +139,10 @@
 	if r.phase == phaseMisdirected {
 		return
 	}
-	r.phase, r.stopRequested = phaseMisdirected, true
+	r.phase = phaseMisdirected
+	if !r.stopRequested {
+		r.stopRequested, r.stopRequestedAt = true, m.clock()
+	}
 	m.opts.Log.Warn().Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
 		Int("orders", r.orders.Sent).Int("unanswered", r.orders.Open).
 		Msg("start order may have reached a later incarnation of the target")
