--- a/internal/process/model/apply_test.go
+++ b/internal/process/model/apply_test.go
@@ -13,6 +13,10 @@
 	restartShare = 4
 	// clockBackFactor is how much farther than a step's duration the clock is set back.
 	clockBackFactor = 12
+	// The bounds of the pauses of an agent that is paused again and again, and of the time
+	// between them.
+	minPause, maxPause = 60 * time.Millisecond, 460 * time.Millisecond
+	minGap, maxGap     = 10 * time.Millisecond, 130 * time.Millisecond
 )
 
 func (sim *simulation) apply(s step) {
@@ -65,6 +69,35 @@
 		a.restartTargetAsBefore(s.duration / restartShare)
 	case setClockBack:
 		a.setClockBack(s.duration * clockBackFactor)
+	default:
+		sim.applyChained(s)
+	}
+}
+
+// applyChained applies an action that only the schedules of chained faults draw.
+func (sim *simulation) applyChained(s step) {
+	a, e := sim.agents[s.agent], sim.entries[s.entry]
+	switch s.action {
+	case pauseAgentAgain:
+		sim.pauseAgain(a, s)
+	case rejectStops:
+		sim.disturb(a, s, runtarget.Chances{runtarget.Busy: 1})
+	case resetLinks:
+		e.reset(false, true)
+	case resetCallers:
+		e.reset(true, false)
+	case resetCallersAndLinks:
+		e.reset(true, true)
+	}
+}
+
+// pauseAgain pauses an agent again and again for the duration of a step.
+func (sim *simulation) pauseAgain(a *agent, s step) {
+	pause := minPause + time.Duration(s.seed)%(maxPause-minPause)
+	gap := minGap + time.Duration(s.seed)%(maxGap-minGap)
+	for end := time.Now().Add(s.duration); time.Now().Before(end); {
+		a.pause(pause)
+		time.Sleep(pause + gap)
 	}
 }
 
@@ -96,7 +129,10 @@
 // kindSet is a set of kinds of calls.
 type kindSet int
 
-const allKinds kindSet = 1<<runtarget.Start | 1<<runtarget.Stop | 1<<runtarget.Poll
+const (
+	allKinds  kindSet = 1<<runtarget.Start | 1<<runtarget.Stop | 1<<runtarget.Poll
+	stopCalls kindSet = 1 << runtarget.Stop
+)
 
 func (s kindSet) has(k runtarget.Kind) bool { return s&(1<<k) != 0 }
 
--- a/internal/process/model/schedule_test.go
+++ b/internal/process/model/schedule_test.go
@@ -50,12 +50,25 @@
 	mixFaults
 	restartTarget
 	setClockBack
+	// allFaulty is the number of actions up to here. Those that follow are drawn by the schedules
+	// of chained faults only.
+	allFaulty
+)
+
+// Actions of chained faults.
+const (
+	pauseAgentAgain = allFaulty + iota
+	rejectStops
+	resetLinks
+	resetCallers
+	resetCallersAndLinks
 	allActions
 )
 
 var actionNames = [allActions]string{
 	"kill agent", "kill entry", "pause agent", "pause entry", "cut link", "crash target", "mute target", "lose answers", "delay orders",
 	"mute calls", "drop calls", "delay calls", "reset calls", "busy calls", "mix faults", "restart target", "set clock back",
+	"pause agent again and again", "reject stops", "reset links", "reset callers", "reset callers and links",
 }
 
 // step is one timed action of a schedule.
--- a/internal/process/model/simulation_test.go
+++ b/internal/process/model/simulation_test.go
@@ -86,12 +86,14 @@
 	linkReset, callerReset chan struct{}
 }
 
-// reset resets the connections of the entry's callers, and its links if links is set.
-func (e *entry) reset(links bool) {
+// reset resets the connections of the entry's callers, its links to agents, or both.
+func (e *entry) reset(callers, links bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	close(e.callerReset)
-	e.callerReset = make(chan struct{})
+	if callers {
+		close(e.callerReset)
+		e.callerReset = make(chan struct{})
+	}
 	if links {
 		close(e.linkReset)
 		e.linkReset = make(chan struct{})
