--- a/internal/process/model/chains_test.go
+++ b/internal/process/model/chains_test.go
@@ -9,8 +9,8 @@
 
 // The choices of drawChain. rapid prefers the first ones.
 var (
-	firstActions = []action{killEntry, pauseEntry, killEntry, cutLink, resetLinks}
-	nextActions  = []action{killAgent, pauseAgent, pauseAgentAgain, rejectStops, muteTarget, killAgent, pauseEntry, resetLinks}
+	firstActions = []action{killEntry, killEntry, pauseEntry, killEntry, cutLink, resetLinks}
+	nextActions  = []action{killAgent, pauseAgent, killAgent, pauseAgentAgain, rejectStops, killAgent, muteTarget, pauseEntry, resetLinks}
 	chainDelays  = []time.Duration{
 		0, 350 * time.Millisecond, 60 * time.Millisecond, 150 * time.Millisecond, 450 * time.Millisecond,
 		20 * time.Millisecond, 800 * time.Millisecond,
@@ -22,9 +22,11 @@
 )
 
 const (
-	// faultsInChain is the number of faults in a chain, maxChains that of chains in a schedule.
+	// faultsInChain is the number of faults in a chain, minChains and maxChains the bounds of the
+	// chains in a schedule.
 	faultsInChain = 3
-	maxChains     = 3
+	minChains     = 3
+	maxChains     = 6
 	// stopsRejected is how long a target rejects stop orders during some chains.
 	stopsRejected = 3 * time.Second
 )
@@ -33,7 +35,7 @@
 // and each of the others follows soon after the beginning or the end of the one before it.
 func drawChains(t *rapid.T) []step {
 	var schedule []step
-	for _, chain := range rapid.SliceOfN(rapid.Custom(drawChain), 1, maxChains).Draw(t, "chains") {
+	for _, chain := range rapid.SliceOfN(rapid.Custom(drawChain), minChains, maxChains).Draw(t, "chains") {
 		schedule = append(schedule, chain...)
 	}
 	return schedule
