--- a/internal/process/model/simulation_test.go
+++ b/internal/process/model/simulation_test.go
@@ -7,17 +7,13 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
-	"github.com/rosemarybay/rosemarybay/internal/process/runs"
 	scheduling "github.com/rosemarybay/rosemarybay/internal/process/scheduler"
-	"github.com/rosemarybay/rosemarybay/internal/request/task"
 	"github.com/rosemarybay/rosemarybay/internal/version/policy"
 )
 
@@ -85,6 +81,23 @@
 	sim       *simulation
 	name      string
 	scheduler *scheduling.Scheduler
+	// linkReset and callerReset are closed and replaced when its links to agents, or the
+	// connections of its callers, are reset.
+	linkReset, callerReset chan struct{}
+}
+
+// reset resets the connections of the entry's callers, its links to agents, or both.
+func (e *entry) reset(callers, links bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if callers {
+		close(e.callerReset)
+		e.callerReset = make(chan struct{})
+	}
+	if links {
+		close(e.linkReset)
+		e.linkReset = make(chan struct{})
+	}
 }
 
 type simulation struct {
@@ -119,7 +132,10 @@
 		a.start()
 	}
 	for i := range entries {
-		e := &entry{sim: sim, name: fmt.Sprintf("entry-%d", i)}
+		e := &entry{
+			sim: sim, name: fmt.Sprintf("entry-%d", i),
+			linkReset: make(chan struct{}), callerReset: make(chan struct{}),
+		}
 		sim.entries = append(sim.entries, e)
 		e.start()
 	}
@@ -177,245 +193,3 @@
 		}
 	}()
 }
-
-func linkKey(a, e string) string { return a + "/" + e }
-
-func (sim *simulation) cut(a *agent, e *entry, d time.Duration) {
-	sim.cuts.Store(linkKey(a.name, e.name), time.Now().Add(d))
-}
-
-func (sim *simulation) cutRemaining(a *agent, e *entry) time.Duration {
-	until, ok := sim.cuts.Load(linkKey(a.name, e.name))
-	if !ok {
-		return 0
-	}
-	return time.Until(until.(time.Time))
-}
-
-// dial connects the agent to an entry, and reconnects whenever the link has ended and
-// both processes run.
-func (a *agent) dial(e *entry) {
-	for !a.sim.finished.Load() {
-		agentNumber, agentAlive, agentPause := a.state()
-		entryNumber, entryAlive, entryPause := e.state()
-		if agentAlive && entryAlive && agentPause <= 0 && entryPause <= 0 && a.sim.cutRemaining(a, e) <= 0 && a.manager.IsReady() {
-			a.link(e, agentNumber, entryNumber)
-		}
-		time.Sleep(redialInterval)
-	}
-}
-
-// link serves one link until it breaks or one of the processes ends.
-func (a *agent) link(e *entry, agentNumber, entryNumber int) {
-	ours, relayA := net.Pipe()
-	relayB, theirs := net.Pipe()
-	closeAll := func() {
-		for _, c := range []net.Conn{ours, relayA, relayB, theirs} {
-			_ = c.Close()
-		}
-	}
-	defer closeAll()
-	a.mu.Lock()
-	agentDied, manager, sameAgent := a.died, a.manager, a.number == agentNumber
-	a.mu.Unlock()
-	e.mu.Lock()
-	entryDied, scheduler, sameEntry := e.died, e.scheduler, e.number == entryNumber
-	e.mu.Unlock()
-	if !sameAgent || !sameEntry {
-		return
-	}
-	broken := make(chan struct{})
-	defer close(broken)
-	go func() {
-		select {
-		case <-agentDied:
-		case <-entryDied:
-		case <-broken:
-		}
-		closeAll()
-	}()
-	go a.relay(e, relayA, relayB)
-	go a.relay(e, relayB, relayA)
-	go e.serve(scheduler, theirs, entryNumber)
-	a.serve(manager, e, ours, agentNumber)
-}
-
-// relay copies one direction of a link. It waits while the link is cut or one of the
-// processes is paused. Data is lost only if it is in transit when the link ends.
-func (a *agent) relay(e *entry, from, to net.Conn) {
-	buffer := make([]byte, 64<<10)
-	for {
-		n, err := from.Read(buffer)
-		if err != nil {
-			_ = to.Close()
-			return
-		}
-		for {
-			_, _, agentPause := a.state()
-			_, _, entryPause := e.state()
-			wait := max(agentPause, entryPause, a.sim.cutRemaining(a, e))
-			if wait <= 0 || a.sim.finished.Load() {
-				break
-			}
-			time.Sleep(min(wait, 50*time.Millisecond))
-		}
-		time.Sleep(time.Millisecond)
-		if _, err := to.Write(buffer[:n]); err != nil {
-			_ = from.Close()
-			return
-		}
-	}
-}
-
-// serve runs the agent's side of a link.
-func (a *agent) serve(manager *runs.Manager, e *entry, c net.Conn, number int) {
-	var incarnation atomic.Uint64
-	link := peer.NewLink(c, func(f *peer.Frame) {
-		if id := incarnation.Load(); id != 0 {
-			manager.Stamp(id, f)
-		}
-	})
-	defer link.Close()
-	f, err := link.Receive()
-	if err != nil || f.Hello == nil || !a.waitRunnable(number) {
-		return
-	}
-	id := f.Hello.Incarnation
-	incarnation.Store(id)
-	manager.Connect(f.Hello, e.name, link)
-	for err == nil && a.waitRunnable(number) {
-		manager.Receive(id, link, f)
-		f, err = link.Receive()
-	}
-	if err == nil {
-		err = io.EOF
-	}
-	manager.Disconnect(id, link, err)
-}
-
-// serve runs the entry's side of a link.
-func (e *entry) serve(s *scheduling.Scheduler, c net.Conn, number int) {
-	var name atomic.Pointer[string]
-	link := peer.NewLink(c, func(f *peer.Frame) {
-		if n := name.Load(); n != nil {
-			s.Stamp(*n, f)
-		}
-	})
-	defer link.Close()
-	link.Send(peer.Frame{Hello: &peer.Hello{Name: e.name, Incarnation: uint64(number)<<32 | uint64(len(e.name))<<8 | uint64(e.name[len(e.name)-1])}})
-	f, err := link.Receive()
-	if err != nil || f.Hello == nil || !e.waitRunnable(number) {
-		return
-	}
-	agent := f.Hello.Name
-	s.Connect(f.Hello, link)
-	name.Store(&agent)
-	for err == nil && e.waitRunnable(number) {
-		s.Receive(agent, link, f)
-		f, err = link.Receive()
-	}
-	if err == nil {
-		err = io.EOF
-	}
-	s.Disconnect(agent, link, err)
-}
-
-// call simulates a caller. It submits a job to an entry, and to the next one after
-// callerRetry if the connection breaks or the job did not finish. Each third caller also does so
-// after requestTimeout without an answer.
-func (sim *simulation) call(id string, tasks, first int) {
-	deadline := time.Now().Add(callerTimeout)
-	patience := callerTimeout
-	if first%3 == 0 {
-		patience = requestTimeout
-	}
-	for try := first; time.Now().Before(deadline); try++ {
-		r := &request{
-			sim: sim, entry: sim.entries[try%len(sim.entries)], queue: sim.queues[first%queues], id: id, tasks: tasks,
-			timeout: min(patience, time.Until(deadline)), left: make(chan struct{}),
-		}
-		if r.send() {
-			return
-		}
-		time.Sleep(callerRetry)
-	}
-}
-
-// request is one request of a caller, sent to one entry.
-type request struct {
-	sim   *simulation
-	entry *entry
-	queue *policy.Queue
-	id    string
-	tasks int
-	// timeout is how long the caller waits. The entry counts it from when it reads the request.
-	timeout time.Duration
-	// left is closed once the caller no longer waits.
-	left chan struct{}
-}
-
-// send sends the request and waits. It reports whether the caller has a final answer.
-func (r *request) send() bool {
-	number, alive, _ := r.entry.state()
-	if !alive {
-		return false
-	}
-	r.entry.mu.Lock()
-	died, scheduler, same := r.entry.died, r.entry.scheduler, r.entry.number == number
-	r.entry.mu.Unlock()
-	if !same {
-		return false
-	}
-	defer close(r.left)
-	answered := make(chan scheduling.Answer, 1)
-	go r.read(number, scheduler, answered)
-	select {
-	case a := <-answered:
-		return a.State != unfinished
-	case <-died:
-		return false
-	case <-time.After(r.timeout):
-		return false
-	}
-}
-
-// read submits the request once the entry is not paused, also if the caller has left meanwhile,
-// and withdraws it when the entry notices that the caller has left.
-func (r *request) read(number int, s *scheduling.Scheduler, answered chan<- scheduling.Answer) {
-	_, _, pauseLeft := r.entry.state()
-	if !r.entry.waitRunnable(number) {
-		return
-	}
-	if pauseLeft > 0 {
-		time.Sleep(r.sim.checker.runTime(task.Key{Job: r.id}) % maxBacklogTime)
-	}
-	r.sim.checker.submitted(r.id)
-	now := time.Now()
-	answer, cancel := s.Submit(&task.Job{
-		ID:       r.id,
-		Queue:    r.queue.Name,
-		Steps:    []task.Step{{Count: r.tasks, Need: task.Resources{CPU: 1000}, Estimate: 300 * time.Millisecond}},
-		Arrived:  now,
-		Deadline: now.Add(r.timeout),
-	}, r.queue, r.isConnected)
-	select {
-	case a := <-answer:
-		r.sim.checker.answered(r.id, a)
-		answered <- a
-	case <-r.left:
-		time.Sleep(disconnectInterval)
-		if r.entry.waitRunnable(number) {
-			cancel()
-		}
-	}
-}
-
-// isConnected reports whether the caller still waits.
-func (r *request) isConnected() bool {
-	select {
-	case <-r.left:
-		return false
-	default:
-		return true
-	}
-}
