An entry renews its lease without waiting for the renewal before

Cause, found by reading: the renewals were sent one after the other. The next one was sent 1.33 s (a third of the lease) after the answer to the one before, and a call to the store waits 5 s for its answer, longer than the lease lasts. One call without an answer within 2.67 s therefore lost the lease, and so did two that failed at once, since the third was sent when the lease had just expired.

Now a renewal is sent each third of the lease, whether the one before is answered or not, and 200 ms after one that failed. Ruled out: a timeout of a third of the lease for each renewal. With a store that takes 2 s for a call, as the stand-in's slow mode, no renewal would be executed; the case "each is slow" guards against that.

TestLeaseOutlastsStalledOrFailedRenewals, with a store that stalls or fails chosen renewals, failed before: one_stalls: the lease has expired in the store one_stalls_after_one_is_answered: the lease has expired in the store one_stalls,_one_fails: the lease has expired in the store three_fail: the lease has expired in the store It passes now, also with -race, as do the tests of the package.

It now prints the lines of the entries on lost leases and on the store when it fails, with the cause (the store reports the lease as lapsed, or the process was paused). A store that stands still for 2.67 s or more while its leases run on still ends them.

--- a/internal/bench/fleet/node.go
+++ b/internal/bench/fleet/node.go
@@ -125,6 +125,9 @@
 	return n.isRunningLocked()
 }
 
+// LogPath returns the path of the log of the node's processes.
+func (n *Node) LogPath() string { return n.logPath }
+
 // PID returns the process ID, or 0 when the node is not running.
 func (n *Node) PID() int {
 	n.mu.Lock()
--- a/internal/bench/hostile/hostile_test.go
+++ b/internal/bench/hostile/hostile_test.go
@@ -201,6 +201,11 @@
 // so that the test can't pass without an attack.
 func TestHostileInputDoesNotDisturbJobs(t *testing.T) {
 	f := startFleet(t)
+	t.Cleanup(func() {
+		if t.Failed() {
+			printLeaseEvents(t, f)
+		}
+	})
 	baselineCtx, stopBaseline := context.WithTimeout(t.Context(), baselineTime)
 	baseline := runJobs(baselineCtx, t, f)
 	stopBaseline()
@@ -231,6 +236,22 @@
 	open.Range(func(_, conn any) bool { return conn.(net.Conn).Close() == nil })
 }
 
+// printLeaseEvents prints the log lines of the entries on lost leases and on the store.
+func printLeaseEvents(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	for _, n := range f.Entries {
+		b, err := os.ReadFile(n.LogPath())
+		if err != nil {
+			t.Error(err)
+		}
+		for line := range strings.Lines(string(b)) {
+			if strings.Contains(line, `"message":"incarnation lost"`) || strings.Contains(line, `"message":"store"`) {
+				t.Log(line)
+			}
+		}
+	}
+}
+
 func host(url string) string { return strings.TrimPrefix(url, "http://") }
 
 // logResponseTimes logs quantiles of the ratio of response time to task run time.
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -67,10 +67,13 @@
 	return held
 }
 
+// recordRenewal records a successful renewal. Renewals may be answered out of order.
 func (l *lease) recordRenewal(sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.renewedAt = sent
+	if sent.After(l.renewedAt) {
+		l.renewedAt = sent
+	}
 }
 
 func (l *lease) markLost() {
@@ -146,27 +149,67 @@
 	return id, err
 }
 
+// renewal is the outcome of one renewal of the lease.
+type renewal struct {
+	sent time.Time
+	err  error
+}
+
+// renewLeaseLoop renews the lease until it ends. It does not wait for the answer of a renewal
+// before it sends the next one, since that answer may take longer than the lease, and soon
+// repeats one that failed.
 func (e *Entry) renewLeaseLoop(ctx context.Context, id uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	interval := e.lease.ttl / renewalsPerLease
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	answered := make(chan renewal)
 	for {
-		sleep(ctx, e.lease.ttl/renewalsPerLease)
-		if ctx.Err() != nil {
-			return
-		}
-		sent := time.Now()
-		err := e.store.RenewLease(ctx, id)
-		switch {
-		case e.lease.currentID() != id:
-			return // revoked at a planned stop
-		case eris.Is(err, store.ErrLeaseLapsed):
-			e.retire("lease lapsed")
+		select {
+		case <-ctx.Done():
 			return
-		case err == nil:
-			e.lease.recordRenewal(sent)
+		case <-timer.C:
+			timer.Reset(interval)
+			go e.renewLease(ctx, id, answered)
+		case r := <-answered:
+			if !e.handleRenewal(id, r) {
+				return
+			}
+			if r.err != nil {
+				timer.Reset(min(storeBackoff, interval))
+			}
 		}
-		e.recordStoreResult(err)
 	}
 }
 
+// renewLease renews the lease once. Its answer is of no use later than the lease lasts.
+func (e *Entry) renewLease(ctx context.Context, id uint64, answered chan<- renewal) {
+	sent := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, e.lease.ttl)
+	defer cancel()
+	err := e.store.RenewLease(callCtx, id)
+	select {
+	case answered <- renewal{sent, err}:
+	case <-ctx.Done():
+	}
+}
+
+// handleRenewal records the outcome of a renewal. It returns false if the lease has ended.
+func (e *Entry) handleRenewal(id uint64, r renewal) bool {
+	switch {
+	case e.lease.currentID() != id:
+		return false // revoked at a planned stop
+	case eris.Is(r.err, store.ErrLeaseLapsed):
+		e.retire("lease lapsed")
+		return false
+	case r.err == nil:
+		e.lease.recordRenewal(r.sent)
+	}
+	e.recordStoreResult(r.err)
+	return true
+}
+
 // watchForPauses retires the incarnation when its lease was lost by a pause of the process.
 func (e *Entry) watchForPauses(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
--- /dev/null
+++ b/internal/process/entry/leaserenewal_test.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/platform/store"
+	"github.com/rosemarybay/rosemarybay/internal/standin/faultstore"
+)
+
+const (
+	testLeaseTTL = 4 * time.Second
+	// stalledCall is how long a call without an answer takes, if its context does not end first.
+	stalledCall = 5 * time.Second
+	// slowCall is less than what is left of the lease when it is renewed.
+	slowCall = testLeaseTTL / 2
+	// testRoundTrip is how long an answered renewal takes.
+	testRoundTrip = 20 * time.Millisecond
+)
+
+// leaseStore expires a lease as a store does, and stalls or fails chosen renewals.
+type leaseStore struct {
+	*faultstore.Store
+
+	mu        sync.Mutex
+	faults    []renewalFault // of the next renewals
+	expiresAt time.Time
+}
+
+type renewalFault int
+
+const (
+	renewed renewalFault = iota
+	stalled              // neither executed nor answered
+	failed               // answered with an error at once
+	slow                 // executed after slowCall, if its context has not ended by then
+)
+
+func (s *leaseStore) GrantLease(ctx context.Context, ttl time.Duration) (uint64, error) {
+	s.extend()
+	return s.Store.GrantLease(ctx, ttl)
+}
+
+func (s *leaseStore) RenewLease(ctx context.Context, id uint64) error {
+	duration := testRoundTrip
+	switch s.nextFault() {
+	case stalled:
+		sleep(ctx, stalledCall)
+		return faultstore.ErrNoAnswer
+	case failed:
+		return faultstore.ErrNoAnswer
+	case slow:
+		duration = slowCall
+	}
+	sleep(ctx, duration)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if s.isExpired() {
+		return store.ErrLeaseLapsed
+	}
+	s.extend()
+	return s.Store.RenewLease(ctx, id)
+}
+
+func (s *leaseStore) nextFault() renewalFault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.faults) == 0 {
+		return renewed
+	}
+	fault := s.faults[0]
+	s.faults = s.faults[1:]
+	return fault
+}
+
+func (s *leaseStore) extend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expiresAt = time.Now().Add(testLeaseTTL)
+}
+
+func (s *leaseStore) isExpired() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().After(s.expiresAt)
+}
+
+// A call to the store may wait for its answer for longer than the lease lasts: a single stalled
+// renewal lost the lease, and with it all jobs in progress. So did renewals that fail at once,
+// since the next one was not sent until a third of the lease later.
+func TestLeaseOutlastsStalledOrFailedRenewals(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults []renewalFault
+	}{
+		{"one stalls", []renewalFault{stalled}},
+		{"one stalls after one is answered", []renewalFault{renewed, stalled}},
+		{"one stalls, one fails", []renewalFault{stalled, failed}},
+		{"three fail", []renewalFault{failed, failed, failed}},
+		{"each is slow", slices.Repeat([]renewalFault{slow}, 100)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f, e := newFaultyEntry(7)
+				e.lease = newLease(testLeaseTTL)
+				s := &leaseStore{Store: f, faults: test.faults}
+				e.store = s
+				if err := e.register(ctx); err != nil {
+					t.Fatal(err)
+				}
+				for end := time.Now().Add(4 * testLeaseTTL); time.Now().Before(end); sleep(ctx, tickInterval) {
+					if s.isExpired() {
+						t.Fatal("the lease has expired in the store")
+					}
+					if !e.lease.tick(time.Now()) {
+						t.Fatal("the entry has lost its lease")
+					}
+				}
+			})
+		})
+	}
+}
