--- a/internal/connection/caller/connected_test.go
+++ b/internal/connection/caller/connected_test.go
@@ -74,6 +74,28 @@
 	}
 }
 
+// The process was paused, and the client has sent a further request, or the closing alert of TLS,
+// before its connection ended.
+func TestEndOfConnectionIsSeenBehindUnreadData(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(*net.TCPConn)
+	}{
+		{"reset", func(client *net.TCPConn) { _, _ = client.SetLinger(0), client.Close() }},
+		{"closed", func(client *net.TCPConn) { _ = client.Close() }},
+		{"half-closed", func(client *net.TCPConn) { _ = client.CloseWrite() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, client := connectedPair(t)
+			if _, err := client.Write([]byte("GET / HTTP/1.1\r\n")); err != nil {
+				t.Fatal(err)
+			}
+			c.end(client)
+			awaitDisconnect(t, ctx)
+		})
+	}
+}
+
 func TestRequestWhoseContextHasEndedIsDisconnected(t *testing.T) {
 	ctx, _ := connectedPair(t)
 	ended, cancel := context.WithCancel(ctx)
