A broker that did not answer once is asked again after 250 ms, not 2 s

Cause: a broker that does not answer a slot request within its wait and 150 ms was not asked for 2 s. Meanwhile the entries place on their own estimates, and targets whose slots the broker has lent refuse the tasks as full.

TestBrokerIsAskedAgainSoonAfterShortSilence failed before: the start 300 ms after the silence had no granted slot. TestSilentBrokerIsAskedLessAndLess bounds the requests to a broker that stays silent.

Unchanged: tasks are placed without the broker while it stands still.

--- a/internal/process/dispatch/acquire.go
+++ b/internal/process/dispatch/acquire.go
@@ -20,9 +20,11 @@
 	// sharedAcquireWait replaces acquireWait while other brokers can be asked too.
 	sharedAcquireWait = 20 * time.Millisecond
 	// acquireGrace is added to the wait time to get the timeout of a request. A
-	// broker that exceeds it is not asked again for brokerBackoff.
-	acquireGrace  = 150 * time.Millisecond
-	brokerBackoff = 2 * time.Second
+	// broker that exceeds it is not asked again for minBrokerBackoff, and for twice as
+	// long after each further request without an answer, up to maxBrokerBackoff.
+	acquireGrace     = 150 * time.Millisecond
+	minBrokerBackoff = 250 * time.Millisecond
+	maxBrokerBackoff = 2 * time.Second
 )
 
 // SlotBrokers requests slots from the brokers of targets and returns slots to them.
@@ -39,14 +41,18 @@
 
 // brokers holds the number of targets and the availability of each broker.
 type brokers struct {
-	targets map[uint64]int
-	// unresponsive maps each broker that did not answer to the time from which it is
-	// asked again.
-	unresponsive map[uint64]time.Time
+	targets      map[uint64]int
+	unresponsive map[uint64]brokerSilence
+}
+
+// brokerSilence describes a broker that did not answer its latest request.
+type brokerSilence struct {
+	backoff    time.Duration
+	askedAgain time.Time // the time from which it is asked again
 }
 
 func newBrokers() brokers {
-	return brokers{targets: make(map[uint64]int), unresponsive: make(map[uint64]time.Time)}
+	return brokers{targets: make(map[uint64]int), unresponsive: make(map[uint64]brokerSilence)}
 }
 
 // reassign moves one target from a broker to another. 0 stands for no broker.
@@ -63,9 +69,22 @@
 }
 
 func (b *brokers) isUnresponsive(broker uint64, now time.Time) bool {
-	return now.Before(b.unresponsive[broker])
+	return now.Before(b.unresponsive[broker].askedAgain)
 }
 
+// recordSilence records that a broker did not answer. Requests that were in flight when an
+// earlier one timed out do not extend the backoff.
+func (b *brokers) recordSilence(broker uint64, now time.Time) {
+	if b.isUnresponsive(broker, now) {
+		return
+	}
+	backoff := min(max(2*b.unresponsive[broker].backoff, minBrokerBackoff), maxBrokerBackoff)
+	b.unresponsive[broker] = brokerSilence{backoff: backoff, askedAgain: now.Add(backoff)}
+}
+
+// recordAnswer records that a broker has answered.
+func (b *brokers) recordAnswer(broker uint64) { delete(b.unresponsive, broker) }
+
 // choose returns the broker to ask and the number of brokers that can be asked.
 // Brokers are ordered by falling number of targets; index, modulo their number,
 // selects one.
@@ -190,7 +209,9 @@
 	cq.brokerIndex++
 	if err != nil {
 		d.unansweredRequests.Inc(1)
-		d.brokers.unresponsive[broker] = now.Add(brokerBackoff)
+		d.brokers.recordSilence(broker, now)
+	} else {
+		d.brokers.recordAnswer(broker)
 	}
 	d.startOnSlots(cq, broker, got, now)
 	d.dispatchQueued()
