Soak: a finding of the probe says for how long the soak's process stood still

The bound counts wall time from the last fault on, and with it any time in which the machine runs none of the processes. It stays as it is. A finding now gives the longest time and the sum for which the process of the soak, which runs the store, the targets and the callers, stood still during the probe, so that the next one can be told apart.

--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -293,6 +293,7 @@
 // probe checks recovery: once settleTime has passed after the last fault,
 // minCompleteProbes of probeJobs jobs must complete.
 func (s *soak) probe(random *rand.Rand) []string {
+	stalls := startStallMeter()
 	time.Sleep(settleTime)
 	var probes []*submittedJob
 	for range probeJobs {
@@ -300,6 +301,7 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	s.callers.pending.Wait()
+	longest, sum := stalls.end()
 	complete := 0
 	for _, j := range probes {
 		if j.state == "complete" {
@@ -307,7 +309,8 @@
 		}
 	}
 	if complete < minCompleteProbes && s.ctx.Err() == nil {
-		return []string{fmt.Sprintf("%d of %d jobs complete %v after the last fault", complete, probeJobs, settleTime)}
+		return []string{fmt.Sprintf("%d of %d jobs complete %v after the last fault; the soak's process stood still for %v at once, %v in all",
+			complete, probeJobs, settleTime, longest, sum)}
 	}
 	return nil
 }
