Command: config get and config history from one function

Both subcommands were the same but for the name, the summary and the rows that they print. The help of rosemarybay, config get and config history is byte for byte as before; the tests of internal/command and cmd/rosemarybay pass.

--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -39,26 +39,20 @@
 }
 
 func configGetCommand() subcommand {
-	return subcommand{
-		name:     "config get",
-		summary:  "Print one object. KIND is data_centre, target, department or team.",
-		args:     "KIND NAME",
-		argCount: 2,
-		readOnly: true,
-		run: func(ctx context.Context, c *invocation) error {
-			response, err := c.getObject(ctx)
-			if err != nil {
-				return err
-			}
-			return c.printMessage(response, func() [][]string { return objectRows([]*apiv1.Object{response.GetObject()}) })
-		},
-	}
+	return objectCommand("config get", "Print one object.", func(o *apiv1.Object) [][]string {
+		return objectRows([]*apiv1.Object{o})
+	})
 }
 
 func configHistoryCommand() subcommand {
+	return objectCommand("config history", "Print the last changes of one object.", historyRows)
+}
+
+// objectCommand returns a subcommand that prints the rows of one object.
+func objectCommand(name, summary string, rows func(*apiv1.Object) [][]string) subcommand {
 	return subcommand{
-		name:     "config history",
-		summary:  "Print the last changes of one object. KIND is data_centre, target, department or team.",
+		name:     name,
+		summary:  summary + " KIND is data_centre, target, department or team.",
 		args:     "KIND NAME",
 		argCount: 2,
 		readOnly: true,
@@ -67,7 +61,7 @@
 			if err != nil {
 				return err
 			}
-			return c.printMessage(response, func() [][]string { return historyRows(response.GetObject()) })
+			return c.printMessage(response, func() [][]string { return rows(response.GetObject()) })
 		},
 	}
 }
