Slopes: measureSeries runs a measurement at each number of units

Five loops over counts around one series, in four functions, were the same. They stand in one place now. `slopes -only watch` runs through (its rows are the two series in the order before); the other units were not measured. Tests, vet and staticcheck pass.

--- a/internal/bench/slopes/changes.go
+++ b/internal/bench/slopes/changes.go
@@ -272,13 +272,9 @@
 // measureRoster measures what one more roster member adds to the entry's memory and to
 // the bytes of each roster change that it relays on a link.
 func measureRoster(ctx context.Context, o Options) ([]Row, error) {
-	s := newSeries("roster member", "entry")
-	for _, n := range []int{10, 50, 200} {
-		if err := measureRosterAt(ctx, s, o, n); err != nil {
-			return nil, err
-		}
-	}
-	return s.rows(), nil
+	return measureSeries("roster member", "entry", []int{10, 50, 200}, func(s *series, n int) error {
+		return measureRosterAt(ctx, s, o, n)
+	})
 }
 
 func measureRosterAt(ctx context.Context, s *series, o Options, n int) error {
--- a/internal/bench/slopes/links.go
+++ b/internal/bench/slopes/links.go
@@ -49,13 +49,9 @@
 }
 
 func measureIdle(ctx context.Context, unit, peerRole string, heartbeat time.Duration) ([]Row, error) {
-	s := newSeries(unit, "entry")
-	for _, n := range linkCounts() {
-		if err := measureIdleAt(ctx, s, peerRole, heartbeat, n); err != nil {
-			return nil, err
-		}
-	}
-	return s.rows(), nil
+	return measureSeries(unit, "entry", linkCounts(), func(s *series, n int) error {
+		return measureIdleAt(ctx, s, peerRole, heartbeat, n)
+	})
 }
 
 // measureIdleAt opens n links and then measures the idle entry. Certificates are made
--- a/internal/bench/slopes/slopes.go
+++ b/internal/bench/slopes/slopes.go
@@ -155,6 +155,17 @@
 	return &series{unit: unit, role: role, points: make(map[string][]Point)}
 }
 
+// measureSeries measures one series at each number of units.
+func measureSeries(unit, role string, counts []int, measureAt func(s *series, n int) error) ([]Row, error) {
+	s := newSeries(unit, role)
+	for _, n := range counts {
+		if err := measureAt(s, n); err != nil {
+			return nil, err
+		}
+	}
+	return s.rows(), nil
+}
+
 func (s *series) add(cost string, units, value float64) {
 	if _, ok := s.points[cost]; !ok {
 		s.order = append(s.order, cost)
--- a/internal/bench/slopes/tasks.go
+++ b/internal/bench/slopes/tasks.go
@@ -135,13 +135,9 @@
 // measureTickets measures answered jobs, each with one task and a ticket that the entry
 // keeps. Light agents answer the tasks at once.
 func measureTickets(ctx context.Context, o Options) ([]Row, error) {
-	s := newSeries("ticket remembered", "entry")
-	for _, n := range []int{5000, 10000, 20000} {
-		if err := measureTicketsAt(ctx, s, o, n); err != nil {
-			return nil, err
-		}
-	}
-	return s.rows(), nil
+	return measureSeries("ticket remembered", "entry", []int{5000, 10000, 20000}, func(s *series, n int) error {
+		return measureTicketsAt(ctx, s, o, n)
+	})
 }
 
 func measureTicketsAt(ctx context.Context, s *series, o Options, n int) error {
--- a/internal/bench/slopes/watches.go
+++ b/internal/bench/slopes/watches.go
@@ -30,19 +30,19 @@
 // measureWatches measures the load on the store: the calls of idle entries, and the
 // bytes of watches, which are calls that wait for a change.
 func measureWatches(ctx context.Context, _ Options) ([]Row, error) {
-	calls := newSeries("idle entry", "store")
-	for _, n := range []int{1, 3, 6} {
-		if err := measureStoreCalls(ctx, calls, n); err != nil {
-			return nil, err
-		}
+	calls, err := measureSeries("idle entry", "store", []int{1, 3, 6}, func(s *series, n int) error {
+		return measureStoreCalls(ctx, s, n)
+	})
+	if err != nil {
+		return nil, err
 	}
-	bytes := newSeries("waiting watch", "store")
-	for _, n := range []int{10, 50, 200} {
-		if err := measureWatchBytes(ctx, bytes, n); err != nil {
-			return nil, err
-		}
+	bytes, err := measureSeries("waiting watch", "store", []int{10, 50, 200}, func(s *series, n int) error {
+		return measureWatchBytes(ctx, s, n)
+	})
+	if err != nil {
+		return nil, err
 	}
-	return append(calls.rows(), bytes.rows()...), nil
+	return append(calls, bytes...), nil
 }
 
 func measureStoreCalls(ctx context.Context, s *series, n int) error {
