--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -85,6 +85,21 @@
 // Run runs the soak for one seed and returns a description of each violation. It
 // writes a summary to output.
 func Run(ctx context.Context, o Options, output io.Writer) ([]string, error) {
+	s := newSoak(ctx, o, output)
+	defer s.close()
+	if err := s.start(); err != nil {
+		return nil, err
+	}
+	found := s.runAndCheck()
+	s.report(found)
+	if len(found) == 0 && o.Dir == "" {
+		_ = os.RemoveAll(s.dir)
+	}
+	return found, ctx.Err()
+}
+
+// newSoak returns a soak of which nothing is started.
+func newSoak(ctx context.Context, o Options, output io.Writer) *soak {
 	s := &soak{
 		options:     o,
 		random:      rand.New(rand.NewPCG(o.Seed, 0)),
@@ -98,16 +113,7 @@
 		version:     1,
 	}
 	s.storeFaults = &overlay[scopedStoreFault]{apply: func(f scopedStoreFault) { s.store.SetFault(f.fault, f.clients...) }}
-	defer s.close()
-	if err := s.start(); err != nil {
-		return nil, err
-	}
-	found := s.runAndCheck()
-	s.report(found)
-	if len(found) == 0 && o.Dir == "" {
-		_ = os.RemoveAll(s.dir)
-	}
-	return found, ctx.Err()
+	return s
 }
 
 // dataCentreName returns the data centre of the i-th node of a kind.
