--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -50,9 +50,9 @@
 	return permit, claimed && until.After(now)
 }
 
-// lastNeeded returns the latest time at which a caller may have waited for a run: its entry was
-// alive, and no stop had been requested. A caller that has left turns to another entry as one does
-// whose entry has failed.
+// lastNeeded returns when a caller was last known to wait for a run: the latest echo of its entry,
+// or the request to stop the run if that was earlier. A caller that has left turns to another entry
+// as one does whose entry has failed.
 func (r *run) lastNeeded(o *owner) time.Duration {
 	if r.stopRequested {
 		return min(o.lastEcho, r.stopRequestedAt)
@@ -97,7 +97,7 @@
 // stopped it. The first such order decides: its repeats may have been sent to a target that had
 // crashed already.
 func (m *Manager) mayStartLateLocked(t *targetIncarnation, r *run) bool {
-	return !r.unansweredAt.IsZero() && t.answeredAt.After(r.unansweredAt) && time.Since(r.unansweredAt) < peer.MaxOrderDelay
+	return !r.firstUnansweredAt.IsZero() && t.answeredAt.After(r.firstUnansweredAt) && time.Since(r.firstUnansweredAt) < peer.MaxOrderDelay
 }
 
 // lateOrdersLocked returns the attempts of an entry with a start order that has no answer and may be
@@ -106,7 +106,7 @@
 func (m *Manager) lateOrdersLocked(o *owner) []task.Attempt {
 	var late []task.Attempt
 	for _, r := range m.runs {
-		if r.owner == o.incarnation && !r.unansweredAt.IsZero() && time.Since(r.unansweredAt) < peer.MaxOrderDelay {
+		if r.owner == o.incarnation && !r.firstUnansweredAt.IsZero() && time.Since(r.firstUnansweredAt) < peer.MaxOrderDelay {
 			late = append(late, r.attempt)
 		}
 	}
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -71,10 +71,10 @@
 	left identity
 	// lastToken is the highest token of former incarnations.
 	lastToken uint64
-	// unansweredAt is when the latest start order without an answer was sent, lateOrderAt when the
+	// latestUnansweredAt is when the latest start order without an answer was sent, lateOrderSentAt when the
 	// latest one was that the target left unanswered while it answered others: it may be executed
 	// late.
-	unansweredAt, lateOrderAt time.Time
+	latestUnansweredAt, lateOrderSentAt time.Time
 	// earlierEnds holds the results of runs of an earlier process of this agent that had ended
 	// when the first report arrived, at firstReportAt.
 	earlierEnds   []peer.Result
@@ -119,8 +119,8 @@
 	// or event that ended the start, for the log.
 	orders    verdict.Tries
 	decidedBy string
-	// unansweredAt is when the first start order was sent that the target has not answered.
-	unansweredAt time.Time
+	// firstUnansweredAt is when the first start order was sent that the target has not answered.
+	firstUnansweredAt time.Time
 	// orderToken is the token of the latest start order.
 	orderToken uint64
 	// confirmedAt is when an answer of the target last confirmed the run.
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -50,7 +50,7 @@
 func (m *Manager) longestPollBackoff() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if time.Since(m.lateOrderAt) < peer.MaxOrderDelay {
+	if time.Since(m.lateOrderSentAt) < peer.MaxOrderDelay {
 		return backoffMin
 	}
 	return backoffMax
@@ -133,7 +133,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t.answeredAt, t.unanswered = time.Now(), 0
-	m.lateOrderAt = m.unansweredAt
+	m.lateOrderSentAt = m.latestUnansweredAt
 	m.withdrawCrashLocked(t)
 	if t.unresponsive {
 		t.unresponsive = false
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -188,11 +188,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if r.unansweredAt.IsZero() {
-		r.unansweredAt = permit.IssuedAt
+	if r.firstUnansweredAt.IsZero() {
+		r.firstUnansweredAt = permit.IssuedAt
 		m.reportLateOrderLocked(r)
 	}
-	m.unansweredAt = permit.IssuedAt
+	m.latestUnansweredAt = permit.IssuedAt
 	t.unansweredToken = max(t.unansweredToken, permit.Token)
 }
 
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -110,9 +110,9 @@
 	startedAt time.Duration
 	// startNumber counts the starts on the link, up to this one.
 	startNumber uint64
-	// lateOrderAt is when the agent reported that an order of the attempt may be executed late,
+	// lateOrderReportedAt is when the agent reported that an order of the attempt may be executed late,
 	// or 0.
-	lateOrderAt time.Duration
+	lateOrderReportedAt time.Duration
 	// stopping is set once a stop order for the attempt has been sent.
 	stopping bool
 	// isolated and exclusiveFor are those of the start order.
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -154,8 +154,8 @@
 // recordLateOrders records the attempts of which an order may be executed late.
 func (t *target) recordLateOrders(late []task.Attempt, now time.Duration) {
 	for _, id := range late {
-		if at := t.attempts[id]; at != nil && at.lateOrderAt == 0 {
-			at.lateOrderAt = now
+		if at := t.attempts[id]; at != nil && at.lateOrderReportedAt == 0 {
+			at.lateOrderReportedAt = now
 		}
 	}
 }
@@ -164,12 +164,13 @@
 // its target has ended. While the agent is away the target may restart under its ID, and no token
 // prevents that its next incarnation executes the order.
 func (at *attempt) mayStartLate(now time.Duration) bool {
-	return at.lateOrderAt > 0 && now-at.lateOrderAt < peer.MaxOrderDelay
+	return at.lateOrderReportedAt > 0 && now-at.lateOrderReportedAt < peer.MaxOrderDelay
 }
 
 // sweepTarget resolves the attempts at a target whose agent has been silent for longer
 // than attemptExpiry, and removes the target if its agent stays disconnected. Attempts that may
-// start late wait for the next link of the agent, which has fenced their orders by then.
+// start late wait for the next link of the agent: it links only after its first poll, with a
+// higher token than theirs.
 func (s *Scheduler) sweepTarget(t *target, now time.Duration) {
 	silent := now - t.lastFrameAt
 	if silent < s.attemptExpiry() {
--- a/internal/process/server/redial.go
+++ b/internal/process/server/redial.go
@@ -12,7 +12,7 @@
 	// maxRedialDelay bounds the delay after earlyRedialPeriod.
 	maxRedialDelay = 500 * time.Millisecond
 	// steadyLinkTime is how long a link must have lasted for its entry to be dialled again
-	// without a delay: an entry whose connections are reset holds stop orders back until the
+	// without a delay: an entry whose connections are reset cannot deliver stop orders until the
 	// next link, and the callers of their jobs may have turned to another entry already. It
 	// bounds the dials of an entry that ends each link at once.
 	steadyLinkTime = 100 * time.Millisecond
@@ -35,8 +35,9 @@
 	*r = redialBackoff{atOnce: lasted >= steadyLinkTime}
 }
 
-// next returns the delay after a failed dial or a link that has ended. random, in [0, 1), is the jitter that spreads
-// the dials of agents that lost an entry at the same time.
+// next returns the delay after a failed dial or a link that has ended; none after a link that
+// has lasted. random, in [0, 1), is the jitter that spreads the dials of agents that lost an
+// entry at the same time.
 func (r *redialBackoff) next(now time.Time, random float64) time.Duration {
 	if r.atOnce {
 		r.atOnce = false
