Test: reports, announcements and stops whose guards no unit test missed

Each test was run alone with its guard taken out; all five pass without a patch.

== with misdirected-token taken out --- FAIL: TestRunAtUnannouncedIncarnationIsNotLostByReportOfTheFormer (0.00s) guards_test.go:131: unexpected result of {j/0/0 1}: [{1 {j/0/0 1} lost }] FAIL github.com/rosemarybay/rosemarybay/internal/process/runs 0.010s == with renewal-waits-for-report-after-replacement taken out --- FAIL: TestRunAtUnannouncedIncarnationIsNotLostUnderARenewedLease (0.02s) guards_test.go:145: the run is reported as lost and goes on FAIL github.com/rosemarybay/rosemarybay/internal/process/runs 0.027s == with run-confirmed-before-poll taken out --- FAIL: TestRunIsNotLostByReportOlderThanItsStart (0.00s) guards_test.go:160: {j/0/0 1} ended as lost (), want one of [done] FAIL github.com/rosemarybay/rosemarybay/internal/process/runs 0.010s == with earlier-incarnation taken out --- FAIL: TestDelayedAnnouncementDoesNotEndRunOfLaterIncarnation (0.17s) guards_test.go:171: unexpected result of {j/0/0 1}: [{2 {j/0/0 1} stopped }] guards_test.go:173: expected frame not received within 3 s FAIL github.com/rosemarybay/rosemarybay/internal/process/runs 0.294s

--- a/internal/process/runs/guards_test.go
+++ b/internal/process/runs/guards_test.go
@@ -82,3 +82,94 @@
 		h.expectRefusedAsUnavailable(a)
 	})
 }
+
+// The first order of a run is delayed, and its stop arrives and is rejected before the order is
+// repeated.
+func TestStartIsNotRepeatedAfterItsStopIsRequested(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := task.Attempt{Key: task.Key{Job: "j"}, Run: 1}
+		h.target.set(func() {
+			h.target.startsToLeaveUnanswered, h.target.delayStarts, h.target.stopsToReject = 1, true, 3
+			h.target.beforeStart = func() {
+				h.target.beforeStart = nil
+				h.receive(7, peer.Frame{Stops: []task.Attempt{a}})
+			}
+		})
+		h.start(0, 1, task.Resources{CPU: 1000})
+		time.Sleep(orderTimeout)
+		if n := h.target.startsOf(a); n > 0 {
+			t.Errorf("the task was started %d times after its stop was requested", n)
+		}
+		h.waitOutcome(a, peer.OutcomeRefused)
+	})
+}
+
+// startAtUnannouncedIncarnation starts a run that another incarnation of the target executes, which
+// has not announced itself and rejects stop orders.
+func (h *harness) startAtUnannouncedIncarnation() task.Attempt {
+	h.target.set(func() {
+		h.target.stopsToReject = 1000
+		h.target.beforeStart = func() {
+			h.target.restart()
+			h.target.startsByOther, h.target.pollsByOther = true, true
+		}
+	})
+	a := h.start(0, 1, task.Resources{CPU: 1000})
+	h.waitRunning(a)
+	time.Sleep(2 * pollBackoff)
+	return a
+}
+
+// The last report of the former incarnation is read after the next one has executed a start.
+func TestRunAtUnannouncedIncarnationIsNotLostByReportOfTheFormer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		sent, token, former := time.Now(), h.token(), h.manager.target
+		a := h.startAtUnannouncedIncarnation()
+		h.manager.handleReport(former, Report{}, token, sent)
+		h.expectNoResult(a, testLease/2)
+		if !h.target.isRunning(a) {
+			t.Error("the run has ended: the test shows nothing")
+		}
+	})
+}
+
+// The polls that such a target executes, and the agent does not count, must not extend its lease.
+func TestRunAtUnannouncedIncarnationIsNotLostUnderARenewedLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		a := h.startAtUnannouncedIncarnation()
+		h.waitOutcome(a, peer.OutcomeLost)
+		if h.target.isRunning(a) {
+			t.Error("the run is reported as lost and goes on")
+		}
+	})
+}
+
+// A report that was on its way when a start was executed does not list the run.
+func TestRunIsNotLostByReportOlderThanItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		sent, token := time.Now(), h.token()
+		time.Sleep(time.Millisecond)
+		a := h.start(0, 1, task.Resources{CPU: 1000})
+		h.waitStarted(a)
+		h.manager.handleReport(h.manager.target, Report{}, token, sent)
+		h.target.end(a, peer.OutcomeDone)
+		h.waitOutcome(a, peer.OutcomeDone)
+	})
+}
+
+// The announcement of an earlier incarnation arrives late, while a run is in progress.
+func TestDelayedAnnouncementDoesNotEndRunOfLaterIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newInterruptedHarness(t)
+		a := h.startAt(2)
+		h.waitStarted(a)
+		h.announce(Announcement{Incarnation: 1, Sequence: 900})
+		h.expectNoResult(a, 100*time.Millisecond)
+		h.target.end(a, peer.OutcomeDone)
+		h.waitOutcome(a, peer.OutcomeDone)
+	})
+}
