Test (red): a report of the next agent process ends an attempt with a late order

Callers would see two runs of one task: an agent has announced that an order of an attempt may be executed late and ends; its next process finds the run, does not know of that order, and reports the attempt as lost. The entry starts the task elsewhere at once.

--- a/internal/process/scheduler/late_test.go
+++ b/internal/process/scheduler/late_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,3 +80,31 @@
 		}
 	})
 }
+
+// attemptAt returns the only attempt at the target of an agent.
+func (tc *testCluster) attemptAt(agent string) task.Attempt {
+	tc.t.Helper()
+	tc.scheduler.mu.Lock()
+	defer tc.scheduler.mu.Unlock()
+	attempts := slices.Collect(maps.Keys(tc.scheduler.targets[agent].attempts))
+	if len(attempts) != 1 {
+		tc.t.Fatalf("attempts %v at %s, want one", attempts, agent)
+	}
+	return attempts[0]
+}
+
+// The next process of the agent finds the run and reports it as lost, since it does not know of the
+// late order: that may be executed all the same, and the task must not be started elsewhere.
+func TestAttemptWithLateOrderIsNotStartedElsewhereOnceReportedAsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, _, other, _ := loseAgentWithLateOrder(t)
+		a := tc.attemptAt("lost")
+		next := tc.agent("lost", a)
+		tc.attemptAt("lost")
+		next.report(a, task.Resources{CPU: 1000}, peer.OutcomeLost, "")
+		time.Sleep(200 * time.Millisecond)
+		if len(other.starts) > 0 {
+			t.Error("the task was started elsewhere within 200 ms while its late order may be executed")
+		}
+	})
+}
