Test (red): a job sent again during a late order waits until its deadline

Callers would see a job that they send again answered as unfinished only at its deadline, for up to 15 s after its agent has ended with a late order, although another agent is free. It should be answered at once as one that may have run, or started.

The test takes a start as an answer in time, wherever it is: that none may be elsewhere while the order may be executed is checked by TestAttemptWithLateOrderOutlastsAbsenceOfItsAgent, for the first job only.

--- a/internal/process/scheduler/late_test.go
+++ b/internal/process/scheduler/late_test.go
@@ -108,3 +108,37 @@
 		}
 	})
 }
+
+// A caller sends its job again while an attempt of it is kept for a late order: the entry must not
+// let the job wait until its deadline, but answer or start it within the objective of its queue.
+func TestJobSentAgainDuringLateOrderIsNotHeldUntilItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, _, other, answered := loseAgentWithLateOrder(t)
+		lateFrom := time.Now()
+		await(t, answered)
+		for time.Since(lateFrom) < peer.MaxOrderDelay-500*time.Millisecond {
+			at, j := time.Since(lateFrom), tc.job("j", 1, 1000)
+			objective := tc.queue.Objective(j.CriticalPath())
+			begun, outcome := time.Now(), "answered"
+			again, _ := tc.submit(j)
+			select {
+			case a := <-again:
+				if a.State != StateUnfinished || a.Verdict == verdict.NotRun {
+					t.Errorf("sent again after %v: answer %+v", at, a)
+				}
+			case s := <-other.starts:
+				outcome = "started"
+				defer other.done(s)
+			case <-time.After(4 * time.Second):
+				t.Fatal("no answer")
+			}
+			if took := time.Since(begun); took > objective {
+				t.Errorf("sent again %v after the late order: %s after %v, objective %v", at, outcome, took, objective)
+			}
+			if outcome == "started" {
+				return
+			}
+			time.Sleep(time.Until(begun.Add(2 * time.Second)))
+		}
+	})
+}
