Test (red): a start shortly before the end of a shortened lease is accepted and lost

Callers would see a task started, ended some ms later with the lease of its target, and run again elsewhere: another run there can't be stopped, so the agent lets the lease end. The start should be refused at once. On this code, in two of two runs:

--- FAIL: TestStartShortlyBeforeEndOfShortenedLeaseIsRefusedAtOnce (0.04s) lease_test.go:206: sent 950ms after the stop request: lost 60ms later lease_test.go:206: sent 950ms after the stop request: started 1 times lease_test.go:206: sent 980ms after the stop request: lost 30ms later lease_test.go:206: sent 980ms after the stop request: started 1 times

--- a/internal/process/runs/lease_test.go
+++ b/internal/process/runs/lease_test.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -179,6 +180,33 @@
 	})
 }
 
+// The lease at the target ends soon, since a run there can't be stopped: a start that would end with
+// it must be refused at once, so that its entry places it elsewhere.
+func TestStartShortlyBeforeEndOfShortenedLeaseIsRefusedAtOnce(t *testing.T) {
+	var failures []string
+	for _, after := range []time.Duration{950 * time.Millisecond, 980 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t)
+			a := h.start(0, 1, task.Resources{CPU: 1000})
+			h.waitStarted(a)
+			h.target.set(func() { h.target.stopsToReject = 1000 })
+			h.entry.Send(peer.Frame{Stops: []task.Attempt{a}})
+			time.Sleep(after)
+			b, sent := h.start(1, 1, task.Resources{CPU: 1000}), time.Now()
+			r := h.waitResult(b, peer.OutcomeRefused, peer.OutcomeLost, peer.OutcomeStopped)
+			if took := time.Since(sent); r.Outcome != peer.OutcomeRefused || took > 10*time.Millisecond {
+				failures = append(failures, fmt.Sprintf("sent %v after the stop request: %v %v later", after, r.Outcome, took))
+			}
+			if n := h.target.startsOf(b); n > 0 {
+				failures = append(failures, fmt.Sprintf("sent %v after the stop request: started %d times", after, n))
+			}
+		})
+	}
+	for _, f := range failures {
+		t.Error(f)
+	}
+}
+
 // A stop order that succeeds ends no other run, and starts go on meanwhile.
 func TestStoppedRunDoesNotEndTheLeaseOfOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
