--- a/internal/process/model/checker_test.go
+++ b/internal/process/model/checker_test.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"slices"
@@ -44,8 +45,10 @@
 	begin, end time.Duration
 }
 
+func (o overlap) length() time.Duration { return o.end - o.begin }
+
 func (o overlap) String() string {
-	return fmt.Sprintf("%v ran twice at once for %v from %v on", o.key, o.end-o.begin, o.begin)
+	return fmt.Sprintf("%v ran twice at once for %v from %v on", o.key, o.length(), o.begin)
 }
 
 // A task that crashes its targets is started less than maxStartsAfter times more once
@@ -67,8 +70,9 @@
 	// slowdown is how many times longer tasks run than usual, or 0 for once.
 	slowdown int
 	// resent is set if callers send their jobs to another entry at once after a reset: then only
-	// overlaps longer than maxResentOverlap are violations.
-	resent bool
+	// overlaps longer than maxOverlap, or maxResentOverlap if that is 0, are violations.
+	resent     bool
+	maxOverlap time.Duration
 }
 
 // maxResentOverlap is the bound that docs/design/platform.md states for the runs of a caller that
@@ -198,7 +202,7 @@
 		}
 	}
 	for _, o := range c.overlaps {
-		if !c.workload.resent || o.end-o.begin > maxResentOverlap {
+		if !c.workload.resent || o.length() > cmp.Or(c.workload.maxOverlap, maxResentOverlap) {
 			c.violationLocked("%v", o)
 		}
 	}
@@ -211,6 +215,19 @@
 	return c.violations
 }
 
+// longestOverlap returns the longest of the overlaps that have ended.
+func (c *checker) longestOverlap() overlap {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var longest overlap
+	for _, o := range c.overlaps {
+		if o.length() > longest.length() {
+			longest = o
+		}
+	}
+	return longest
+}
+
 // complete returns the number of jobs that were answered as complete.
 func (c *checker) complete() int {
 	c.mu.Lock()
--- a/internal/process/model/schedule_test.go
+++ b/internal/process/model/schedule_test.go
@@ -154,6 +154,12 @@
 // runSchedule runs a schedule in virtual time. It returns the violated invariants and the
 // number of completed jobs.
 func runSchedule(t *testing.T, schedule []step, w workload) (violations []string, complete int) {
+	runChecked(t, schedule, w, func(c *checker) { violations, complete = c.check(), c.complete() })
+	return violations, complete
+}
+
+// runChecked runs a schedule in virtual time and calls check once the system is idle.
+func runChecked(t *testing.T, schedule []step, w workload, check func(*checker)) {
 	synctest.Test(t, func(*testing.T) {
 		sim := newSimulation(agents, entries, w)
 		time.Sleep(200 * time.Millisecond)
@@ -169,7 +175,7 @@
 			time.Sleep(interval)
 		}
 		time.Sleep(settlePhase)
-		violations, complete = sim.checker.check(), sim.checker.complete()
+		check(sim.checker)
 		sim.finished.Store(true)
 		for _, a := range sim.agents {
 			a.kill()
@@ -180,7 +186,6 @@
 		}
 		time.Sleep(settlePhase)
 	})
-	return violations, complete
 }
 
 func TestScheduleWithoutFaultsCompletesJobs(t *testing.T) {
