--- a/internal/process/scheduler/late_test.go
+++ b/internal/process/scheduler/late_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,3 +80,65 @@
 		}
 	})
 }
+
+// attemptAt returns the only attempt at the target of an agent.
+func (tc *testCluster) attemptAt(agent string) task.Attempt {
+	tc.t.Helper()
+	tc.scheduler.mu.Lock()
+	defer tc.scheduler.mu.Unlock()
+	attempts := slices.Collect(maps.Keys(tc.scheduler.targets[agent].attempts))
+	if len(attempts) != 1 {
+		tc.t.Fatalf("attempts %v at %s, want one", attempts, agent)
+	}
+	return attempts[0]
+}
+
+// The next process of the agent finds the run and reports it as lost, since it does not know of the
+// late order: that may be executed all the same, and the task must not be started elsewhere.
+func TestAttemptWithLateOrderIsNotStartedElsewhereOnceReportedAsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, _, other, _ := loseAgentWithLateOrder(t)
+		a := tc.attemptAt("lost")
+		next := tc.agent("lost", a)
+		tc.attemptAt("lost")
+		next.report(a, task.Resources{CPU: 1000}, peer.OutcomeLost, "")
+		time.Sleep(200 * time.Millisecond)
+		if len(other.starts) > 0 {
+			t.Error("the task was started elsewhere within 200 ms while its late order may be executed")
+		}
+	})
+}
+
+// A caller sends its job again while an attempt of it is kept for a late order: the entry must not
+// let the job wait until its deadline, but answer or start it within the objective of its queue.
+func TestJobSentAgainDuringLateOrderIsNotHeldUntilItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, _, other, answered := loseAgentWithLateOrder(t)
+		lateFrom := time.Now()
+		await(t, answered)
+		for time.Since(lateFrom) < peer.MaxOrderDelay-500*time.Millisecond {
+			at, j := time.Since(lateFrom), tc.job("j", 1, 1000)
+			objective := tc.queue.Objective(j.CriticalPath())
+			begun, outcome := time.Now(), "answered"
+			again, _ := tc.submit(j)
+			select {
+			case a := <-again:
+				if a.State != StateUnfinished || a.Verdict == verdict.NotRun {
+					t.Errorf("sent again after %v: answer %+v", at, a)
+				}
+			case s := <-other.starts:
+				outcome = "started"
+				defer other.done(s)
+			case <-time.After(4 * time.Second):
+				t.Fatal("no answer")
+			}
+			if took := time.Since(begun); took > objective {
+				t.Errorf("sent again %v after the late order: %s after %v, objective %v", at, outcome, took, objective)
+			}
+			if outcome == "started" {
+				return
+			}
+			time.Sleep(time.Until(begun.Add(2 * time.Second)))
+		}
+	})
+}
