--- a/internal/process/runs/unanswered_test.go
+++ b/internal/process/runs/unanswered_test.go
@@ -97,26 +97,38 @@
 	}
 }
 
+// delayStarts makes the target leave its next start orders unanswered and execute them late.
+func (h *harness) delayStarts(n int) {
+	h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = n, true })
+}
+
+// expectLateOrderIsStoppedAfterCrash lets the target crash and its next incarnation execute the
+// first delayed order of an attempt, which must not be reported as lost before it is stopped there.
+func (h *harness) expectLateOrderIsStoppedAfterCrash(a task.Attempt) {
+	h.t.Helper()
+	h.target.set(func() { h.target.unresponsive = true })
+	h.expectNoResult(a, 3*testLease)
+	h.target.set(func() { h.target.unresponsive = false })
+	h.target.restart()
+	h.announce(Announcement{Incarnation: 2, Sequence: 1})
+	h.waitOutcome(a, peer.OutcomeLost)
+	h.target.set(func() { h.target.delayedStarts[0]() })
+	if h.target.isRunning(a) {
+		h.t.Error("the late order was executed after the run was reported as lost")
+	}
+}
+
 // A target leaves one start order without an answer, runs its repeat, and crashes. The next
 // incarnation under the same ID has seen no token and may execute the order: the entry must not
 // start the task elsewhere before that incarnation has stopped it.
 func TestLateOrderAtRestartedTargetIsStoppedBeforeRunCountsAsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
-		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true })
+		h.delayStarts(1)
 		a := h.start(0, 1, task.Resources{CPU: 1000})
 		h.waitStarted(a)
 		time.Sleep(100 * time.Millisecond)
-		h.target.set(func() { h.target.unresponsive = true })
-		h.expectNoResult(a, 3*testLease)
-		h.target.set(func() { h.target.unresponsive = false })
-		h.target.restart()
-		h.announce(Announcement{Incarnation: 2, Sequence: 1})
-		h.waitOutcome(a, peer.OutcomeLost)
-		h.target.set(func() { h.target.delayedStarts[0]() })
-		if h.target.isRunning(a) {
-			t.Error("the late order was executed after the run was reported as lost")
-		}
+		h.expectLateOrderIsStoppedAfterCrash(a)
 	})
 }
 
@@ -145,19 +157,10 @@
 func TestRepeatsToCrashedTargetDoNotHideLateOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
-		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = startTries, true })
+		h.delayStarts(startTries)
 		a := h.start(0, 1, task.Resources{CPU: 1000})
 		time.Sleep(4 * backoffMin)
-		h.target.set(func() { h.target.unresponsive = true })
-		h.expectNoResult(a, 3*testLease)
-		h.target.set(func() { h.target.unresponsive = false })
-		h.target.restart()
-		h.announce(Announcement{Incarnation: 2, Sequence: 1})
-		h.waitOutcome(a, peer.OutcomeLost)
-		h.target.set(func() { h.target.delayedStarts[0]() })
-		if h.target.isRunning(a) {
-			t.Error("the late order was executed after the run was reported as lost")
-		}
+		h.expectLateOrderIsStoppedAfterCrash(a)
 	})
 }
 
@@ -166,7 +169,7 @@
 func TestPollsBeforeAnnouncementFenceUnansweredOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
-		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true })
+		h.delayStarts(1)
 		a := h.start(0, 1, task.Resources{CPU: 1000})
 		h.waitStarted(a)
 		h.target.set(func() {
@@ -188,7 +191,7 @@
 	for phase := 0 * time.Millisecond; phase < backoffMax; phase += 7 * time.Millisecond {
 		synctest.Test(t, func(t *testing.T) {
 			h := newHarness(t)
-			h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true })
+			h.delayStarts(1)
 			a := h.start(0, 1, task.Resources{CPU: 1000})
 			h.waitStarted(a)
 			h.target.set(func() { h.target.refuses = true })
@@ -210,7 +213,7 @@
 func TestRunWithUnansweredOrderIsLostOnceNoOrderCanBeExecuted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
-		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true })
+		h.delayStarts(1)
 		a := h.start(0, 1, task.Resources{CPU: 1000})
 		h.waitStarted(a)
 		time.Sleep(100 * time.Millisecond)
@@ -294,7 +297,7 @@
 func TestDelayedOrderOfConfirmedRunDoesNotRunAfterItIsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
-		h.target.set(func() { h.target.startsToLeaveUnanswered, h.target.delayStarts = 1, true })
+		h.delayStarts(1)
 		a := h.start(0, 1, task.Resources{CPU: 1000})
 		h.waitStarted(a)
 		h.target.set(func() {
