--- a/internal/process/scheduler/guards_test.go
+++ b/internal/process/scheduler/guards_test.go
@@ -15,9 +15,9 @@
 func TestTaskIsNotStartedAgainByFrameOfReplacedLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tc := newTestCluster(t)
-		a := tc.agent("a1")
+		tc.agent("a1")
 		former := tc.target("a1").link
-		a = tc.agent("a1")
+		a := tc.agent("a1")
 		tc.submit(tc.job("j", 1, 1000))
 		s := a.nextStart()
 		a.report(s.Attempt, s.Need, peer.OutcomeStarted, "")
