--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -71,9 +71,9 @@
 	left identity
 	// lastToken is the highest token of former incarnations.
 	lastToken uint64
-	// latestUnansweredAt is when the latest start order without an answer was sent, lateOrderSentAt when the
-	// latest one was that the target left unanswered while it answered others: it may be executed
-	// late.
+	// latestUnansweredAt is when the latest start order without an answer was sent. lateOrderSentAt
+	// is the same of those that the target left unanswered while it answered others: such an order
+	// may be executed late.
 	latestUnansweredAt, lateOrderSentAt time.Time
 	// earlierEnds holds the results of runs of an earlier process of this agent that had ended
 	// when the first report arrived, at firstReportAt.
