--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -100,9 +100,9 @@
 	return !r.firstUnansweredAt.IsZero() && t.answeredAt.After(r.firstUnansweredAt) && time.Since(r.firstUnansweredAt) < peer.MaxOrderDelay
 }
 
-// lateOrdersLocked returns the attempts of an entry with a start order that has no answer and may be
-// executed yet. Whether the target has crashed, so that it is not, may be known to this process
-// only: while it is away, the entry must not take the end of the lease for the end of the attempt.
+// lateOrdersLocked returns the attempts of an entry of which a start order has no answer and may
+// still be executed. While this process is away nobody fences that order, so the entry must not
+// take the end of the target's lease for the end of the attempt.
 func (m *Manager) lateOrdersLocked(o *owner) []task.Attempt {
 	var late []task.Attempt
 	for _, r := range m.runs {
