--- a/internal/process/loadreplay/urgency_test.go
+++ b/internal/process/loadreplay/urgency_test.go
@@ -2,9 +2,10 @@
 
 import "testing"
 
-// overloadReplays is the sum of replays of an overload with several entries.
+// overloadReplays is the sum of replays of an overload with several entries. The order of
+// simultaneous events differs from run to run, which moves the shares of a single seed by 0.02.
 func overloadReplays(t *testing.T) result {
-	const seeds = 3
+	const seeds = 9
 	sum := result{byKind: make(map[string]tally)}
 	for seed := range uint64(seeds) {
 		sum.add(replay(t, overloaded(1.1, seed+1)))
