A connection's end is checked without the lock of all connections

What callers saw: nothing that was measured. afterRead asked the kernel whether a connection has ended while it held the watcher's mutex, so that a thread that is not run in that call (a busy machine) delays the start of all other requests and the notice that their callers have left.

Cause: the look-up of the request and the system calls were one critical section.

Now the request is looked up under the lock, and the call is made outside. A request that ends between the two is cancelled once more, which does nothing. The lock never kept the engine from closing the connection meanwhile, so that nothing is lost there.

Evidence: TestSlowSystemCallOfOneConnectionDelaysNoOther on the code before, "a request waits for the system call of another connection"; with the change the package passes with -count=3.

Not changed: poll still calls IsClosed and SetReadDeadline of the engine under the lock.

--- a/internal/connection/caller/connected_test.go
+++ b/internal/connection/caller/connected_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -148,3 +149,45 @@
 		}
 	})
 }
+
+// A system call for one connection must not delay the requests of the others: their starts, and
+// the notice that their clients have left.
+func TestSlowSystemCallOfOneConnectionDelaysNoOther(t *testing.T) {
+	d := &disconnectWatcher{}
+	slow := &slowConn{called: make(chan struct{}), release: make(chan struct{})}
+	d.add(&watchedRequest{conn: slow, cancel: func() {}})
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		d.afterRead(slow)
+	}()
+	<-slow.called
+	other := make(chan struct{})
+	go func() {
+		defer close(other)
+		r := &watchedRequest{conn: &closedConn{}, cancel: func() {}}
+		d.add(r)
+		d.remove(r)
+	}()
+	select {
+	case <-other:
+	case <-time.After(10 * time.Second):
+		t.Error("a request waits for the system call of another connection")
+	}
+	close(slow.release)
+	<-read
+	<-other
+	d.remove(&watchedRequest{conn: slow})
+}
+
+// slowConn is a connection whose system calls end once release is closed.
+type slowConn struct {
+	closedConn
+	called, release chan struct{}
+}
+
+func (c *slowConn) SyscallConn() (syscall.RawConn, error) {
+	close(c.called)
+	<-c.release
+	return nil, syscall.EINVAL
+}
--- a/internal/connection/caller/disconnect.go
+++ b/internal/connection/caller/disconnect.go
@@ -90,13 +90,18 @@
 // afterRead cancels the request in progress on a connection that the engine has read to its end.
 // The engine calls it after each read, before it closes the connection.
 func (d *disconnectWatcher) afterRead(conn pollableConn) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if r := d.requests[conn]; r != nil && hasEnded(conn) {
+	if r := d.find(conn); r != nil && hasEnded(conn) {
 		r.cancel()
 	}
 }
 
+// find returns the request in progress on a connection, or nil.
+func (d *disconnectWatcher) find(conn pollableConn) *watchedRequest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.requests[conn]
+}
+
 // run polls the connections until no request is in progress.
 func (d *disconnectWatcher) run() {
 	ticker := time.NewTicker(disconnectPollInterval)
