The end of a request leaves the next one of its connection watched

What callers saw: nothing. The engine (nbio 1.6.8, Conn.Execute) runs the handlers of one connection one after the other, so that a request is removed before the next one is added.

Cause: remove deleted whatever request its connection had, also a newer one, whose caller could then leave unnoticed. Only the order of the engine prevented that. Now a request removes only itself.

Evidence: TestEndOfRequestLeavesNextOneOfItsConnectionWatched adds a request before the older one of the same connection is removed; on the code before "not cancelled"; with the change the package passes with -count=3. TestSlowSystemCallOfOneConnectionDelaysNoOther removes the request that it added; before it removed another one of the same connection, which no longer ends the watcher's goroutine.

--- a/internal/connection/caller/connected_test.go
+++ b/internal/connection/caller/connected_test.go
@@ -155,7 +155,8 @@
 func TestSlowSystemCallOfOneConnectionDelaysNoOther(t *testing.T) {
 	d := &disconnectWatcher{}
 	slow := &slowConn{called: make(chan struct{}), release: make(chan struct{})}
-	d.add(&watchedRequest{conn: slow, cancel: func() {}})
+	request := &watchedRequest{conn: slow, cancel: func() {}}
+	d.add(request)
 	read := make(chan struct{})
 	go func() {
 		defer close(read)
@@ -177,7 +178,7 @@
 	close(slow.release)
 	<-read
 	<-other
-	d.remove(&watchedRequest{conn: slow})
+	d.remove(request)
 }
 
 // slowConn is a connection whose system calls end once release is closed.
@@ -191,3 +192,25 @@
 	<-c.release
 	return nil, syscall.EINVAL
 }
+
+// The engine runs the requests of a connection one after the other. The watcher does not rely on
+// that: the end of a request must not leave the next one unwatched.
+func TestEndOfRequestLeavesNextOneOfItsConnectionWatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &disconnectWatcher{}
+		conn := &closedConn{}
+		older := &watchedRequest{conn: conn, cancel: func() {}}
+		ctx, cancel := context.WithCancel(context.Background())
+		newer := &watchedRequest{conn: conn, cancel: cancel}
+		d.add(older)
+		d.add(newer)
+		d.remove(older)
+		conn.closed.Store(true)
+		time.Sleep(noticeLimit)
+		if ctx.Err() == nil {
+			t.Error("not cancelled")
+		}
+		d.remove(newer)
+		time.Sleep(2 * disconnectPollInterval)
+	})
+}
--- a/internal/connection/caller/disconnect.go
+++ b/internal/connection/caller/disconnect.go
@@ -84,7 +84,9 @@
 func (d *disconnectWatcher) remove(r *watchedRequest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.requests, r.conn)
+	if d.requests[r.conn] == r {
+		delete(d.requests, r.conn)
+	}
 }
 
 // afterRead cancels the request in progress on a connection that the engine has read to its end.
