A late failure does not put off the next renewal of a lease

What callers saw: nothing that was measured. A renewal of an entry's lease that fails shortly before the next one is due put that one off by 200 ms; the lease has that much less time left for the renewals that remain.

Cause: renewals overlap, and an answer with an error always set the timer to 200 ms, also if it was due earlier. Now the earlier of the two times holds.

Evidence: TestLateFailureDoesNotPutOffNextRenewal (lease of 4 s, the first renewal fails 10 ms before the second is due) on the code before: "no renewal was sent for 1.523333333s, interval 1.333333333s". With the change the package passes with -count=3, with TestLeaseOutlastsStalledOrFailedRenewals as it was. The store of that test has one more fault and records when renewals are sent.

--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -157,13 +157,14 @@
 
 // renewLeaseLoop renews the lease until it ends. It does not wait for the answer of a renewal
 // before it sends the next one, since that answer may take longer than the lease, and soon
-// repeats one that failed.
+// repeats one that failed, unless the next one is due before.
 func (e *Entry) renewLeaseLoop(ctx context.Context, id uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	interval := e.lease.ttl / renewalsPerLease
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
+	next := time.Now().Add(interval)
 	answered := make(chan renewal)
 	for {
 		select {
@@ -171,13 +172,16 @@
 			return
 		case <-timer.C:
 			timer.Reset(interval)
+			next = time.Now().Add(interval)
 			go e.renewLease(ctx, id, answered)
 		case r := <-answered:
 			if !e.handleRenewal(id, r) {
 				return
 			}
-			if r.err != nil {
-				timer.Reset(min(storeBackoff, interval))
+			repeat := time.Now().Add(storeBackoff)
+			if r.err != nil && repeat.Before(next) {
+				timer.Reset(storeBackoff)
+				next = repeat
 			}
 		}
 	}
--- a/internal/process/entry/leaserenewal_test.go
+++ b/internal/process/entry/leaserenewal_test.go
@@ -18,6 +18,8 @@
 	stalledCall = 5 * time.Second
 	// slowCall is less than what is left of the lease when it is renewed.
 	slowCall = testLeaseTTL / 2
+	// lateFailure is shortly before the renewal after the failed one is due.
+	lateFailure = testLeaseTTL/renewalsPerLease - 10*time.Millisecond
 	// testRoundTrip is how long an answered renewal takes.
 	testRoundTrip = 20 * time.Millisecond
 )
@@ -28,16 +30,18 @@
 
 	mu        sync.Mutex
 	faults    []renewalFault // of the next renewals
+	sent      []time.Time    // of all renewals
 	expiresAt time.Time
 }
 
 type renewalFault int
 
 const (
-	renewed renewalFault = iota
-	stalled              // neither executed nor answered
-	failed               // answered with an error at once
-	slow                 // executed after slowCall, if its context has not ended by then
+	renewed    renewalFault = iota
+	stalled                 // neither executed nor answered
+	failed                  // answered with an error at once
+	slow                    // executed after slowCall, if its context has not ended by then
+	failedLate              // answered with an error after lateFailure
 )
 
 func (s *leaseStore) GrantLease(ctx context.Context, ttl time.Duration) (uint64, error) {
@@ -55,6 +59,9 @@
 		return faultstore.ErrNoAnswer
 	case slow:
 		duration = slowCall
+	case failedLate:
+		sleep(ctx, lateFailure)
+		return faultstore.ErrNoAnswer
 	}
 	sleep(ctx, duration)
 	if ctx.Err() != nil {
@@ -70,6 +77,7 @@
 func (s *leaseStore) nextFault() renewalFault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.sent = append(s.sent, time.Now())
 	if len(s.faults) == 0 {
 		return renewed
 	}
@@ -78,6 +86,12 @@
 	return fault
 }
 
+func (s *leaseStore) sentTimes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.sent)
+}
+
 func (s *leaseStore) extend() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -127,3 +141,27 @@
 		})
 	}
 }
+
+// A renewal that fails is repeated soon. If its answer comes when the next renewal is due anyway,
+// it must not put that one off.
+func TestLateFailureDoesNotPutOffNextRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f, e := newFaultyEntry(7)
+		e.lease = newLease(testLeaseTTL)
+		interval := testLeaseTTL / renewalsPerLease
+		s := &leaseStore{Store: f, faults: []renewalFault{failedLate}}
+		e.store = s
+		if err := e.register(ctx); err != nil {
+			t.Fatal(err)
+		}
+		sleep(ctx, 3*testLeaseTTL)
+		sent := append(s.sentTimes(), time.Now())
+		for i, next := range sent[1:] {
+			if gap := next.Sub(sent[i]); gap > interval {
+				t.Errorf("no renewal was sent for %v, interval %v", gap, interval)
+			}
+		}
+	})
+}
