Model: comments on when callers come back

The comment at callerRetry said that a caller whose connection broke waits that long. Since callers whose connection is reset are at another entry after resendDelay; the others wait for callerRetry still. Comments only.

--- a/internal/process/model/callers_test.go
+++ b/internal/process/model/callers_test.go
@@ -9,9 +9,9 @@
 	"github.com/rosemarybay/rosemarybay/internal/version/policy"
 )
 
-// call simulates a caller. It submits a job to an entry, and to the next one after
-// callerRetry if the connection breaks or the job did not finish. Each third caller also does so
-// after requestTimeout without an answer.
+// call simulates a caller. It submits a job to an entry, and to the next one after resendDelay if
+// its connection was reset, or after callerRetry if the entry is dead or the job did not finish.
+// Each third caller also does so after requestTimeout without an answer.
 func (sim *simulation) call(id string, tasks, first int) {
 	deadline := time.Now().Add(callerTimeout)
 	patience := callerTimeout
@@ -41,7 +41,7 @@
 	// failed: without a final answer, or with that of a job that did not finish.
 	failed ending = iota
 	answered
-	// connectionReset: the caller repeats its request at once.
+	// connectionReset: the caller repeats its request after resendDelay.
 	connectionReset
 )
 
--- a/internal/process/model/simulation_test.go
+++ b/internal/process/model/simulation_test.go
@@ -19,8 +19,9 @@
 
 const (
 	targetLease = time.Second
-	// callerRetry is the delay before a caller submits its job to another entry, after its
-	// connection broke or the answer was that the job did not finish.
+	// callerRetry is the delay before a caller submits its job to another entry if the entry is dead,
+	// does not answer within requestTimeout, or answers that the job did not finish. After a reset
+	// of the caller's connection it is resendDelay.
 	callerRetry = 1300 * time.Millisecond
 	// callerTimeout is the deadline of a job, counted from its first submission.
 	callerTimeout = 4 * time.Second
