Redials of an agent: names and comments

linkEnded gets the time since the dial, so the comments say so; noDelay says what follows, where atOnce did not say what; the comment at next no longer lists when there is no delay. No behaviour is changed; the tests of the package pass with -count=3.

--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -191,13 +191,13 @@
 		}
 		var linked bool
 		var err error
-		begun := time.Now()
+		dialledAt := time.Now()
 		a.guard.Run("the link of an entry", func() { linked, err = a.serveLink(ctx, d.address, timeout) })
 		if err != nil {
 			a.log.Debug().Err(err).Str("entry", d.address).Msg("link to entry failed")
 		}
 		if linked {
-			backoff.linkEnded(time.Since(begun))
+			backoff.linkEnded(time.Since(dialledAt))
 		}
 		if d.waitForRedial(ctx, backoff.next(time.Now(), rand.Float64())) {
 			backoff.reset()
--- a/internal/process/server/redial.go
+++ b/internal/process/server/redial.go
@@ -11,10 +11,10 @@
 	earlyRedialPeriod   = time.Second
 	// maxRedialDelay bounds the delay after earlyRedialPeriod.
 	maxRedialDelay = 500 * time.Millisecond
-	// steadyLinkTime is how long a link must have lasted for its entry to be dialled again
-	// without a delay: an entry whose connections are reset cannot deliver stop orders until the
-	// next link, and the callers of their jobs may have turned to another entry already. It
-	// bounds the dials of an entry that ends each link at once.
+	// steadyLinkTime is how long a link, with its dial, must have lasted for the entry to be
+	// dialled again without a delay: until the next link the entry cannot stop the runs of callers
+	// whose connections were reset too, and they may have sent their jobs to another entry. It
+	// limits the dials of an entry that ends each link soon.
 	steadyLinkTime = 100 * time.Millisecond
 )
 
@@ -26,21 +26,20 @@
 	// firstFailure is the time of the first failure.
 	firstFailure time.Time
 	delay        time.Duration
-	// atOnce is set while the next dial needs no delay.
-	atOnce bool
+	// noDelay is set if the next dial follows without a delay.
+	noDelay bool
 }
 
-// linkEnded resets the delay after a link that has lasted for a time.
+// linkEnded resets the delay after the end of a link, which lasted this long with its dial.
 func (r *redialBackoff) linkEnded(lasted time.Duration) {
-	*r = redialBackoff{atOnce: lasted >= steadyLinkTime}
+	*r = redialBackoff{noDelay: lasted >= steadyLinkTime}
 }
 
-// next returns the delay after a failed dial or a link that has ended; none after a link that
-// has lasted. random, in [0, 1), is the jitter that spreads the dials of agents that lost an
-// entry at the same time.
+// next returns the delay before the next dial. random, in [0, 1), is the jitter that spreads the
+// dials of agents that lost an entry at the same time.
 func (r *redialBackoff) next(now time.Time, random float64) time.Duration {
-	if r.atOnce {
-		r.atOnce = false
+	if r.noDelay {
+		r.noDelay = false
 		return 0
 	}
 	if r.firstFailure.IsZero() {
--- a/internal/process/server/redial_test.go
+++ b/internal/process/server/redial_test.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// An entry that ends each link soon after it was established must not be dialled without pause.
+// An entry that ends each link soon after it was established must not be dialled without a delay.
 func TestEntryThatEndsEachLinkIsDialledWithDelay(t *testing.T) {
 	var r redialBackoff
 	for range 3 {
@@ -91,6 +91,7 @@
 }
 
 func listenAsEntry(t *testing.T) net.Listener {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -101,6 +102,7 @@
 
 // newLinkTestAgent returns an agent whose target has no runs.
 func newLinkTestAgent(t *testing.T) *agent {
+	t.Helper()
 	a := &agent{
 		Server: &Server{node: &settings.Node{IP: "127.0.0.1"}, guard: guard.Guard{Log: zerolog.Nop(), Counters: metrics.New()}},
 		links:  newLinks("a", "dc1", zerolog.Nop()),
