Keep an attempt that a later process reports as lost

Callers saw: a task ran twice when its agent had announced a late start order and ended, and the next process of the agent found the run and reported it as lost: the entry started the task on another target at once, while the order could still be executed there.

Cause: the entry took every "lost" as the end of the attempt. It only says that the lease has ended. The process that announced the late order keeps the run until the order cannot come any more, so its word is proof; a later process knows of no unanswered order.

Now the entry records which incarnation of the agent announced the late order. "Lost" from another one, or its next link without the run, keeps the attempt until MaxOrderDelay after the first announcement, or until a process that has never known the run links: an agent dials only once its target has answered the first poll, with a higher token (IsReady in serveLink). So the rule that starts a task again once the next process does not list it holds; a process that did list it earlier and no longer does is not that proof, and counts as one that reported it as lost. Done, failed and stopped come from the target and stay final; a run that a later process lists again goes on. The first time an attempt is kept is logged and counted (attempts_kept).

Tests: the fake agent gave all its processes incarnation 1, so that the next process could not be told from the former. Each has its own now, and relink opens a new link of the same process; no check has changed.

--- a/internal/process/scheduler/agentlink.go
+++ b/internal/process/scheduler/agentlink.go
@@ -21,6 +21,7 @@
 	s.opts.Log.Info().Str("agent", hello.Name).Uint64("incarnation", hello.Incarnation).
 		Int("runs", len(hello.Runs)).Int("attempts", len(t.attempts)).Msg("agent linked")
 	t.link, t.unaccounted, t.startsSent = link, nil, 0
+	t.agentIncarnation = hello.Incarnation
 	t.reconciled = false
 	// A new process of the agent counts its clock from its own start.
 	t.echo, t.sentEcho = 0, 0
@@ -166,13 +167,16 @@
 
 // reconcile compares the attempts sent to an agent with those that the agent lists after
 // reconnecting. An attempt that the agent neither runs nor has reported never reached
-// the agent, or ended with an earlier process of it.
+// the agent, or ended with an earlier process of it. A new process links only after its target
+// has answered a poll with a higher token than those of earlier processes, so that an attempt
+// that it has never known cannot start late either.
 func (s *Scheduler) reconcile(t *target, hello *peer.Hello) {
 	present := make(map[task.Attempt]bool, len(hello.Runs))
 	claims := &peer.Claims{}
 	for _, id := range hello.Runs {
 		present[id] = true
 		if at := t.attempts[id]; at != nil {
+			at.knownBy, at.reportedLost = hello.Incarnation, false
 			claims.Attempts = append(claims.Attempts, peer.Claim{Attempt: id, Need: at.item.step.Need})
 			if at.stopping {
 				t.send(peer.Frame{Stops: []task.Attempt{id}})
@@ -183,7 +187,11 @@
 		t.send(peer.Frame{Claims: claims})
 	}
 	for id, at := range t.attempts {
-		if !present[id] {
+		switch {
+		case present[id]:
+		case at.knownBy == hello.Incarnation:
+			s.handleLost(at)
+		default:
 			s.resolve(at, peer.OutcomeLost, peer.RefusalNone)
 		}
 	}
--- a/internal/process/scheduler/cluster_test.go
+++ b/internal/process/scheduler/cluster_test.go
@@ -27,9 +27,12 @@
 	t       *testing.T
 	name    string
 	cluster *testCluster
-	link    *peer.Link
-	starts  chan peer.Start
-	stops   chan task.Attempt
+	// incarnation is that of this process of the agent.
+	incarnation uint64
+	dataCentre  string
+	link        *peer.Link
+	starts      chan peer.Start
+	stops       chan task.Attempt
 
 	mu       sync.Mutex
 	accepted uint64
@@ -89,6 +92,8 @@
 	scheduler *Scheduler
 	view      *policy.View
 	queue     *policy.Queue
+	// processes counts the processes of agents.
+	processes uint64
 }
 
 func newTestCluster(t *testing.T) *testCluster {
@@ -123,16 +128,25 @@
 	return tc.agentWithClock(dataCentre, name, time.Unix(0, 0), runs...)
 }
 
-// agentWithClock connects an agent whose clock counts from epoch.
+// agentWithClock starts a process of an agent whose clock counts from epoch, and connects it.
 func (tc *testCluster) agentWithClock(dataCentre, name string, epoch time.Time, runs ...task.Attempt) *fakeAgent {
-	here, there := net.Pipe()
+	tc.processes++
 	a := &fakeAgent{
-		t: tc.t, name: name, cluster: tc, epoch: epoch,
+		t: tc.t, name: name, cluster: tc, incarnation: tc.processes, dataCentre: dataCentre, epoch: epoch,
 		starts: make(chan peer.Start, 100),
 		stops:  make(chan task.Attempt, 100),
 		free:   task.Resources{CPU: 8000},
 	}
-	link := peer.NewLink(here, func(f *peer.Frame) { tc.scheduler.Stamp(name, f) })
+	a.connect(runs...)
+	return a
+}
+
+// connect opens a link of this process of the agent, which lists runs.
+func (a *fakeAgent) connect(runs ...task.Attempt) {
+	tc := a.cluster
+	here, there := net.Pipe()
+	link := peer.NewLink(here, func(f *peer.Frame) { tc.scheduler.Stamp(a.name, f) })
+	a.accepted = 0
 	a.link = peer.NewLink(there, func(f *peer.Frame) {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -142,27 +156,33 @@
 	})
 	tc.t.Cleanup(a.link.Close)
 	tc.t.Cleanup(link.Close)
-	go a.receive()
-	hello := &peer.Hello{Name: name, Incarnation: 1, Runs: runs}
+	go a.receive(a.link)
+	hello := &peer.Hello{Name: a.name, Incarnation: a.incarnation, Runs: runs}
 	tc.scheduler.Connect(hello, link)
 	go func() {
 		for {
 			f, err := link.Receive()
 			if err != nil {
-				tc.scheduler.Disconnect(name, link, err)
+				tc.scheduler.Disconnect(a.name, link, err)
 				return
 			}
-			tc.scheduler.Receive(name, link, f)
+			tc.scheduler.Receive(a.name, link, f)
 		}
 	}()
 	a.link.Send(peer.Frame{Hello: hello, Target: &peer.Target{
-		ID: name, Incarnation: 1, Pool: "p", DataCentre: dataCentre, Available: true,
-		Capacity: task.Resources{CPU: 8000}, Labels: []string{name},
+		ID: a.name, Incarnation: 1, Pool: "p", DataCentre: a.dataCentre, Available: true,
+		Capacity: task.Resources{CPU: 8000}, Labels: []string{a.name},
 	}})
-	for !tc.hasUsableTarget(name) {
+	for !tc.hasUsableTarget(a.name) {
 		time.Sleep(time.Millisecond)
 	}
-	return a
+}
+
+// relink replaces the link of this process of the agent, which now lists runs.
+func (a *fakeAgent) relink(runs ...task.Attempt) {
+	a.link.Close()
+	time.Sleep(reportDelay)
+	a.connect(runs...)
 }
 
 func (tc *testCluster) hasUsableTarget(name string) bool {
@@ -172,9 +192,9 @@
 	return t != nil && t.usable(tc.scheduler.now())
 }
 
-func (a *fakeAgent) receive() {
+func (a *fakeAgent) receive(link *peer.Link) {
 	for {
-		f, err := a.link.Receive()
+		f, err := link.Receive()
 		if err != nil {
 			return
 		}
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -111,8 +111,15 @@
 	// startNumber counts the starts on the link, up to this one.
 	startNumber uint64
 	// lateOrderReportedAt is when the agent reported that an order of the attempt may be executed late,
-	// or 0.
+	// or 0; lateOrderReportedBy is the incarnation of the agent that did.
 	lateOrderReportedAt time.Duration
+	lateOrderReportedBy uint64
+	// knownBy is the incarnation of the latest process of the agent that listed the attempt or
+	// reported it as lost, 0 if none did. reportedLost is set while that report proves nothing.
+	knownBy      uint64
+	reportedLost bool
+	// kept is set once it has been logged that the attempt is kept for a late order.
+	kept bool
 	// stopping is set once a stop order for the attempt has been sent.
 	stopping bool
 	// isolated and exclusiveFor are those of the start order.
--- a/internal/process/scheduler/late_test.go
+++ b/internal/process/scheduler/late_test.go
@@ -14,6 +14,7 @@
 
 // beat sends a frame every 50 ms until the end of the test, as an agent that is well.
 func (a *fakeAgent) beat() {
+	link := a.link
 	done := make(chan struct{})
 	a.t.Cleanup(func() { close(done) })
 	go func() {
@@ -22,24 +23,32 @@
 			case <-done:
 				return
 			case <-time.After(50 * time.Millisecond):
-				a.link.Send(peer.Frame{})
+				link.Send(peer.Frame{})
 			}
 		}
 	}()
 }
 
-// loseAgentWithLateOrder starts a task on one of two agents, which reports that an order of it may
-// be executed late and ends.
-func loseAgentWithLateOrder(t *testing.T) (tc *testCluster, lost, other *fakeAgent, answered <-chan Answer) {
+// startWithLateOrder starts a task on one of two agents, which reports that an order of it may be
+// executed late. Its caller waits for the duration wait.
+func startWithLateOrder(t *testing.T, wait time.Duration) (tc *testCluster, first, other *fakeAgent, started peer.Start, answered <-chan Answer) {
 	tc = newTestCluster(t)
-	lost = tc.agent("lost")
-	answered, _ = tc.submit(tc.job("j", 1, 1000))
-	s := lost.nextStart()
+	first = tc.agent("lost")
+	j := tc.job("j", 1, 1000)
+	j.Deadline = j.Arrived.Add(wait)
+	answered, _ = tc.submit(j)
+	started = first.nextStart()
 	other = tc.agent("other")
 	other.beat()
-	lost.report(s.Attempt, s.Need, peer.OutcomeStarted, "")
-	lost.link.Send(peer.Frame{LateOrders: []task.Attempt{s.Attempt}})
+	first.report(started.Attempt, started.Need, peer.OutcomeStarted, "")
+	first.link.Send(peer.Frame{LateOrders: []task.Attempt{started.Attempt}})
 	time.Sleep(reportDelay)
+	return tc, first, other, started, answered
+}
+
+// loseAgentWithLateOrder does the same, and the agent ends.
+func loseAgentWithLateOrder(t *testing.T) (tc *testCluster, lost, other *fakeAgent, answered <-chan Answer) {
+	tc, lost, other, _, answered = startWithLateOrder(t, 2*time.Second)
 	lost.link.Close()
 	return tc, lost, other, answered
 }
--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -33,11 +33,14 @@
 	if at == nil {
 		return
 	}
-	if r.Outcome == peer.OutcomeStarted {
+	switch r.Outcome {
+	case peer.OutcomeStarted:
 		s.recordStart(at)
-		return
+	case peer.OutcomeLost:
+		s.handleLost(at)
+	default:
+		s.resolve(at, r.Outcome, r.Refusal)
 	}
-	s.resolve(at, r.Outcome, r.Refusal)
 }
 
 // recordStart records the confirmed start of an attempt.
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -18,6 +18,8 @@
 type target struct {
 	name string
 	link *peer.Link
+	// agentIncarnation is that of the agent's process on the latest link.
+	agentIncarnation uint64
 	// reconciled is set once the attempts here have been compared with the runs that the agent
 	// lists in the first frame of its link. A start that is sent earlier would be missing there
 	// and count as lost.
@@ -151,33 +153,17 @@
 	return peer.OwnerLease + s.opts.TargetLease*(100+maxClockDriftPercent)/100 + expiryMargin
 }
 
-// recordLateOrders records the attempts of which an order may be executed late.
-func (t *target) recordLateOrders(late []task.Attempt, now time.Duration) {
-	for _, id := range late {
-		if at := t.attempts[id]; at != nil && at.lateOrderReportedAt == 0 {
-			at.lateOrderReportedAt = now
-		}
-	}
-}
-
-// mayStartLate reports whether an order of the attempt may still be executed after the lease of
-// its target has ended. While the agent is away the target may restart under its ID, and no token
-// prevents that its next incarnation executes the order.
-func (at *attempt) mayStartLate(now time.Duration) bool {
-	return at.lateOrderReportedAt > 0 && now-at.lateOrderReportedAt < peer.MaxOrderDelay
-}
-
 // sweepTarget resolves the attempts at a target whose agent has been silent for longer
 // than attemptExpiry, and removes the target if its agent stays disconnected. Attempts that may
-// start late wait for the next link of the agent: it links only after its first poll, with a
-// higher token than theirs.
+// start late wait for the next process of the agent, or until they no longer may.
 func (s *Scheduler) sweepTarget(t *target, now time.Duration) {
 	silent := now - t.lastFrameAt
-	if silent < s.attemptExpiry() {
-		return
-	}
 	for _, at := range t.attempts {
-		if !at.mayStartLate(now) {
+		switch {
+		case !at.reportedLost && silent < s.attemptExpiry():
+		case at.mayStartLate(now):
+			s.recordKept(at, now)
+		default:
 			s.resolve(at, peer.OutcomeLost, peer.RefusalNone)
 		}
 	}
