Test: reset the accepted starts of a fake agent under its lock

The race detector found the write of connect beside the frames of the replaced link (TestLateOrderReportedAgainOnNextLinkIsNotKeptLonger, in the only run with -race before). No check changes.

--- a/internal/process/scheduler/cluster_test.go
+++ b/internal/process/scheduler/cluster_test.go
@@ -146,7 +146,9 @@
 	tc := a.cluster
 	here, there := net.Pipe()
 	link := peer.NewLink(here, func(f *peer.Frame) { tc.scheduler.Stamp(a.name, f) })
+	a.mu.Lock()
 	a.accepted = 0
+	a.mu.Unlock()
 	a.link = peer.NewLink(there, func(f *peer.Frame) {
 		a.mu.Lock()
 		defer a.mu.Unlock()
