Test: set the age of a policy under the lock of the scheduler

TestFramesCarryTheAgeOfAnOldPolicy wrote the option while the link of its former round could still read it. No check changes.

--- a/internal/process/scheduler/policy_test.go
+++ b/internal/process/scheduler/policy_test.go
@@ -31,7 +31,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		tc := newTestCluster(t)
 		for _, c := range []struct{ age, want time.Duration }{{time.Second, 0}, {peer.FreshPolicyAge, 0}, {3 * time.Second, 3 * time.Second}} {
+			tc.scheduler.mu.Lock()
 			tc.scheduler.opts.PolicyAge = func() time.Duration { return c.age }
+			tc.scheduler.mu.Unlock()
 			tc.agent("a")
 			f := &peer.Frame{}
 			tc.scheduler.Stamp("a", f)
