--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -47,8 +47,9 @@
 	ran bool
 	// earlier is whether an earlier job of the same ID may have run here.
 	earlier verdict.Verdict
-	// ended is set once the job has been answered.
-	ended bool
+	// ended is set once the job has been answered, at endedAt.
+	ended   bool
+	endedAt time.Duration
 	// suspicion is what the crashes reported say about the job. separation is how far its
 	// tasks are kept apart from those of other jobs, isolatedAt the target to itself.
 	suspicion  load.Suspicion
@@ -111,8 +112,15 @@
 	// startNumber counts the starts on the link, up to this one.
 	startNumber uint64
 	// lateOrderReportedAt is when the agent reported that an order of the attempt may be executed late,
-	// or 0.
+	// or 0; lateOrderReportedBy is the incarnation of the agent that did.
 	lateOrderReportedAt time.Duration
+	lateOrderReportedBy uint64
+	// knownBy is the incarnation of the latest process of the agent that listed the attempt or
+	// reported it as lost, 0 if none did. reportedLost is set while that report proves nothing.
+	knownBy      uint64
+	reportedLost bool
+	// kept is set once it has been logged that the attempt is kept for a late order.
+	kept bool
 	// stopping is set once a stop order for the attempt has been sent.
 	stopping bool
 	// isolated and exclusiveFor are those of the start order.
@@ -223,7 +231,7 @@
 	if j.ended {
 		return
 	}
-	j.ended = true
+	j.ended, j.endedAt = true, s.now()
 	for i := range j.steps {
 		for _, it := range j.steps[i].items {
 			s.queueOf(j).Remove(it)
