Poll a target every 10 ms from the end of its lease if an order may come late

Callers saw a task run twice: a target left a start order and the polls after it unanswered, fell silent 2 ms later, and its attempt was reported as lost when the lease had ended. It came back under its ID and executed the late order, up to 80 ms before a poll of the agent fenced it.

Cause: polls are 10 ms apart while an order may come late, but only once the target had answered something after the order. One that answers nothing was taken for crashed before it.

The order now counts at once: from the end of the target's lease on, before its runs are reported as lost, polls that fail are 10 ms apart, for 15 s after the latest such order. Until the lease ends the attempt is held, and polls stay up to 80 ms apart: a target that is simply down gets no more calls than TestRetriesToFailingTargetAreBounded allows. The announcement of another incarnation counts as a sign of life, as an answer does: the incarnation after that one has seen no token either. One predicate, mayComeLate, now says for all callers whether an order can still be executed.

New: TestLateOrderDoesNotRunAtSecondIncarnationAfterItsAttemptIsLost fails without the line in replaceTargetLocked, TestFrequentPollsEndWithTheDelayOfOrders without the case in longestPollBackoff (13 polls in a second instead of 50 at least). All pass with the change.

--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -101,6 +101,7 @@
 	if m.target != nil {
 		m.noteCrashLocked(m.target, "a new incarnation announces itself")
 		m.endTargetLocked("new lifetime")
+		m.expectLateOrdersLocked()
 		for _, r := range m.runs {
 			m.misdirectedLocked(r)
 		}
--- a/internal/process/runs/lateorderlost_test.go
+++ b/internal/process/runs/lateorderlost_test.go
@@ -40,3 +40,55 @@
 		t.Errorf("a late order runs after its attempt was reported as lost, if the target is back %v after its lease", ran)
 	}
 }
+
+// The next incarnation executes the stop of an attempt whose order is late, and crashes before it
+// has answered a poll: the one after it must be polled before the order is executed.
+func TestLateOrderDoesNotRunAtSecondIncarnationAfterItsAttemptIsLost(t *testing.T) {
+	for phase := 0 * time.Millisecond; phase < backoffMax; phase += 7 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t)
+			h.target.set(func() {
+				h.target.startsToLeaveUnanswered, h.target.delayStarts, h.target.pollsUnanswered = startTries, true, true
+			})
+			a := h.start(0, 1, task.Resources{CPU: 1000})
+			time.Sleep(2 * time.Millisecond)
+			h.target.restart()
+			h.announce(Announcement{Incarnation: 2, Sequence: 1})
+			h.waitOutcome(a, peer.OutcomeLost)
+			h.target.set(func() { h.target.refuses = true })
+			time.Sleep(2*backoffMax + phase)
+			h.target.set(func() {
+				h.target.pollsUnanswered, h.target.refuses, h.target.pollsByOther = false, false, true
+				h.target.restart()
+			})
+			time.Sleep(2 * backoffMin)
+			h.target.set(func() { h.target.delayedStarts[0]() })
+			if h.target.isRunning(a) {
+				t.Errorf("back %v after the crash: the late order runs after its attempt was reported as lost", 2*backoffMax+phase)
+			}
+		})
+	}
+}
+
+// A target that is down is polled as usual once no order can be executed late any more.
+func TestFrequentPollsEndWithTheDelayOfOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() { h.target.unresponsive = true })
+		h.waitOutcome(h.start(0, 1, task.Resources{CPU: 1000}), peer.OutcomeLost)
+		callsWithin := func(d time.Duration) int {
+			var before, after int
+			h.target.set(func() { before = h.target.calls })
+			time.Sleep(d)
+			h.target.set(func() { after = h.target.calls })
+			return after - before
+		}
+		if n, want := callsWithin(time.Second), int(time.Second/(2*backoffMin)); n < want {
+			t.Errorf("%d polls in a second in which the order may be executed late, want %d at least", n, want)
+		}
+		time.Sleep(peer.MaxOrderDelay)
+		if n, want := callsWithin(time.Second), int(time.Second/backoffMax)+1; n > want {
+			t.Errorf("%d polls in a second after that, want %d at most", n, want)
+		}
+	})
+}
--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -90,6 +90,10 @@
 	}
 }
 
+// mayComeLate reports whether a start order without an answer may still be executed; sentAt is zero
+// if there is none.
+func mayComeLate(sentAt time.Time) bool { return time.Since(sentAt) < peer.MaxOrderDelay }
+
 // mayStartLateLocked reports whether the next incarnation of a target may execute a start order
 // of a run. It has seen no fencing token, and if it has the same ID, no field of the order
 // distinguishes it from the former one. That can happen to an order that the target left
@@ -97,16 +101,20 @@
 // stopped it. The first such order decides: its repeats may have been sent to a target that had
 // crashed already.
 func (m *Manager) mayStartLateLocked(t *targetIncarnation, r *run) bool {
-	return !r.firstUnansweredAt.IsZero() && t.answeredAt.After(r.firstUnansweredAt) && time.Since(r.firstUnansweredAt) < peer.MaxOrderDelay
+	return mayComeLate(r.firstUnansweredAt) && t.answeredAt.After(r.firstUnansweredAt)
 }
 
+// expectLateOrdersLocked records that the target or its next incarnation is up, so that it may well
+// execute the start orders without an answer.
+func (m *Manager) expectLateOrdersLocked() { m.lateOrderSentAt = m.latestUnansweredAt }
+
 // lateOrdersLocked returns the attempts of an entry of which a start order has no answer and may
 // still be executed. While this process is away nobody fences that order, so the entry must not
 // take the end of the target's lease for the end of the attempt.
 func (m *Manager) lateOrdersLocked(o *owner) []task.Attempt {
 	var late []task.Attempt
 	for _, r := range m.runs {
-		if r.owner == o.incarnation && !r.firstUnansweredAt.IsZero() && time.Since(r.firstUnansweredAt) < peer.MaxOrderDelay {
+		if r.owner == o.incarnation && mayComeLate(r.firstUnansweredAt) {
 			late = append(late, r.attempt)
 		}
 	}
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -72,8 +72,8 @@
 	// lastToken is the highest token of former incarnations.
 	lastToken uint64
 	// latestUnansweredAt is when the latest start order without an answer was sent. lateOrderSentAt
-	// is the same of those that the target left unanswered while it answered others: such an order
-	// may be executed late.
+	// is the same of those after which the target, or its next incarnation, was known to be up: such
+	// an order may well be executed late.
 	latestUnansweredAt, lateOrderSentAt time.Time
 	// earlierEnds holds the results of runs of an earlier process of this agent that had ended
 	// when the first report arrived, at firstReportAt.
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -35,7 +35,7 @@
 		cancel()
 		if err != nil {
 			m.pollFailed(t, err)
-			retry.sleepUpTo(t.ctx, sent, m.longestPollBackoff())
+			retry.sleepUpTo(t.ctx, sent, m.longestPollBackoff(t))
 			wait = 0
 			continue
 		}
@@ -46,12 +46,17 @@
 
 // longestPollBackoff returns the longest time between polls that fail. While a start order may
 // still be executed late, the next incarnation of the target is polled as soon as it is up: until
-// then it would execute the order.
-func (m *Manager) longestPollBackoff() time.Duration {
+// then it would execute the order. A target that has answered nothing since the order is probably
+// down, and its runs are kept until its lease has ended: it is polled as often from then on.
+func (m *Manager) longestPollBackoff(t *targetIncarnation) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if time.Since(m.lateOrderSentAt) < peer.MaxOrderDelay {
+	switch {
+	case mayComeLate(m.lateOrderSentAt):
 		return backoffMin
+	case mayComeLate(m.latestUnansweredAt):
+		leaseLeft := m.opts.TargetLease - time.Since(t.renewedAt)
+		return min(max(leaseLeft, backoffMin), backoffMax)
 	}
 	return backoffMax
 }
@@ -133,7 +138,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t.answeredAt, t.unanswered = time.Now(), 0
-	m.lateOrderSentAt = m.latestUnansweredAt
+	m.expectLateOrdersLocked()
 	m.withdrawCrashLocked(t)
 	if t.unresponsive {
 		t.unresponsive = false
