Keep an attempt with a late order once the next incarnation has answered

Callers saw a task run twice: a target that had answered nothing since a start order came back under its ID before its lease had ended, and executed the late order in the up to 80 ms between two polls. If its announcement was late, the agent reported the attempt as lost when the lease of the former incarnation had ended, while the run went on for up to one more lease.

Cause: mayStartLateLocked asks whether the target has answered anything since the order. The answers of another incarnation to polls didn't count, although they show that an incarnation is up which may have executed the order.

They count now (targetIncarnation.replaced): the attempt is kept until that incarnation has announced itself and stopped it, for 15 s at most.

--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -62,6 +62,8 @@
 	// because clocks were set back before the target restarted. Silence alone is no reason: a
 	// delayed announcement of an earlier incarnation may arrive meanwhile.
 	replaceable bool
+	// replaced is set once another incarnation has answered.
+	replaced bool
 	// leaving is set once the target has deregistered.
 	leaving bool
 	// crashed is set once the target appears to have ended or hung without notice.
--- a/internal/process/runs/lateorderlost_test.go
+++ b/internal/process/runs/lateorderlost_test.go
@@ -92,3 +92,32 @@
 		}
 	})
 }
+
+// The next incarnation executes the order before a poll reaches it, and announces itself only after
+// the lease of the former one has ended: the attempt is kept until it is stopped there.
+func TestAttemptIsKeptWhileItsLateOrderRunsAtUnannouncedIncarnation(t *testing.T) {
+	for back := 10 * time.Millisecond; back < unresponsiveAfter+testLease; back += 40 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t)
+			h.target.set(func() {
+				h.target.startsToLeaveUnanswered, h.target.delayStarts, h.target.pollsUnanswered = 1, true, true
+			})
+			a := h.start(0, 1, task.Resources{CPU: 1000})
+			time.Sleep(2 * time.Millisecond)
+			h.target.set(func() { h.target.refuses = true })
+			time.Sleep(back)
+			h.target.set(func() {
+				h.target.pollsUnanswered, h.target.refuses, h.target.pollsByOther = false, false, true
+				h.target.restart()
+				h.target.delayedStarts[0]()
+			})
+			h.expectNoResult(a, unresponsiveAfter+2*testLease)
+			h.target.set(func() { h.target.pollsByOther = false })
+			h.announce(Announcement{Incarnation: 2, Sequence: 1})
+			h.waitOutcome(a, peer.OutcomeLost)
+			if h.target.isRunning(a) {
+				t.Errorf("back %v after the crash: reported as lost while it runs", back)
+			}
+		})
+	}
+}
--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -97,11 +97,11 @@
 // mayStartLateLocked reports whether the next incarnation of a target may execute a start order
 // of a run. It has seen no fencing token, and if it has the same ID, no field of the order
 // distinguishes it from the former one. That can happen to an order that the target left
-// unanswered while it answered others; the run is then kept until the next incarnation has
-// stopped it. The first such order decides: its repeats may have been sent to a target that had
-// crashed already.
+// unanswered while it answered others, or if the next incarnation is up; the run is then kept until
+// that one has stopped it. The first such order decides: its repeats may have been sent to a target
+// that had crashed already.
 func (m *Manager) mayStartLateLocked(t *targetIncarnation, r *run) bool {
-	return mayComeLate(r.firstUnansweredAt) && t.answeredAt.After(r.firstUnansweredAt)
+	return mayComeLate(r.firstUnansweredAt) && (t.replaced || t.answeredAt.After(r.firstUnansweredAt))
 }
 
 // expectLateOrdersLocked records that the target or its next incarnation is up, so that it may well
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -100,6 +100,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t.fenceUnansweredLocked()
+	t.replaced = true
 	if t.replaceable {
 		return
 	}
