Refuse a start that would end with the shortened lease of its target

Callers lost attempts: while a run can't be stopped, its target's lease ends 1,000 ms after the stop request, for all runs there. A start sent 950 or 980 ms after the request was executed, and lost 60 or 30 ms later, although another target might have been free.

Cause: the agent refuses a start only once nothing at all is left of the lease.

A start is now refused as unavailable, when it arrives and before each order, if a run's stop has been in vain for stopTime and the lease ends before the start's expected run time is over: at least minStartLease, in which the next poll is answered, and at most stopTime, beyond which the stop may still get through. Both follow from the intervals of polls and retries. Only such runs count: the lease that is short because an entry was not heard for a while is extended by its next echo or once its runs are stopped, also where callers retry so soon that 100 ms are left when the entry's lease has expired.

--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -183,7 +183,7 @@
 	RefusalNone Refusal = ""
 	// RefusalNoCapacity: the target does not have enough free capacity.
 	RefusalNoCapacity Refusal = "room"
-	// RefusalUnavailable: the target drains, is absent or does not answer.
+	// RefusalUnavailable: the target drains, is absent, does not answer or is about to end its runs.
 	RefusalUnavailable Refusal = "unavailable"
 	// RefusalDataCentreOut: the data centre is out of service.
 	RefusalDataCentreOut Refusal = "data_centre_out"
--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -18,6 +18,10 @@
 	callerRetryMargin = 280 * time.Millisecond
 	// minRunLimit leaves time to stop the runs of a silent entry before the target ends all runs.
 	minRunLimit = peer.OwnerLease + 100*time.Millisecond
+	// minStartLease is the shortest lease that a start needs: it lasts until the next poll is answered.
+	minStartLease = pollWait + pollGrace
+	// stopTime is the time in which a stop order usually gets through, also if its first tries fail.
+	stopTime = 3 * backoffMax
 )
 
 // runLimit returns how long after its entry was last known to be alive a run can go on, whatever
@@ -50,6 +54,24 @@
 	return permit, claimed && until.After(now)
 }
 
+// endsWithLeaseLocked reports whether a start of an expected run time would probably end with the
+// target's lease: a run there can't be stopped, and the lease is not extended beyond its end. A lease
+// that is short for another reason is extended by the next echo, or once the run is stopped.
+func (m *Manager) endsWithLeaseLocked(expected time.Duration) bool {
+	needed := min(max(expected, minStartLease), stopTime)
+	clock, limit := m.clock(), runLimit(m.opts.CallerRetry)
+	for _, r := range m.runs {
+		o := m.owners[r.owner]
+		if o == nil || !r.stopRequested || clock-r.stopRequestedAt < stopTime {
+			continue
+		}
+		if r.lastNeeded(o)+limit-clock < needed {
+			return true
+		}
+	}
+	return false
+}
+
 // lastNeeded returns when a caller was last known to wait for a run: the latest echo of its entry,
 // or the request to stop the run if that was earlier. A caller that has left turns to another entry
 // as one does whose entry has failed.
--- a/internal/process/runs/lease_test.go
+++ b/internal/process/runs/lease_test.go
@@ -207,6 +207,101 @@
 	}
 }
 
+// stopInVain starts a run and orders its stop, which the target rejects.
+func (h *harness) stopInVain() {
+	h.t.Helper()
+	a := h.start(0, 1, task.Resources{CPU: 1000})
+	h.waitStarted(a)
+	h.target.set(func() { h.target.stopsToReject = 1000 })
+	h.entry.Send(peer.Frame{Stops: []task.Attempt{a}})
+}
+
+// While a run can't be stopped, other starts go on as long as they may be done before the lease ends,
+// or the stop may still get through in time.
+func TestStartIsRefusedOnlyIfItWouldEndWithTheShortenedLease(t *testing.T) {
+	for _, c := range []struct {
+		after, expected time.Duration
+		refused         bool
+	}{
+		{100 * time.Millisecond, 100 * time.Millisecond, false},
+		{100 * time.Millisecond, time.Minute, false},
+		{700 * time.Millisecond, time.Minute, false},
+		{800 * time.Millisecond, time.Minute, true},
+		{800 * time.Millisecond, 100 * time.Millisecond, false},
+		{880 * time.Millisecond, 100 * time.Millisecond, false},
+		{910 * time.Millisecond, 100 * time.Millisecond, true},
+		{910 * time.Millisecond, 0, false},
+		{930 * time.Millisecond, 0, true},
+		{930 * time.Millisecond, time.Millisecond, true},
+	} {
+		t.Run(fmt.Sprint(c.after, " ", c.expected), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.stopInVain()
+				time.Sleep(c.after)
+				a := task.Attempt{Key: task.Key{Job: "j", Index: 1}, Run: 1}
+				start := peer.Start{Attempt: a, Need: task.Resources{CPU: 1000}, Incarnation: 1, Expected: c.expected}
+				h.receive(7, peer.Frame{Starts: []peer.Start{start}})
+				if c.refused {
+					h.expectRefusedAsUnavailable(a)
+					if n := h.manager.opts.Counters.Counter("starts_refused_unavailable").Count(); n != 1 {
+						t.Errorf("%d starts refused on arrival", n)
+					}
+				} else {
+					h.waitStarted(a)
+				}
+			})
+		})
+	}
+}
+
+// The order of an accepted start is lost, and is not repeated once too little of the lease is left.
+func TestStartIsNotRepeatedShortlyBeforeEndOfShortenedLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.stopInVain()
+		time.Sleep(895 * time.Millisecond)
+		h.delayStarts(1)
+		a := h.start(1, 1, task.Resources{CPU: 1000})
+		h.waitOutcome(a, peer.OutcomeRefused)
+		if n := h.target.startsOf(a); n > 0 {
+			t.Errorf("started %d times", n)
+		}
+	})
+}
+
+// An entry falls silent, its runs are stopped when its lease has expired, and the target rejects the
+// first stop orders: the starts of another entry go on all the time.
+func TestStartsGoOnBesideRunOfSilentEntry(t *testing.T) {
+	for _, retry := range []time.Duration{callerRetry, 500 * time.Millisecond} {
+		t.Run(fmt.Sprint("callers retry after ", retry), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.manager.mu.Lock()
+				h.manager.opts.CallerRetry = retry
+				h.manager.mu.Unlock()
+				a := h.start(0, 1, task.Resources{CPU: 1000})
+				h.waitStarted(a)
+				h.target.set(func() { h.target.stopsToReject = 2 })
+				close(h.entrySilent)
+				silent := time.Now()
+				h.entrySilent = make(chan struct{})
+				h.connect(8)
+				h.waitFor(func(f *peer.Frame) bool { return f.Hello != nil })
+				for i := 1; time.Since(silent) < latestEnd; i++ {
+					b := h.start(i, 1, task.Resources{CPU: 100})
+					h.waitStarted(b)
+					h.target.end(b, peer.OutcomeDone)
+					time.Sleep(7 * time.Millisecond)
+				}
+				if h.target.isRunning(a) {
+					t.Error("the run of the silent entry was not stopped: the test shows nothing")
+				}
+			})
+		})
+	}
+}
+
 // A stop order that succeeds ends no other run, and starts go on meanwhile.
 func TestStoppedRunDoesNotEndTheLeaseOfOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -88,6 +88,8 @@
 		return peer.RefusalIsolation
 	case !s.Need.FitsIn(m.freeLocked()):
 		return peer.RefusalNoCapacity
+	case m.endsWithLeaseLocked(s.Expected):
+		return peer.RefusalUnavailable
 	}
 	return peer.RefusalNone
 }
@@ -231,7 +233,7 @@
 		return Permit{}, refusal
 	}
 	permit, mayRenew := m.permitLocked(t)
-	if !mayRenew {
+	if !mayRenew || m.endsWithLeaseLocked(r.expected) {
 		m.opts.Counters.Counter("start_permits_lapsed").Inc(1)
 		return Permit{}, peer.RefusalUnavailable
 	}
