Leave entry_heard out of a log line if the entry is not known

Operators saw entry_heard=0 in "run started" and "run stopped", as if the entry had been heard at that moment, for a run of an entry that the agent doesn't know, such as an adopted run. sinceEchoLocked returned 0 for it. The field is now missing there.

Evidence: TestLogDoesNotSayWhenAnUnknownEntryWasHeard failed before.

--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -55,7 +55,7 @@
 	}
 	r.stopRequested, r.stopRequestedAt = true, m.clock()
 	m.opts.Log.Info().Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).
-		Str("reason", reason).Dur("entry_heard", m.sinceEchoLocked(r.owner)).Msg("run stopped")
+		Str("reason", reason).Func(m.entryHeardLocked(r.owner)).Msg("run stopped")
 	m.opts.Counters.Counter("runs_stopped").Inc(1)
 	switch r.phase {
 	case phaseRunning:
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
@@ -193,14 +195,14 @@
 	o.lastEcho = max(o.lastEcho, echo)
 }
 
-// sinceEchoLocked returns how long ago an entry is known to have been alive, for the log; 0 if
-// no entry of that incarnation is known.
-func (m *Manager) sinceEchoLocked(incarnation uint64) time.Duration {
-	o := m.owners[incarnation]
-	if o == nil {
-		return 0
+// entryHeardLocked adds to a log line how long ago an entry is known to have been alive, unless no
+// entry of that incarnation is known.
+func (m *Manager) entryHeardLocked(incarnation uint64) func(*zerolog.Event) {
+	return func(e *zerolog.Event) {
+		if o := m.owners[incarnation]; o != nil {
+			e.Dur("entry_heard", m.clock()-o.lastEcho)
+		}
 	}
-	return m.clock() - o.lastEcho
 }
 
 // acknowledge drops the results up to a number.
--- a/internal/process/runs/owner_test.go
+++ b/internal/process/runs/owner_test.go
@@ -1,9 +1,12 @@
 package runs
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -384,3 +387,36 @@
 		}
 	})
 }
+
+// No figure stands for an entry that is not known: 0 would read as heard just now.
+func TestLogDoesNotSayWhenAnUnknownEntryWasHeard(t *testing.T) {
+	for name, logLine := range map[string]func(*Manager, *run){
+		"run started": func(m *Manager, r *run) {
+			r.phase = phaseStarting
+			m.startConfirmed(m.target, r)
+		},
+		"run stopped": func(m *Manager, r *run) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			r.phase = phaseStopping
+			m.stopLocked(r.attempt, "a reason")
+		},
+	} {
+		for incarnation, known := range map[uint64]bool{7: true, 8: false} {
+			t.Run(fmt.Sprint(name, " known ", known), func(t *testing.T) {
+				var log bytes.Buffer
+				m := New(Options{Log: zerolog.New(&log), Counters: metrics.New(), TargetLease: testLease})
+				m.target = &targetIncarnation{}
+				m.owners[7] = &owner{incarnation: 7}
+				a := task.Attempt{Key: task.Key{Job: "j"}, Run: 1}
+				r := &run{attempt: a, owner: incarnation}
+				m.runs[a.Key] = r
+				logLine(m, r)
+				line := log.String()
+				if !strings.Contains(line, name) || strings.Contains(line, "entry_heard") != known {
+					t.Error(line)
+				}
+			})
+		}
+	}
+}
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -266,7 +266,7 @@
 	r.pace.Start(m.clock())
 	m.opts.Log.Info().Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
 		Str("target", t.ID).Int64("free_cpu", m.freeLocked().CPU).Dur("accepted_ago", m.clock()-r.orderedAt).
-		Dur("entry_heard", m.sinceEchoLocked(r.owner)).Int("orders", r.orders.Sent).
+		Func(m.entryHeardLocked(r.owner)).Int("orders", r.orders.Sent).
 		Int("unanswered", r.orders.Open).Str("decided_by", r.decidedBy).Msg("run started")
 	m.sendResultLocked(r.owner, r.attempt, peer.OutcomeStarted, peer.RefusalNone)
 	if r.stopRequested {
