--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -18,6 +18,10 @@
 	callerRetryMargin = 280 * time.Millisecond
 	// minRunLimit leaves time to stop the runs of a silent entry before the target ends all runs.
 	minRunLimit = peer.OwnerLease + 100*time.Millisecond
+	// minStartLease is the shortest lease that a start needs: it lasts until the next poll is answered.
+	minStartLease = pollWait + pollGrace
+	// stopTime is the time in which a stop order usually gets through, also if its first tries fail.
+	stopTime = 3 * backoffMax
 )
 
 // runLimit returns how long after its entry was last known to be alive a run can go on, whatever
@@ -50,6 +54,24 @@
 	return permit, claimed && until.After(now)
 }
 
+// endsWithLeaseLocked reports whether a start of an expected run time would probably end with the
+// target's lease: a run there can't be stopped, and the lease is not extended beyond its end. A lease
+// that is short for another reason is extended by the next echo, or once the run is stopped.
+func (m *Manager) endsWithLeaseLocked(expected time.Duration) bool {
+	needed := min(max(expected, minStartLease), stopTime)
+	clock, limit := m.clock(), runLimit(m.opts.CallerRetry)
+	for _, r := range m.runs {
+		o := m.owners[r.owner]
+		if o == nil || !r.stopRequested || clock-r.stopRequestedAt < stopTime {
+			continue
+		}
+		if r.lastNeeded(o)+limit-clock < needed {
+			return true
+		}
+	}
+	return false
+}
+
 // lastNeeded returns when a caller was last known to wait for a run: the latest echo of its entry,
 // or the request to stop the run if that was earlier. A caller that has left turns to another entry
 // as one does whose entry has failed.
@@ -90,23 +112,31 @@
 	}
 }
 
+// mayComeLate reports whether a start order without an answer may still be executed; sentAt is zero
+// if there is none.
+func mayComeLate(sentAt time.Time) bool { return time.Since(sentAt) < peer.MaxOrderDelay }
+
 // mayStartLateLocked reports whether the next incarnation of a target may execute a start order
 // of a run. It has seen no fencing token, and if it has the same ID, no field of the order
 // distinguishes it from the former one. That can happen to an order that the target left
-// unanswered while it answered others; the run is then kept until the next incarnation has
-// stopped it. The first such order decides: its repeats may have been sent to a target that had
-// crashed already.
+// unanswered while it answered others, or if the next incarnation is up; the run is then kept until
+// that one has stopped it. The first such order decides: its repeats may have been sent to a target
+// that had crashed already.
 func (m *Manager) mayStartLateLocked(t *targetIncarnation, r *run) bool {
-	return !r.firstUnansweredAt.IsZero() && t.answeredAt.After(r.firstUnansweredAt) && time.Since(r.firstUnansweredAt) < peer.MaxOrderDelay
+	return mayComeLate(r.firstUnansweredAt) && (t.replaced || t.answeredAt.After(r.firstUnansweredAt))
 }
 
+// expectLateOrdersLocked records that the target or its next incarnation is up, so that it may well
+// execute the start orders without an answer.
+func (m *Manager) expectLateOrdersLocked() { m.lateOrderSentAt = m.latestUnansweredAt }
+
 // lateOrdersLocked returns the attempts of an entry of which a start order has no answer and may
 // still be executed. While this process is away nobody fences that order, so the entry must not
 // take the end of the target's lease for the end of the attempt.
 func (m *Manager) lateOrdersLocked(o *owner) []task.Attempt {
 	var late []task.Attempt
 	for _, r := range m.runs {
-		if r.owner == o.incarnation && !r.firstUnansweredAt.IsZero() && time.Since(r.firstUnansweredAt) < peer.MaxOrderDelay {
+		if r.owner == o.incarnation && mayComeLate(r.firstUnansweredAt) {
 			late = append(late, r.attempt)
 		}
 	}
