Replay: print the warnings of the processes beside a violation

The logs of the processes are removed with the fleet, so that failures of the replay under load were listed untraced. The verdict of a replay is as before.

--- a/internal/bench/replay/replay.go
+++ b/internal/bench/replay/replay.go
@@ -45,7 +45,11 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err // the outcomes of an interrupted replay cannot be checked
 	}
-	return p.check(), nil
+	violations := p.check()
+	if len(violations) > 0 {
+		p.logWarnings()
+	}
+	return violations, nil
 }
 
 // player replays one trace and records what happens.
