Keep a run with a late order also while the announced incarnation is silent

Callers could see a task run twice: a target left a start order unanswered, ran its repeat, crashed and came back under its ID. Its next incarnation announced itself and answered nothing for longer than the lease; the agent reported the run as lost, and the incarnation could still execute the order.

Cause: stopMisdirected counts only the lease. The 15 s of a late order held for an incarnation that had not announced itself, and not for one that had.

Stop orders are sent less often once the lease is over: polls every 10 ms fence the order and settle the run by then.

--- a/internal/process/runs/resolve.go
+++ b/internal/process/runs/resolve.go
@@ -150,15 +150,22 @@
 }
 
 // stopMisdirected sends stop orders until one is executed, a report settles the run, or the
-// target's lease has certainly expired, and then reports the run as lost.
+// target's lease has certainly expired and no order can be executed late, and then reports the
+// run as lost.
 func (m *Manager) stopMisdirected(r *run) {
-	lease := m.targetLease()
-	for startTime := time.Now(); time.Since(startTime) < lease && m.isMisdirected(r); {
+	leaseEnd := time.Now().Add(m.targetLease())
+	var retry backoff
+	for m.mayBeStarted(r, leaseEnd) {
+		sent := time.Now()
 		if m.stopAtCurrentTarget(r) {
 			time.Sleep(leaseMargin)
 			break
 		}
-		time.Sleep(pollBackoff)
+		if sent.Before(leaseEnd) {
+			time.Sleep(pollBackoff)
+		} else {
+			retry.sleep(context.Background(), sent)
+		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -167,10 +174,12 @@
 	}
 }
 
-func (m *Manager) isMisdirected(r *run) bool {
+// mayBeStarted reports whether a misdirected run is not settled, and may be at the current
+// incarnation of the target or be started there.
+func (m *Manager) mayBeStarted(r *run, leaseEnd time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.runs[r.attempt.Key] == r
+	return m.runs[r.attempt.Key] == r && (time.Now().Before(leaseEnd) || mayComeLate(r.firstUnansweredAt))
 }
 
 // stopAtCurrentTarget sends one stop order to the current incarnation of the target and
