Report runs as lost also while another incarnation answers unannounced

Callers waited until their deadline: a target ended, another incarnation answered the polls at its address and its announcement never arrived.

Cause: the end of a lease was looked for only after polls without an answer.

The announced incarnation gets no renewals then, so that its lease has ended.

--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -87,6 +87,7 @@
 		m.raiseToken(t, token, tokenStep)
 	case AnswerOtherIncarnation, AnswerDoneByOtherIncarnation:
 		m.markReplaced(t)
+		m.expireTargetLease(t)
 		time.Sleep(pollBackoff)
 	default:
 		time.Sleep(pollBackoff)
