Count the age of a late order from the last of its repeats

A target left all orders of an attempt unanswered and crashed: the attempt was reported as lost up to 500 ms (maxOrderAge) before the last order could no longer be executed.

Cause: the 15 s counted from the first order without an answer. That one only decides whether the target was up. The entry still counts from the first report.

--- a/internal/process/runs/lease.go
+++ b/internal/process/runs/lease.go
@@ -120,10 +120,10 @@
 // of a run. It has seen no fencing token, and if it has the same ID, no field of the order
 // distinguishes it from the former one. That can happen to an order that the target left
 // unanswered while it answered others, or if the next incarnation is up; the run is then kept until
-// that one has stopped it. The first such order decides: its repeats may have been sent to a target
-// that had crashed already.
+// that one has stopped it. The first such order decides whether the target was up, since its repeats
+// may have been sent to one that had crashed already; the last one decides for how long.
 func (m *Manager) mayStartLateLocked(t *targetIncarnation, r *run) bool {
-	return mayComeLate(r.firstUnansweredAt) && (t.replaced || t.answeredAt.After(r.firstUnansweredAt))
+	return mayComeLate(r.lastUnansweredAt) && (t.replaced || t.answeredAt.After(r.firstUnansweredAt))
 }
 
 // expectLateOrdersLocked records that the target or its next incarnation is up, so that it may well
@@ -136,7 +136,7 @@
 func (m *Manager) lateOrdersLocked(o *owner) []task.Attempt {
 	var late []task.Attempt
 	for _, r := range m.runs {
-		if r.owner == o.incarnation && mayComeLate(r.firstUnansweredAt) {
+		if r.owner == o.incarnation && mayComeLate(r.lastUnansweredAt) {
 			late = append(late, r.attempt)
 		}
 	}
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -119,8 +119,9 @@
 	// or event that ended the start, for the log.
 	orders    verdict.Tries
 	decidedBy string
-	// firstUnansweredAt is when the first start order was sent that the target has not answered.
-	firstUnansweredAt time.Time
+	// firstUnansweredAt and lastUnansweredAt are when the first and the last start order were
+	// sent that the target has not answered.
+	firstUnansweredAt, lastUnansweredAt time.Time
 	// orderToken is the token of the latest start order.
 	orderToken uint64
 	// confirmedAt is when an answer of the target last confirmed the run.
--- a/internal/process/runs/resolve.go
+++ b/internal/process/runs/resolve.go
@@ -179,7 +179,7 @@
 func (m *Manager) mayBeStarted(r *run, leaseEnd time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.runs[r.attempt.Key] == r && (time.Now().Before(leaseEnd) || mayComeLate(r.firstUnansweredAt))
+	return m.runs[r.attempt.Key] == r && (time.Now().Before(leaseEnd) || mayComeLate(r.lastUnansweredAt))
 }
 
 // stopAtCurrentTarget sends one stop order to the current incarnation of the target and
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -194,7 +194,7 @@
 		r.firstUnansweredAt = permit.IssuedAt
 		m.reportLateOrderLocked(r)
 	}
-	m.latestUnansweredAt = permit.IssuedAt
+	r.lastUnansweredAt, m.latestUnansweredAt = permit.IssuedAt, permit.IssuedAt
 	t.unansweredToken = max(t.unansweredToken, permit.Token)
 }
 
