Wait for the stop of a run whose agent was away before its job is turned away

A caller that sent its job again just after the agent was back was answered 504, 50 ms before the run's stop was reported.

--- a/internal/process/scheduler/agentlink.go
+++ b/internal/process/scheduler/agentlink.go
@@ -195,5 +195,5 @@
 			s.resolve(at, peer.OutcomeLost, peer.RefusalNone)
 		}
 	}
-	t.reconciled = true
+	t.reconciled, t.reconciledAt = true, s.now()
 }
--- a/internal/process/scheduler/late.go
+++ b/internal/process/scheduler/late.go
@@ -61,8 +61,12 @@
 		return false
 	}
 	expiry := s.attemptExpiry()
+	if at.reportedLost || now-at.target.lastFrameAt >= expiry {
+		return true
+	}
+	// An agent that was away learns of the job's end when it links again.
 	j := at.item.job
-	return at.reportedLost || now-at.target.lastFrameAt >= expiry || (j.ended && now-j.endedAt >= expiry)
+	return j.ended && now-max(j.endedAt, at.target.reconciledAt) >= expiry
 }
 
 // keptUntil returns until when attempts of a job are kept for their late orders, 0 if none is.
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -22,9 +22,10 @@
 	agentIncarnation uint64
 	// reconciled is set once the attempts here have been compared with the runs that the agent
 	// lists in the first frame of its link. A start that is sent earlier would be missing there
-	// and count as lost.
-	reconciled bool
-	info       peer.Target
+	// and count as lost. reconciledAt is when that was done last.
+	reconciled   bool
+	reconciledAt time.Duration
+	info         peer.Target
 	// reportedFree is the free capacity in the latest frame, which does not count
 	// starts that the agent had not received by then.
 	reportedFree task.Resources
