Take a lost run as final once the next incarnation of its target is available

A task was held for the rest of the 15 s, and its caller with it, although its late order was fenced: the next process of the agent reported the run as lost, and the next incarnation of the target had answered it.

A target is available only once its incarnation has answered a poll of that process, whose tokens are higher than that of the order.

--- a/internal/process/scheduler/agentlink.go
+++ b/internal/process/scheduler/agentlink.go
@@ -162,6 +162,7 @@
 	if restarted && t.usable(s.now()) {
 		s.recordRestart(t, s.now())
 	}
+	s.resolveFenced(t)
 	s.assignTargetsApart(s.now())
 }
 
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -109,6 +109,8 @@
 	// the start is confirmed.
 	sentAt    time.Duration
 	startedAt time.Duration
+	// targetIncarnation is the incarnation of the target for which it was sent.
+	targetIncarnation int64
 	// startNumber counts the starts on the link, up to this one.
 	startNumber uint64
 	// lateOrderReportedAt is when the agent reported that an order of the attempt may be executed late,
@@ -116,11 +118,12 @@
 	lateOrderReportedAt time.Duration
 	lateOrderReportedBy uint64
 	// knownBy is the incarnation of the latest process of the agent that listed the attempt or
-	// reported it as lost, 0 if none did. reportedLost is set while that report proves nothing.
+	// reported it as lost, 0 if none did. reportedLost is set if a process did that which does not
+	// know of the late order.
 	knownBy      uint64
 	reportedLost bool
-	// kept is set once it has been logged that the attempt is kept for a late order.
-	kept bool
+	// keptLogged is set once it has been logged that the attempt is kept for a late order.
+	keptLogged bool
 	// stopping is set once a stop order for the attempt has been sent.
 	stopping bool
 	// isolated and exclusiveFor are those of the start order.
--- a/internal/process/scheduler/late.go
+++ b/internal/process/scheduler/late.go
@@ -28,13 +28,20 @@
 // lateUntil returns when the late order of an attempt can no longer be executed.
 func (at *attempt) lateUntil() time.Duration { return at.lateOrderReportedAt + peer.MaxOrderDelay }
 
+// isFenced reports whether the next incarnation of its target has answered the linked process of
+// the agent, whose tokens are higher than that of the late order. A target is available only then.
+func (at *attempt) isFenced() bool {
+	info := &at.target.info
+	return info.Available && info.Incarnation != at.targetIncarnation
+}
+
 // handleLost handles the report of the linked process of an agent that the lease of an attempt
 // has ended. The process that reported its late order keeps the attempt until that cannot be
-// executed any more; a later one does not know of the order, and proves nothing about it.
+// executed any more; a later one does not know of the order, and proves nothing before the order is fenced.
 func (s *Scheduler) handleLost(at *attempt) {
 	now := s.now()
 	reporter := at.target.agentIncarnation
-	if !at.mayStartLate(now) || at.lateOrderReportedBy == reporter {
+	if !at.mayStartLate(now) || at.lateOrderReportedBy == reporter || at.isFenced() {
 		s.resolve(at, peer.OutcomeLost, peer.RefusalNone)
 		return
 	}
@@ -42,12 +49,22 @@
 	s.recordKept(at, now)
 }
 
+// resolveFenced resolves the attempts at a target that were reported as lost, and of which the
+// late order is fenced.
+func (s *Scheduler) resolveFenced(t *target) {
+	for _, at := range t.attempts {
+		if at.reportedLost && at.isFenced() {
+			s.resolve(at, peer.OutcomeLost, peer.RefusalNone)
+		}
+	}
+}
+
 // recordKept logs and counts, once, that an attempt is kept for its late order.
 func (s *Scheduler) recordKept(at *attempt, now time.Duration) {
-	if at.kept {
+	if at.keptLogged {
 		return
 	}
-	at.kept = true
+	at.keptLogged = true
 	s.opts.Counters.Counter("attempts_kept").Inc(1)
 	s.opts.Log.Warn().Str("job", at.id.Key.Job).Stringer("task", at.id.Key).Uint64("run", at.id.Run).
 		Str("target", at.target.info.ID).Dur("for", at.lateUntil()-now).Bool("reported_lost", at.reportedLost).
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -167,10 +167,11 @@
 	it.run++
 	it.job.hasRestarts = it.job.hasRestarts || it.run > 1
 	at := &attempt{
-		item:   it,
-		id:     task.Attempt{Key: it.key, Run: it.run},
-		target: t,
-		sentAt: now,
+		item:              it,
+		id:                task.Attempt{Key: it.key, Run: it.run},
+		target:            t,
+		targetIncarnation: t.info.Incarnation,
+		sentAt:            now,
 	}
 	if it.job.separation == load.Isolated {
 		at.isolated, at.exclusiveFor = true, s.exclusiveFor(it)
