--- a/internal/process/scheduler/late.go
+++ b/internal/process/scheduler/late.go
@@ -37,7 +37,8 @@
 
 // handleLost handles the report of the linked process of an agent that the lease of an attempt
 // has ended. The process that reported its late order keeps the attempt until that cannot be
-// executed any more; a later one does not know of the order, and proves nothing before the order is fenced.
+// executed any more; a later one does not know of the order, and proves nothing before the order
+// is fenced.
 func (s *Scheduler) handleLost(at *attempt) {
 	now := s.now()
 	reporter := at.target.agentIncarnation
