Count only runs of callers whose connection was reset

Cause: a fault of the test. Beside load its proxy had not yet passed a connection on when it reset all it had; such a caller is answered, and its runs of 600 ms go on rightly.

Runs of answered callers no longer count; the limit, and the least number of runs, stay.

--- a/internal/bench/soak/resets_test.go
+++ b/internal/bench/soak/resets_test.go
@@ -57,16 +57,21 @@
 
 // runTimesAfterReset submits jobs to the first entry over a proxy, resets the connections of their
 // callers, and those of its agents if links is set, and returns how long each run went on after it.
+// A caller whose connection the proxy had not passed on yet is answered: its runs do not count.
 func (s *soak) runTimesAfterReset(front *proxy, links bool, round int) []time.Duration {
 	const spread = 60 * time.Millisecond
 	body := standin.JobBody(2, 1000, 600*time.Millisecond)
 	c := newCallers(nil)
 	var callers sync.WaitGroup
+	var answered sync.Map // by job
 	for n := range jobsPerReset {
 		delay := rand.N(spread - 10*time.Millisecond)
 		callers.Go(func() {
 			time.Sleep(delay)
-			c.post(s.ctx, front.listener.Addr().String(), fmt.Sprintf("%08x%08x", round, n), body, jobTimeout, jobTimeout)
+			id := fmt.Sprintf("%08x%08x", round, n)
+			if status, _ := c.post(s.ctx, front.listener.Addr().String(), id, body, jobTimeout, jobTimeout); status != 0 {
+				answered.Store(id, true)
+			}
 		})
 	}
 	time.Sleep(spread)
@@ -79,7 +84,8 @@
 	time.Sleep(targetLease)
 	var after []time.Duration
 	for _, r := range s.ledger.Runs() {
-		if d := r.Ended.Sub(resetAt); d > 0 && d < targetLease {
+		_, wasAnswered := answered.Load(r.Job())
+		if d := r.Ended.Sub(resetAt); !wasAnswered && d > 0 && d < targetLease {
 			after = append(after, d)
 		}
 	}
