--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -23,6 +24,9 @@
 	maxLateness = 3 * time.Second
 )
 
+// maxHeldTasks is the number of tasks whose start orders are held back.
+const maxHeldTasks = 2
+
 // runner is the project's stand-in for a runner, in front of which orders may be held back
 // without an answer, and which may lose power.
 type runner struct {
@@ -31,17 +35,19 @@
 	id    string
 
 	mu sync.Mutex
-	// holdsBack is set while start orders get no answer and are carried out late.
+	// holdsBack is set while the start orders of some tasks get no answer and are carried out
+	// late; heldTasks are these tasks, the first ones that are ordered meanwhile.
 	holdsBack bool
+	heldTasks map[string]bool
 	// dark is set while the runner has no power.
 	dark bool
-	// heldBack counts the orders held back.
-	heldBack int
+	// starts counts the start orders, heldBack those of them that were held back.
+	starts, heldBack int
 }
 
 func newRunner(f *fleet, i int) (*runner, error) {
 	address := f.address(sideNet, i, appPort)
-	r := &runner{fleet: f, id: fmt.Sprintf("i-%d", i+1)}
+	r := &runner{fleet: f, id: fmt.Sprintf("i-%d", i+1), heldTasks: make(map[string]bool)}
 	r.Target = standin.NewTarget(standin.TargetOptions{
 		ID: r.id, Zone: zone(i), Service: service, Address: address, CPU: runnerCPU, Ledger: f.ledger,
 		Agent: f.address(sideNet, i, controlPort),
@@ -63,7 +69,10 @@
 	}
 	isStart := strings.HasSuffix(q.URL.Path, "start")
 	r.mu.Lock()
-	dark, late := r.dark, r.holdsBack && isStart
+	dark, late := r.dark, isStart && r.holdsBackLocked(body)
+	if isStart {
+		r.starts++
+	}
 	if late {
 		r.heldBack++
 	}
@@ -81,6 +90,21 @@
 	panic(http.ErrAbortHandler)
 }
 
+// holdsBackLocked reports whether a start order is held back. Of the first maxHeldTasks tasks, all
+// orders are.
+func (r *runner) holdsBackLocked(body []byte) bool {
+	var order struct {
+		Task string `json:"task"`
+	}
+	if !r.holdsBack || json.Unmarshal(body, &order) != nil {
+		return false
+	}
+	if len(r.heldTasks) < maxHeldTasks {
+		r.heldTasks[order.Task] = true
+	}
+	return r.heldTasks[order.Task]
+}
+
 // carryOutLate carries an order out some seconds later, if the runner has power then. Nobody
 // gets the answer.
 func (r *runner) carryOutLate(q *http.Request, body []byte) {
