Pause the starts at a target that refuses them as unavailable

An agent refuses starts while its target is about to end its runs, and says nothing else about the target: a task without another target was sent there again at once, 85 times in 240 ms with 1 ms for each report.

Cause: such a refusal only ranks the target last for that task. Now the target gets no start for 20 ms after it; it still counts as in service, so that no job is refused for want of a target.

--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -124,7 +124,7 @@
 	bestScore := 0.0
 	candidates := 0
 	for _, t := range s.targets {
-		if !r.isEligible(t, it.job) || (r.healthReliable && t.probation && !(t.probe && it.mayProbe())) {
+		if r.now < t.refusedUntil || !r.isEligible(t, it.job) || (r.healthReliable && t.probation && !(t.probe && it.mayProbe())) {
 			continue
 		}
 		c := t.candidate()
--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -12,6 +12,11 @@
 // sent by another entry for the same job.
 const staleRunStep = 16
 
+// refusalPause is how long a target gets no starts after its agent has refused one because the target
+// is not available: it may refuse all starts for some hundred milliseconds without saying so in
+// its description.
+const refusalPause = 20 * time.Millisecond
+
 // refusalReasons maps an agent's refusal to the reason under which a retry is counted.
 var refusalReasons = map[peer.Refusal]apiv1.Reason{
 	peer.RefusalNoCapacity:    apiv1.Reason_REASON_TARGET_FULL,
@@ -190,6 +195,9 @@
 	case peer.RefusalStaleRun:
 		it.run += staleRunStep
 	case peer.RefusalNoCapacity, peer.RefusalIsolation:
+	case peer.RefusalUnavailable:
+		at.target.refusedUntil = s.now() + refusalPause
+		it.avoid = at.target.name
 	default:
 		it.avoid = at.target.name
 	}
