Forward a cancellation through entries as well as agents

Of more than eight entries an agent has links to some only.

An entry now forwards what it did not know to its agents, and sends its recent cancellations to an agent that links; an agent forwards only what it did not know, so that the flood ends.

--- a/internal/process/runs/cancel.go
+++ b/internal/process/runs/cancel.go
@@ -14,28 +14,32 @@
 	maxCancelled = 2000
 )
 
-// cancelJobsLocked cancels jobs on behalf of an entry, which may not hold them, and forwards the
-// list to the other entries: that entry may have no link to the one that holds a job.
+// cancelJobsLocked cancels jobs on behalf of an entry, which may not hold them, and forwards those
+// that it did not know to its other entries, which do the same: an agent has links to some of the
+// entries only, and the one that holds a job may be another.
 func (m *Manager) cancelJobsLocked(from *owner, jobs []string) {
 	if len(jobs) == 0 {
 		return
 	}
-	for _, o := range m.owners {
-		if o != from && o.link != nil {
-			o.link.Send(peer.Frame{CancelJobs: jobs})
-		}
-	}
+	var added []string
 	for _, job := range jobs {
 		if m.cancelled.Add(job, m.clock()) {
+			added = append(added, job)
 			m.opts.Log.Info().Str("job", job).Str("entry", from.name).Msg("job cancelled")
 		}
 		m.cancelJobLocked(job)
 	}
+	for _, o := range m.owners {
+		if o != from && o.link != nil && len(added) > 0 {
+			o.link.Send(peer.Frame{CancelJobs: added})
+		}
+	}
 	from.link.Send(peer.Frame{CancelsRecorded: jobs})
 }
 
 // cancelJobLocked stops the runs of a job, whichever entry sent them.
 func (m *Manager) cancelJobLocked(job string) {
+	m.refuseHeldLocked(peer.RefusalCancelled, func(h *heldStart) bool { return h.start.Attempt.Key.Job == job })
 	for key, r := range m.runs {
 		if key.Job == job {
 			m.stopLocked(r.attempt, "job cancelled")
--- a/internal/process/scheduler/agentlink.go
+++ b/internal/process/scheduler/agentlink.go
@@ -30,7 +30,8 @@
 	t.sentDemand = nil
 	s.updateOthersDemand(t, nil)
 	t.lastResult = 0
-	link.Send(peer.Frame{Policy: s.policy()})
+	// The agent may not have been linked when they were cancelled.
+	link.Send(peer.Frame{Policy: s.policy(), CancelJobs: s.cancelled.All(s.now())})
 }
 
 // Disconnect detaches a broken link. The attempts there stay unresolved until the agent
@@ -120,9 +121,7 @@
 	if f.Hello != nil {
 		s.reconcile(t, f.Hello)
 	}
-	for _, id := range f.CancelJobs {
-		s.cancelLocal(id)
-	}
+	s.receiveCancels(t, f.CancelJobs)
 	s.recordCancels(t, f.CancelsRecorded)
 	s.receivePolicy(t, f.Policy)
 	for _, p := range f.Progress {
--- a/internal/process/scheduler/cancel.go
+++ b/internal/process/scheduler/cancel.go
@@ -49,6 +49,36 @@
 	return known, c.recorded
 }
 
+// receiveCancels cancels jobs on behalf of another entry, and forwards those that were not known here
+// to the other agents: the agent that sent them has links to some of the entries only.
+func (s *Scheduler) receiveCancels(from *target, ids []string) {
+	var added []string
+	for _, id := range ids {
+		if !s.cancelled.Has(id, s.now()) {
+			added = append(added, id)
+		}
+		s.cancelLocal(id)
+	}
+	if len(added) == 0 {
+		return
+	}
+	s.opts.Counters.Counter("cancellations_forwarded").Inc(int64(len(added)))
+	for _, t := range s.targets {
+		if t != from {
+			t.send(peer.Frame{CancelJobs: added})
+		}
+	}
+}
+
+// RestoreCancelled remembers jobs that were cancelled before this process started.
+func (s *Scheduler) RestoreCancelled(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		s.cancelLocal(id)
+	}
+}
+
 // cancelLocal ends a cancelled job if it is in progress at this entry, and remembers that it was
 // cancelled.
 func (s *Scheduler) cancelLocal(id string) bool {
--- a/internal/process/scheduler/cluster_test.go
+++ b/internal/process/scheduler/cluster_test.go
@@ -46,6 +46,8 @@
 	// epoch is the start of the agent's clock, echo the latest time of it that the entry echoed.
 	epoch time.Time
 	echo  int64
+	// cancelled counts how often each cancelled job was received.
+	cancelled map[string]int
 	// policy is the latest policy received.
 	policy *peer.Policy
 	// others is the demand that the agent reports, received that of the entry.
@@ -136,6 +138,8 @@
 		starts: make(chan peer.Start, 100),
 		stops:  make(chan task.Attempt, 100),
 		free:   task.Resources{CPU: 8000},
+
+		cancelled: make(map[string]int),
 	}
 	a.connect(runs...)
 	return a
@@ -204,6 +208,9 @@
 		a.accepted += uint64(len(f.Starts))
 		a.received, a.echo = f.Demand, f.Echo
 		a.crashes += len(f.Crashes)
+		for _, id := range f.CancelJobs {
+			a.cancelled[id]++
+		}
 		if f.Policy != nil {
 			a.policy = f.Policy
 		}
