--- /dev/null
+++ b/internal/process/server/cancelrecord_test.go
@@ -0,0 +1,77 @@
+package server
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
+	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
+	"github.com/rosemarybay/rosemarybay/internal/process/scheduler"
+	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+	"github.com/rosemarybay/rosemarybay/internal/version/policy"
+)
+
+// newTestCancelRecord returns the record of a new entry process without agents.
+func newTestCancelRecord(f *fakeStore) *cancelRecord {
+	counters := metrics.New()
+	s := scheduler.New(scheduler.Options{
+		Log: zerolog.Nop(), Counters: counters, View: &policy.View{}, TargetLease: time.Second,
+		Random: func() float64 { return 0 }, OnNewerPolicy: func(*peer.Policy) {}, Entries: func() int { return 1 },
+	})
+	return newCancelRecord(s, f, &Server{
+		settings: &settings.Settings{Name: "e1"}, log: zerolog.Nop(), counters: counters,
+		invalid: eventlog.NewInvalidValues(zerolog.Nop(), counters.Counter("invalid")),
+	})
+}
+
+// All processes are killed once a cancellation was acknowledged, and the request of the job arrives
+// again: the next process must know that the job was cancelled.
+func TestCancellationOutlastsAllProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		first := newTestCancelRecord(f)
+		go first.run(t.Context())
+		time.Sleep(time.Second)
+		if !first.read.Load() {
+			t.Fatal("the record was not read")
+		}
+		stored := first.add("j", time.Now())
+		time.Sleep(time.Second)
+		select {
+		case <-stored:
+		default:
+			t.Fatal("not stored")
+		}
+		next := newTestCancelRecord(f)
+		go next.run(t.Context())
+		time.Sleep(time.Second)
+		if state, known := next.State("j"); !known || state != scheduler.StateCancelled {
+			t.Errorf("state %v, known %v", state, known)
+		}
+	})
+}
+
+// An entry that served before it has read the cancellations would run a cancelled job.
+func TestCancellationsAreReadOnceStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		f.put(cancelKeyPrefix+"other", `{"jobs":["j"]}`)
+		f.put(cancelKeyPrefix+"odd", `{"jobs":7}`)
+		f.set(func() { f.down = true })
+		record := newTestCancelRecord(f)
+		go record.run(t.Context())
+		time.Sleep(3 * time.Second)
+		if record.read.Load() {
+			t.Fatal("read from a store that is away")
+		}
+		f.set(func() { f.down = false })
+		time.Sleep(2 * firstReadInterval)
+		if _, known := record.State("j"); !known || !record.read.Load() {
+			t.Error("not read once the store was back")
+		}
+	})
+}
--- a/internal/process/server/configwatcher.go
+++ b/internal/process/server/configwatcher.go
@@ -54,7 +54,7 @@
 // run reads the configuration and then watches it. After a failed call it reads it again.
 func (w *configWatcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		revision, err := w.read(ctx)
+		revision, err := w.readOrAwait(ctx)
 		for err == nil {
 			revision, err = w.watch(ctx, revision)
 		}
@@ -69,12 +69,29 @@
 	}
 }
 
+// readOrAwait reads the configuration. Before the first one it awaits the store.
+func (w *configWatcher) readOrAwait(ctx context.Context) (uint64, error) {
+	if w.confirmedAt.Load() != nil {
+		return w.read(ctx)
+	}
+	first, err := awaitListing(ctx, w.store, platform.KeyPrefix, w.log)
+	if err != nil {
+		return 0, err
+	}
+	return w.applyListing(first.listing, first.sent)
+}
+
 func (w *configWatcher) read(ctx context.Context) (uint64, error) {
 	sent := time.Now()
 	listing, err := w.store.List(ctx, platform.KeyPrefix)
 	if err != nil {
 		return 0, err
 	}
+	return w.applyListing(listing, sent)
+}
+
+// applyListing applies what a read returned that was sent at a time.
+func (w *configWatcher) applyListing(listing store.Listing, sent time.Time) (uint64, error) {
 	defer w.confirm(sent)
 	if w.storeLost {
 		w.log.Info().Uint64("revision", listing.Revision).Msg("store reachable again")
