Target speeds, starts held at agents, late answers

Load: targets of unequal speed; many entries that compete for targets of few large slots; bursts after which capacity is back while answers are still useful. Each is off without its setting.

- Agents measure how long runs take against the prediction for the average target (median of 64, so that long tasks do not count) and send it to their entries.
Placement, forecasts, moves and health use it; a task waits for a faster target while the slow one would make its job late.
- An agent holds a start for up to start_wait if by its runs there will be capacity in time.
- Entries choose among four local targets in random order in place of 32: on old data all chose the same one.
- A job that can no longer meet its objective waits for spare capacity while its answer is useful.

--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -106,6 +106,13 @@
 	Labels      []string       `cbor:"6,keyasint,omitempty"`
 	// Available is false while the target drains, is absent or does not answer.
 	Available bool `cbor:"7,keyasint,omitempty"`
+	// Slowdown is the ratio of the run times there to those predicted for the average target,
+	// in percent; 0 while it is not known.
+	Slowdown int `cbor:"8,keyasint,omitempty"`
+	// SlowdownRuns is the number of runs from which Slowdown is derived, SlowdownAge the time
+	// since the latest of them.
+	SlowdownRuns int           `cbor:"9,keyasint,omitempty"`
+	SlowdownAge  time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Room is the free capacity of a target and its health.
@@ -134,8 +141,14 @@
 	Need    task.Resources `cbor:"3,keyasint"`
 	// Incarnation is that of the target for which the attempt is intended.
 	Incarnation int64 `cbor:"4,keyasint"`
-	// Expected is the predicted run time on a healthy target.
+	// Expected is the predicted run time on this target while it is healthy.
 	Expected time.Duration `cbor:"5,keyasint,omitempty"`
+	// Average is the predicted run time on the average target of the pool; 0 while the run times
+	// of the queue have not been learned.
+	Average time.Duration `cbor:"9,keyasint,omitempty"`
+	// WaitFor is how long the agent may hold the start until its target has capacity. If the runs
+	// there will not end in time, the agent refuses the start at once.
+	WaitFor time.Duration `cbor:"10,keyasint,omitempty"`
 	// Queue is the queue of the job, for reports about the run.
 	Queue string `cbor:"6,keyasint,omitempty"`
 	// Isolated asks for a run apart from those of other jobs: the agent refuses it while
@@ -246,6 +259,8 @@
 const (
 	// OwnerLease is how long an agent runs the attempts of an entry that sends no new echo.
 	OwnerLease = 500 * time.Millisecond
+	// MaxStartWait bounds how long an agent holds a start.
+	MaxStartWait = 200 * time.Millisecond
 	// MaxOrderDelay is how long after it was sent a start order without an answer may be
 	// executed.
 	MaxOrderDelay = 15 * time.Second
@@ -280,4 +295,7 @@
 	// MaxFrameBytes limits the size of a frame. It leaves room for several hundred starts
 	// of 4 KB.
 	MaxFrameBytes = 8 << 20
+	// MaxFirstFrameBytes limits the first frame, which arrives before its sender is known: a hello
+	// with the runs at a target and the results that an entry has not acknowledged.
+	MaxFirstFrameBytes = 1280 << 10
 )
--- a/internal/connection/peer/validate.go
+++ b/internal/connection/peer/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -33,6 +34,9 @@
 		if err := f.Target.Capacity.Validate(); err != nil {
 			return eris.Wrap(err, "target")
 		}
+		if err := f.Target.validateSlowdown(); err != nil {
+			return eris.Wrap(err, "target")
+		}
 	}
 	if err := validateDemand(f.Demand); err != nil {
 		return err
@@ -50,6 +54,16 @@
 	return nil
 }
 
+// slowdownRange is the range of a slowdown in percent.
+var slowdownRange = bounds.Range[int]{Min: 0, Max: 1000}
+
+func (t *Target) validateSlowdown() error {
+	return errors.Join(
+		slowdownRange.Check("slowdown", t.Slowdown),
+		bounds.RunTime.Check("age of the slowdown", t.SlowdownAge),
+	)
+}
+
 // Validate returns an error unless the entry can be dialled.
 func (e *Entry) Validate() error {
 	errs := []error{bounds.CheckName("name of the entry", e.Name), bounds.CheckIPPort("address", e.Address)}
@@ -72,10 +86,16 @@
 	return errors.Join(
 		s.Need.Validate(),
 		bounds.RunTime.Check("expected run time", s.Expected),
+		bounds.RunTime.Check("run time on the average target", s.Average),
+		startWaitRange.Check("wait for capacity", s.WaitFor),
 		bounds.RunTime.Check("exclusive run time", s.ExclusiveFor),
 	)
 }
 
+// startWaitRange is the range of Start.WaitFor. It is far shorter than OwnerLease, so that an entry
+// that has given an attempt up cannot be surprised by its start.
+var startWaitRange = bounds.Range[time.Duration]{Min: 0, Max: MaxStartWait}
+
 // validateFree checks a free capacity, which is negative while runs use more than a
 // target's capacity.
 func validateFree(free task.Resources) error {
--- a/internal/process/load/estimate.go
+++ b/internal/process/load/estimate.go
@@ -41,6 +41,12 @@
 	return time.Duration(float64(declared) * r.mean)
 }
 
+// IsLearned reports whether the run times of a queue have been learned.
+func (e *Estimator) IsLearned(queue string) bool {
+	r := e.queues[queue]
+	return r != nil && r.samples >= estimateMeanSamples
+}
+
 // Observe records the run time of a task that has succeeded.
 func (e *Estimator) Observe(queue string, declared, took time.Duration) {
 	if declared <= 0 {
--- a/internal/process/load/placement.go
+++ b/internal/process/load/placement.go
@@ -19,6 +19,8 @@
 	DelayedShare float64
 	// SameStepTasks is the number of tasks of the same step that run there.
 	SameStepTasks int
+	// Slowness is the score penalty for the target's speed, see SlownessPenalty.
+	Slowness float64
 }
 
 // Requirements are what a task requires of its target, and its preferences.
@@ -57,8 +59,8 @@
 
 // Score returns the preference for a target; higher is better. The target with the most
 // free capacity comes first, which spreads a burst and limits how many tasks of a job
-// one lost target affects. A target behind a lossy link ranks lower, and one on which
-// the task has failed ranks last.
+// one lost target affects. A target behind a lossy link or too slow for the job ranks lower, and
+// one on which the task has failed ranks last.
 func (r *Requirements) Score(c *Candidate) float64 {
 	score := 1.0
 	if c.Capacity.CPU > 0 {
@@ -70,7 +72,7 @@
 	if c.DataCentre == r.DataCentre {
 		score += localDataCentreBonus
 	}
-	score -= delayPenalty * c.DelayedShare
+	score -= delayPenalty*c.DelayedShare + c.Slowness
 	if c.Avoid {
 		score -= 2
 	}
--- a/internal/process/load/slack.go
+++ b/internal/process/load/slack.go
@@ -19,10 +19,14 @@
 // the prediction implies. In a lasting overload, where jobs start at the last moment
 // allowed by the prediction, every second job would be late and its capacity wasted.
 func Slack(stretch float64, latency time.Duration, f Forecast) time.Duration {
-	run := minRunShare * float64(f.RunTime)
+	wait := (stretch - 1) * f.shortestRun()
+	return time.Duration(wait + latencyShare*float64(latency))
+}
+
+// shortestRun returns the shortest run time assumed for a job, in nanoseconds.
+func (f Forecast) shortestRun() float64 {
 	if f.Certain {
-		run = certainRunShare * float64(f.RunTime)
+		return certainRunShare * float64(f.RunTime)
 	}
-	wait := (stretch - 1) * run
-	return time.Duration(wait + latencyShare*float64(latency))
+	return minRunShare * float64(f.RunTime)
 }
--- a/internal/process/loadreplay/replay_test.go
+++ b/internal/process/loadreplay/replay_test.go
@@ -5,6 +5,7 @@
 package loadreplay
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"os"
@@ -38,6 +39,11 @@
 	seed   uint64
 	// killers, if set, adds jobs that crash their targets.
 	killers *killers
+	// targetCPU is the capacity of a target in thousandths of a core; 0 means targetCPU.
+	targetCPU int64
+	// targetSpeeds, lateAnswers and startWait are those of scheduler.Options.
+	targetSpeeds, lateAnswers bool
+	startWait                 time.Duration
 	// shrinks, if set, lets targets lose a part of their capacity for a while.
 	shrinks *shrinks
 }
@@ -68,6 +74,8 @@
 	}
 }
 
+func (c *setup) cpuOfTarget() int64 { return cmp.Or(c.targetCPU, targetCPU) }
+
 // tally counts the jobs of one kind by outcome.
 type tally struct {
 	inTime, late, refused, other int
@@ -107,7 +115,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var capacity float64
 		for _, speed := range c.speeds {
-			capacity += targetCPU * speed
+			capacity += float64(c.cpuOfTarget()) * speed
 		}
 		w := newWorkload(c.kinds, c.seed, c.load*capacity, c.length)
 		if c.killers != nil {
@@ -150,12 +158,15 @@
 			Random:        func() float64 { return float64(jitter.Add(618_033_989)%1_000_000_000) / 1e9 },
 			OnNewerPolicy: func(*peer.Policy) {},
 			Entries:       func() int { return c.entries },
+			TargetSpeeds:  c.targetSpeeds,
+			LateAnswers:   c.lateAnswers,
+			StartWait:     c.startWait,
 		})
 		f.entries = append(f.entries, s)
 		go s.Run(f.done)
 	}
 	for i, speed := range c.speeds {
-		f.addTarget(i, newTarget(w, targetCPU, speed), c.linkDelay)
+		f.addTarget(i, newTarget(w, c.cpuOfTarget(), speed), c.linkDelay)
 	}
 	return f
 }
--- a/internal/process/loadreplay/workload_test.go
+++ b/internal/process/loadreplay/workload_test.go
@@ -1,9 +1,11 @@
 package loadreplay
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +22,24 @@
 	run   time.Duration
 	// share is the part of all work that jobs of this kind bring.
 	share float64
+	// cpu is the mean need of a task in thousandths of a core; 0 means taskCPU.
+	cpu float64
+	// tail is the share of tasks that run tailFactor times as long as their job's others.
+	tail float64
 }
 
+// sized returns kinds whose tasks need cpu thousandths of a core, and of which a share tail run
+// tailFactor times as long.
+func sized(kinds []kind, cpu, tail float64) []kind {
+	out := slices.Clone(kinds)
+	for i := range out {
+		out[i].cpu, out[i].tail = cpu, tail
+	}
+	return out
+}
+
+func (k *kind) meanCPU() float64 { return cmp.Or(k.cpu, taskCPU) }
+
 // desk is a mix of short wide urgent jobs, narrow ones and long ones.
 var desk = []kind{
 	{name: "short", priority: 0, width: 8, run: 60 * time.Millisecond, share: 0.21},
@@ -36,6 +54,7 @@
 	widthSpread   = 0.4
 	estimateError = 0.4
 	taskSpread    = 0.15
+	tailFactor    = 7
 	patience      = 1500 * time.Millisecond
 	stretch       = 1.6
 	latency       = 60 * time.Millisecond
@@ -136,7 +155,7 @@
 			Name: k.name, Pool: "p", Priority: k.priority, MaxAttempts: 4,
 			Stretch: stretch, TargetLatency: latency, Timeout: 6 * time.Second,
 		}
-		perSecond := rate * k.share / (k.width * taskCPU * k.run.Seconds())
+		perSecond := rate * k.share / (k.width * k.meanCPU() * k.run.Seconds())
 		for at := time.Duration(0); ; {
 			factor := 1.0
 			if at < length/10 {
@@ -161,12 +180,15 @@
 	id := fmt.Sprintf("%s-%d", k.name, len(w.arrivals))
 	for i := range count {
 		work := time.Duration(length * vary(taskSpread))
-		w.works[task.Key{Job: id, Index: i}] = work
 		a.work = max(a.work, work)
+		if k.tail > 0 && random.Float64() < k.tail {
+			work *= tailFactor
+		}
+		w.works[task.Key{Job: id, Index: i}] = work
 	}
 	a.job = task.Job{ID: id, Queue: k.name, Steps: []task.Step{{
 		Count:    count,
-		Need:     task.Resources{CPU: int64(taskCPU * vary(cpuSpread))},
+		Need:     task.Resources{CPU: int64(k.meanCPU() * vary(cpuSpread))},
 		Estimate: time.Duration(length * vary(estimateError)),
 	}}}
 	return a
--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -45,6 +45,9 @@
 	// run of its task.
 	strays map[task.Attempt]time.Time
 	health load.Health
+	// speed is how long runs take here, and speedShared what the entries know of it.
+	speed       load.RunSpeed
+	speedShared sharedSpeed
 	// prober is the incarnation of the entry that may send the next probe, probeOfferedAt
 	// when it was chosen.
 	prober         uint64
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -58,6 +58,8 @@
 	policyConfirmedAt time.Duration
 	owners            map[uint64]*owner
 	runs              map[task.Key]*run
+	// held are the starts that wait for capacity, in the order of their arrival.
+	held []heldStart
 	// crashes holds the crashes of this target and those reported by other agents.
 	crashes crash.Log
 	// cancelled holds the jobs that were cancelled recently.
@@ -137,9 +139,11 @@
 	otherClaimants []uint64
 	// refusedAtEnd lists the starts of the same task that are refused once the run is over.
 	refusedAtEnd []heldRefusal
-	expected     time.Duration
-	percent      int
-	pace         load.RunPace
+	// expected is the predicted run time here, average that on the average target, and
+	// startedAt when the start was confirmed, as returned by Manager.clock.
+	expected, average, startedAt time.Duration
+	percent                      int
+	pace                         load.RunPace
 }
 
 // heldRefusal is a start that will be refused.
@@ -193,7 +197,7 @@
 
 // roomLocked returns the free capacity and health of the target for an entry.
 func (m *Manager) roomLocked(o *owner) *peer.Room {
-	room := &peer.Room{Free: m.freeLocked(), Demand: m.demandOfOthersLocked(o)}
+	room := &peer.Room{Free: m.freeLocked().Sub(m.heldNeedLocked()), Demand: m.demandOfOthersLocked(o)}
 	m.describeIsolationLocked(room)
 	if t := m.target; t != nil && !t.health.Healthy() {
 		room.Probation = true
@@ -216,6 +220,10 @@
 		Capacity:    a.Capacity,
 		Labels:      a.Labels,
 		Available:   m.availableLocked() && !o.retiring,
+
+		Slowdown:     m.target.speedShared.percent,
+		SlowdownRuns: m.target.speed.Samples(),
+		SlowdownAge:  m.speedAgeLocked(),
 	}
 }
 
--- a/internal/process/runs/orders.go
+++ b/internal/process/runs/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
 )
 
@@ -49,6 +50,9 @@
 // stopLocked stops a run. A run whose start is not confirmed is stopped as well: its orders may
 // have been executed, and a stop prevents those that have not been.
 func (m *Manager) stopLocked(a task.Attempt, reason string) {
+	if m.refuseHeldLocked(peer.RefusalStopped, func(h *heldStart) bool { return h.start.Attempt == a }) > 0 {
+		return
+	}
 	r := m.runs[a.Key]
 	if r == nil || r.attempt != a || r.stopRequested {
 		return
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -82,6 +82,8 @@
 		o = &owner{name: hello.Name, incarnation: hello.Incarnation, results: m.earlierResultsLocked()}
 		m.owners[hello.Incarnation] = o
 	}
+	// The entry takes an attempt that is not listed for lost.
+	m.refuseHeldOfLocked(hello.Incarnation)
 	o.address, o.link, o.linkLostAt, o.accepted = address, link, time.Time{}, 0
 	o.retiring, o.retired = false, false
 	// The machine may have been suspended since the link was opened.
@@ -130,6 +132,7 @@
 		return
 	}
 	o.link, o.linkLostAt = nil, time.Now()
+	m.refuseHeldOfLocked(incarnation)
 	m.opts.Log.Info().Err(err).Str("entry", o.name).Uint64("incarnation", incarnation).
 		Int("runs", o.runCount).Msg("entry lost")
 }
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -182,6 +182,7 @@
 		}
 		m.reconcileRunLocked(r, running, sent, now)
 	}
+	m.startHeldLocked()
 	m.updateHealthLocked(t)
 	for a, active := range running {
 		if r := m.runs[a.Key]; r == nil || r.attempt != a {
@@ -230,6 +231,9 @@
 	if e.Outcome == peer.OutcomeDone || e.Outcome == peer.OutcomeFailed {
 		t.health.RecordRun(e.Attempt.Key.Job, r.orderedAt, m.clock(), e.Outcome == peer.OutcomeFailed)
 	}
+	if e.Outcome == peer.OutcomeDone {
+		m.recordSpeedLocked(t, r)
+	}
 	m.finishLocked(r, e.Outcome, peer.RefusalNone)
 }
 
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -24,7 +24,17 @@
 		m.awaitEndLocked(o, s.Attempt, present)
 		return
 	}
-	if refusal := m.refusalLocked(o, s); refusal != peer.RefusalNone {
+	refusal := m.refusalLocked(o, s)
+	if refusal == peer.RefusalNoCapacity && m.mayHoldLocked(s) {
+		m.holdLocked(o, s)
+		return
+	}
+	m.beginLocked(o, s, refusal, m.clock())
+}
+
+// beginLocked refuses a start, or begins to execute one that was accepted at acceptedAt.
+func (m *Manager) beginLocked(o *owner, s peer.Start, refusal peer.Refusal, acceptedAt time.Duration) {
+	if refusal != peer.RefusalNone {
 		m.sendResultLocked(o.incarnation, s.Attempt, peer.OutcomeRefused, refusal)
 		m.opts.Counters.Counter("starts_refused_" + string(refusal)).Inc(1)
 		m.opts.Log.Info().Str("job", s.Attempt.Key.Job).Stringer("task", s.Attempt.Key).Uint64("run", s.Attempt.Run).
@@ -40,8 +50,9 @@
 		owner:        o.incarnation,
 		need:         s.Need,
 		confirmedAt:  time.Now(),
-		orderedAt:    m.clock(),
+		orderedAt:    acceptedAt,
 		expected:     s.Expected,
+		average:      s.Average,
 	}
 	if !m.target.health.Healthy() {
 		m.target.health.RecordProbe(r.orderedAt)
@@ -86,7 +97,7 @@
 		return peer.RefusalUnavailable
 	case !m.isolationAllowsLocked(s):
 		return peer.RefusalIsolation
-	case !s.Need.FitsIn(m.freeLocked()):
+	case !s.Need.FitsIn(m.freeLocked()), m.isBehindHeldLocked(s):
 		return peer.RefusalNoCapacity
 	case m.endsWithLeaseLocked(s.Expected):
 		return peer.RefusalUnavailable
@@ -263,7 +274,8 @@
 		return
 	}
 	r.phase, r.confirmedAt = phaseRunning, time.Now()
-	r.pace.Start(m.clock())
+	r.startedAt = m.clock()
+	r.pace.Start(r.startedAt)
 	m.opts.Log.Info().Str("job", r.attempt.Key.Job).Stringer("task", r.attempt.Key).Uint64("run", r.attempt.Run).
 		Str("target", t.ID).Int64("free_cpu", m.freeLocked().CPU).Dur("accepted_ago", m.clock()-r.orderedAt).
 		Func(m.entryHeardLocked(r.owner)).Int("orders", r.orders.Sent).
@@ -279,5 +291,6 @@
 	defer m.mu.Unlock()
 	if m.isStartingLocked(t, r) {
 		m.finishLocked(r, peer.OutcomeRefused, refusal)
+		m.startHeldLocked()
 	}
 }
--- a/internal/process/runs/sweep.go
+++ b/internal/process/runs/sweep.go
@@ -33,8 +33,10 @@
 	clock := m.clock()
 	m.detectPauseLocked(now, clock)
 	m.offerProbeLocked(clock)
+	m.startHeldLocked()
+	m.shareSpeedLocked(clock)
 	for incarnation, o := range m.owners {
-		if reason, expired := o.leaseExpired(clock, now); expired && o.runCount > 0 && now.Sub(m.resumedAt) > resumeGrace {
+		if reason, expired := o.leaseExpired(clock, now); expired && (o.runCount > 0 || m.isHeldLocked(incarnation)) && now.Sub(m.resumedAt) > resumeGrace {
 			m.stopOwnerLocked(incarnation, reason)
 		}
 		if !o.linkLostAt.IsZero() && o.runCount == 0 && now.Sub(o.linkLostAt) > ownerRetention {
@@ -92,6 +94,7 @@
 }
 
 func (m *Manager) stopOwnerLocked(incarnation uint64, reason string) {
+	m.refuseHeldOfLocked(incarnation)
 	for _, r := range m.runs {
 		if r.owner == incarnation {
 			m.stopLocked(r.attempt, reason)
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -44,7 +44,7 @@
 		return j.refusal(apiv1.Reason_REASON_NO_ELIGIBLE_TARGET, noTargetRetry, message), false
 	}
 	j.capacity = s.predictCapacity(j, now)
-	if load.IsSurelyTooLate(j.capacity.wait, j.latestStart-now) {
+	if load.IsSurelyTooLate(j.capacity.wait, j.latestStart-now) && !s.acceptLate(j, now) {
 		retry := load.RetryAfter(j.capacity.wait, s.opts.Random())
 		return j.refusal(apiv1.Reason_REASON_OVERLOAD, retry, "would wait past its objective"), false
 	}
@@ -90,6 +90,7 @@
 		s.sweepTarget(t, now)
 	}
 	s.sweepConfinement(now)
+	s.sweepSpeeds(now)
 	s.sweepCancels(now)
 	for _, j := range s.jobs {
 		s.sweepJob(j, now)
@@ -103,7 +104,7 @@
 		s.giveUp(j, apiv1.Reason_REASON_DEADLINE_EXCEEDED, "its caller's deadline has passed")
 	case j.isApart() && s.waitedTooLongApart(j, now):
 		s.giveUp(j, apiv1.Reason_REASON_TARGET_CRASHED, messageNoTargetApart)
-	case s.isTooLate(j, now):
+	case s.isTooLate(j, now) && !s.acceptLate(j, now):
 		s.giveUp(j, apiv1.Reason_REASON_OVERLOAD, messageNoCapacity)
 	default:
 		if a, ok := s.answerBlocked(j, now); ok {
--- a/internal/process/scheduler/agentlink.go
+++ b/internal/process/scheduler/agentlink.go
@@ -14,7 +14,7 @@
 	defer s.mu.Unlock()
 	t := s.targets[hello.Name]
 	if t == nil {
-		t = &target{name: hello.Name, attempts: make(map[task.Attempt]*attempt)}
+		t = &target{name: hello.Name, slowdown: 1, attempts: make(map[task.Attempt]*attempt)}
 		s.targets[hello.Name] = t
 		s.updateLastCrash(t, s.now())
 	}
@@ -154,6 +154,7 @@
 		t.crashed = false
 	}
 	restarted := t.isDown(s.now())
+	s.recordSlowdown(t, info)
 	t.info = *info
 	if info.Pool != "" {
 		t.lastPool = info.Pool
@@ -161,6 +162,7 @@
 	if restarted && t.usable(s.now()) {
 		s.recordRestart(t, s.now())
 	}
+	s.updateSpeeds(s.now())
 	s.resolveFenced(t)
 	s.assignTargetsApart(s.now())
 }
--- a/internal/process/scheduler/capacity.go
+++ b/internal/process/scheduler/capacity.go
@@ -18,6 +18,9 @@
 			continue
 		}
 		capacity += t.info.Capacity.CPU
+		if s.unequalSpeeds && !j.overdue && r.now > j.latestStartOn(t) {
+			continue
+		}
 		missing -= wholeTasks(t.free().CPU, j.spec.Steps[0].Need.CPU)
 		if missing <= 0 {
 			return missing
@@ -61,7 +64,8 @@
 		for _, at := range t.attempts {
 			cpu := at.item.step.Need.CPU
 			own += cpu
-			s.releases.Add(load.Release{At: at.startTime() + at.item.expected, CPU: cpu}, at.item.expected)
+			run := at.item.expectedOn(t)
+			s.releases.Add(load.Release{At: at.startTime() + run, CPU: cpu}, run)
 		}
 	}
 	s.releases.AddOthers(used - own)
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -26,10 +26,14 @@
 	deadline  time.Duration
 	// latestStart is when its first task must start to meet the objective.
 	latestStart time.Duration
-	steps       []step
+	// fastest is the relative slowdown for which latestStart holds, that of a fast target.
+	fastest float64
+	steps   []step
 	// overdue is set if the caller has already waited so long, at another entry or for
 	// a connection, that the objective cannot be met.
 	overdue bool
+	// waitsLate is set once the job has been made overdue in place of being refused.
+	waitsLate bool
 	// capacity is the prediction on which the job's admission was decided.
 	capacity capacityPrediction
 	// hasRestarts is set once a task has been started more than once.
@@ -190,7 +194,9 @@
 	firstRequestAt := j.arrived - f.Waited
 	objective := j.queue.Objective(f.RunTime)
 	j.objective = firstRequestAt + objective
-	j.latestStart = firstRequestAt + load.Slack(j.queue.Stretch, j.queue.TargetLatency, f)
+	j.fastest = s.fastestSlowdown(j.queue.Pool)
+	latest := firstRequestAt + load.Slack(j.queue.Stretch, j.queue.TargetLatency, f)
+	j.latestStart = load.LatestStartOn(latest, f, j.fastest)
 	if j.latestStart < j.arrived {
 		j.overdue = true
 		j.latestStart = j.arrived + load.OverdueSlack(f, objective, j.deadline-j.arrived)
--- a/internal/process/scheduler/move.go
+++ b/internal/process/scheduler/move.go
@@ -17,13 +17,14 @@
 	}
 	it := at.item
 	now := s.now()
-	remaining := load.Remaining(p.Percent, float64(p.Pace)/100, it.expected)
+	remaining := load.Remaining(p.Percent, float64(p.Pace)/100, it.expectedOn(t))
 	slow := t.probation || it.job.forecast.Certain
 	if it.moves >= maxMoves || !load.ShouldMove(now, it.job.objective, remaining, it.expected, slow) {
 		return
 	}
 	it.avoid = t.name
-	if other := s.choose(it, s.newRound()); other == nil || other == t {
+	other := s.choose(it, s.newRound())
+	if other == nil || other == t || !load.ShouldMove(now, it.job.objective, remaining, it.expectedOn(other), slow) {
 		return
 	}
 	it.moves++
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -20,9 +20,14 @@
 // scoreJitter keeps entries with the same information from choosing the same target.
 const scoreJitter = 0.05
 
-// maxCandidates bounds the targets with free capacity that are scored for one task.
-// Targets come in random order, so a few dozen represent all.
-const maxCandidates = 32
+// maxCandidates bounds the targets with free capacity that are scored for one task, and
+// maxLocalCandidates those of them in the entry's own data centre. Targets come in random order.
+// Entries that all choose the best of many targets, by data that is some ten milliseconds old,
+// choose the same one; the best of a few random ones is nearly as good.
+const (
+	maxCandidates      = 32
+	maxLocalCandidates = 4
+)
 
 // placementRound is the state shared by all placement decisions made at one moment.
 type placementRound struct {
@@ -122,7 +127,7 @@
 	req := s.requirements(it.step)
 	var best *target
 	bestScore := 0.0
-	candidates := 0
+	candidates, local := 0, 0
 	for _, t := range s.targets {
 		if r.now < t.refusedUntil || !r.isEligible(t, it.job) || (r.healthReliable && t.probation && !(t.probe && it.mayProbe())) {
 			continue
@@ -130,6 +135,12 @@
 		c := t.candidate()
 		c.Avoid = t.name == it.avoid
 		c.DelayedShare = s.delays.DelayedShare(c.DataCentre, r.now)
+		if s.unequalSpeeds {
+			if !it.Overdue() && s.endsTooLate(it, t, r.now) {
+				continue
+			}
+			c.Slowness = load.SlownessPenalty(it.expectedOn(t), it.job.objective-r.now)
+		}
 		if req.MaxPerTarget > 0 {
 			c.SameStepTasks = t.attemptsOfStep(it)
 		}
@@ -139,7 +150,10 @@
 		if score := req.Score(&c) + scoreJitter*s.opts.Random(); best == nil || score > bestScore {
 			best, bestScore = t, score
 		}
-		if candidates++; candidates == maxCandidates {
+		if c.DataCentre == s.opts.DataCentre {
+			local++
+		}
+		if candidates++; candidates == maxCandidates || local == maxLocalCandidates {
 			break
 		}
 	}
@@ -194,13 +208,24 @@
 		Spec:         it.job.spec.Spec,
 		Need:         it.step.Need,
 		Incarnation:  t.info.Incarnation,
-		Expected:     it.expected,
+		Expected:     it.expectedOn(t),
+		Average:      s.averageRunTime(it),
+		WaitFor:      s.startWait(it, now),
 		Queue:        it.job.queue.Name,
 		Isolated:     at.isolated,
 		ExclusiveFor: at.exclusiveFor,
 	}}})
 }
 
+// startWait returns how long the agent may hold a start of a task: while its job could still meet
+// its objective. An overdue job takes only capacity that is free.
+func (s *Scheduler) startWait(it *item, now time.Duration) time.Duration {
+	if it.Overdue() || s.opts.StartWait <= 0 {
+		return 0
+	}
+	return min(s.opts.StartWait, peer.MaxStartWait, max(it.job.latestStart-now, 0))
+}
+
 // fixOrder restores the queue order of a job's tasks after the job has begun.
 func (s *Scheduler) fixOrder(j *job) {
 	for i := range j.steps {
--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -84,7 +84,7 @@
 	}
 	switch outcome {
 	case peer.OutcomeDone:
-		s.recordRunTime(it, s.now()-at.startTime())
+		s.recordRunTime(at, s.now()-at.startTime())
 		s.taskDone(it)
 	case peer.OutcomeFailed:
 		it.avoid = at.target.name
@@ -98,8 +98,10 @@
 	}
 }
 
-// recordRunTime records the run time of a completed task.
-func (s *Scheduler) recordRunTime(it *item, took time.Duration) {
+// recordRunTime records the run time of a completed task, as it would be on the average target.
+func (s *Scheduler) recordRunTime(at *attempt, took time.Duration) {
+	it := at.item
+	took = time.Duration(float64(took) / at.target.slowdown)
 	s.estimate.Observe(it.job.queue.Name, it.step.Estimate, took)
 	st := &it.job.steps[it.key.Step]
 	st.longestRun = max(st.longestRun, took)
@@ -201,7 +203,7 @@
 	default:
 		it.avoid = at.target.name
 	}
-	if s.isTooLate(it.job, s.now()) {
+	if s.isTooLate(it.job, s.now()) && !s.acceptLate(it.job, s.now()) {
 		s.giveUp(it.job, apiv1.Reason_REASON_OVERLOAD, messageNoCapacity)
 		return
 	}
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -40,6 +40,14 @@
 	// PolicyAge returns how long ago the policy was last confirmed with the store; nil means that
 	// it is always fresh.
 	PolicyAge func() time.Duration
+	// TargetSpeeds is set if targets of one pool may run tasks at different speeds.
+	TargetSpeeds bool
+	// StartWait is how long an agent may hold a start until its target has capacity; 0 means that
+	// it refuses the start at once.
+	StartWait time.Duration
+	// LateAnswers is set if a job that can no longer meet its objective may wait for spare
+	// capacity while its answer is still useful, in place of being refused.
+	LateAnswers bool
 	// Entries returns the number of entries that share the targets.
 	Entries func() int
 }
@@ -97,8 +105,16 @@
 	// latest single suspect no longer waits for one.
 	targetsSetApart bool
 	suspectsUntil   time.Duration
+	// averageSlowdown is the mean slowdown that agents report, by pool. unequalSpeeds is set while
+	// some target is known to be slower or faster than the average one of its pool.
+	averageSlowdown map[string]float64
+	// fastest is the relative slowdown of the fastest target, by pool.
+	fastest       map[string]float64
+	unequalSpeeds bool
 	// restartTime is the time that crashed targets take to come back.
 	restartTime time.Duration
+	// speedsUpdatedAt is when the slowdowns were derived last.
+	speedsUpdatedAt time.Duration
 	// stop is set once a planned stop of this entry has been requested.
 	stop *load.PlannedStop
 }
@@ -120,6 +136,9 @@
 		delays:        load.NewStartDelays(),
 		topPriorities: make(map[string]*load.TopPriority),
 		restartTime:   defaultRestartTime,
+
+		averageSlowdown: make(map[string]float64),
+		fastest:         make(map[string]float64),
 	}
 }
 
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -53,6 +53,10 @@
 	unaccounted []*attempt
 	// startsSent counts the starts sent on the current link.
 	startsSent uint64
+	// slowdown is how much longer runs take there than on the average target; see
+	// Scheduler.updateSpeeds. slowdownAt is when the agent recorded the latest run for it.
+	slowdown   float64
+	slowdownAt time.Duration
 	// attempts holds the attempts sent there that are not resolved.
 	attempts map[task.Attempt]*attempt
 	// lastFrameAt is when the latest frame arrived.
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -43,6 +43,61 @@
 	CallerRetry Duration `json:"caller_retry,omitempty"`
 	// MemoryMB is the memory at which the process is killed.
 	MemoryMB int `json:"memory_mb"`
+	// MaxDescriptors is the number of file descriptors that the process may open; 0 means
+	// defaultDescriptors.
+	MaxDescriptors int `json:"max_descriptors,omitempty"`
+	// RequestMemoryMB is the memory for requests that are being received or answered, of all
+	// connections together; 0 means a share of MemoryMB.
+	RequestMemoryMB int `json:"request_memory_mb,omitempty"`
+	// Scheduling switches on decisions under load; entries only.
+	Scheduling Scheduling `json:"scheduling,omitzero"`
+}
+
+// Scheduling holds the settings of an entry's decisions under load. Without a field its decision
+// is not taken.
+type Scheduling struct {
+	// TargetSpeeds learns how fast each target is and places tasks accordingly.
+	TargetSpeeds bool `json:"target_speeds,omitempty"`
+	// LateAnswers lets a job that can no longer meet its objective wait for spare capacity while
+	// its answer is still useful, in place of being refused.
+	LateAnswers bool `json:"late_answers,omitempty"`
+	// StartWait is how long an agent may hold a start until its target has capacity; 0 to 200 ms.
+	StartWait Duration `json:"start_wait,omitempty"`
+}
+
+// startWaitRange is the range of Scheduling.StartWait.
+var startWaitRange = bounds.Range[time.Duration]{Min: 0, Max: 200 * time.Millisecond}
+
+const (
+	// defaultDescriptors is used if no MaxDescriptors is set.
+	defaultDescriptors = 3075
+	// connectionPercent is the part of the descriptors that the connections of clients may use.
+	// The links of agents, the calls to the store and the log need the rest.
+	connectionPercent = 70
+	// requestMemoryDivisor is the part of the memory that requests may use. Buffers that grow, the
+	// decoded request and the garbage collector take several times as much.
+	requestMemoryDivisor = 16
+	// minRequestMemory holds several of the largest announcements and requests.
+	minRequestMemory = 6 << 20
+)
+
+// Ranges of the limits for clients.
+var (
+	descriptorsRange   = bounds.Range[int]{Min: 64, Max: 10_000_000}
+	requestMemoryRange = bounds.Range[int]{Min: 0, Max: 1 << 20}
+)
+
+// MaxConnections returns the number of connections of clients.
+func (n *Node) MaxConnections() int {
+	return cmp.Or(n.MaxDescriptors, defaultDescriptors) * connectionPercent / 100
+}
+
+// RequestMemory returns the budget in bytes for requests in progress.
+func (n *Node) RequestMemory() int {
+	if n.RequestMemoryMB > 0 {
+		return n.RequestMemoryMB << 20
+	}
+	return max(n.MemoryMB<<20/requestMemoryDivisor, minRequestMemory)
 }
 
 // defaultCallerRetry is used if no CallerRetry is set.
@@ -95,6 +150,15 @@
 	if err := memoryRange.Check("node.memory_mb", n.MemoryMB); err != nil {
 		return err
 	}
+	if err := startWaitRange.Check("node.scheduling.start_wait", n.Scheduling.StartWait.Std()); err != nil {
+		return err
+	}
+	if err := descriptorsRange.Check("node.max_descriptors", cmp.Or(n.MaxDescriptors, defaultDescriptors)); err != nil {
+		return err
+	}
+	if err := requestMemoryRange.Check("node.request_memory_mb", n.RequestMemoryMB); err != nil {
+		return err
+	}
 	if n.PeerAdvertise != "" {
 		if err := validateAddress("node.peer_advertise", n.PeerAdvertise); err != nil {
 			return err
