Bound what clients can make a process buffer

In a trial clients that nobody controls ended a process: the HTTP engine buffers up to 48 MB of head and body a connection before any handler is asked, for 3,400 connections.

An intake follows the framing of the requests in front of the engine: heads and bodies over the limits of the configuration are refused at once, and one budget holds for the requests in progress of all connections of the process; above it the largest unfinished request is closed first. Idle connections are closed for new ones near the limit of descriptors, responses that are not read and requests sent ahead are bounded. On the peer port frames are read as they arrive, 16 links may be without a hello, and an error of accept does not end the listener.

--- /dev/null
+++ b/internal/bench/untrusted/untrusted_test.go
@@ -0,0 +1,440 @@
+// Package untrusted_test starts an entry and an agent as processes, and sends what clients send
+// that nobody controls: bodies and heads over the limit, unfinished requests, and connections
+// that are of no use. The processes must stay within their memory and descriptors, and must
+// answer an ordinary request afterwards.
+package untrusted_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/bench/fleet"
+	"github.com/rosemarybay/rosemarybay/internal/process/daemon"
+	"github.com/rosemarybay/rosemarybay/internal/process/settings"
+	"github.com/rosemarybay/rosemarybay/platform/standin"
+)
+
+// The crowd, and the bounds that it must not exceed. memoryMB is both the setting of each process
+// and the bound of its resident memory; the smallest machines have more.
+const (
+	senders        = 48
+	bytesPerSender = 6 << 20
+	bodiesAtOnce   = 400
+	bodyLimit      = 256 << 10
+	headLimit      = 16 << 10
+	idleConns      = 600
+	unreadRequests = 60_000
+	memoryMB       = 64
+	maxDescriptors = 400
+)
+
+// The addresses of the processes.
+const (
+	entryIP, agentIP, standinIP = "127.41.0.1", "127.41.1.1", "127.41.2.1"
+	entryCaller                 = entryIP + ":18161"
+	entryReady                  = entryIP + ":18167"
+	entryPeer                   = entryIP + ":17720"
+	entryMetrics                = entryIP + ":19464"
+	agentAnnounce               = agentIP + ":18166"
+	agentMetrics                = agentIP + ":19464"
+	storeAddress                = standinIP + ":18169"
+	targetAddress               = standinIP + ":18165"
+)
+
+const (
+	host, prefix, service = "desk.example", "/jobs/", "pool"
+	// settleLimit bounds the wait for a state that must come about; a run usually takes seconds.
+	settleLimit = 60 * time.Second
+	// sendLimit ends a sender whose connection is neither read nor closed.
+	sendLimit = 10 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == fleet.NodeCommand {
+		os.Exit(daemon.Main(os.Args[2:], os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// process is an entry or an agent.
+type process struct {
+	name  string
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+func startProcess(t *testing.T, dir string, s *settings.Settings) *process {
+	t.Helper()
+	b, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, s.Name+".json")
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.Create(filepath.Join(dir, s.Name+".log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{name: s.Name, cmd: exec.Command(self, fleet.NodeCommand, "-settings", path), ended: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		<-p.ended
+	})
+	return p
+}
+
+// check reports a process that has ended or has exceeded its bounds.
+func (p *process) check(t *testing.T, descriptors int) {
+	t.Helper()
+	select {
+	case <-p.ended:
+		t.Errorf("%s ended: %v", p.name, p.cmd.ProcessState)
+		return
+	default:
+	}
+	peak := p.peakMemoryMB(t)
+	t.Logf("%s: peak %d MB, most descriptors %d", p.name, peak, descriptors)
+	if peak > memoryMB {
+		t.Errorf("%s used %d MB, limit %d", p.name, peak, memoryMB)
+	}
+	if descriptors > maxDescriptors {
+		t.Errorf("%s had %d descriptors open, limit %d", p.name, descriptors, maxDescriptors)
+	}
+}
+
+// peakMemoryMB returns the highest resident memory since the start of the process.
+func (p *process) peakMemoryMB(t *testing.T) int {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(status)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
+			kb, err := strconv.Atoi(fields[1])
+			if err != nil {
+				t.Fatal(err)
+			}
+			return kb >> 10
+		}
+	}
+	t.Fatal("no VmHWM")
+	return 0
+}
+
+func (p *process) descriptors() int {
+	files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	return len(files)
+}
+
+// processes are an entry, an agent and the stand-ins around them.
+type processes struct{ entry, agent *process }
+
+func startProcesses(t *testing.T) *processes {
+	t.Helper()
+	dir := t.TempDir()
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	store := standin.NewStore()
+	serve(t, storeAddress, store)
+	go store.Run(done)
+	store.Put(standin.KeyConfig, configuration())
+	target := standin.NewTarget(standin.TargetOptions{
+		ID: "t1", Zone: "dc1", Service: service, Address: targetAddress, CPU: 8000, Ledger: &standin.Ledger{}, Agent: agentAnnounce,
+	})
+	serve(t, targetAddress, target)
+	entry := nodeSettings(settings.RoleEntry, entryIP)
+	entry.Node.CallerListen, entry.Node.ReadyListen = entryCaller, entryReady
+	agent := nodeSettings(settings.RoleAgent, agentIP)
+	agent.Node.AnnounceListen = agentAnnounce
+	p := &processes{entry: startProcess(t, dir, entry), agent: startProcess(t, dir, agent)}
+	go target.Run(done)
+	awaitReady(t)
+	return p
+}
+
+// configuration returns that of the stand-in, with a limit for the heads of requests.
+func configuration() []byte {
+	return bytes.Replace(standin.Configuration(1, host, prefix, service), []byte(`"limits":{`),
+		fmt.Appendf(nil, `"limits":{"max_header_bytes":%d,`, headLimit), 1)
+}
+
+func nodeSettings(role settings.Role, ip string) *settings.Settings {
+	return &settings.Settings{
+		Role: role, Name: string(role) + "-1", DataCentre: "dc1", LogLevel: "info", StopTimeout: settings.Duration(3 * time.Second),
+		Node: &settings.Node{
+			IP: ip, MetricsPort: 19464, PeerPort: 17720, Store: storeAddress, TargetLease: settings.Duration(time.Second),
+			MemoryMB: memoryMB, MaxDescriptors: maxDescriptors,
+		},
+	}
+}
+
+func serve(t *testing.T, address string, handler http.Handler) {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+}
+
+func awaitReady(t *testing.T) {
+	t.Helper()
+	await(t, "the entry is ready", func() bool { return get("http://"+entryReady+standin.PathReady) == http.StatusOK })
+}
+
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for begun := time.Now(); !holds(); time.Sleep(50 * time.Millisecond) {
+		if time.Since(begun) > settleLimit {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func get(url string) int {
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// jobRequest returns a POST request for a job whose body has a length, as sent on the wire.
+func jobRequest(id string, length int) []byte {
+	body := standin.JobBody(1, 100, 10*time.Millisecond)
+	if padding := length - len(body); padding > 0 {
+		body = append(body, bytes.Repeat([]byte(" "), padding)...)
+	}
+	head := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: 4000\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n",
+		prefix, id, host, standin.DeadlineHeader, len(body))
+	return append([]byte(head), body...)
+}
+
+// completes reports whether a job request on a connection of its own completes the job.
+func completes(request []byte) bool {
+	conn, err := net.DialTimeout("tcp", entryCaller, 5*time.Second)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := conn.Write(request); err != nil {
+		return false
+	}
+	answer := make([]byte, 4096)
+	n, _ := io.ReadAtLeast(conn, answer, 40)
+	return strings.HasPrefix(string(answer[:n]), "HTTP/1.1 200")
+}
+
+// requestNumber makes the IDs of jobs distinct.
+var requestNumber int
+
+func ordinaryJobCompletes() bool {
+	requestNumber++
+	return completes(jobRequest(fmt.Sprintf("%016x", requestNumber), 0))
+}
+
+// attack runs a crowd of connections to an address, each of which calls send, and keeps them
+// open until the ordinary requests after it have been answered.
+func attack(t *testing.T, p *processes, address string, connections int, send func(net.Conn) error) {
+	t.Helper()
+	descriptors := watchDescriptors(t, p)
+	var mu sync.Mutex
+	var open []net.Conn
+	var wait sync.WaitGroup
+	for range connections {
+		wait.Go(func() {
+			conn, err := net.DialTimeout("tcp", address, sendLimit)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			open = append(open, conn)
+			mu.Unlock()
+			_ = conn.SetDeadline(time.Now().Add(sendLimit))
+			_ = send(conn) // the server may close the connection at any time
+		})
+	}
+	wait.Wait()
+	defer func() {
+		for _, conn := range open {
+			_ = conn.Close()
+		}
+	}()
+	await(t, "an ordinary job completes beside the crowd", ordinaryJobCompletes)
+	await(t, "the metrics of the entry are served", func() bool { return get("http://"+entryMetrics+"/metrics") == http.StatusOK })
+	await(t, "the metrics of the agent are served", func() bool { return get("http://"+agentMetrics+"/metrics") == http.StatusOK })
+	most := descriptors()
+	p.entry.check(t, most[0])
+	p.agent.check(t, most[1])
+}
+
+// watchDescriptors samples the descriptors of both processes. The function returned ends that
+// and returns the highest numbers seen.
+func watchDescriptors(t *testing.T, p *processes) func() [2]int {
+	t.Helper()
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	var most [2]int
+	go func() {
+		defer close(stopped)
+		for {
+			most[0], most[1] = max(most[0], p.entry.descriptors()), max(most[1], p.agent.descriptors())
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	return func() [2]int {
+		close(stop)
+		<-stopped
+		return most
+	}
+}
+
+// repeat writes a prefix, and then a piece again and again until bytesPerSender were sent.
+func repeat(start, piece string) func(net.Conn) error {
+	return func(conn net.Conn) error {
+		if _, err := io.WriteString(conn, start); err != nil {
+			return err
+		}
+		block := []byte(strings.Repeat(piece, max(1, 32<<10/len(piece))))
+		for sent := 0; sent < bytesPerSender; sent += len(block) {
+			if _, err := conn.Write(block); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// slowly writes a prefix and then a byte now and then.
+func slowly(start, piece string) func(net.Conn) error {
+	return func(conn net.Conn) error {
+		if _, err := io.WriteString(conn, start); err != nil {
+			return err
+		}
+		for range 50 {
+			if _, err := io.WriteString(conn, piece); err != nil {
+				return err
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		return nil
+	}
+}
+
+func requestHead(method, path string, more ...string) string {
+	return method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n" + strings.Join(more, "")
+}
+
+// TestCrowdsDoNotEndProcesses guards against the end of a process that buffers what its clients
+// send: each crowd sends more than the memory of the process.
+func TestCrowdsDoNotEndProcesses(t *testing.T) {
+	job := prefix + "00000000000000f1"
+	announced := "Content-Length: " + strconv.Itoa(30<<20) + "\r\n\r\n"
+	chunked := "Transfer-Encoding: chunked\r\n\r\n"
+	chunk := "4000\r\n" + strings.Repeat("x", 0x4000) + "\r\n"
+	beat := "/v1/instances/t1/heartbeat"
+	for _, c := range []struct {
+		name, address string
+		connections   int
+		send          func(net.Conn) error
+	}{
+		{"announced body", entryCaller, senders, repeat(requestHead("POST", job, announced), "x")},
+		{"body in chunks", entryCaller, senders, repeat(requestHead("POST", job, chunked), chunk)},
+		{"body in one chunk", entryCaller, senders, repeat(requestHead("POST", job, chunked)+"1E00000\r\n", "x")},
+		{"body of no queue", entryCaller, senders, repeat(requestHead("POST", "/none", announced), "x")},
+		{"long head", entryCaller, senders, repeat(requestHead("POST", job, "X-Long: "), "x")},
+		{"head without end", entryCaller, senders, repeat(requestHead("POST", job), "X-More: abcdefgh\r\n")},
+		{"path without end", entryCaller, senders, repeat("GET /", "x")},
+		{"empty lines", entryCaller, senders, repeat("", "\r\n")},
+		{"spaces before the path", entryCaller, senders, repeat("GET ", " ")},
+		{"trailer without end", entryCaller, senders, repeat(requestHead("POST", job, "Trailer: X-End\r\n", chunked)+"0\r\n", "x")},
+		{"slow announced body", entryCaller, senders, slowly(requestHead("POST", job, announced), "x")},
+		{"slow head", entryCaller, senders, slowly(requestHead("POST", job), "X-A: b\r\n")},
+		{"slow empty lines", entryCaller, senders, slowly("", "\r\n")},
+		{"bodies inside the limit", entryCaller, bodiesAtOnce, func(conn net.Conn) error {
+			request := jobRequest("00000000000000f2", bodyLimit)
+			_, err := conn.Write(request[:len(request)-1])
+			return err
+		}},
+		{"whole bodies inside the limit", entryCaller, bodiesAtOnce, func(conn net.Conn) error {
+			_, err := conn.Write(jobRequest(fmt.Sprintf("%016x", conn.LocalAddr().(*net.TCPAddr).Port), bodyLimit))
+			return err
+		}},
+		{"responses not read", entryCaller, senders, func(conn net.Conn) error {
+			request := []byte(strings.Repeat(requestHead("GET", prefix, "\r\n"), 100))
+			for range unreadRequests / 100 {
+				if _, err := conn.Write(request); err != nil {
+					return err
+				}
+			}
+			return nil
+		}},
+		{"idle connections", entryCaller, idleConns, func(net.Conn) error { return nil }},
+		{"status: announced body", entryReady, senders, repeat(requestHead("POST", "/", announced), "x")},
+		{"status: head without end", entryMetrics, senders, repeat(requestHead("GET", "/metrics"), "X-More: abcdefgh\r\n")},
+		{"status: idle connections", entryReady, idleConns, func(net.Conn) error { return nil }},
+		{"agent: announced body", agentAnnounce, senders, repeat(requestHead("POST", beat, announced), "x")},
+		{"agent: body in chunks", agentAnnounce, senders, repeat(requestHead("POST", beat, chunked), chunk)},
+		{"agent: head without end", agentAnnounce, senders, repeat(requestHead("POST", beat), "X-More: abcdefgh\r\n")},
+		{"agent: metrics head", agentMetrics, senders, repeat(requestHead("GET", "/metrics"), "X-More: abcdefgh\r\n")},
+		{"agent: idle connections", agentMetrics, idleConns, func(net.Conn) error { return nil }},
+		{"peer: long frame", entryPeer, senders, repeat("\x00\x7f\xff\xff", "x")},
+		{"peer: idle connections", entryPeer, idleConns, func(net.Conn) error { return nil }},
+	} {
+		t.Run(c.name, func(t *testing.T) { attack(t, startProcesses(t), c.address, c.connections, c.send) })
+	}
+}
+
+// TestLargestRequestIsServedInCalm guards against a limit that a client inside the limits meets.
+func TestLargestRequestIsServedInCalm(t *testing.T) {
+	p := startProcesses(t)
+	for _, length := range []int{1 << 10, bodyLimit / 2, bodyLimit} {
+		requestNumber++
+		if !completes(jobRequest(fmt.Sprintf("%016x", requestNumber), length)) {
+			t.Errorf("a body of %d bytes is not served", length)
+		}
+	}
+	head := fmt.Sprintf("X-Long: %s\r\n", strings.Repeat("x", headLimit-1024))
+	if !completes([]byte(requestHead("GET", prefix, head, "\r\n"))) {
+		t.Error("a head inside the limit is not served")
+	}
+	p.entry.check(t, p.entry.descriptors())
+}
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -59,6 +59,10 @@
 	ExtraAddresses []string
 	// NoLimits leaves the rate limit, the body limit and the error format to Handler.
 	NoLimits bool
+	// Intake, if not nil, bounds what the connections make the process buffer. It is for plain HTTP.
+	Intake *Intake
+	// Limits returns the limits of one request if Intake is set; nil means the defaults.
+	Limits func() MessageLimits
 	// IsStopping reports whether connections are to be closed after their current response;
 	// nil means never.
 	IsStopping func() bool
@@ -108,8 +112,14 @@
 		config.AddrsTLS = addresses
 		config.TLSConfig = o.Keys.config()
 	}
+	if o.Intake != nil {
+		config.MaxWriteBufferSize = maxUnreadBytes
+	}
 	s.engine = nbhttp.NewEngine(config)
 	s.engine.OnClose(s.connectionClosed)
+	if o.Intake != nil {
+		s.guardIntake()
+	}
 	s.engine.OnReadBufferFree(func(conn *nbio.Conn, _ *[]byte) { s.disconnects.afterRead(conn) })
 	if err := s.engine.Start(); err != nil {
 		return nil, eris.Wrapf(err, "listen for callers on %s", o.Address)
@@ -117,6 +127,25 @@
 	return s, nil
 }
 
+// guardIntake puts the intake in front of the engine.
+func (s *Server) guardIntake() {
+	in := s.options.Intake
+	limits := s.options.Limits
+	if limits == nil {
+		limits = func() MessageLimits { return MessageLimits{} }
+	}
+	s.engine.OnOpen(func(conn net.Conn) {
+		if c, ok := conn.(*nbio.Conn); ok {
+			in.opened(c)
+		}
+	})
+	s.engine.OnData(func(conn *nbio.Conn, data []byte) {
+		if in.admit(conn, data, limits()) {
+			conn.DataHandler()(conn, data)
+		}
+	})
+}
+
 // listenAll opens a listener for each address, or none if one of them fails.
 func listenAll(addresses []string) (map[string]net.Listener, error) {
 	listeners := make(map[string]net.Listener, len(addresses))
@@ -166,6 +195,9 @@
 // connectionClosed is the engine's callback for a closed connection.
 func (s *Server) connectionClosed(conn net.Conn, err error) {
 	s.limiters.Delete(conn)
+	if c, ok := conn.(*nbio.Conn); ok && s.options.Intake != nil {
+		s.options.Intake.closed(c)
+	}
 	if reason, ok := closeReason(err); ok && s.options.OnClose != nil {
 		s.options.OnClose(reason)
 	}
@@ -183,6 +215,9 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if c, ok := conn.(*nbio.Conn); ok && s.options.Intake != nil {
+			defer s.options.Intake.requestEnded(c)
+		}
 		_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
 		next.ServeHTTP(w, r)
 		if s.options.IsStopping != nil && s.options.IsStopping() {
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"io"
 	"net"
@@ -24,6 +25,8 @@
 	conn     net.Conn
 	reader   *bufio.Reader
 	openedAt time.Time
+	// received is set once a valid frame has arrived; Receive alone uses it.
+	received bool
 
 	wake      chan struct{}
 	done      chan struct{}
@@ -138,8 +141,11 @@
 	if size > MaxFrameBytes {
 		return nil, eris.Errorf("frame of %d bytes exceeds the limit of %d", size, MaxFrameBytes)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(l.reader, body); err != nil {
+	if !l.received && size > MaxFirstFrameBytes {
+		return nil, eris.Errorf("first frame of %d bytes exceeds the limit of %d", size, MaxFirstFrameBytes)
+	}
+	body, err := l.readBody(int64(size))
+	if err != nil {
 		return nil, eris.Wrap(err, "read frame")
 	}
 	f := &Frame{}
@@ -149,9 +155,21 @@
 	if err := f.validate(); err != nil {
 		return nil, eris.Wrap(err, "validate frame")
 	}
+	l.received = true
 	return f, nil
 }
 
+// readBody reads the body of a frame. Its buffer grows with what arrives, since a sender may
+// announce more than it sends.
+func (l *Link) readBody(size int64) ([]byte, error) {
+	var body bytes.Buffer
+	body.Grow(int(min(size, readBufferBytes)))
+	if _, err := io.CopyN(&body, l.reader, size); err != nil {
+		return nil, err
+	}
+	return body.Bytes(), nil
+}
+
 // writeLoop sends pending frames until the link is closed or a write fails.
 func (l *Link) writeLoop() {
 	for {
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -23,6 +23,8 @@
 	maxListDelay = time.Second
 	// linkCheckInterval is the time between checks that an entry is still linked.
 	linkCheckInterval = 250 * time.Millisecond
+	// maxAnnouncementBytes is the largest announcement that a target may send.
+	maxAnnouncementBytes = 4 << 20
 	// longDialInterval is the number of dial attempts of which the last one has the long
 	// timeout.
 	longDialInterval = 4
@@ -84,7 +86,9 @@
 			announcementHandler.ServeHTTP(w, r)
 		})),
 		IdleTimeout:    connectionIdleTimeout,
-		MaxConnections: maxConnections,
+		MaxConnections: p.node.MaxConnections(),
+		Intake:         p.intake,
+		Limits:         func() caller.MessageLimits { return caller.MessageLimits{Body: maxAnnouncementBytes} },
 		NoLimits:       true,
 	})
 	return err
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +26,13 @@
 	acceptAfterStop = 2500 * time.Millisecond
 	// stopReserve is the part of the stop timeout kept for sending the last responses.
 	stopReserve = 500 * time.Millisecond
+	// maxRequestLine is what a head may have beyond the limit for its header fields.
+	maxRequestLine = 4 << 10
+	// maxUnknownLinks bounds the links on which no hello has arrived. All agents of an entry may
+	// connect at once, and their hellos arrive within milliseconds.
+	maxUnknownLinks = 16
+	// acceptRetryDelay is the pause after a link could not be accepted, as without descriptors.
+	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // entry is a process in the entry role: it accepts jobs and places their tasks.
@@ -34,6 +43,7 @@
 	registrar     *registrar
 	directory     *directory
 	patience      *patienceRecord
+	cancels       *cancelRecord
 	scheduler     *scheduler.Scheduler
 	callers       *caller.Server
 	status        *caller.Server
@@ -69,8 +79,12 @@
 		Random:        rand.Float64,
 		OnNewerPolicy: e.applyOutages,
 		PolicyAge:     func() time.Duration { return e.configWatcher.age() },
+		TargetSpeeds:  p.node.Scheduling.TargetSpeeds,
+		LateAnswers:   p.node.Scheduling.LateAnswers,
+		StartWait:     p.node.Scheduling.StartWait.Std(),
 		Entries:       func() int { return min(e.directory.Len(), entries.MaxLinks) },
 	})
+	e.cancels = newCancelRecord(e.scheduler, kv, p)
 	e.patience = &patienceRecord{store: kv, log: p.log, invalid: p.invalid, estimator: e.scheduler}
 	e.configWatcher = &configWatcher{store: kv, log: p.log, invalid: p.invalid, view: e.view, changed: e.scheduler.Refresh}
 	return e.listen()
@@ -84,12 +98,14 @@
 	e.callers, err = caller.Listen(caller.Options{
 		Address: e.node.CallerListen,
 		Handler: e.recoverPanics(&platform.Ingress{
-			Jobs:     e.scheduler,
-			Document: e.configWatcher.document.Load,
+			Jobs:     e.cancels,
+			Document: e.document,
 			Closing:  e.draining.Load,
 		}),
 		IdleTimeout:    connectionIdleTimeout,
-		MaxConnections: maxConnections,
+		MaxConnections: e.node.MaxConnections(),
+		Intake:         e.intake,
+		Limits:         e.requestLimits,
 		NoLimits:       true,
 		IsStopping:     e.draining.Load,
 	})
@@ -101,12 +117,35 @@
 		ExtraAddresses: []string{e.address(e.node.MetricsPort)},
 		Handler:        http.HandlerFunc(e.serveStatus),
 		IdleTimeout:    connectionIdleTimeout,
-		MaxConnections: maxConnections,
+		MaxConnections: e.node.MaxConnections(),
+		Intake:         e.intake,
 		NoLimits:       true,
 	})
 	return err
 }
 
+// document returns the latest configuration, or nil before the first and while the cancellations of
+// earlier processes are being read: until then a cancelled job would be run if its request arrived again.
+func (e *entry) document() *platform.Document {
+	if !e.cancels.read.Load() {
+		return nil
+	}
+	return e.configWatcher.document.Load()
+}
+
+// requestLimits returns the limits of a request by the configuration in force.
+func (e *entry) requestLimits() caller.MessageLimits {
+	snapshot := e.view.Snapshot()
+	if snapshot == nil {
+		return caller.MessageLimits{}
+	}
+	limits := caller.MessageLimits{Head: snapshot.Limits.HeaderBytes, Body: snapshot.Limits.BodyBytes}
+	if limits.Head > 0 {
+		limits.Head += maxRequestLine
+	}
+	return limits
+}
+
 // applyOutages updates the data centres out of service from an agent that has a newer list
 // from another entry. The rest of the configuration comes only from the store.
 func (e *entry) applyOutages(p *peer.Policy) {
@@ -118,7 +157,7 @@
 // isReady reports whether a load balancer should send requests to the entry: it has a
 // configuration and at least one target, and is not draining.
 func (e *entry) isReady() bool {
-	return !e.draining.Load() && e.view.Snapshot() != nil && e.scheduler.HasTargets()
+	return !e.draining.Load() && e.document() != nil && e.scheduler.HasTargets()
 }
 
 func (e *entry) serveStatus(w http.ResponseWriter, r *http.Request) {
@@ -139,6 +178,7 @@
 	e.startRegistration(ctx)
 	go e.directory.run(ctx)
 	go e.patience.run(ctx)
+	go e.cancels.run(ctx)
 	go e.scheduler.Run(ctx.Done())
 	go e.acceptAgents()
 	<-stop
@@ -193,19 +233,33 @@
 	e.callers.Drain(ctx)
 }
 
-// acceptAgents accepts links from agents until the listener is closed.
+// acceptAgents accepts links from agents until the listener is closed. At most maxUnknownLinks of
+// them have not sent their hello; the others wait in the queue of the listener.
 func (e *entry) acceptAgents() {
+	unknown := make(chan struct{}, maxUnknownLinks)
 	for {
+		unknown <- struct{}{}
 		conn, err := e.agentListener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		go e.guard.Run("the link of an agent", func() { e.serveAgent(conn) })
+		if err != nil {
+			<-unknown
+			e.log.Warn().Err(err).Msg("cannot accept the link of an agent")
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		go e.guard.Run("the link of an agent", func() {
+			known := sync.OnceFunc(func() { <-unknown })
+			defer known()
+			e.serveAgent(conn, known)
+		})
 	}
 }
 
-// serveAgent serves one link from an agent. Each side starts with a hello frame.
-func (e *entry) serveAgent(conn net.Conn) {
+// serveAgent serves one link from an agent. Each side starts with a hello frame. known is called
+// once that of the agent has arrived.
+func (e *entry) serveAgent(conn net.Conn, known func()) {
 	var name atomic.Pointer[string]
 	link := peer.NewLink(conn, func(f *peer.Frame) {
 		if n := name.Load(); n != nil {
@@ -223,6 +277,7 @@
 		e.log.Warn().Err(err).Str("remote", link.RemoteAddr()).Msg("link refused: no hello frame received")
 		return
 	}
+	known()
 	agent := f.Hello.Name
 	e.scheduler.Connect(f.Hello, link)
 	defer func() { e.scheduler.Disconnect(agent, link, err) }()
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarybay/rosemarybay/internal/connection/caller"
 	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/guard"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
@@ -36,8 +37,6 @@
 	// connectionIdleTimeout is the time without a request after which a connection is
 	// closed.
 	connectionIdleTimeout = 2 * time.Minute
-	// maxConnections stays below the file descriptor limit of the smallest machine.
-	maxConnections = 3400
 )
 
 // Server is one process in the role of an entry or of an agent.
@@ -50,6 +49,8 @@
 	guard       guard.Guard
 	invalid     *eventlog.InvalidValues
 	incarnation uint64
+	intake      *caller.Intake
+	closures    closureLog
 	run         func(stop <-chan struct{})
 
 	mu sync.Mutex
@@ -78,6 +79,12 @@
 	p.log = zerolog.New(lines).With().Timestamp().Str("node", s.Name).Str("role", string(s.Role)).Logger()
 	p.guard = guard.Guard{Log: p.log, Counters: counters}
 	p.invalid = eventlog.NewInvalidValues(p.log, counters.Counter("stored_values_invalid"))
+	p.closures.log = p.log
+	p.intake = caller.NewIntake(caller.IntakeOptions{
+		Bytes:       s.Node.RequestMemory(),
+		Connections: s.Node.MaxConnections(),
+		OnClose:     p.recordClosure,
+	})
 	debug.SetMemoryLimit(memoryLimit(s.Node.MemoryMB))
 	if s.Role == settings.RoleEntry {
 		err = p.newEntry()
