Keep tasks apart that slow each other down

Load: kinds of tasks that compete on one target for what its resources do not count. Off without node.scheduling.interference.

Agents compare the run times of a queue beside another and without it, on one target, as logarithms within bounds, so that a target's speed, its mean load and long tasks cancel out. Entries combine the estimates of all targets by their uncertainty, and rank targets with room lower by what runs there.

Also: reasons of the intake have a type and rows on the counters' page.

--- a/internal/connection/caller/intake.go
+++ b/internal/connection/caller/intake.go
@@ -25,14 +25,17 @@
 	softConnectionPercent = 90
 )
 
+// IntakeReason is the reason for which an Intake closes a connection.
+type IntakeReason string
+
 // The reasons for which an Intake closes a connection.
 const (
-	CloseReasonHead      CloseReason = "head_too_long"
-	CloseReasonBody      CloseReason = "body_too_long"
-	CloseReasonFraming   CloseReason = "malformed_framing"
-	CloseReasonPipelined CloseReason = "too_many_pipelined"
-	CloseReasonMemory    CloseReason = "memory_budget"
-	CloseReasonIdle      CloseReason = "idle_at_connection_limit"
+	IntakeReasonHead      IntakeReason = "head_too_long"
+	IntakeReasonBody      IntakeReason = "body_too_long"
+	IntakeReasonFraming   IntakeReason = "malformed_framing"
+	IntakeReasonPipelined IntakeReason = "too_many_pipelined"
+	IntakeReasonMemory    IntakeReason = "memory_budget"
+	IntakeReasonIdle      IntakeReason = "idle_at_connection_limit"
 )
 
 // errBudget is the error with which connections are closed because of the budget.
@@ -45,7 +48,7 @@
 	// Connections is the number of connections above which idle ones are closed; 0 means never.
 	Connections int
 	// OnClose, if not nil, is called with the reason for each connection that is closed.
-	OnClose func(CloseReason, net.Addr)
+	OnClose func(IntakeReason, net.Addr)
 }
 
 // Intake bounds what the clients of a process make it buffer. It is shared by all servers of the
@@ -86,7 +89,7 @@
 	}
 	in.mu.Unlock()
 	if idle != nil {
-		in.close(idle, CloseReasonIdle, nil)
+		in.close(idle, IntakeReasonIdle, nil)
 	}
 }
 
@@ -132,13 +135,13 @@
 	}
 	in.chargeLocked(c)
 	unanswered := len(c.pending) > 0
-	reason, victim := closeReasonOf(err), conn
+	reason, victim := intakeReasonOf(err), conn
 	switch {
 	case err != nil:
 	case len(c.pending) > maxPipelined:
-		reason = CloseReasonPipelined
+		reason = IntakeReasonPipelined
 	case in.used > in.options.Bytes:
-		reason, victim = CloseReasonMemory, in.largestLocked(conn)
+		reason, victim = IntakeReasonMemory, in.largestLocked(conn)
 		unanswered = len(in.conns[victim].pending) > 0
 	default:
 		in.mu.Unlock()
@@ -195,7 +198,7 @@
 }
 
 // close closes a connection. The status, if not nil, is sent first.
-func (in *Intake) close(conn *nbio.Conn, reason CloseReason, status []byte) {
+func (in *Intake) close(conn *nbio.Conn, reason IntakeReason, status []byte) {
 	if in.options.OnClose != nil {
 		in.options.OnClose(reason, conn.RemoteAddr())
 	}
@@ -206,26 +209,26 @@
 }
 
 // refusals are the responses to requests that exceed a limit. None of them has reached a handler.
-var refusals = map[CloseReason][]byte{
-	CloseReasonHead:   refusal("431 Request Header Fields Too Large"),
-	CloseReasonBody:   refusal("413 Content Too Large"),
-	CloseReasonMemory: refusal("503 Service Unavailable\r\nRetry-After: 1"),
+var refusals = map[IntakeReason][]byte{
+	IntakeReasonHead:   refusal("431 Request Header Fields Too Large"),
+	IntakeReasonBody:   refusal("413 Content Too Large"),
+	IntakeReasonMemory: refusal("503 Service Unavailable\r\nRetry-After: 1"),
 }
 
 func refusal(status string) []byte {
 	return []byte("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 }
 
-func closeReasonOf(err error) CloseReason {
+func intakeReasonOf(err error) IntakeReason {
 	switch {
 	case err == nil:
 		return ""
 	case errors.Is(err, errHeadTooLong):
-		return CloseReasonHead
+		return IntakeReasonHead
 	case errors.Is(err, errBodyTooLong):
-		return CloseReasonBody
+		return IntakeReasonBody
 	}
-	return CloseReasonFraming
+	return IntakeReasonFraming
 }
 
 func (l MessageLimits) orDefault() MessageLimits {
--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -58,6 +58,8 @@
 	// Such an order may be executed until MaxOrderDelay after it was sent, also by the next
 	// incarnation of the target.
 	LateOrders []task.Attempt `cbor:"22,keyasint,omitempty"`
+	// Interference is what an agent has measured of tasks that slow each other down.
+	Interference *Interference `cbor:"23,keyasint,omitempty"`
 }
 
 // Subscribe is a subscription to the list of entries, with the revision and the number of
@@ -132,6 +134,23 @@
 	// none, and ExclusiveFor how much longer they do; 0 means until their end.
 	ExclusiveJob string        `cbor:"8,keyasint,omitempty"`
 	ExclusiveFor time.Duration `cbor:"9,keyasint,omitempty"`
+	// Queues are those of which runs are at the target, if the agent measures interference.
+	Queues []string `cbor:"10,keyasint,omitempty"`
+}
+
+// Interference has an agent's estimates of the pairs of queues of which one slows down the other at
+// its target. It replaces earlier ones.
+type Interference struct {
+	Pairs []PairEstimate `cbor:"1,keyasint,omitempty"`
+}
+
+// PairEstimate is an estimate of how much longer tasks of a queue run beside those of another one.
+type PairEstimate struct {
+	Queue  string `cbor:"1,keyasint"`
+	Beside string `cbor:"2,keyasint"`
+	// Effect is the natural logarithm of the slowdown, Error its standard error.
+	Effect float64 `cbor:"3,keyasint"`
+	Error  float64 `cbor:"4,keyasint"`
 }
 
 // Start asks an agent to run one attempt.
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -89,6 +89,7 @@
 	f.Target = latest(f.Target, o.Target)
 	f.Room = latest(f.Room, o.Room)
 	f.Policy = latest(f.Policy, o.Policy)
+	f.Interference = latest(f.Interference, o.Interference)
 	f.Claims = latest(f.Claims, o.Claims)
 	if o.Progress != nil {
 		f.Progress = o.Progress
--- a/internal/connection/peer/validate.go
+++ b/internal/connection/peer/validate.go
@@ -41,6 +41,9 @@
 	if err := validateDemand(f.Demand); err != nil {
 		return err
 	}
+	if err := f.Interference.validate(); err != nil {
+		return eris.Wrap(err, "interference")
+	}
 	if err := bounds.RunTime.Check("age of the policy", f.PolicyAge); err != nil {
 		return err
 	}
@@ -64,6 +67,24 @@
 	)
 }
 
+// Ranges of an estimate of interference: logarithms of a slowdown.
+var (
+	effectRange      = bounds.Range[float64]{Min: -10, Max: 10}
+	effectErrorRange = bounds.Range[float64]{Min: 0, Max: 10}
+)
+
+func (i *Interference) validate() error {
+	if i == nil {
+		return nil
+	}
+	for _, p := range i.Pairs {
+		if err := errors.Join(effectRange.Check("effect", p.Effect), effectErrorRange.Check("error", p.Error)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Validate returns an error unless the entry can be dialled.
 func (e *Entry) Validate() error {
 	errs := []error{bounds.CheckName("name of the entry", e.Name), bounds.CheckIPPort("address", e.Address)}
--- a/internal/process/load/placement.go
+++ b/internal/process/load/placement.go
@@ -21,6 +21,8 @@
 	SameStepTasks int
 	// Slowness is the score penalty for the target's speed, see SlownessPenalty.
 	Slowness float64
+	// Interference is the score penalty for what runs there, see InterferenceTable.
+	Interference float64
 }
 
 // Requirements are what a task requires of its target, and its preferences.
@@ -72,7 +74,7 @@
 	if c.DataCentre == r.DataCentre {
 		score += localDataCentreBonus
 	}
-	score -= delayPenalty*c.DelayedShare + c.Slowness
+	score -= delayPenalty*c.DelayedShare + c.Slowness + c.Interference
 	if c.Avoid {
 		score -= 2
 	}
--- a/internal/process/loadreplay/replay_test.go
+++ b/internal/process/loadreplay/replay_test.go
@@ -41,6 +41,13 @@
 	killers *killers
 	// targetCPU is the capacity of a target in thousandths of a core; 0 means targetCPU.
 	targetCPU int64
+	// slowedTogether are two kinds whose tasks run slowedBy times as long if one of the other kind is
+	// at the target when they start, until slowedUntil; a slowedBy of 0 means that none are.
+	slowedTogether [2]string
+	slowedBy       float64
+	slowedUntil    time.Duration
+	// interference is that of scheduler.Options and runs.Options.
+	interference bool
 	// targetSpeeds, lateAnswers and startWait are those of scheduler.Options.
 	targetSpeeds, lateAnswers bool
 	startWait                 time.Duration
@@ -106,6 +113,8 @@
 	// crashes is the number of crashes of targets, lostRuns that of the runs on them, and
 	// mostCrashes the highest number of crashes by one task.
 	crashes, lostRuns, mostCrashes int
+	// learned and forgotten are the numbers of pairs of kinds that entries began and ceased to keep apart.
+	learned, forgotten int64
 	// overCapacity is the number of starts over a capacity that a target had announced.
 	overCapacity int
 }
@@ -118,6 +127,7 @@
 			capacity += float64(c.cpuOfTarget()) * speed
 		}
 		w := newWorkload(c.kinds, c.seed, c.load*capacity, c.length)
+		w.slowedTogether, w.slowedBy, w.slowedUntil = c.slowedTogether, c.slowedBy, time.Now().Add(c.slowedUntil)
 		if c.killers != nil {
 			w.addKillers(*c.killers, c.seed)
 		}
@@ -161,12 +171,13 @@
 			TargetSpeeds:  c.targetSpeeds,
 			LateAnswers:   c.lateAnswers,
 			StartWait:     c.startWait,
+			Interference:  c.interference,
 		})
 		f.entries = append(f.entries, s)
 		go s.Run(f.done)
 	}
 	for i, speed := range c.speeds {
-		f.addTarget(i, newTarget(w, c.cpuOfTarget(), speed), c.linkDelay)
+		f.addTarget(i, newTarget(w, c.cpuOfTarget(), speed), c)
 	}
 	return f
 }
@@ -182,14 +193,14 @@
 }
 
 // addTarget starts the agent of a target and links it with all entries.
-func (f *fleet) addTarget(index int, t *target, delay time.Duration) {
+func (f *fleet) addTarget(index int, t *target, c setup) {
 	f.targets = append(f.targets, t)
 	name := fmt.Sprintf("agent-%d", index)
 	current := t
 	m := runs.New(runs.Options{
 		Name: name, Incarnation: uint64(index + 1), DataCentre: "dc", Log: replayLog(name), Counters: f.counters,
-		TargetLease: time.Second,
-		Dial:        func(runs.Announcement) runs.TargetClient { return current },
+		TargetLease: time.Second, Interference: c.interference,
+		Dial: func(runs.Announcement) runs.TargetClient { return current },
 	})
 	incarnation := int64(0)
 	var announce func(*target)
@@ -220,7 +231,7 @@
 	go m.Run(f.done)
 	time.Sleep(5 * time.Millisecond)
 	for i, s := range f.entries {
-		f.link(m, s, name, uint64(i+1), delay)
+		f.link(m, s, name, uint64(i+1), c.linkDelay)
 	}
 }
 
@@ -334,6 +345,8 @@
 		r.mostCrashes = max(r.mostCrashes, n)
 	}
 	r.lostRuns = w.lostRuns
+	r.learned = f.counters.Counter("interference_learned").Count()
+	r.forgotten = f.counters.Counter("interference_forgotten").Count()
 	r.refusedStarts = f.counters.Counter("starts_refused_room").Count()
 	return r
 }
--- a/internal/process/loadreplay/target_test.go
+++ b/internal/process/loadreplay/target_test.go
@@ -67,7 +67,8 @@
 			t.overCapacity++
 		}
 	}
-	r := &activeRun{cpu: s.Need.CPU, started: time.Now(), length: time.Duration(float64(t.workload.work(s.Attempt.Key)) / t.speed)}
+	length := float64(t.workload.work(s.Attempt.Key)) / t.speed * t.workload.slowdown(s.Attempt.Key, t.running)
+	r := &activeRun{cpu: s.Need.CPU, started: time.Now(), length: time.Duration(length)}
 	t.used += r.cpu
 	t.running[s.Attempt] = r
 	r.timer = time.AfterFunc(r.length, func() { t.end(s.Attempt, peer.OutcomeDone) })
--- a/internal/process/loadreplay/workload_test.go
+++ b/internal/process/loadreplay/workload_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -78,6 +79,10 @@
 	arrivals []*arrival
 	queues   map[string]*policy.Queue
 
+	slowedTogether [2]string
+	slowedBy       float64
+	slowedUntil    time.Time
+
 	mu    sync.Mutex
 	works map[task.Key]time.Duration
 	// killers are the tasks that crash each target that starts them, and how long after.
@@ -194,6 +199,24 @@
 	return a
 }
 
+// slowdown returns the factor by which a task runs longer beside others.
+func (w *workload) slowdown(k task.Key, beside map[task.Attempt]*activeRun) float64 {
+	if w.slowedBy == 0 || time.Now().After(w.slowedUntil) {
+		return 1
+	}
+	for i, kind := range w.slowedTogether {
+		if !strings.HasPrefix(k.Job, kind+"-") {
+			continue
+		}
+		for a := range beside {
+			if strings.HasPrefix(a.Key.Job, w.slowedTogether[1-i]+"-") {
+				return w.slowedBy
+			}
+		}
+	}
+	return 1
+}
+
 // work returns the run time of a task at speed 1.
 func (w *workload) work(k task.Key) time.Duration {
 	w.mu.Lock()
--- a/internal/process/metrics/doc_test.go
+++ b/internal/process/metrics/doc_test.go
@@ -26,6 +26,7 @@
 	trafficPattern = regexp.MustCompile(`newTrafficCounters\(r, "([a-z_]+)"\)`)
 	prefixPattern  = regexp.MustCompile(`Counter\(\s*"([a-z_]+_)"\s*\+`)
 	closePattern   = regexp.MustCompile(`CloseReason = "([a-z]+)"`)
+	intakePattern  = regexp.MustCompile(`IntakeReason = "([a-z_]+)"`)
 	statePattern   = regexp.MustCompile(`State = "([a-z_]+)"`)
 	refusalPattern = regexp.MustCompile(`Refusal = "([a-z_]+)"`)
 	answerPattern  = regexp.MustCompile(`\bAnswer[A-Z]\w+:\s+"([a-z_]+)"`)
@@ -54,6 +55,7 @@
 		}
 		for prefix, expression := range map[string]*regexp.Regexp{
 			"caller_connections_cut_": closePattern,
+			"connections_closed_":     intakePattern,
 			"jobs_":                   statePattern,
 			"starts_refused_":         refusalPattern,
 			"start_orders_":           answerPattern,
@@ -81,7 +83,7 @@
 		for _, reason := range verdict.Reasons() {
 			names[prefix+verdict.ReasonName(reason)] = true
 		}
-	case "caller_connections_cut_", "jobs_", "starts_refused_", "start_orders_":
+	case "caller_connections_cut_", "connections_closed_", "jobs_", "starts_refused_", "start_orders_":
 		for _, end := range ends {
 			names[prefix+end] = true
 		}
--- a/internal/process/model/simulation_test.go
+++ b/internal/process/model/simulation_test.go
@@ -32,6 +32,8 @@
 	// maxBacklogTime is how long an entry takes to read the requests that arrived in a pause.
 	maxBacklogTime = 200 * time.Millisecond
 	sweepInterval  = 10 * time.Millisecond
+	// startWait lets agents hold starts, so that schedules end them in every state.
+	startWait = 100 * time.Millisecond
 	// queues is the number of queues; each has another priority.
 	queues         = 2
 	redialInterval = 20 * time.Millisecond
@@ -185,6 +187,9 @@
 		Random:        func() float64 { return 0.5 },
 		OnNewerPolicy: func(*peer.Policy) {},
 		Entries:       func() int { return len(e.sim.entries) },
+		TargetSpeeds:  true,
+		LateAnswers:   true,
+		StartWait:     startWait,
 	})
 	e.begin(number, func() { e.scheduler = s })
 	go func() {
--- a/internal/process/runs/hold.go
+++ b/internal/process/runs/hold.go
@@ -99,7 +99,7 @@
 // refuseOneHeldLocked refuses a start that was held.
 func (m *Manager) refuseOneHeldLocked(h heldStart, refusal peer.Refusal) {
 	a := h.start.Attempt
-	m.opts.Counters.Counter("starts_held_refused_" + string(refusal)).Inc(1)
+	m.opts.Counters.Counter("starts_held_refused").Inc(1)
 	m.opts.Log.Info().Str("job", a.Key.Job).Stringer("task", a.Key).Uint64("run", a.Run).Str("refusal", string(refusal)).
 		Dur("held", m.clock()-h.acceptedAt).Msg("held start refused")
 	m.sendResultLocked(h.owner, a, peer.OutcomeRefused, refusal)
--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -48,6 +48,11 @@
 	// speed is how long runs take here, and speedShared what the entries know of it.
 	speed       load.RunSpeed
 	speedShared sharedSpeed
+	// interference is which tasks slow each other down here; interferenceShared is set if the
+	// entries have estimates, which were sent at interferenceSharedAt.
+	interference         load.InterferenceMeter
+	interferenceShared   bool
+	interferenceSharedAt time.Duration
 	// prober is the incarnation of the entry that may send the next probe, probeOfferedAt
 	// when it was chosen.
 	prober         uint64
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -40,6 +40,8 @@
 	Crashed func([]crash.Report)
 	// SinceBoot returns a time that also counts while the machine is suspended. Optional.
 	SinceBoot uptime.Source
+	// Interference is set if the agent measures which tasks slow each other down.
+	Interference bool
 	// Retired is called once a retiring entry has no runs and results left here.
 	// Optional.
 	Retired func(address string)
@@ -64,6 +66,8 @@
 	crashes crash.Log
 	// cancelled holds the jobs that were cancelled recently.
 	cancelled *recent.IDs
+	// present measures which queues have runs at the target.
+	present presence
 	// starts measures how often jobs of each queue begin here.
 	starts load.StartRates
 	// resultsSent is the number of the latest result.
@@ -139,6 +143,8 @@
 	otherClaimants []uint64
 	// refusedAtEnd lists the starts of the same task that are refused once the run is over.
 	refusedAtEnd []heldRefusal
+	// presentBefore is for how long runs of each queue had been at the target when the run began.
+	presentBefore map[string]time.Duration
 	// expected is the predicted run time here, average that on the average target, and
 	// startedAt when the start was confirmed, as returned by Manager.clock.
 	expected, average, startedAt time.Duration
@@ -199,6 +205,9 @@
 func (m *Manager) roomLocked(o *owner) *peer.Room {
 	room := &peer.Room{Free: m.freeLocked().Sub(m.heldNeedLocked()), Demand: m.demandOfOthersLocked(o)}
 	m.describeIsolationLocked(room)
+	if m.opts.Interference {
+		room.Queues = m.present.queues()
+	}
 	if t := m.target; t != nil && !t.health.Healthy() {
 		room.Probation = true
 		room.Probe = t.prober == o.incarnation && t.health.MayProbe(m.clock())
--- a/internal/process/runs/poll.go
+++ b/internal/process/runs/poll.go
@@ -233,6 +233,7 @@
 	}
 	if e.Outcome == peer.OutcomeDone {
 		m.recordSpeedLocked(t, r)
+		m.recordInterferenceLocked(t, r)
 	}
 	m.finishLocked(r, e.Outcome, peer.RefusalNone)
 }
--- a/internal/process/runs/result.go
+++ b/internal/process/runs/result.go
@@ -43,6 +43,7 @@
 // finishLocked removes a run that has ended or never started, and reports the outcome.
 func (m *Manager) finishLocked(r *run, outcome peer.Outcome, refusal peer.Refusal) {
 	delete(m.runs, r.attempt.Key)
+	m.endPresenceLocked(r)
 	if o := m.owners[r.owner]; o != nil {
 		o.runCount--
 	}
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -62,6 +62,7 @@
 		m.starts.Record(r.orderedAt, s.Queue)
 	}
 	m.runs[s.Attempt.Key] = r
+	m.beginPresenceLocked(r)
 	o.runCount++
 	m.markFreeCapacityDirtyLocked()
 	go m.start(m.target, r, s)
--- a/internal/process/runs/sweep.go
+++ b/internal/process/runs/sweep.go
@@ -35,6 +35,7 @@
 	m.offerProbeLocked(clock)
 	m.startHeldLocked()
 	m.shareSpeedLocked(clock)
+	m.shareInterferenceLocked(clock)
 	for incarnation, o := range m.owners {
 		if reason, expired := o.leaseExpired(clock, now); expired && (o.runCount > 0 || m.isHeldLocked(incarnation)) && now.Sub(m.resumedAt) > resumeGrace {
 			m.stopOwnerLocked(incarnation, reason)
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -91,6 +91,7 @@
 	}
 	s.sweepConfinement(now)
 	s.sweepSpeeds(now)
+	s.sweepInterference(now)
 	s.sweepCancels(now)
 	for _, j := range s.jobs {
 		s.sweepJob(j, now)
--- a/internal/process/scheduler/agentlink.go
+++ b/internal/process/scheduler/agentlink.go
@@ -113,6 +113,7 @@
 	if f.Room != nil {
 		s.updateRoom(t, f.Room)
 	}
+	s.receiveInterference(t, f.Interference)
 	t.recordLateOrders(f.LateOrders, s.now())
 	for _, r := range f.Results {
 		s.handleResult(t, r)
@@ -139,6 +140,7 @@
 	t.reportedFree = room.Free
 	t.probation, t.probe = room.Probation, room.Probe
 	t.shared, t.isolated = room.Shared, room.Isolated
+	t.queues = room.Queues
 	t.exclusiveJob, t.exclusiveUntil = room.ExclusiveJob, 0
 	if room.ExclusiveFor > 0 {
 		t.exclusiveUntil = s.now() + room.ExclusiveFor
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -141,6 +141,7 @@
 			}
 			c.Slowness = load.SlownessPenalty(it.expectedOn(t), it.job.objective-r.now)
 		}
+		c.Interference = s.interference.Penalty(it.job.queue.Name, t.queues)
 		if req.MaxPerTarget > 0 {
 			c.SameStepTasks = t.attemptsOfStep(it)
 		}
@@ -153,7 +154,7 @@
 		if c.DataCentre == s.opts.DataCentre {
 			local++
 		}
-		if candidates++; candidates == maxCandidates || local == maxLocalCandidates {
+		if candidates++; candidates == maxCandidates || (local == maxLocalCandidates && s.interference.IsEmpty()) {
 			break
 		}
 	}
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -48,6 +48,8 @@
 	// LateAnswers is set if a job that can no longer meet its objective may wait for spare
 	// capacity while its answer is still useful, in place of being refused.
 	LateAnswers bool
+	// Interference is set if tasks that slow each other down are kept apart where there is room.
+	Interference bool
 	// Entries returns the number of entries that share the targets.
 	Entries func() int
 }
@@ -111,6 +113,9 @@
 	// fastest is the relative slowdown of the fastest target, by pool.
 	fastest       map[string]float64
 	unequalSpeeds bool
+	// interference holds the pairs of queues whose tasks slow each other down.
+	interference          load.InterferenceTable
+	interferenceUpdatedAt time.Duration
 	// restartTime is the time that crashed targets take to come back.
 	restartTime time.Duration
 	// speedsUpdatedAt is when the slowdowns were derived last.
--- a/internal/process/scheduler/speed.go
+++ b/internal/process/scheduler/speed.go
@@ -77,7 +77,7 @@
 // averageRunTime returns the predicted run time of a task on the average target, from which
 // agents derive the speed of theirs, or 0 while it is only declared.
 func (s *Scheduler) averageRunTime(it *item) time.Duration {
-	if !s.opts.TargetSpeeds || !s.estimate.IsLearned(it.job.queue.Name) {
+	if !(s.opts.TargetSpeeds || s.opts.Interference) || !s.estimate.IsLearned(it.job.queue.Name) {
 		return 0
 	}
 	return it.expected
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -41,6 +41,8 @@
 	setApart bool
 	// crashed is set while the incarnation described has crashed.
 	crashed bool
+	// queues are those of which runs were at the target in the latest frame.
+	queues []string
 	// refusedUntil is when the target may be given work again after a refusal.
 	refusedUntil time.Duration
 	// lastCrash is when a target of this agent crashed last, hasCrashed whether one did. It may
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -62,9 +62,11 @@
 		TargetLease: p.node.TargetLease.Std(),
 		CallerRetry: p.node.CallerRetryTime(),
 		SinceBoot:   uptime.SinceBoot,
-		Announced:   a.record.queue,
-		Retired:     a.links.linkRetired,
-		Crashed:     a.crashes.queue,
+
+		Interference: p.node.Scheduling.Interference,
+		Announced:    a.record.queue,
+		Retired:      a.links.linkRetired,
+		Crashed:      a.crashes.queue,
 		Dial: func(announced runs.Announcement) runs.TargetClient {
 			return platform.NewTargetClient(announced, p.node.IP, p.node.TargetLease.Std())
 		},
--- a/internal/process/server/closures.go
+++ b/internal/process/server/closures.go
@@ -20,7 +20,7 @@
 
 	mu sync.Mutex
 	// byReason has the time of the latest line, and the number of closures since then.
-	byReason map[caller.CloseReason]*closureCount
+	byReason map[caller.IntakeReason]*closureCount
 }
 
 type closureCount struct {
@@ -29,16 +29,16 @@
 }
 
 // recordClosure counts a connection that was closed because it exceeded a limit.
-func (p *Server) recordClosure(reason caller.CloseReason, remote net.Addr) {
+func (p *Server) recordClosure(reason caller.IntakeReason, remote net.Addr) {
 	p.counters.Counter("connections_closed_" + string(reason)).Inc(1)
 	p.closures.record(reason, remote, time.Now())
 }
 
-func (c *closureLog) record(reason caller.CloseReason, remote net.Addr, now time.Time) {
+func (c *closureLog) record(reason caller.IntakeReason, remote net.Addr, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.byReason == nil {
-		c.byReason = make(map[caller.CloseReason]*closureCount)
+		c.byReason = make(map[caller.IntakeReason]*closureCount)
 	}
 	count := c.byReason[reason]
 	if count == nil {
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -82,6 +82,7 @@
 		TargetSpeeds:  p.node.Scheduling.TargetSpeeds,
 		LateAnswers:   p.node.Scheduling.LateAnswers,
 		StartWait:     p.node.Scheduling.StartWait.Std(),
+		Interference:  p.node.Scheduling.Interference,
 		Entries:       func() int { return min(e.directory.Len(), entries.MaxLinks) },
 	})
 	e.cancels = newCancelRecord(e.scheduler, kv, p)
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -49,11 +49,11 @@
 	// RequestMemoryMB is the memory for requests that are being received or answered, of all
 	// connections together; 0 means a share of MemoryMB.
 	RequestMemoryMB int `json:"request_memory_mb,omitempty"`
-	// Scheduling switches on decisions under load; entries only.
+	// Scheduling switches on decisions under load. Agents use Interference only.
 	Scheduling Scheduling `json:"scheduling,omitzero"`
 }
 
-// Scheduling holds the settings of an entry's decisions under load. Without a field its decision
+// Scheduling holds the settings of the decisions under load. Without a field its decision
 // is not taken.
 type Scheduling struct {
 	// TargetSpeeds learns how fast each target is and places tasks accordingly.
@@ -63,6 +63,8 @@
 	LateAnswers bool `json:"late_answers,omitempty"`
 	// StartWait is how long an agent may hold a start until its target has capacity; 0 to 200 ms.
 	StartWait Duration `json:"start_wait,omitempty"`
+	// Interference keeps tasks apart that slow each other down; entries and agents.
+	Interference bool `json:"interference,omitempty"`
 }
 
 // startWaitRange is the range of Scheduling.StartWait.
