Let requests wait for the first configuration of an entry that has just started

With node.scheduling.config_wait a request waits until the first configuration is read, its own deadline, or that time after the start of the entry. The entry is not ready meanwhile.

--- a/internal/process/server/cancelrecord.go
+++ b/internal/process/server/cancelrecord.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -45,8 +44,8 @@
 	invalid  *eventlog.InvalidValues
 	writer   store.Writer
 	wake     chan struct{}
-	// read is set once the records of all entries have been read.
-	read atomic.Bool
+	// read is closed once the records of all entries have been read.
+	read chan struct{}
 
 	mu      sync.Mutex
 	recent  []recordedCancel
@@ -73,6 +72,7 @@
 		invalid:   p.invalid,
 		writer:    store.Writer{Store: kv, Key: cancelKeyPrefix + p.settings.Name},
 		wake:      make(chan struct{}, 1),
+		read:      make(chan struct{}),
 	}
 }
 
@@ -170,7 +170,17 @@
 func (c *cancelRecord) load(ctx context.Context) {
 	if first, err := awaitListing(ctx, c.store, cancelKeyPrefix, c.log); err == nil {
 		c.restore(first.listing)
-		c.read.Store(true)
+		close(c.read)
+	}
+}
+
+// isRead reports whether the records of all entries have been read.
+func (c *cancelRecord) isRead() bool {
+	select {
+	case <-c.read:
+		return true
+	default:
+		return false
 	}
 }
 
--- a/internal/process/server/cancelrecord_test.go
+++ b/internal/process/server/cancelrecord_test.go
@@ -36,7 +36,7 @@
 		first := newTestCancelRecord(f)
 		go first.run(t.Context())
 		time.Sleep(time.Second)
-		if !first.read.Load() {
+		if !first.isRead() {
 			t.Fatal("the record was not read")
 		}
 		stored := first.add("j", time.Now())
@@ -65,12 +65,12 @@
 		record := newTestCancelRecord(f)
 		go record.run(t.Context())
 		time.Sleep(3 * time.Second)
-		if record.read.Load() {
+		if record.isRead() {
 			t.Fatal("read from a store that is away")
 		}
 		f.set(func() { f.down = false })
 		time.Sleep(2 * firstReadInterval)
-		if _, known := record.State("j"); !known || !record.read.Load() {
+		if _, known := record.State("j"); !known || !record.isRead() {
 			t.Error("not read once the store was back")
 		}
 	})
--- a/internal/process/server/configwatcher.go
+++ b/internal/process/server/configwatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,9 @@
 	invalid  *eventlog.InvalidValues
 	view     *policy.View
 	document atomic.Pointer[platform.Document]
+	// first, if not nil, is closed once document is set.
+	first     chan struct{}
+	firstOnce sync.Once
 	// changed is called after each change.
 	changed func()
 	// storeLost is set while the store cannot be reached.
@@ -168,6 +172,11 @@
 	newer := d != nil && w.view.Apply(d.Snapshot)
 	if newer {
 		w.document.Store(d)
+		w.firstOnce.Do(func() {
+			if w.first != nil {
+				close(w.first)
+			}
+		})
 		w.log.Info().Uint64("revision", revision).Uint64("version", d.Snapshot.Version).
 			Int("queues", len(d.Snapshot.Queues)).Msg("configuration applied")
 	}
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -49,6 +49,7 @@
 	status        *caller.Server
 	agentListener net.Listener
 	draining      atomic.Bool
+	startedAt     time.Time
 	// deregister begins to delete the registration of the entry; deregistered is closed once it
 	// has been deleted, or cannot be.
 	deregister   context.CancelFunc
@@ -56,7 +57,7 @@
 }
 
 func (p *Server) newEntry() error {
-	e := &entry{Server: p, view: &policy.View{}}
+	e := &entry{Server: p, view: &policy.View{}, startedAt: time.Now()}
 	p.run = e.serve
 	kv := platform.NewStore(p.node.Store, p.node.IP)
 	advertised := p.node.PeerAdvertise
@@ -87,7 +88,7 @@
 	})
 	e.cancels = newCancelRecord(e.scheduler, kv, p)
 	e.patience = &patienceRecord{store: kv, log: p.log, invalid: p.invalid, estimator: e.scheduler}
-	e.configWatcher = &configWatcher{store: kv, log: p.log, invalid: p.invalid, view: e.view, changed: e.scheduler.Refresh}
+	e.configWatcher = &configWatcher{store: kv, log: p.log, invalid: p.invalid, view: e.view, changed: e.scheduler.Refresh, first: make(chan struct{})}
 	return e.listen()
 }
 
@@ -101,7 +102,9 @@
 		Handler: e.recoverPanics(&platform.Ingress{
 			Jobs:     e.cancels,
 			Document: e.document,
-			Closing:  e.draining.Load,
+
+			AwaitDocument: e.awaitDocument,
+			Closing:       e.draining.Load,
 		}),
 		IdleTimeout:    connectionIdleTimeout,
 		MaxConnections: e.node.MaxConnections(),
@@ -128,12 +131,32 @@
 // document returns the latest configuration, or nil before the first and while the cancellations of
 // earlier processes are being read: until then a cancelled job would be run if its request arrived again.
 func (e *entry) document() *platform.Document {
-	if !e.cancels.read.Load() {
+	if !e.cancels.isRead() {
 		return nil
 	}
 	return e.configWatcher.document.Load()
 }
 
+// awaitDocument waits for document until ctx ends, or until the entry has had none for configWait
+// since its start: it is then turned away by the store, and its callers should turn to another one.
+func (e *entry) awaitDocument(ctx context.Context) *platform.Document {
+	left := e.node.Scheduling.ConfigWait.Std() - time.Since(e.startedAt)
+	if left <= 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	for _, ready := range []<-chan struct{}{e.configWatcher.first, e.cancels.read} {
+		select {
+		case <-ready:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	e.counters.Counter("requests_held_at_start").Inc(1)
+	return e.document()
+}
+
 // requestLimits returns the limits of a request by the configuration in force.
 func (e *entry) requestLimits() caller.MessageLimits {
 	snapshot := e.view.Snapshot()
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -63,10 +63,15 @@
 	LateAnswers bool `json:"late_answers,omitempty"`
 	// StartWait is how long an agent may hold a start until its target has capacity; 0 to 200 ms.
 	StartWait Duration `json:"start_wait,omitempty"`
+	// ConfigWait is how long after its start an entry lets requests wait for its first configuration.
+	ConfigWait Duration `json:"config_wait,omitempty"`
 	// Interference keeps tasks apart that slow each other down; entries and agents.
 	Interference bool `json:"interference,omitempty"`
 }
 
+// configWaitRange is the range of Scheduling.ConfigWait.
+var configWaitRange = bounds.Range[time.Duration]{Min: 0, Max: time.Minute}
+
 // startWaitRange is the range of Scheduling.StartWait.
 var startWaitRange = bounds.Range[time.Duration]{Min: 0, Max: 200 * time.Millisecond}
 
@@ -155,6 +160,9 @@
 	if err := startWaitRange.Check("node.scheduling.start_wait", n.Scheduling.StartWait.Std()); err != nil {
 		return err
 	}
+	if err := configWaitRange.Check("node.scheduling.config_wait", n.Scheduling.ConfigWait.Std()); err != nil {
+		return err
+	}
 	if err := descriptorsRange.Check("node.max_descriptors", cmp.Or(n.MaxDescriptors, defaultDescriptors)); err != nil {
 		return err
 	}
