--- a/internal/connection/caller/intake.go
+++ b/internal/connection/caller/intake.go
@@ -38,8 +38,8 @@
 	IntakeReasonIdle      IntakeReason = "idle_at_connection_limit"
 )
 
-// errBudget is the error with which connections are closed because of the budget.
-var errBudget = eris.New("the memory budget for requests is used up")
+// errLimit is the error with which an Intake closes connections.
+var errLimit = eris.New("a limit for clients is exceeded")
 
 // IntakeOptions configures an Intake.
 type IntakeOptions struct {
@@ -205,7 +205,7 @@
 	if status != nil {
 		_, _ = conn.Write(status) // the client may have left
 	}
-	_ = conn.CloseWithError(errBudget)
+	_ = conn.CloseWithError(errLimit)
 }
 
 // refusals are the responses to requests that exceed a limit. None of them has reached a handler.
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -32,8 +32,6 @@
 	// overdue is set if the caller has already waited so long, at another entry or for
 	// a connection, that the objective cannot be met.
 	overdue bool
-	// waitsLate is set once the job has been made overdue in place of being refused.
-	waitsLate bool
 	// capacity is the prediction on which the job's admission was decided.
 	capacity capacityPrediction
 	// hasRestarts is set once a task has been started more than once.
--- a/internal/process/scheduler/overdue.go
+++ b/internal/process/scheduler/overdue.go
@@ -23,7 +23,7 @@
 	if !load.MayAnswerLate(wait, slack) || !load.HasSpareCapacity(s.usableCPU(s.newRound())) {
 		return false
 	}
-	j.overdue, j.waitsLate = true, true
+	j.overdue = true
 	j.latestStart = now + slack
 	s.fixOrder(j)
 	s.opts.Counters.Counter("jobs_accepted_late").Inc(1)
