--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -45,6 +45,7 @@
 	service                             = "pool"
 	targetCPU                           = 8000
 	startTimeout                        = 10 * time.Second
+	startWait                           = 100 * time.Millisecond
 	meanFaultInterval                   = 700 * time.Millisecond // between two faults
 	maxFaultDuration                    = 2 * time.Second        // of one fault
 	settleTime                          = 5 * time.Second
@@ -197,6 +198,10 @@
 			Store:       s.address(storeNet, 0, storePort),
 			TargetLease: settings.Duration(targetLease),
 			MemoryMB:    memoryMB,
+			Scheduling: settings.Scheduling{
+				TargetSpeeds: true, LateAnswers: true, Interference: true,
+				StartWait: settings.Duration(startWait), ConfigWait: settings.Duration(startTimeout),
+			},
 		},
 	}
 }
