--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -154,13 +154,17 @@
 		if c.DataCentre == s.opts.DataCentre {
 			local++
 		}
-		if candidates++; candidates == maxCandidates || (local == maxLocalCandidates && s.interference.IsEmpty()) {
+		if candidates++; candidates == maxCandidates || (local == maxLocalCandidates && s.spreadsStarts()) {
 			break
 		}
 	}
 	return best
 }
 
+// spreadsStarts reports whether the best of a few targets is enough: where entries compete for
+// targets, and no target is worse than others for what runs on it.
+func (s *Scheduler) spreadsStarts() bool { return s.opts.StartWait > 0 && s.interference.IsEmpty() }
+
 // mayProbe reports whether a task may be sent to a target on probation: one failure
 // must not exhaust its attempts.
 func (it *item) mayProbe() bool { return it.failures == 0 && it.job.queue.MaxAttempts > 1 }
