--- a/internal/bench/untrusted/untrusted_test.go
+++ b/internal/bench/untrusted/untrusted_test.go
@@ -69,14 +69,26 @@
 	os.Exit(m.Run())
 }
 
+// size is what a machine gives to a process: the settings of the process, and the bounds of what it
+// may use.
+type size struct{ memoryMB, descriptors int }
+
+var (
+	// small is below all machines, so that small crowds reach the bounds.
+	small = size{memoryMB, maxDescriptors}
+	// smallestMachine is the smallest one on which the product runs.
+	smallestMachine = size{144, 3075}
+)
+
 // process is an entry or an agent.
 type process struct {
 	name  string
+	size  size
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
 
-func startProcess(t *testing.T, dir string, s *settings.Settings) *process {
+func startProcess(t *testing.T, dir string, s *settings.Settings, z size) *process {
 	t.Helper()
 	b, err := json.Marshal(s)
 	if err != nil {
@@ -95,7 +107,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{name: s.Name, cmd: exec.Command(self, fleet.NodeCommand, "-settings", path), ended: make(chan struct{})}
+	p := &process{name: s.Name, size: z, cmd: exec.Command(self, fleet.NodeCommand, "-settings", path), ended: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
@@ -123,11 +135,11 @@
 	}
 	peak := p.peakMemoryMB(t)
 	t.Logf("%s: peak %d MB, most descriptors %d", p.name, peak, descriptors)
-	if peak > memoryMB {
-		t.Errorf("%s used %d MB, limit %d", p.name, peak, memoryMB)
+	if peak > p.size.memoryMB {
+		t.Errorf("%s used %d MB, limit %d", p.name, peak, p.size.memoryMB)
 	}
-	if descriptors > maxDescriptors {
-		t.Errorf("%s had %d descriptors open, limit %d", p.name, descriptors, maxDescriptors)
+	if descriptors > p.size.descriptors {
+		t.Errorf("%s had %d descriptors open, limit %d", p.name, descriptors, p.size.descriptors)
 	}
 }
 
@@ -157,9 +169,18 @@
 }
 
 // processes are an entry, an agent and the stand-ins around them.
-type processes struct{ entry, agent *process }
+type processes struct {
+	entry, agent *process
+	// restartAgent kills the agent and starts it again.
+	restartAgent func()
+}
 
 func startProcesses(t *testing.T) *processes {
+	t.Helper()
+	return startProcessesOf(t, small)
+}
+
+func startProcessesOf(t *testing.T, z size) *processes {
 	t.Helper()
 	dir := t.TempDir()
 	done := make(chan struct{})
@@ -172,11 +193,16 @@
 		ID: "t1", Zone: "dc1", Service: service, Address: targetAddress, CPU: 8000, Ledger: &standin.Ledger{}, Agent: agentAnnounce,
 	})
 	serve(t, targetAddress, target)
-	entry := nodeSettings(settings.RoleEntry, entryIP)
+	entry := nodeSettings(settings.RoleEntry, entryIP, z)
 	entry.Node.CallerListen, entry.Node.ReadyListen = entryCaller, entryReady
-	agent := nodeSettings(settings.RoleAgent, agentIP)
+	agent := nodeSettings(settings.RoleAgent, agentIP, z)
 	agent.Node.AnnounceListen = agentAnnounce
-	p := &processes{entry: startProcess(t, dir, entry), agent: startProcess(t, dir, agent)}
+	p := &processes{entry: startProcess(t, dir, entry, z), agent: startProcess(t, dir, agent, z)}
+	p.restartAgent = func() {
+		_ = p.agent.cmd.Process.Kill()
+		<-p.agent.ended
+		p.agent = startProcess(t, dir, agent, z)
+	}
 	go target.Run(done)
 	awaitReady(t)
 	return p
@@ -188,12 +214,12 @@
 		fmt.Appendf(nil, `"limits":{"max_header_bytes":%d,`, headLimit), 1)
 }
 
-func nodeSettings(role settings.Role, ip string) *settings.Settings {
+func nodeSettings(role settings.Role, ip string, z size) *settings.Settings {
 	return &settings.Settings{
 		Role: role, Name: string(role) + "-1", DataCentre: "dc1", LogLevel: "info", StopTimeout: settings.Duration(3 * time.Second),
 		Node: &settings.Node{
 			IP: ip, MetricsPort: 19464, PeerPort: 17720, Store: storeAddress, TargetLease: settings.Duration(time.Second),
-			MemoryMB: memoryMB, MaxDescriptors: maxDescriptors,
+			MemoryMB: z.memoryMB, MaxDescriptors: z.descriptors,
 		},
 	}
 }
@@ -273,6 +299,19 @@
 func attack(t *testing.T, p *processes, address string, connections int, send func(net.Conn) error) {
 	t.Helper()
 	descriptors := watchDescriptors(t, p)
+	defer openCrowd(t, address, connections, send)()
+	await(t, "an ordinary job completes beside the crowd", ordinaryJobCompletes)
+	await(t, "the metrics of the entry are served", func() bool { return get("http://"+entryMetrics+"/metrics") == http.StatusOK })
+	await(t, "the metrics of the agent are served", func() bool { return get("http://"+agentMetrics+"/metrics") == http.StatusOK })
+	most := descriptors()
+	p.entry.check(t, most[0])
+	p.agent.check(t, most[1])
+}
+
+// openCrowd opens connections to an address, each of which calls send. It returns once all have sent,
+// and leaves the connections open until the function returned is called.
+func openCrowd(t *testing.T, address string, connections int, send func(net.Conn) error) (closeAll func()) {
+	t.Helper()
 	var mu sync.Mutex
 	var open []net.Conn
 	var wait sync.WaitGroup
@@ -290,17 +329,11 @@
 		})
 	}
 	wait.Wait()
-	defer func() {
+	return func() {
 		for _, conn := range open {
 			_ = conn.Close()
 		}
-	}()
-	await(t, "an ordinary job completes beside the crowd", ordinaryJobCompletes)
-	await(t, "the metrics of the entry are served", func() bool { return get("http://"+entryMetrics+"/metrics") == http.StatusOK })
-	await(t, "the metrics of the agent are served", func() bool { return get("http://"+agentMetrics+"/metrics") == http.StatusOK })
-	most := descriptors()
-	p.entry.check(t, most[0])
-	p.agent.check(t, most[1])
+	}
 }
 
 // watchDescriptors samples the descriptors of both processes. The function returned ends that
