Read requests in one place, and hold an unfinished one as its bytes

What callers saw: requests inside the limits were closed without an answer, such as one with white space before a length, an empty line before it or fields behind a chunked body. What the operator saw: crowds of unfinished heads inside their limit took 77 to 125 MB of 64, and 175 to 181 MB of 144.

Cause: the intake followed the framing of the input in front of the engine, and the engine parsed it again. Where the two differed, a request was cut off, and bytes could pass uncounted. The engine decoded each header field as it arrived, some forty times its bytes, while the intake charged the bytes.

Now the intake alone decides where a request ends. It sits behind decryption, holds an unfinished request as its bytes in buffers that it charges, and has net/http decode the head once the request is complete. The engine's processor is given requests, not input, so that no second reader can disagree. Chunks have no limit for their framing, as nothing of it is kept; their extensions have one.

Evidence: FuzzMessageReader compares requests, lengths and ends with net/http, at once and in pieces; TestUnfinishedRequestHoldsItsBytes measures what is held.

--- /dev/null
+++ b/internal/connection/caller/inbound.go
@@ -0,0 +1,116 @@
+package caller
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// requestOverhead is charged for each running request in addition to its bytes.
+const requestOverhead = 2 << 10
+
+// inbound is the input of one connection. It stands between the engine, which reads and decrypts it,
+// and the engine's processor, which calls the handler.
+type inbound struct {
+	server *Server
+	intake *Intake
+	conn   *nbio.Conn
+	parser *nbhttp.Parser
+	// reader is used only by the goroutine that reads the connection.
+	reader messageReader
+
+	// mu guards the processor, which the engine's own callback releases when the connection ends.
+	mu    sync.Mutex
+	ended bool
+
+	// The intake guards the fields below.
+	usage                         usage
+	queue                         []*message
+	openedAt, activeAt, startedAt time.Time
+	// running is set from the start of a request until its response has been passed on, served once a
+	// request has been answered.
+	running, served, closing bool
+	// next is the request to start.
+	next *message
+}
+
+// newInbound puts the intake between the engine and its parser.
+func newInbound(s *Server, conn *nbio.Conn, parser *nbhttp.Parser) *inbound {
+	return &inbound{server: s, intake: s.options.Intake, conn: conn, parser: parser}
+}
+
+// UnderlayerConn implements nbhttp.ParserCloser.
+func (c *inbound) UnderlayerConn() net.Conn { return c.parser.Conn }
+
+// Parse implements nbhttp.ParserCloser. It reads decrypted input.
+func (c *inbound) Parse(input []byte) error {
+	done, err := c.reader.read(input, c.server.limits, nil)
+	for _, m := range done {
+		m.weight = c.weight(m)
+	}
+	c.intake.received(c, done, c.reader.held(), err)
+	return nil
+}
+
+// weight returns what a request is charged with until its handler returns.
+func (c *inbound) weight(m *message) int { return requestOverhead + len(m.head) + len(m.body) }
+
+// start passes the next request on to the engine, which calls the handler.
+func (c *inbound) start() {
+	m := c.next
+	c.next = nil
+	r, err := m.request()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return
+	}
+	if err != nil {
+		_ = c.conn.CloseWithError(err)
+		return
+	}
+	p := c.parser.Processor
+	p.OnMethod(c.parser, r.Method)
+	if err := p.OnURL(c.parser, r.URL.RequestURI()); err != nil {
+		_ = c.conn.CloseWithError(err)
+		return
+	}
+	_ = p.OnProto(c.parser, r.Proto)
+	p.OnHeader(c.parser, "Host", r.Host)
+	for key, values := range r.Header {
+		for _, value := range values {
+			p.OnHeader(c.parser, key, value)
+		}
+	}
+	p.OnContentLength(c.parser, len(m.body))
+	if len(m.body) > 0 {
+		_ = p.OnBody(c.parser, m.body)
+	}
+	p.OnComplete(c.parser)
+}
+
+// responded is called when the handler has returned. The engine sends the rest of the response
+// before it runs the next job of the connection.
+func (c *inbound) responded() {
+	c.conn.Execute(func() { c.intake.responded(c) })
+}
+
+// close closes the connection, after a status if that is not nil.
+func (c *inbound) close(status []byte) {
+	if status != nil {
+		_, _ = c.parser.Conn.Write(status) // the client may have left
+	}
+	_ = c.conn.CloseWithError(errLimit)
+}
+
+// CloseAndClean implements nbhttp.ParserCloser.
+func (c *inbound) CloseAndClean(err error) {
+	c.mu.Lock()
+	c.ended = true
+	c.parser.CloseAndClean(err)
+	c.mu.Unlock()
+	c.intake.closed(c)
+}
--- a/internal/connection/caller/intake.go
+++ b/internal/connection/caller/intake.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"github.com/rotisserie/eris"
 )
 
@@ -14,12 +13,8 @@
 const (
 	defaultHeadBytes = 64 << 10
 	defaultBodyBytes = 1 << 20
-	// requestOverhead is charged for each request in progress in addition to its bytes.
-	requestOverhead = 2 << 10
 	// maxPipelined is the number of requests that a connection may send ahead of their responses.
 	maxPipelined = 100
-	// maxUnreadBytes bounds the responses that a client has not read.
-	maxUnreadBytes = 1 << 20
 	// softConnectionPercent is the share of the connections from which idle ones are closed for
 	// new ones.
 	softConnectionPercent = 90
@@ -32,7 +27,7 @@
 const (
 	IntakeReasonHead      IntakeReason = "head_too_long"
 	IntakeReasonBody      IntakeReason = "body_too_long"
-	IntakeReasonFraming   IntakeReason = "malformed_framing"
+	IntakeReasonMalformed IntakeReason = "malformed_request"
 	IntakeReasonPipelined IntakeReason = "too_many_pipelined"
 	IntakeReasonMemory    IntakeReason = "memory_budget"
 	IntakeReasonIdle      IntakeReason = "idle_at_connection_limit"
@@ -43,7 +38,7 @@
 
 // IntakeOptions configures an Intake.
 type IntakeOptions struct {
-	// Bytes is the budget for the requests in progress of all connections together.
+	// Bytes is the budget for the requests in progress of all connections together; 0 means no limit.
 	Bytes int
 	// Connections is the number of connections above which idle ones are closed; 0 means never.
 	Connections int
@@ -51,168 +46,210 @@
 	OnClose func(IntakeReason, net.Addr)
 }
 
-// Intake bounds what the clients of a process make it buffer. It is shared by all servers of the
-// process. The engine buffers the requests of a connection before it calls a handler, so the
-// intake follows the input in front of the engine.
+// Intake bounds what the clients of a process make it hold. It is shared by all servers of the
+// process.
 type Intake struct {
 	options IntakeOptions
 
 	mu    sync.Mutex
-	conns map[*nbio.Conn]*inbound
-	used  int
-}
-
-// inbound is the input of one connection.
-type inbound struct {
-	message messageReader
-	// pending holds the charges of the complete requests whose handlers have not returned.
-	pending []int
-	// charged is what the connection takes of the budget.
-	charged  int
-	activeAt time.Time
-	served   bool
-	closing  bool
+	conns map[*inbound]struct{}
+	// used is the sum of what the connections take of the budget.
+	used int
 }
 
 // NewIntake returns an Intake without connections.
 func NewIntake(o IntakeOptions) *Intake {
-	return &Intake{options: o, conns: make(map[*nbio.Conn]*inbound)}
+	return &Intake{options: o, conns: make(map[*inbound]struct{})}
+}
+
+// usage is what a connection takes of the budget, in bytes.
+type usage struct {
+	// input is the unfinished request, queued those that are complete but have not been started.
+	input, queued int
+	// running is the request with the handler.
+	running int
+}
+
+func (u usage) sum() int { return u.input + u.queued + u.running }
+
+// sheddable returns what is released at once when the connection is closed.
+func (u usage) sheddable() int { return u.input + u.queued }
+
+// actions are what has to be done for connections after a decision, without the lock.
+type actions struct {
+	closures []closure
+	starts   []*inbound
+}
+
+// closure is a connection to close, after a status if that is not nil.
+type closure struct {
+	c      *inbound
+	reason IntakeReason
+	status []byte
+}
+
+func (in *Intake) run(a actions) {
+	for _, cl := range a.closures {
+		if in.options.OnClose != nil {
+			in.options.OnClose(cl.reason, cl.c.conn.RemoteAddr())
+		}
+		cl.c.close(cl.status)
+	}
+	for _, c := range a.starts {
+		c.start()
+	}
 }
 
-// opened registers a connection, and closes an idle one if there are too many.
-func (in *Intake) opened(conn *nbio.Conn) {
+// opened registers a connection, and closes another one if there are too many.
+func (in *Intake) opened(c *inbound) {
+	var a actions
 	in.mu.Lock()
-	in.conns[conn] = &inbound{activeAt: time.Now()}
-	var idle *nbio.Conn
-	if limit := in.options.Connections * softConnectionPercent / 100; limit > 0 && len(in.conns) > limit {
-		idle = in.idlestLocked(conn)
+	c.openedAt = time.Now()
+	c.activeAt = c.openedAt
+	in.conns[c] = struct{}{}
+	if limit := in.options.Connections; limit > 0 && len(in.conns) > limit*softConnectionPercent/100 {
+		in.closeOneLocked(c, &a)
 	}
 	in.mu.Unlock()
-	if idle != nil {
-		in.close(idle, IntakeReasonIdle, nil)
-	}
+	in.run(a)
 }
 
-// idlestLocked returns the connection without a request in progress that has been idle for
-// longest, one that never sent a whole request first, or nil.
-func (in *Intake) idlestLocked(except *nbio.Conn) *nbio.Conn {
-	var idlest *nbio.Conn
-	var best *inbound
-	for conn, c := range in.conns {
-		if conn == except || c.closing || len(c.pending) > 0 {
+// closeOneLocked closes the connection without a request in progress that has been idle for longest,
+// one that never sent a whole request first.
+func (in *Intake) closeOneLocked(opened *inbound, a *actions) {
+	var idlest *inbound
+	for c := range in.conns {
+		if c == opened || c.running || len(c.queue) > 0 {
 			continue
 		}
-		if best == nil || (best.served && !c.served) || (best.served == c.served && c.activeAt.Before(best.activeAt)) {
-			idlest, best = conn, c
+		if idlest == nil || (idlest.served && !c.served) || (idlest.served == c.served && c.activeAt.Before(idlest.activeAt)) {
+			idlest = c
 		}
 	}
-	return idlest
+	if idlest != nil {
+		in.dropLocked(idlest, IntakeReasonIdle, nil, a)
+	}
 }
 
 // closed releases what a connection has taken.
-func (in *Intake) closed(conn *nbio.Conn) {
+func (in *Intake) closed(c *inbound) {
 	in.mu.Lock()
-	defer in.mu.Unlock()
-	if c := in.conns[conn]; c != nil {
-		in.used -= c.charged
-		delete(in.conns, conn)
-	}
+	c.closing = true
+	delete(in.conns, c)
+	in.setUsageLocked(c, usage{})
+	in.mu.Unlock()
 }
 
-// admit accounts for input that was read from a connection. It reports false if the connection
-// has been closed, so that the input must be dropped.
-func (in *Intake) admit(conn *nbio.Conn, input []byte, limits MessageLimits) bool {
+// received accounts for input of a connection: the requests that it has completed, what its unfinished
+// request holds, and the error with which the input ended.
+func (in *Intake) received(c *inbound, done []*message, held int, err error) {
+	var a actions
 	in.mu.Lock()
-	c := in.conns[conn]
-	if c == nil || c.closing {
+	if c.closing {
 		in.mu.Unlock()
-		return false
+		return
 	}
 	c.activeAt = time.Now()
-	done, err := c.message.read(input, limits.orDefault(), nil)
-	for _, size := range done {
-		c.pending = append(c.pending, size+requestOverhead)
+	c.queue = append(c.queue, done...)
+	u := c.usage
+	u.input = held
+	for _, m := range done {
+		u.queued += m.held()
 	}
-	in.chargeLocked(c)
-	unanswered := len(c.pending) > 0
-	reason, victim := intakeReasonOf(err), conn
+	in.setUsageLocked(c, u)
 	switch {
 	case err != nil:
-	case len(c.pending) > maxPipelined:
-		reason = IntakeReasonPipelined
-	case in.used > in.options.Bytes:
-		reason, victim = IntakeReasonMemory, in.largestLocked(conn)
-		unanswered = len(in.conns[victim].pending) > 0
+		reason := intakeReasonOf(err)
+		in.dropLocked(c, reason, refusals[reason], &a)
+	case len(c.queue) > maxPipelined:
+		in.dropLocked(c, IntakeReasonPipelined, nil, &a)
 	default:
-		in.mu.Unlock()
-		return true
+		in.offerLocked(c, &a)
+		in.shedLocked(&a)
 	}
-	in.conns[victim].closing = true
 	in.mu.Unlock()
-	var status []byte
-	if !unanswered {
-		status = refusals[reason]
-	}
-	in.close(victim, reason, status)
-	return victim != conn
+	in.run(a)
 }
 
-// chargeLocked updates what a connection takes of the budget.
-func (in *Intake) chargeLocked(c *inbound) {
-	charge := c.message.size()
-	for _, size := range c.pending {
-		charge += size
-	}
-	in.used += charge - c.charged
-	c.charged = charge
-}
-
-// largestLocked returns the connection to close for lack of memory: that with the largest
-// unfinished request, or with the most requests sent ahead if none is unfinished. An ordinary
-// request is small, so it outlasts those that use the memory up.
-func (in *Intake) largestLocked(current *nbio.Conn) *nbio.Conn {
-	largest, most := current, 0
-	for conn, c := range in.conns {
-		size := c.message.size()
-		if len(c.pending) > 1 {
-			size += c.charged - c.message.size() - c.pending[0]
-		}
-		if !c.closing && size > most {
-			largest, most = conn, size
-		}
+// responded releases the request that was with the handler and starts the next one.
+func (in *Intake) responded(c *inbound) {
+	var a actions
+	in.mu.Lock()
+	if !c.running {
+		in.mu.Unlock()
+		return
 	}
-	return largest
+	c.running, c.served, c.activeAt = false, true, time.Now()
+	u := c.usage
+	u.running = 0
+	in.setUsageLocked(c, u)
+	in.offerLocked(c, &a)
+	in.mu.Unlock()
+	in.run(a)
 }
 
-// requestEnded releases the oldest request of a connection, whose handler has returned.
-func (in *Intake) requestEnded(conn *nbio.Conn) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	c := in.conns[conn]
-	if c == nil || len(c.pending) == 0 {
-		return
+// setUsageLocked changes what a connection takes.
+func (in *Intake) setUsageLocked(c *inbound, u usage) {
+	in.used += u.sum() - c.usage.sum()
+	c.usage = u
+}
+
+// offerLocked starts the next request of a connection.
+func (in *Intake) offerLocked(c *inbound, a *actions) {
+	if !c.closing && !c.running && len(c.queue) > 0 {
+		in.beginLocked(c, a)
 	}
-	c.pending = c.pending[1:]
-	c.served, c.activeAt = true, time.Now()
-	in.chargeLocked(c)
 }
 
-// close closes a connection. The status, if not nil, is sent first.
-func (in *Intake) close(conn *nbio.Conn, reason IntakeReason, status []byte) {
-	if in.options.OnClose != nil {
-		in.options.OnClose(reason, conn.RemoteAddr())
+// beginLocked takes the next request of a connection from its queue and has it started.
+func (in *Intake) beginLocked(c *inbound, a *actions) {
+	m := c.queue[0]
+	c.queue = c.queue[1:]
+	u := c.usage
+	u.queued -= m.held()
+	u.running = m.weight
+	in.setUsageLocked(c, u)
+	c.running, c.startedAt, c.next = true, time.Now(), m
+	a.starts = append(a.starts, c)
+}
+
+// shedLocked closes connections until what they hold fits into the budget, those that hold the most
+// first.
+func (in *Intake) shedLocked(a *actions) {
+	for in.options.Bytes > 0 && in.used > in.options.Bytes {
+		var largest *inbound
+		most := 0
+		for c := range in.conns {
+			if n := c.usage.sheddable(); n > most {
+				largest, most = c, n
+			}
+		}
+		if largest == nil {
+			return
+		}
+		in.dropLocked(largest, IntakeReasonMemory, refusals[IntakeReasonMemory], a)
 	}
-	if status != nil {
-		_, _ = conn.Write(status) // the client may have left
+}
+
+// dropLocked has a connection closed. The status is sent first, unless an earlier request of the
+// connection has not been answered: it would be taken for the answer of that one.
+func (in *Intake) dropLocked(c *inbound, reason IntakeReason, status []byte, a *actions) {
+	if c.running || len(c.queue) > 0 {
+		status = nil
 	}
-	_ = conn.CloseWithError(errLimit)
+	c.closing = true
+	delete(in.conns, c)
+	c.queue = nil
+	in.setUsageLocked(c, usage{running: c.usage.running})
+	a.closures = append(a.closures, closure{c, reason, status})
 }
 
 // refusals are the responses to requests that exceed a limit. None of them has reached a handler.
 var refusals = map[IntakeReason][]byte{
-	IntakeReasonHead:   refusal("431 Request Header Fields Too Large"),
-	IntakeReasonBody:   refusal("413 Content Too Large"),
-	IntakeReasonMemory: refusal("503 Service Unavailable\r\nRetry-After: 1"),
+	IntakeReasonHead:      refusal("431 Request Header Fields Too Large"),
+	IntakeReasonBody:      refusal("413 Content Too Large"),
+	IntakeReasonMemory:    refusal("503 Service Unavailable\r\nRetry-After: 1"),
+	IntakeReasonMalformed: refusal("400 Bad Request"),
 }
 
 func refusal(status string) []byte {
@@ -221,22 +258,10 @@
 
 func intakeReasonOf(err error) IntakeReason {
 	switch {
-	case err == nil:
-		return ""
 	case errors.Is(err, errHeadTooLong):
 		return IntakeReasonHead
 	case errors.Is(err, errBodyTooLong):
 		return IntakeReasonBody
 	}
-	return IntakeReasonFraming
-}
-
-func (l MessageLimits) orDefault() MessageLimits {
-	if l.Head <= 0 {
-		l.Head = defaultHeadBytes
-	}
-	if l.Body <= 0 {
-		l.Body = defaultBodyBytes
-	}
-	return l
+	return IntakeReasonMalformed
 }
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -23,13 +23,17 @@
 // MaxBodyBytes is the largest request body, sized for 460 tasks of 64 KiB in JSON.
 const MaxBodyBytes = 40 << 20
 
+// MaxReadBytes is the length of a body from which on it is not read: one that is only a little longer
+// than MaxBodyBytes is refused with the error format.
+const MaxReadBytes = MaxBodyBytes + 8<<20
+
 const (
-	// maxReadBytes is the request size above which the connection is closed without a response.
-	maxReadBytes = MaxBodyBytes + 8<<20
 	// requestTimeout is longer than the longest job.
 	requestTimeout = 12 * time.Minute
 	// writeTimeout is the time limit for a caller to read its response.
 	writeTimeout = time.Minute
+	// maxUnreadBytes bounds the responses that a client has not read.
+	maxUnreadBytes = 1 << 20
 )
 
 // The engine's buffers are left to the garbage collector. With the engine's buffer pool
@@ -59,10 +63,13 @@
 	ExtraAddresses []string
 	// NoLimits leaves the rate limit, the body limit and the error format to Handler.
 	NoLimits bool
-	// Intake, if not nil, bounds what the connections make the process buffer. It is for plain HTTP.
+	// Intake bounds what the connections make the process hold; nil means that of this server alone,
+	// without limits.
 	Intake *Intake
-	// Limits returns the limits of one request if Intake is set; nil means the defaults.
-	Limits func() MessageLimits
+	// Limits returns the limits of one request: with nil those of its head, then those of its body.
+	// nil means the defaults, and with the limits of this server a body somewhat longer than MaxBodyBytes,
+	// which is refused with the error format.
+	Limits func(*http.Request) MessageLimits
 	// IsStopping reports whether connections are to be closed after their current response;
 	// nil means never.
 	IsStopping func() bool
@@ -90,6 +97,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.Intake == nil {
+		o.Intake = NewIntake(IntakeOptions{})
+	}
 	s := &Server{options: o}
 	handler := o.Handler
 	if !o.NoLimits {
@@ -99,8 +109,8 @@
 		Network:           "tcp",
 		Listen:            func(_, address string) (net.Listener, error) { return listeners[address], nil },
 		MaxLoad:           o.MaxConnections,
-		ReadLimit:         maxReadBytes,
-		MaxHTTPBodySize:   maxReadBytes,
+		ReadLimit:         MaxReadBytes,
+		MaxHTTPBodySize:   MaxReadBytes,
 		KeepaliveTime:     o.IdleTimeout,
 		ServerExecutor:    func(f func()) { go f() },
 		SupportServerOnly: true,
@@ -112,14 +122,12 @@
 		config.AddrsTLS = addresses
 		config.TLSConfig = o.Keys.config()
 	}
-	if o.Intake != nil {
+	if o.Intake.options.Bytes > 0 {
 		config.MaxWriteBufferSize = maxUnreadBytes
 	}
 	s.engine = nbhttp.NewEngine(config)
 	s.engine.OnClose(s.connectionClosed)
-	if o.Intake != nil {
-		s.guardIntake()
-	}
+	s.guardInput()
 	s.engine.OnReadBufferFree(func(conn *nbio.Conn, _ *[]byte) { s.disconnects.afterRead(conn) })
 	if err := s.engine.Start(); err != nil {
 		return nil, eris.Wrapf(err, "listen for callers on %s", o.Address)
@@ -127,25 +135,28 @@
 	return s, nil
 }
 
-// guardIntake puts the intake in front of the engine.
-func (s *Server) guardIntake() {
-	in := s.options.Intake
-	limits := s.options.Limits
-	if limits == nil {
-		limits = func() MessageLimits { return MessageLimits{} }
-	}
-	s.engine.OnOpen(func(conn net.Conn) {
-		if c, ok := conn.(*nbio.Conn); ok {
-			in.opened(c)
-		}
-	})
-	s.engine.OnData(func(conn *nbio.Conn, data []byte) {
-		if in.admit(conn, data, limits()) {
-			conn.DataHandler()(conn, data)
+// guardInput puts an inbound between the engine and the parser of each connection.
+func (s *Server) guardInput() {
+	s.engine.Engine.OnOpen(func(conn *nbio.Conn) {
+		if parser, ok := conn.Session().(*nbhttp.Parser); ok {
+			c := newInbound(s, conn, parser)
+			conn.SetSession(c)
+			s.options.Intake.opened(c)
 		}
 	})
 }
 
+// limits returns the limits of a request.
+func (s *Server) limits(r *http.Request) MessageLimits {
+	switch {
+	case s.options.Limits != nil:
+		return s.options.Limits(r)
+	case s.options.NoLimits:
+		return MessageLimits{}
+	}
+	return MessageLimits{Body: MaxReadBytes}
+}
+
 // listenAll opens a listener for each address, or none if one of them fails.
 func listenAll(addresses []string) (map[string]net.Listener, error) {
 	listeners := make(map[string]net.Listener, len(addresses))
@@ -195,9 +206,6 @@
 // connectionClosed is the engine's callback for a closed connection.
 func (s *Server) connectionClosed(conn net.Conn, err error) {
 	s.limiters.Delete(conn)
-	if c, ok := conn.(*nbio.Conn); ok && s.options.Intake != nil {
-		s.options.Intake.closed(c)
-	}
 	if reason, ok := closeReason(err); ok && s.options.OnClose != nil {
 		s.options.OnClose(reason)
 	}
@@ -215,8 +223,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if c, ok := conn.(*nbio.Conn); ok && s.options.Intake != nil {
-			defer s.options.Intake.requestEnded(c)
+		if c := inboundOf(conn); c != nil {
+			defer c.responded()
 		}
 		_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
 		next.ServeHTTP(w, r)
@@ -227,6 +235,16 @@
 	})
 }
 
+// inboundOf returns the input of an engine connection, or nil.
+func inboundOf(conn net.Conn) *inbound {
+	engineConn, ok := conn.(*nbio.Conn)
+	if !ok {
+		return nil
+	}
+	c, _ := engineConn.Session().(*inbound)
+	return c
+}
+
 // allowRequest reports whether the rate limit of conn admits another request.
 func (s *Server) allowRequest(conn net.Conn) bool {
 	if conn == nil || s.options.RequestsPerSecond <= 0 {
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -90,7 +90,7 @@
 		IdleTimeout:    connectionIdleTimeout,
 		MaxConnections: p.node.MaxConnections(),
 		Intake:         p.intake,
-		Limits:         func() caller.MessageLimits { return caller.MessageLimits{Body: maxAnnouncementBytes} },
+		Limits:         func(*http.Request) caller.MessageLimits { return caller.MessageLimits{Body: maxAnnouncementBytes} },
 		NoLimits:       true,
 	})
 	return err
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -158,7 +158,7 @@
 }
 
 // requestLimits returns the limits of a request by the configuration in force.
-func (e *entry) requestLimits() caller.MessageLimits {
+func (e *entry) requestLimits(*http.Request) caller.MessageLimits {
 	snapshot := e.view.Snapshot()
 	if snapshot == nil {
 		return caller.MessageLimits{}
