Charge a request with what it becomes, and let large ones wait

What the operator saw: 240 bodies of 256 KiB inside the limit, made of very many empty steps, took 183 MB of 64, and 2,000 of them 241 MB of 144. Small requests for 2,000 tasks each kept all other jobs from completing for 60 s.

Cause: the budget was charged with bytes, while a step of three bytes is decoded into hundreds, a header field into two hundred, and a number of tasks into that many records.

Now a complete request is charged with its decoded form before it is decoded, and its job with its tasks until it is answered. What does not fit waits, small requests first; a quarter of the budget is left to them, and one large request may always run. A job beyond the budget gets 504, which promises nothing. The budget is a tenth of the memory by default, as it now counts memory and not bytes.

--- a/internal/connection/caller/inbound.go
+++ b/internal/connection/caller/inbound.go
@@ -1,7 +1,10 @@
 package caller
 
 import (
+	"context"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -9,8 +12,14 @@
 	"github.com/lesismal/nbio/nbhttp"
 )
 
-// requestOverhead is charged for each running request in addition to its bytes.
-const requestOverhead = 2 << 10
+// What a request takes beside the bytes of its head and body, in bytes.
+const (
+	// requestOverhead is the decoded request, the response and the goroutine of the handler.
+	requestOverhead = 10 << 10
+	// fieldOverhead is a header field beside its own bytes: its entry in the map, a slice and two
+	// strings.
+	fieldOverhead = 192
+)
 
 // inbound is the input of one connection. It stands between the engine, which reads and decrypts it,
 // and the engine's processor, which calls the handler.
@@ -30,9 +39,9 @@
 	usage                         usage
 	queue                         []*message
 	openedAt, activeAt, startedAt time.Time
-	// running is set from the start of a request until its response has been passed on, served once a
-	// request has been answered.
-	running, served, closing bool
+	// running is set from the start of a request until its response has been passed on, waiting
+	// while the next one waits for memory. served is set once a request has been answered.
+	running, waiting, served, closing bool
 	// next is the request to start.
 	next *message
 }
@@ -55,8 +64,16 @@
 	return nil
 }
 
-// weight returns what a request is charged with until its handler returns.
-func (c *inbound) weight(m *message) int { return requestOverhead + len(m.head) + len(m.body) }
+// weight returns the memory that the process takes for a request until its handler returns: its
+// bytes twice, as the engine copies the body, and what is decoded of them.
+func (c *inbound) weight(m *message) int {
+	// The allocator rounds sizes up by an eighth at most.
+	weight := requestOverhead + fieldOverhead*m.fields + 2*(len(m.head)+len(m.body))*9/8
+	if f := c.server.options.HandlerBytes; f != nil {
+		weight += f(m.head, m.body)
+	}
+	return weight
+}
 
 // start passes the next request on to the engine, which calls the handler.
 func (c *inbound) start() {
@@ -114,3 +131,29 @@
 	c.mu.Unlock()
 	c.intake.closed(c)
 }
+
+// inboundKey is the context key of the connection of a request.
+type inboundKey struct{}
+
+// Resize tells the intake how much memory the handler of a request with this context takes from now on
+// until it returns, in bytes. It reports false if that does not fit into the budget of the process:
+// the request must then be refused.
+func Resize(ctx context.Context, bytes int) bool {
+	c, ok := ctx.Value(inboundKey{}).(*inbound)
+	return !ok || c.intake.resize(c, bytes)
+}
+
+// ReadBody returns the body of a request. It must not be used after the handler has returned.
+func ReadBody(r *http.Request) ([]byte, error) {
+	body, ok := r.Body.(*nbhttp.BodyReader)
+	if !ok {
+		return io.ReadAll(r.Body)
+	}
+	switch buffers := body.RawBodyBuffers(); len(buffers) {
+	case 0:
+		return nil, nil
+	case 1:
+		return buffers[0], nil
+	}
+	return io.ReadAll(r.Body)
+}
--- a/internal/connection/caller/intake.go
+++ b/internal/connection/caller/intake.go
@@ -20,6 +20,13 @@
 	softConnectionPercent = 90
 )
 
+const (
+	// smallRequest is the memory up to which a request counts as ordinary.
+	smallRequest = 32 << 10
+	// largePercent is the share of the budget that requests above smallRequest may use.
+	largePercent = 75
+)
+
 // IntakeReason is the reason for which an Intake closes a connection.
 type IntakeReason string
 
@@ -38,7 +45,7 @@
 
 // IntakeOptions configures an Intake.
 type IntakeOptions struct {
-	// Bytes is the budget for the requests in progress of all connections together; 0 means no limit.
+	// Bytes is the budget for the memory of requests of all connections together; 0 means no limit.
 	Bytes int
 	// Connections is the number of connections above which idle ones are closed; 0 means never.
 	Connections int
@@ -47,7 +54,9 @@
 }
 
 // Intake bounds what the clients of a process make it hold. It is shared by all servers of the
-// process.
+// process. It answers the load of crowds whose requests together take more memory than the process has.
+// Ordinary requests are small, so what takes the most memory is closed first, and the last part of the
+// budget is left to small requests.
 type Intake struct {
 	options IntakeOptions
 
@@ -55,6 +64,10 @@
 	conns map[*inbound]struct{}
 	// used is the sum of what the connections take of the budget.
 	used int
+	// large is the number of running requests above smallRequest.
+	large int
+	// smallWaiting and largeWaiting are the connections whose next request waits for memory.
+	smallWaiting, largeWaiting []*inbound
 }
 
 // NewIntake returns an Intake without connections.
@@ -133,11 +146,14 @@
 
 // closed releases what a connection has taken.
 func (in *Intake) closed(c *inbound) {
+	var a actions
 	in.mu.Lock()
 	c.closing = true
 	delete(in.conns, c)
 	in.setUsageLocked(c, usage{})
+	in.wakeLocked(&a)
 	in.mu.Unlock()
+	in.run(a)
 }
 
 // received accounts for input of a connection: the requests that it has completed, what its unfinished
@@ -184,21 +200,79 @@
 	u.running = 0
 	in.setUsageLocked(c, u)
 	in.offerLocked(c, &a)
+	in.wakeLocked(&a)
 	in.mu.Unlock()
 	in.run(a)
 }
 
+// resize changes what the running request of a connection takes. It reports false if a large one does
+// not fit into the budget.
+func (in *Intake) resize(c *inbound, bytes int) bool {
+	var a actions
+	in.mu.Lock()
+	defer func() {
+		in.mu.Unlock()
+		in.run(a)
+	}()
+	if c.closing || !c.running {
+		return true
+	}
+	u := c.usage
+	fits := in.fitsLocked(bytes, bytes-u.running)
+	if !fits && bytes > smallRequest {
+		return false
+	}
+	if !fits {
+		in.relieveLocked(c, bytes, &a)
+	}
+	u.running = bytes
+	in.setUsageLocked(c, u)
+	in.wakeLocked(&a)
+	return true
+}
+
 // setUsageLocked changes what a connection takes.
 func (in *Intake) setUsageLocked(c *inbound, u usage) {
 	in.used += u.sum() - c.usage.sum()
+	if c.usage.running > smallRequest {
+		in.large--
+	}
+	if u.running > smallRequest {
+		in.large++
+	}
 	c.usage = u
 }
 
-// offerLocked starts the next request of a connection.
+// fitsLocked reports whether a request that takes bytes, of which the budget does not have more yet,
+// may run. One large request always may.
+func (in *Intake) fitsLocked(bytes, more int) bool {
+	budget := in.options.Bytes
+	switch {
+	case budget == 0 || more <= 0:
+		return true
+	case bytes <= smallRequest:
+		return in.used+more <= budget
+	}
+	return in.large == 0 || in.used+more <= budget*largePercent/100
+}
+
+// offerLocked starts the next request of a connection, or has it wait for memory.
 func (in *Intake) offerLocked(c *inbound, a *actions) {
-	if !c.closing && !c.running && len(c.queue) > 0 {
+	if c.closing || c.running || c.waiting || len(c.queue) == 0 {
+		return
+	}
+	m := c.queue[0]
+	if in.fitsLocked(m.weight, m.weight-m.held()) {
 		in.beginLocked(c, a)
+		return
+	}
+	c.waiting = true
+	if m.weight <= smallRequest {
+		in.smallWaiting = append(in.smallWaiting, c)
+	} else {
+		in.largeWaiting = append(in.largeWaiting, c)
 	}
+	in.relieveLocked(c, m.weight, a)
 }
 
 // beginLocked takes the next request of a connection from its queue and has it started.
@@ -213,6 +287,54 @@
 	a.starts = append(a.starts, c)
 }
 
+// wakeLocked starts the requests for which there is memory now, small ones first.
+func (in *Intake) wakeLocked(a *actions) {
+	in.smallWaiting = in.wakeListLocked(in.smallWaiting, a)
+	in.largeWaiting = in.wakeListLocked(in.largeWaiting, a)
+}
+
+func (in *Intake) wakeListLocked(waiting []*inbound, a *actions) []*inbound {
+	for len(waiting) > 0 {
+		c := waiting[0]
+		if !c.closing {
+			m := c.queue[0]
+			if !in.fitsLocked(m.weight, m.weight-m.held()) {
+				return waiting
+			}
+			in.beginLocked(c, a)
+		}
+		c.waiting = false
+		waiting = waiting[1:]
+	}
+	return nil
+}
+
+// relieveLocked makes room for a request that waits: it closes the connection that holds the most
+// input or, for a small request, the one with the largest running request. Both must be larger than
+// small requests.
+func (in *Intake) relieveLocked(waiting *inbound, bytes int, a *actions) {
+	victim := in.largestLocked(waiting, func(c *inbound) int { return c.usage.input })
+	if victim == nil && bytes <= smallRequest {
+		victim = in.largestLocked(waiting, func(c *inbound) int { return c.usage.running })
+	}
+	if victim != nil {
+		in.dropLocked(victim, IntakeReasonMemory, nil, a)
+	}
+}
+
+// largestLocked returns the other connection that holds the most, or nil if none holds more than a small
+// request.
+func (in *Intake) largestLocked(except *inbound, size func(*inbound) int) *inbound {
+	var largest *inbound
+	most := smallRequest
+	for c := range in.conns {
+		if n := size(c); c != except && n > most {
+			largest, most = c, n
+		}
+	}
+	return largest
+}
+
 // shedLocked closes connections until what they hold fits into the budget, those that hold the most
 // first.
 func (in *Intake) shedLocked(a *actions) {
@@ -242,6 +364,7 @@
 	c.queue = nil
 	in.setUsageLocked(c, usage{running: c.usage.running})
 	a.closures = append(a.closures, closure{c, reason, status})
+	in.wakeLocked(a)
 }
 
 // refusals are the responses to requests that exceed a limit. None of them has reached a handler.
--- /dev/null
+++ b/internal/connection/caller/intake_test.go
@@ -0,0 +1,229 @@
+package caller
+
+import (
+	"bufio"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// openConn opens a connection that is closed at the end of the test.
+func openConn(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	return conn
+}
+
+func send(t *testing.T, conn net.Conn, input string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, input); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answer returns the status of the next response, or 0 if the connection ends without one.
+func answer(conn net.Conn) int {
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+// await waits until holds returns true.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for begun := time.Now(); !holds(); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > 20*time.Second {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// used returns what the budget is charged with.
+func (in *Intake) usedBytes() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.used
+}
+
+func (in *Intake) connections() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return len(in.conns)
+}
+
+const get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+// TestRunningRequestsTakeWhatIsCharged guards against requests whose decoded form takes more memory than
+// the budget is charged with: of a head of short fields, some forty times its bytes.
+func TestRunningRequestsTakeWhatIsCharged(t *testing.T) {
+	var fields strings.Builder
+	for i := range 2000 {
+		fields.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
+	}
+	for name, input := range map[string]string{
+		"ordinary":     get,
+		"short fields": "GET / HTTP/1.1\r\nHost: a\r\n" + fields.String() + "\r\n",
+		"body":         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 30000\r\n\r\n" + strings.Repeat("x", 30_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			const requests = 100
+			release := make(chan struct{})
+			var running atomic.Int64
+			intake := NewIntake(IntakeOptions{})
+			address := listen(t, Options{Intake: intake, NoLimits: true, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				running.Add(1)
+				<-release
+			})})
+			conns := make([]net.Conn, requests)
+			for i := range conns {
+				conns[i] = openConn(t, address)
+			}
+			await(t, "all connections are open", func() bool { return intake.connections() == requests })
+			before := heapBytes()
+			for _, conn := range conns {
+				send(t, conn, input)
+			}
+			await(t, "all requests run", func() bool { return running.Load() == requests })
+			charged, taken := intake.usedBytes(), heapBytes()-before
+			t.Logf("%d requests of %d bytes take %d each, charged with %d each", requests, len(input), taken/requests, charged/requests)
+			if taken > charged {
+				t.Errorf("%d requests take %d bytes and are charged with %d", requests, taken, charged)
+			}
+			close(release)
+			await(t, "nothing is charged", func() bool { return intake.usedBytes() == 0 })
+		})
+	}
+}
+
+// TestIdleConnectionsTakeLittle guards against connections that take more memory than their number
+// allows: they are not charged to the budget.
+func TestIdleConnectionsTakeLittle(t *testing.T) {
+	const connections = 200
+	keys, client := httpsKeys(t)
+	for name, c := range map[string]struct {
+		keys  *Keys
+		limit int
+	}{
+		"plain": {nil, 6 << 10},
+		"TLS":   {keys, 40 << 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			intake := NewIntake(IntakeOptions{})
+			address := listen(t, Options{Keys: c.keys, Intake: intake, NoLimits: true, Handler: http.NotFoundHandler()})
+			config := client.Transport.(*http.Transport).TLSClientConfig.Clone()
+			config.ServerName = "127.0.0.1"
+			before := heapBytes()
+			for range connections {
+				conn := openConn(t, address)
+				if c.keys != nil {
+					conn = tls.Client(conn, config)
+				}
+				send(t, conn, get)
+				if got := answer(conn); got != http.StatusNotFound {
+					t.Fatalf("got %d", got)
+				}
+			}
+			await(t, "nothing is charged", func() bool { return intake.usedBytes() == 0 })
+			taken := heapBytes() - before
+			t.Logf("a connection takes %d bytes, its client included", taken/connections)
+			if taken/connections > c.limit {
+				t.Errorf("a connection takes %d bytes, limit %d", taken/connections, c.limit)
+			}
+		})
+	}
+}
+
+// TestRequestsWaitForMemory guards against large requests that together take more than the budget, and
+// against small ones that wait behind them.
+func TestRequestsWaitForMemory(t *testing.T) {
+	release := make(chan struct{})
+	var large, most atomic.Int64
+	intake := NewIntake(IntakeOptions{Bytes: 400 << 10})
+	address := listen(t, Options{Intake: intake, NoLimits: true, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			most.Store(max(most.Load(), large.Add(1)))
+			<-release
+			large.Add(-1)
+		}
+	})})
+	const requests = 5
+	conns := make([]net.Conn, requests)
+	for i := range conns {
+		conns[i] = openConn(t, address)
+		send(t, conns[i], "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 50000\r\n\r\n"+strings.Repeat("x", 50_000))
+	}
+	await(t, "a large request runs", func() bool { return large.Load() > 0 })
+	ordinary := openConn(t, address)
+	send(t, ordinary, get)
+	if got := answer(ordinary); got != http.StatusOK {
+		t.Errorf("the ordinary request got %d", got)
+	}
+	close(release)
+	for i, conn := range conns {
+		if got := answer(conn); got != http.StatusOK {
+			t.Errorf("large request %d got %d", i, got)
+		}
+	}
+	if most.Load() > 2 {
+		t.Errorf("%d large requests ran at the same time, expected 2 at most", most.Load())
+	}
+}
+
+// TestLargestRequestRunsAlone guards against a budget below the largest request, which then is never
+// served.
+func TestLargestRequestRunsAlone(t *testing.T) {
+	intake := NewIntake(IntakeOptions{Bytes: 100 << 10})
+	address := listen(t, Options{Intake: intake, NoLimits: true, Handler: http.NotFoundHandler()})
+	conn := openConn(t, address)
+	send(t, conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 90000\r\n\r\n"+strings.Repeat("x", 90_000))
+	if got := answer(conn); got != http.StatusNotFound {
+		t.Errorf("got %d", got)
+	}
+}
+
+// TestHandlerIsRefusedMemory guards against handlers whose requests become larger than the budget.
+func TestHandlerIsRefusedMemory(t *testing.T) {
+	intake := NewIntake(IntakeOptions{Bytes: 1 << 20})
+	release := make(chan struct{})
+	address := listen(t, Options{Intake: intake, NoLimits: true, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size, _ := strconv.Atoi(r.URL.Query().Get("size"))
+		if !Resize(r.Context(), size) {
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return
+		}
+		<-release
+	})})
+	request := func(size int) net.Conn {
+		conn := openConn(t, address)
+		send(t, conn, fmt.Sprintf("GET /?size=%d HTTP/1.1\r\nHost: a\r\n\r\n", size))
+		return conn
+	}
+	first := request(600 << 10)
+	await(t, "the first request has its memory", func() bool { return intake.usedBytes() == 600<<10 })
+	if got := answer(request(300 << 10)); got != http.StatusGatewayTimeout {
+		t.Errorf("the second large request got %d, expected 504", got)
+	}
+	small := request(10 << 10)
+	close(release)
+	if got := answer(small); got != http.StatusOK {
+		t.Errorf("the small request got %d", got)
+	}
+	if got := answer(first); got != http.StatusOK {
+		t.Errorf("the first request got %d", got)
+	}
+}
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -70,6 +70,9 @@
 	// nil means the defaults, and with the limits of this server a body somewhat longer than MaxBodyBytes,
 	// which is refused with the error format.
 	Limits func(*http.Request) MessageLimits
+	// HandlerBytes returns the memory that Handler takes for a request, beside the request itself; nil
+	// means none. A handler that knows better calls Resize.
+	HandlerBytes func(head, body []byte) int
 	// IsStopping reports whether connections are to be closed after their current response;
 	// nil means never.
 	IsStopping func() bool
@@ -225,6 +228,7 @@
 		}
 		if c := inboundOf(conn); c != nil {
 			defer c.responded()
+			r = r.WithContext(context.WithValue(r.Context(), inboundKey{}, c))
 		}
 		_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
 		next.ServeHTTP(w, r)
--- a/internal/process/runs/target.go
+++ b/internal/process/runs/target.go
@@ -64,7 +64,7 @@
 		a.Capacity.Validate(),
 		bounds.Range[int]{Min: 0, Max: maxLabels}.Check("number of labels", len(a.Labels)),
 	}
-	for _, label := range a.Labels {
+	for _, label := range a.Labels[:min(len(a.Labels), maxLabels)] {
 		errs = append(errs, bounds.CheckName("label", label))
 	}
 	return errors.Join(errs...)
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -12,6 +12,10 @@
 	"github.com/rosemarybay/rosemarybay/internal/version/policy"
 )
 
+// TaskBytes is the memory that a task takes from the submission of its job to its answer, whether it
+// waits or runs.
+const TaskBytes = 512
+
 // job is a job without an answer, or an answered one with attempts that may still run.
 // Times are durations since the scheduler's start.
 type job struct {
--- a/internal/process/server/agent.go
+++ b/internal/process/server/agent.go
@@ -91,6 +91,7 @@
 		MaxConnections: p.node.MaxConnections(),
 		Intake:         p.intake,
 		Limits:         func(*http.Request) caller.MessageLimits { return caller.MessageLimits{Body: maxAnnouncementBytes} },
+		HandlerBytes:   func(head, body []byte) int { return statusBytes(head, body) + platform.AnnouncementBytes(body) },
 		NoLimits:       true,
 	})
 	return err
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -110,6 +110,7 @@
 		MaxConnections: e.node.MaxConnections(),
 		Intake:         e.intake,
 		Limits:         e.requestLimits,
+		HandlerBytes:   func(_, body []byte) int { return platform.JobRequestBytes(body) },
 		NoLimits:       true,
 		IsStopping:     e.draining.Load,
 	})
@@ -123,6 +124,7 @@
 		IdleTimeout:    connectionIdleTimeout,
 		MaxConnections: e.node.MaxConnections(),
 		Intake:         e.intake,
+		HandlerBytes:   statusBytes,
 		NoLimits:       true,
 	})
 	return err
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -4,6 +4,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -31,6 +32,8 @@
 	// logFlushTimeout bounds the flush of queued log lines when the process stops.
 	logFlushTimeout = 200 * time.Millisecond
 	metricsPath     = "/metrics"
+	// metricsBytes is the memory for the text of the counters and the buffers of the response.
+	metricsBytes = 256 << 10
 	// logTimeFormat has microseconds, so that the log lines of several processes can be
 	// ordered.
 	logTimeFormat = "2006-01-02T15:04:05.000000Z07:00"
@@ -120,6 +123,14 @@
 	})
 }
 
+// statusBytes returns the memory that the handler of a status port takes for a request with a head.
+func statusBytes(head, _ []byte) int {
+	if bytes.HasPrefix(head, []byte("GET "+metricsPath)) {
+		return metricsBytes
+	}
+	return 0
+}
+
 func (p *Server) serveMetrics(w http.ResponseWriter) {
 	if err := p.counters.WriteText(w); err != nil {
 		p.log.Warn().Err(err).Msg("cannot write metrics")
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -81,9 +81,9 @@
 	// connectionPercent is the part of the descriptors that the connections of clients may use.
 	// The links of agents, the calls to the store and the log need the rest.
 	connectionPercent = 70
-	// requestMemoryDivisor is the part of the memory that requests may use. Buffers that grow, the
-	// decoded request and the garbage collector take several times as much.
-	requestMemoryDivisor = 16
+	// requestMemoryDivisor is the part of the memory that requests may use. The garbage collector lets
+	// the heap grow to twice what is in use, and the rest of the process needs its part.
+	requestMemoryDivisor = 10
 	// minRequestMemory holds several of the largest announcements and requests.
 	minRequestMemory = 6 << 20
 )
