Close connections out of memory without an answer

What callers could see: 503 for a request that is sent again after a broken connection while the tasks of the first one run. By the pages 503 says that the job was not accepted and never runs.

Cause: the intake answered 503 for lack of memory without knowing the job.

Now such a connection is closed without an answer, after which a caller sends the job again. The other answers of the intake (400, 413, 431) promise nothing about the job.

Evidence: TestConnectionsOutOfMemoryAreClosedWithoutAnswer; before the change the connection got "HTTP/1.1 503 Service Unavailable".

--- a/internal/connection/caller/intake.go
+++ b/internal/connection/caller/intake.go
@@ -349,7 +349,8 @@
 		if largest == nil {
 			return
 		}
-		in.dropLocked(largest, IntakeReasonMemory, refusals[IntakeReasonMemory], a)
+		// No status is sent: the job of the request may be running, if its caller sends it again.
+		in.dropLocked(largest, IntakeReasonMemory, nil, a)
 	}
 }
 
@@ -371,7 +372,6 @@
 var refusals = map[IntakeReason][]byte{
 	IntakeReasonHead:      refusal("431 Request Header Fields Too Large"),
 	IntakeReasonBody:      refusal("413 Content Too Large"),
-	IntakeReasonMemory:    refusal("503 Service Unavailable\r\nRetry-After: 1"),
 	IntakeReasonMalformed: refusal("400 Bad Request"),
 }
 
--- a/internal/connection/caller/intake_test.go
+++ b/internal/connection/caller/intake_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -66,6 +67,27 @@
 	return len(in.conns)
 }
 
+// closures counts the connections that an intake has closed.
+type closures struct {
+	mu       sync.Mutex
+	byReason map[IntakeReason]int
+}
+
+func (c *closures) record(reason IntakeReason, _ net.Addr) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byReason == nil {
+		c.byReason = make(map[IntakeReason]int)
+	}
+	c.byReason[reason]++
+}
+
+func (c *closures) count(reason IntakeReason) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.byReason[reason]
+}
+
 const get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 // TestRunningRequestsTakeWhatIsCharged guards against requests whose decoded form takes more memory than
@@ -227,3 +249,24 @@
 		t.Errorf("the first request got %d", got)
 	}
 }
+
+// TestConnectionsOutOfMemoryAreClosedWithoutAnswer guards against an answer that promises that a job has
+// not run: the request may be a repeated one whose job runs.
+func TestConnectionsOutOfMemoryAreClosedWithoutAnswer(t *testing.T) {
+	var closed closures
+	intake := NewIntake(IntakeOptions{Bytes: 64 << 10, OnClose: closed.record})
+	address := listen(t, Options{Intake: intake, NoLimits: true, Handler: http.NotFoundHandler()})
+	large, small := openConn(t, address), openConn(t, address)
+	send(t, small, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345")
+	send(t, large, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 90_000))
+	if b, err := io.ReadAll(large); len(b) > 0 {
+		t.Errorf("the largest request got %q (%v), expected no answer", b, err)
+	}
+	if n := closed.count(IntakeReasonMemory); n != 1 {
+		t.Errorf("%d connections closed for memory, expected 1", n)
+	}
+	send(t, small, "67890")
+	if got := answer(small); got != http.StatusNotFound {
+		t.Errorf("the small request got %d", got)
+	}
+}
