Choose the connection to close by its requests, not by its bytes

What callers saw: beside clients that send a byte now and then, the connection of a caller who had just connected was closed before its first request. With all connections taken by jobs that their senders let run for minutes, no caller was answered.

Cause: of the connections without a complete request the one that had been silent for longest was closed, and each byte made a slow sender young again. Connections with a request in progress were never closed, so that new ones met the hard limit of the engine.

Now age counts from the opening or the last answer. Connections without a complete request go first, the oldest of them, while they are over a quarter of all; then the longest idle one; at the hard limit the one whose request has been in progress for longest.

--- a/internal/connection/caller/intake.go
+++ b/internal/connection/caller/intake.go
@@ -18,6 +18,10 @@
 	// softConnectionPercent is the share of the connections from which idle ones are closed for
 	// new ones.
 	softConnectionPercent = 90
+	// unservedPercent is the share of the connections that may be without a complete request before
+	// one of them is closed rather than an idle one. Callers who have just connected are the newest
+	// of them.
+	unservedPercent = 25
 )
 
 const (
@@ -38,6 +42,7 @@
 	IntakeReasonPipelined IntakeReason = "too_many_pipelined"
 	IntakeReasonMemory    IntakeReason = "memory_budget"
 	IntakeReasonIdle      IntakeReason = "idle_at_connection_limit"
+	IntakeReasonBusy      IntakeReason = "busy_at_connection_limit"
 )
 
 // errLimit is the error with which an Intake closes connections.
@@ -47,16 +52,17 @@
 type IntakeOptions struct {
 	// Bytes is the budget for the memory of requests of all connections together; 0 means no limit.
 	Bytes int
-	// Connections is the number of connections above which idle ones are closed; 0 means never.
+	// Connections is the number of connections above which others are closed for new ones; 0 means
+	// no limit.
 	Connections int
 	// OnClose, if not nil, is called with the reason for each connection that is closed.
 	OnClose func(IntakeReason, net.Addr)
 }
 
 // Intake bounds what the clients of a process make it hold. It is shared by all servers of the
-// process. It answers the load of crowds whose requests together take more memory than the process has.
-// Ordinary requests are small, so what takes the most memory is closed first, and the last part of the
-// budget is left to small requests.
+// process. It answers two load patterns: crowds whose requests together take more memory than the
+// process has, and crowds that hold connections. Ordinary requests are small, so what takes the most
+// memory is closed first, and the last part of the budget is left to small requests.
 type Intake struct {
 	options IntakeOptions
 
@@ -127,21 +133,39 @@
 	in.run(a)
 }
 
-// closeOneLocked closes the connection without a request in progress that has been idle for longest,
-// one that never sent a whole request first.
+// closeOneLocked closes a connection for a new one. Activity counts by requests: a client that sends a
+// byte now and then is idle.
 func (in *Intake) closeOneLocked(opened *inbound, a *actions) {
-	var idlest *inbound
+	var unserved, idle, busy *inbound
+	count := 0
 	for c := range in.conns {
-		if c == opened || c.running || len(c.queue) > 0 {
-			continue
-		}
-		if idlest == nil || (idlest.served && !c.served) || (idlest.served == c.served && c.activeAt.Before(idlest.activeAt)) {
-			idlest = c
+		switch {
+		case c == opened:
+		case c.running:
+			busy = earlier(busy, c, c.startedAt, func(o *inbound) time.Time { return o.startedAt })
+		case !c.served && len(c.queue) == 0:
+			count++
+			unserved = earlier(unserved, c, c.openedAt, func(o *inbound) time.Time { return o.openedAt })
+		default:
+			idle = earlier(idle, c, c.activeAt, func(o *inbound) time.Time { return o.activeAt })
 		}
 	}
-	if idlest != nil {
-		in.dropLocked(idlest, IntakeReasonIdle, nil, a)
+	switch {
+	case unserved != nil && (idle == nil || count > in.options.Connections*unservedPercent/100):
+		in.dropLocked(unserved, IntakeReasonIdle, nil, a)
+	case idle != nil:
+		in.dropLocked(idle, IntakeReasonIdle, nil, a)
+	case busy != nil && len(in.conns) > in.options.Connections:
+		in.dropLocked(busy, IntakeReasonBusy, nil, a)
+	}
+}
+
+// earlier returns the connection with the earlier time.
+func earlier(best, c *inbound, at time.Time, timeOf func(*inbound) time.Time) *inbound {
+	if best == nil || at.Before(timeOf(best)) {
+		return c
 	}
+	return best
 }
 
 // closed releases what a connection has taken.
@@ -165,7 +189,6 @@
 		in.mu.Unlock()
 		return
 	}
-	c.activeAt = time.Now()
 	c.queue = append(c.queue, done...)
 	u := c.usage
 	u.input = held
--- a/internal/connection/caller/intake_test.go
+++ b/internal/connection/caller/intake_test.go
@@ -270,3 +270,44 @@
 		t.Errorf("the small request got %d", got)
 	}
 }
+
+// TestConnectionsToCloseForNewOnes guards against a crowd that keeps callers out: silent connections and
+// those that send a byte now and then go first, then idle ones, then those that have been busy for longest.
+func TestConnectionsToCloseForNewOnes(t *testing.T) {
+	begun := time.Now()
+	at := func(s int) time.Time { return begun.Add(time.Duration(s) * time.Second) }
+	served := func(activeAt int) *inbound { return &inbound{served: true, activeAt: at(activeAt)} }
+	unserved := func(openedAt int) *inbound { return &inbound{openedAt: at(openedAt), activeAt: at(openedAt)} }
+	busy := func(startedAt int) *inbound { return &inbound{running: true, startedAt: at(startedAt)} }
+	old, fresh := unserved(1), unserved(9)
+	idle, oldestIdle, longest := served(5), served(3), busy(2)
+	for _, c := range []struct {
+		name  string
+		limit int
+		conns []*inbound
+		want  *inbound
+	}{
+		{"many without a request", 8, []*inbound{oldestIdle, idle, fresh, old, unserved(8)}, old},
+		{"few without a request", 8, []*inbound{oldestIdle, idle, fresh, busy(0)}, oldestIdle},
+		{"only one without a request", 8, []*inbound{fresh, longest}, fresh},
+		{"all busy below the limit", 4, []*inbound{busy(7), longest}, nil},
+		{"all busy at the limit", 2, []*inbound{busy(7), longest}, longest},
+	} {
+		in := NewIntake(IntakeOptions{Connections: c.limit})
+		opened := unserved(10)
+		in.conns[opened] = struct{}{}
+		for _, conn := range c.conns {
+			conn.closing = false
+			in.conns[conn] = struct{}{}
+		}
+		var a actions
+		in.closeOneLocked(opened, &a)
+		var got *inbound
+		if len(a.closures) > 0 {
+			got = a.closures[0].c
+		}
+		if got != c.want {
+			t.Errorf("%s: closed %+v, expected %+v", c.name, got, c.want)
+		}
+	}
+}
