Charge unread responses to the budget

Cause: unread responses were bounded at 1 MiB a connection and not over all of them, and a connection could have many at once.

Now the next request of a connection is started only once the kernel has taken the response before it, and what it has not taken is charged to the same budget as requests. Who holds the most is closed first. A single response may be longer than 1 MiB.

Evidence: TestUnreadResponsesAreBounded (before the change its first response is cut off at 1 MiB; that several could be held at once is read from the code, not shown by a run).

--- a/internal/connection/caller/disconnect.go
+++ b/internal/connection/caller/disconnect.go
@@ -148,6 +148,9 @@
 	if wrapped, ok := conn.(*nbhttp.Conn); ok {
 		conn = wrapped.Conn
 	}
+	if counted, ok := conn.(*responseConn); ok {
+		conn = counted.Conn
+	}
 	if secured, ok := conn.(*llibtls.Conn); ok {
 		conn = secured.Conn()
 	}
--- a/internal/connection/caller/inbound.go
+++ b/internal/connection/caller/inbound.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -28,6 +29,13 @@
 	intake *Intake
 	conn   *nbio.Conn
 	parser *nbhttp.Parser
+	// engineConn is the connection that the engine expects of its session.
+	engineConn net.Conn
+	// unwritten is the number of bytes of responses that the kernel has not taken.
+	unwritten atomic.Int64
+	// hasUnread is set while the intake counts unread responses of the connection.
+	hasUnread atomic.Bool
+
 	// reader is used only by the goroutine that reads the connection.
 	reader messageReader
 
@@ -48,11 +56,15 @@
 
 // newInbound puts the intake between the engine and its parser.
 func newInbound(s *Server, conn *nbio.Conn, parser *nbhttp.Parser) *inbound {
-	return &inbound{server: s, intake: s.options.Intake, conn: conn, parser: parser}
+	c := &inbound{server: s, intake: s.options.Intake, conn: conn, parser: parser, engineConn: parser.Conn}
+	if wrapped, ok := parser.Conn.(*nbhttp.Conn); ok {
+		parser.Conn = &nbhttp.Conn{Conn: &responseConn{Conn: wrapped.Conn, inbound: c}, Parser: parser}
+	}
+	return c
 }
 
 // UnderlayerConn implements nbhttp.ParserCloser.
-func (c *inbound) UnderlayerConn() net.Conn { return c.parser.Conn }
+func (c *inbound) UnderlayerConn() net.Conn { return c.engineConn }
 
 // Parse implements nbhttp.ParserCloser. It reads decrypted input.
 func (c *inbound) Parse(input []byte) error {
@@ -132,6 +144,41 @@
 	c.intake.closed(c)
 }
 
+// written records that the kernel has taken n bytes.
+func (c *inbound) written(n int) {
+	for {
+		before := c.unwritten.Load()
+		if before == 0 {
+			return
+		}
+		if c.unwritten.CompareAndSwap(before, max(before-int64(n), 0)) {
+			return
+		}
+	}
+}
+
+// flushed updates the intake after the kernel has taken a part of the responses.
+func (c *inbound) flushed() { c.intake.updateUnread(c) }
+
+// responseConn counts the bytes of responses that are passed on to a connection. With TLS the kernel
+// takes some more bytes, so that the count is a little too low.
+type responseConn struct {
+	net.Conn
+	inbound *inbound
+}
+
+// Write implements net.Conn.
+func (w *responseConn) Write(b []byte) (int, error) {
+	c := w.inbound
+	c.unwritten.Add(int64(len(b)))
+	n, err := w.Conn.Write(b)
+	if c.unwritten.Load() > 0 {
+		c.hasUnread.Store(true)
+		c.flushed()
+	}
+	return n, err
+}
+
 // inboundKey is the context key of the connection of a request.
 type inboundKey struct{}
 
--- a/internal/connection/caller/intake.go
+++ b/internal/connection/caller/intake.go
@@ -50,7 +50,8 @@
 
 // IntakeOptions configures an Intake.
 type IntakeOptions struct {
-	// Bytes is the budget for the memory of requests of all connections together; 0 means no limit.
+	// Bytes is the budget for the memory of requests and unread responses of all connections
+	// together; 0 means no limit.
 	Bytes int
 	// Connections is the number of connections above which others are closed for new ones; 0 means
 	// no limit.
@@ -60,9 +61,10 @@
 }
 
 // Intake bounds what the clients of a process make it hold. It is shared by all servers of the
-// process. It answers two load patterns: crowds whose requests together take more memory than the
-// process has, and crowds that hold connections. Ordinary requests are small, so what takes the most
-// memory is closed first, and the last part of the budget is left to small requests.
+// process. It answers three load patterns: crowds whose requests together take more memory than the
+// process has, crowds that hold connections, and clients that read no responses. Ordinary requests
+// are small, so what takes the most memory is closed first, and the last part of the budget is left to
+// small requests.
 type Intake struct {
 	options IntakeOptions
 
@@ -87,12 +89,14 @@
 	input, queued int
 	// running is the request with the handler.
 	running int
+	// unread is the part of the responses that the client has not read.
+	unread int
 }
 
-func (u usage) sum() int { return u.input + u.queued + u.running }
+func (u usage) sum() int { return u.input + u.queued + u.running + u.unread }
 
 // sheddable returns what is released at once when the connection is closed.
-func (u usage) sheddable() int { return u.input + u.queued }
+func (u usage) sheddable() int { return u.input + u.queued + u.unread }
 
 // actions are what has to be done for connections after a decision, without the lock.
 type actions struct {
@@ -228,6 +232,25 @@
 	in.run(a)
 }
 
+// updateUnread records how much of its responses the client of a connection has not read.
+func (in *Intake) updateUnread(c *inbound) {
+	var a actions
+	in.mu.Lock()
+	// The number is read under the lock: two updates may come at the same time.
+	unread := int(c.unwritten.Load())
+	c.hasUnread.Store(unread > 0)
+	if !c.closing && c.usage.unread != unread {
+		u := c.usage
+		u.unread = unread
+		in.setUsageLocked(c, u)
+		in.shedLocked(&a)
+		in.offerLocked(c, &a)
+		in.wakeLocked(&a)
+	}
+	in.mu.Unlock()
+	in.run(a)
+}
+
 // resize changes what the running request of a connection takes. It reports false if a large one does
 // not fit into the budget.
 func (in *Intake) resize(c *inbound, bytes int) bool {
@@ -279,9 +302,11 @@
 	return in.large == 0 || in.used+more <= budget*largePercent/100
 }
 
-// offerLocked starts the next request of a connection, or has it wait for memory.
+// offerLocked starts the next request of a connection, or has it wait for memory. The next one is
+// started only once the client has read the response before it, so that a connection holds one
+// response at most.
 func (in *Intake) offerLocked(c *inbound, a *actions) {
-	if c.closing || c.running || c.waiting || len(c.queue) == 0 {
+	if c.closing || c.running || c.waiting || c.usage.unread > 0 || len(c.queue) == 0 {
 		return
 	}
 	m := c.queue[0]
@@ -333,10 +358,10 @@
 }
 
 // relieveLocked makes room for a request that waits: it closes the connection that holds the most
-// input or, for a small request, the one with the largest running request. Both must be larger than
-// small requests.
+// input or unread responses or, for a small request, the one with the largest running request. Both
+// must be larger than small requests.
 func (in *Intake) relieveLocked(waiting *inbound, bytes int, a *actions) {
-	victim := in.largestLocked(waiting, func(c *inbound) int { return c.usage.input })
+	victim := in.largestLocked(waiting, func(c *inbound) int { return c.usage.input + c.usage.unread })
 	if victim == nil && bytes <= smallRequest {
 		victim = in.largestLocked(waiting, func(c *inbound) int { return c.usage.running })
 	}
@@ -380,7 +405,7 @@
 // dropLocked has a connection closed. The status is sent first, unless an earlier request of the
 // connection has not been answered: it would be taken for the answer of that one.
 func (in *Intake) dropLocked(c *inbound, reason IntakeReason, status []byte, a *actions) {
-	if c.running || len(c.queue) > 0 {
+	if c.running || len(c.queue) > 0 || c.usage.unread > 0 {
 		status = nil
 	}
 	c.closing = true
--- a/internal/connection/caller/intake_test.go
+++ b/internal/connection/caller/intake_test.go
@@ -311,3 +311,39 @@
 		}
 	}
 }
+
+// TestUnreadResponsesAreBounded guards against clients that read no responses: each connection may hold
+// one, and all together the budget.
+func TestUnreadResponsesAreBounded(t *testing.T) {
+	const budget, response = 8 << 20, 6 << 20
+	var closed closures
+	var calls atomic.Int64
+	intake := NewIntake(IntakeOptions{Bytes: budget, OnClose: closed.record})
+	address := listen(t, Options{Intake: intake, NoLimits: true, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		_, _ = w.Write(make([]byte, response))
+	})})
+	first := openConn(t, address)
+	send(t, first, get+get+get)
+	await(t, "the first response is unread", func() bool { return intake.usedBytes() > 0 && calls.Load() == 1 })
+	time.Sleep(50 * time.Millisecond)
+	if n := calls.Load(); n != 1 {
+		t.Errorf("%d requests were handled before the first response was read", n)
+	}
+	reader := bufio.NewReader(first)
+	for i := range 3 {
+		r, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("response %d: %v", i, err)
+		}
+		if n, _ := io.Copy(io.Discard, r.Body); n != response {
+			t.Fatalf("response %d has %d bytes", i, n)
+		}
+	}
+	await(t, "nothing is charged", func() bool { return intake.usedBytes() == 0 })
+	for range 8 {
+		send(t, openConn(t, address), get)
+	}
+	await(t, "connections are closed", func() bool { return closed.count(IntakeReasonMemory) > 0 })
+	await(t, "the budget is kept", func() bool { return intake.usedBytes() <= budget })
+}
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -32,8 +32,6 @@
 	requestTimeout = 12 * time.Minute
 	// writeTimeout is the time limit for a caller to read its response.
 	writeTimeout = time.Minute
-	// maxUnreadBytes bounds the responses that a client has not read.
-	maxUnreadBytes = 1 << 20
 )
 
 // The engine's buffers are left to the garbage collector. With the engine's buffer pool
@@ -125,9 +123,6 @@
 		config.AddrsTLS = addresses
 		config.TLSConfig = o.Keys.config()
 	}
-	if o.Intake.options.Bytes > 0 {
-		config.MaxWriteBufferSize = maxUnreadBytes
-	}
 	s.engine = nbhttp.NewEngine(config)
 	s.engine.OnClose(s.connectionClosed)
 	s.guardInput()
@@ -147,6 +142,20 @@
 			s.options.Intake.opened(c)
 		}
 	})
+	s.engine.OnData(func(conn *nbio.Conn, data []byte) {
+		conn.DataHandler()(conn, data)
+	})
+	s.engine.OnWrittenSize(func(conn *nbio.Conn, _ []byte, n int) {
+		c, ok := conn.Session().(*inbound)
+		if !ok {
+			return
+		}
+		c.written(n)
+		if c.hasUnread.Load() {
+			// The caller holds the lock of the connection, which starting a request needs.
+			go c.flushed()
+		}
+	})
 }
 
 // limits returns the limits of a request.
