Bound what callers without a token make the product's own port hold

What the operator saw: 48 connections without a token, each with a body of 30 MB announced or a head without end, took 447 to 561 MB; 240 with short fields 298 MB.

Cause: the port with TLS had no intake, on the assumption that it had limits of its own. The engine buffered up to 48 MB a connection before any handler read the token.

Now it has the same intake, behind decryption, with a budget of its own (entry.request_memory_mb). A body over 64 KiB is read only if the head has a known token, and refused with 401 otherwise; unfinished handshakes end after 16 KiB and are charged. entry.memory_mb sets the limit of the garbage collector and the default of the budget.

--- a/internal/connection/caller/inbound.go
+++ b/internal/connection/caller/inbound.go
@@ -11,8 +11,12 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+	"github.com/rotisserie/eris"
 )
 
+// errHandshakeTooLong ends the handshake of a client that sends more than any handshake needs.
+var errHandshakeTooLong = eris.New("handshake too long")
+
 // What a request takes beside the bytes of its head and body, in bytes.
 const (
 	// requestOverhead is the decoded request, the response and the goroutine of the handler.
@@ -20,6 +24,8 @@
 	// fieldOverhead is a header field beside its own bytes: its entry in the map, a slice and two
 	// strings.
 	fieldOverhead = 192
+	// maxHandshakeBytes bounds the input of a TLS handshake. Clients need some two KiB.
+	maxHandshakeBytes = 16 << 10
 )
 
 // inbound is the input of one connection. It stands between the engine, which reads and decrypts it,
@@ -36,8 +42,10 @@
 	// hasUnread is set while the intake counts unread responses of the connection.
 	hasUnread atomic.Bool
 
-	// reader is used only by the goroutine that reads the connection.
-	reader messageReader
+	// Only the goroutine that reads the connection uses these.
+	reader      messageReader
+	handshake   int
+	established bool
 
 	// mu guards the processor, which the engine's own callback releases when the connection ends.
 	mu    sync.Mutex
@@ -68,6 +76,7 @@
 
 // Parse implements nbhttp.ParserCloser. It reads decrypted input.
 func (c *inbound) Parse(input []byte) error {
+	c.established = true
 	done, err := c.reader.read(input, c.server.limits, nil)
 	for _, m := range done {
 		m.weight = c.weight(m)
@@ -76,6 +85,19 @@
 	return nil
 }
 
+// readEncrypted accounts for input that did not end the handshake.
+func (c *inbound) readEncrypted(n int) {
+	if c.established {
+		return
+	}
+	c.handshake += n
+	var err error
+	if c.handshake > maxHandshakeBytes {
+		err = errHandshakeTooLong
+	}
+	c.intake.received(c, nil, c.handshake, err)
+}
+
 // weight returns the memory that the process takes for a request until its handler returns: its
 // bytes twice, as the engine copies the body, and what is decoded of them.
 func (c *inbound) weight(m *message) int {
--- a/internal/connection/caller/intake.go
+++ b/internal/connection/caller/intake.go
@@ -36,13 +36,15 @@
 
 // The reasons for which an Intake closes a connection.
 const (
-	IntakeReasonHead      IntakeReason = "head_too_long"
-	IntakeReasonBody      IntakeReason = "body_too_long"
-	IntakeReasonMalformed IntakeReason = "malformed_request"
-	IntakeReasonPipelined IntakeReason = "too_many_pipelined"
-	IntakeReasonMemory    IntakeReason = "memory_budget"
-	IntakeReasonIdle      IntakeReason = "idle_at_connection_limit"
-	IntakeReasonBusy      IntakeReason = "busy_at_connection_limit"
+	IntakeReasonHead         IntakeReason = "head_too_long"
+	IntakeReasonBody         IntakeReason = "body_too_long"
+	IntakeReasonUnauthorized IntakeReason = "unauthorized_body"
+	IntakeReasonMalformed    IntakeReason = "malformed_request"
+	IntakeReasonHandshake    IntakeReason = "handshake_too_long"
+	IntakeReasonPipelined    IntakeReason = "too_many_pipelined"
+	IntakeReasonMemory       IntakeReason = "memory_budget"
+	IntakeReasonIdle         IntakeReason = "idle_at_connection_limit"
+	IntakeReasonBusy         IntakeReason = "busy_at_connection_limit"
 )
 
 // errLimit is the error with which an Intake closes connections.
@@ -418,9 +420,10 @@
 
 // refusals are the responses to requests that exceed a limit. None of them has reached a handler.
 var refusals = map[IntakeReason][]byte{
-	IntakeReasonHead:      refusal("431 Request Header Fields Too Large"),
-	IntakeReasonBody:      refusal("413 Content Too Large"),
-	IntakeReasonMalformed: refusal("400 Bad Request"),
+	IntakeReasonHead:         refusal("431 Request Header Fields Too Large"),
+	IntakeReasonBody:         refusal("413 Content Too Large"),
+	IntakeReasonUnauthorized: refusal("401 Unauthorized"),
+	IntakeReasonMalformed:    refusal("400 Bad Request"),
 }
 
 func refusal(status string) []byte {
@@ -433,6 +436,10 @@
 		return IntakeReasonHead
 	case errors.Is(err, errBodyTooLong):
 		return IntakeReasonBody
+	case errors.Is(err, errUnauthorized):
+		return IntakeReasonUnauthorized
+	case errors.Is(err, errHandshakeTooLong):
+		return IntakeReasonHandshake
 	}
 	return IntakeReasonMalformed
 }
--- a/internal/connection/caller/intake_test.go
+++ b/internal/connection/caller/intake_test.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
 )
 
 // openConn opens a connection that is closed at the end of the test.
@@ -170,6 +172,27 @@
 	}
 }
 
+// TestConnectionsOutOfMemoryAreClosedWithoutAnswer guards against an answer that promises that a job has
+// not run: the request may be a repeated one whose job runs.
+func TestConnectionsOutOfMemoryAreClosedWithoutAnswer(t *testing.T) {
+	var closed closures
+	intake := NewIntake(IntakeOptions{Bytes: 64 << 10, OnClose: closed.record})
+	address := listen(t, Options{Intake: intake, NoLimits: true, Handler: http.NotFoundHandler()})
+	large, small := openConn(t, address), openConn(t, address)
+	send(t, small, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345")
+	send(t, large, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 90_000))
+	if b, err := io.ReadAll(large); len(b) > 0 {
+		t.Errorf("the largest request got %q (%v), expected no answer", b, err)
+	}
+	if n := closed.count(IntakeReasonMemory); n != 1 {
+		t.Errorf("%d connections closed for memory, expected 1", n)
+	}
+	send(t, small, "67890")
+	if got := answer(small); got != http.StatusNotFound {
+		t.Errorf("the small request got %d", got)
+	}
+}
+
 // TestRequestsWaitForMemory guards against large requests that together take more than the budget, and
 // against small ones that wait behind them.
 func TestRequestsWaitForMemory(t *testing.T) {
@@ -250,25 +273,40 @@
 	}
 }
 
-// TestConnectionsOutOfMemoryAreClosedWithoutAnswer guards against an answer that promises that a job has
-// not run: the request may be a repeated one whose job runs.
-func TestConnectionsOutOfMemoryAreClosedWithoutAnswer(t *testing.T) {
+// TestUnreadResponsesAreBounded guards against clients that read no responses: each connection may hold
+// one, and all together the budget.
+func TestUnreadResponsesAreBounded(t *testing.T) {
+	const budget, response = 8 << 20, 6 << 20
 	var closed closures
-	intake := NewIntake(IntakeOptions{Bytes: 64 << 10, OnClose: closed.record})
-	address := listen(t, Options{Intake: intake, NoLimits: true, Handler: http.NotFoundHandler()})
-	large, small := openConn(t, address), openConn(t, address)
-	send(t, small, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345")
-	send(t, large, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 90_000))
-	if b, err := io.ReadAll(large); len(b) > 0 {
-		t.Errorf("the largest request got %q (%v), expected no answer", b, err)
+	var calls atomic.Int64
+	intake := NewIntake(IntakeOptions{Bytes: budget, OnClose: closed.record})
+	address := listen(t, Options{Intake: intake, NoLimits: true, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		_, _ = w.Write(make([]byte, response))
+	})})
+	first := openConn(t, address)
+	send(t, first, get+get+get)
+	await(t, "the first response is unread", func() bool { return intake.usedBytes() > 0 && calls.Load() == 1 })
+	time.Sleep(50 * time.Millisecond)
+	if n := calls.Load(); n != 1 {
+		t.Errorf("%d requests were handled before the first response was read", n)
 	}
-	if n := closed.count(IntakeReasonMemory); n != 1 {
-		t.Errorf("%d connections closed for memory, expected 1", n)
+	reader := bufio.NewReader(first)
+	for i := range 3 {
+		r, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("response %d: %v", i, err)
+		}
+		if n, _ := io.Copy(io.Discard, r.Body); n != response {
+			t.Fatalf("response %d has %d bytes", i, n)
+		}
 	}
-	send(t, small, "67890")
-	if got := answer(small); got != http.StatusNotFound {
-		t.Errorf("the small request got %d", got)
+	await(t, "nothing is charged", func() bool { return intake.usedBytes() == 0 })
+	for range 8 {
+		send(t, openConn(t, address), get)
 	}
+	await(t, "connections are closed", func() bool { return closed.count(IntakeReasonMemory) > 0 })
+	await(t, "the budget is kept", func() bool { return intake.usedBytes() <= budget })
 }
 
 // TestConnectionsToCloseForNewOnes guards against a crowd that keeps callers out: silent connections and
@@ -312,38 +350,49 @@
 	}
 }
 
-// TestUnreadResponsesAreBounded guards against clients that read no responses: each connection may hold
-// one, and all together the budget.
-func TestUnreadResponsesAreBounded(t *testing.T) {
-	const budget, response = 8 << 20, 6 << 20
+// TestUnfinishedHandshakesAreBounded guards against handshakes that take memory without end.
+func TestUnfinishedHandshakesAreBounded(t *testing.T) {
+	keys, _ := httpsKeys(t)
 	var closed closures
-	var calls atomic.Int64
-	intake := NewIntake(IntakeOptions{Bytes: budget, OnClose: closed.record})
-	address := listen(t, Options{Intake: intake, NoLimits: true, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		calls.Add(1)
-		_, _ = w.Write(make([]byte, response))
-	})})
-	first := openConn(t, address)
-	send(t, first, get+get+get)
-	await(t, "the first response is unread", func() bool { return intake.usedBytes() > 0 && calls.Load() == 1 })
-	time.Sleep(50 * time.Millisecond)
-	if n := calls.Load(); n != 1 {
-		t.Errorf("%d requests were handled before the first response was read", n)
-	}
-	reader := bufio.NewReader(first)
-	for i := range 3 {
-		r, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			t.Fatalf("response %d: %v", i, err)
-		}
-		if n, _ := io.Copy(io.Discard, r.Body); n != response {
-			t.Fatalf("response %d has %d bytes", i, n)
+	intake := NewIntake(IntakeOptions{OnClose: closed.record})
+	address := listen(t, Options{Keys: keys, Intake: intake, Handler: http.NotFoundHandler()})
+	conn := openConn(t, address)
+	message := append([]byte{1, 0, 0xff, 0xff}, make([]byte, 60_000)...)
+	for len(message) > 0 {
+		n := min(8<<10, len(message))
+		if _, err := conn.Write(append([]byte{22, 3, 1, byte(n >> 8), byte(n)}, message[:n]...)); err != nil {
+			break
 		}
+		message = message[n:]
+		time.Sleep(time.Millisecond)
 	}
+	await(t, "the handshake is ended", func() bool { return closed.count(IntakeReasonHandshake) == 1 })
 	await(t, "nothing is charged", func() bool { return intake.usedBytes() == 0 })
-	for range 8 {
-		send(t, openConn(t, address), get)
+}
+
+// TestBodyWithoutTokenIsRefused guards against bodies that are taken into memory before the token of
+// their sender has been read.
+func TestBodyWithoutTokenIsRefused(t *testing.T) {
+	limits := func(r *http.Request) MessageLimits {
+		if r != nil && r.Header.Get("Authorization") == "" {
+			return MessageLimits{Body: 100, Unauthorized: true}
+		}
+		return MessageLimits{Body: 10_000}
+	}
+	address := listen(t, Options{Limits: limits, NoLimits: true, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := ReadBody(r)
+		if _, ok := r.Body.(*nbhttp.BodyReader); !ok || err != nil || len(body) != 5000 {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	})})
+	for header, want := range map[string]int{"": http.StatusUnauthorized, "Authorization: a\r\n": http.StatusOK} {
+		conn := openConn(t, address)
+		send(t, conn, "POST / HTTP/1.1\r\nHost: a\r\n"+header+"Content-Length: 5000\r\n\r\n")
+		if want == http.StatusOK {
+			send(t, conn, strings.Repeat("x", 5000))
+		}
+		if got := answer(conn); got != want {
+			t.Errorf("with %q: %d, expected %d", header, got, want)
+		}
 	}
-	await(t, "connections are closed", func() bool { return closed.count(IntakeReasonMemory) > 0 })
-	await(t, "the budget is kept", func() bool { return intake.usedBytes() <= budget })
 }
--- a/internal/connection/caller/message.go
+++ b/internal/connection/caller/message.go
@@ -14,9 +14,10 @@
 
 // The reasons for which the input of a connection is not read any further.
 var (
-	errHeadTooLong = eris.New("head of a request too long")
-	errBodyTooLong = eris.New("body of a request too long")
-	errMalformed   = eris.New("malformed request")
+	errHeadTooLong  = eris.New("head of a request too long")
+	errBodyTooLong  = eris.New("body of a request too long")
+	errUnauthorized = eris.New("body of a request without authorization too long")
+	errMalformed    = eris.New("malformed request")
 )
 
 // MessageLimits bounds one HTTP request, in bytes; 0 means the default.
@@ -26,6 +27,8 @@
 	Head int
 	// Body is the limit of the body without the framing of its chunks.
 	Body int
+	// Unauthorized is set if Body is the limit for a client whose request has no valid token.
+	Unauthorized bool
 }
 
 const (
@@ -184,13 +187,20 @@
 		return false, nil
 	}
 	if m.parsed.ContentLength > int64(m.limits.Body) {
-		return false, errBodyTooLong
+		return false, m.bodyTooLong()
 	}
 	m.length = int(m.parsed.ContentLength)
 	m.state, m.left = readingBody, m.length
 	return m.left == 0, nil
 }
 
+func (m *messageReader) bodyTooLong() error {
+	if m.limits.Unauthorized {
+		return errUnauthorized
+	}
+	return errBodyTooLong
+}
+
 // readBody reads the next piece of the body or of a chunk.
 func (m *messageReader) readBody(input []byte) int {
 	n := min(m.left, len(input))
@@ -226,7 +236,7 @@
 		limit = m.limits.Head
 	}
 	if len(m.line)+n > limit {
-		return n, false, errBodyTooLong
+		return n, false, m.bodyTooLong()
 	}
 	m.line = append(m.line, input[:n]...)
 	if ended && !bytes.HasSuffix(m.line, []byte("\r\n")) {
@@ -274,10 +284,10 @@
 	// A body may arrive in chunks of one byte: their framing takes no memory and has no limit of
 	// its own, unlike the extensions.
 	if m.extensions += len(extension); m.extensions > m.limits.Head {
-		return errBodyTooLong
+		return m.bodyTooLong()
 	}
 	if n > uint64(m.limits.Body-len(m.body)) {
-		return errBodyTooLong
+		return m.bodyTooLong()
 	}
 	m.state, m.left = readingChunk, int(n)
 	if n == 0 {
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -144,6 +144,9 @@
 	})
 	s.engine.OnData(func(conn *nbio.Conn, data []byte) {
 		conn.DataHandler()(conn, data)
+		if c, ok := conn.Session().(*inbound); ok && s.options.Keys != nil {
+			c.readEncrypted(len(data))
+		}
 	})
 	s.engine.OnWrittenSize(func(conn *nbio.Conn, _ []byte, n int) {
 		c, ok := conn.Session().(*inbound)
--- a/internal/process/entry/access.go
+++ b/internal/process/entry/access.go
@@ -1,13 +1,17 @@
 package entry
 
 import (
+	"net"
+	"net/http"
 	"sync"
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/caller"
 	"github.com/rosemarybay/rosemarybay/internal/connection/identity"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
 )
@@ -19,16 +23,23 @@
 	callerKeys *caller.Keys // nil without HTTPS
 	authorizer *authorizer
 	warnOnce   sync.Once // for the warning about the insecure mode
+	// intake bounds what callers make the process hold, those without a token included.
+	intake *caller.Intake
 }
 
 // newAccess loads the keys and callers named in the settings.
-func newAccess(s *settings.Settings, counters *metrics.Counters) (*access, error) {
+func newAccess(s *settings.Settings, log zerolog.Logger, counters *metrics.Counters) (*access, error) {
 	refused := counters.Counter("handshakes_refused")
 	keys, err := identity.Load(s.TLS.Files(), func(error) { refused.Inc(1) })
 	if err != nil {
 		return nil, err
 	}
-	a := &access{keys: keys}
+	closures := eventlog.NewClosures(log, counters)
+	a := &access{keys: keys, intake: caller.NewIntake(caller.IntakeOptions{
+		Bytes:       s.Entry.RequestMemory(),
+		Connections: s.Entry.CallerConnections,
+		OnClose:     func(reason caller.IntakeReason, remote net.Addr) { closures.Record(string(reason), remote) },
+	})}
 	if t := s.Entry.CallerTLS; t != nil {
 		a.callerKeys, err = caller.LoadKeys(t.Cert, t.Key)
 		if err != nil {
@@ -57,6 +68,18 @@
 	return e.access.authorizer.reload(s.Entry.Callers)
 }
 
+// maxUnauthorizedBody is the longest body of a request without a known token. It is read so that the
+// refusal has the error format and the verdict.
+const maxUnauthorizedBody = 64 << 10
+
+// requestLimits returns the limits of a request on the caller port, which depend on its token.
+func (a *authorizer) requestLimits(r *http.Request) caller.MessageLimits {
+	if r == nil || a.knows(r.Header) {
+		return caller.MessageLimits{Body: caller.MaxReadBytes}
+	}
+	return caller.MessageLimits{Body: maxUnauthorizedBody, Unauthorized: true}
+}
+
 // listenCallers starts the server of the caller port.
 func (e *Entry) listenCallers() (*caller.Server, error) {
 	s := e.settings.Entry
@@ -67,6 +90,9 @@
 		RequestsPerSecond: s.CallerRate,
 		IdleTimeout:       s.CallerIdle.Std(),
 		MaxConnections:    s.CallerConnections,
+		Intake:            e.access.intake,
+		Limits:            e.access.authorizer.requestLimits,
+		HandlerBytes:      func(_, body []byte) int { return len(body) },
 		OnRefused:         e.counters.CountRefusal,
 		OnClose: func(reason caller.CloseReason) {
 			e.counters.Counter("caller_connections_cut_" + string(reason)).Inc(1)
--- a/internal/process/entry/authorize.go
+++ b/internal/process/entry/authorize.go
@@ -60,6 +60,12 @@
 	}
 }
 
+// knows reports whether requests with these headers come from a caller in the settings.
+func (a *authorizer) knows(header http.Header) bool {
+	callers := *a.callers.Load()
+	return len(callers) == 0 || findCaller(callers, header) != nil
+}
+
 // ownedRequest is a request on behalf of an owner in a department.
 type ownedRequest interface {
 	GetDepartment() string
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,9 @@
 
 const (
 	drainPollInterval = 10 * time.Millisecond
+	// memoryLimitPercent is the soft limit of the Go runtime, in percent of the memory at which the
+	// process is killed.
+	memoryLimitPercent = 60
 	// retireTimeout bounds how long a lost incarnation may still send answers.
 	retireTimeout = time.Second
 )
@@ -88,10 +92,13 @@
 // New returns an entry whose ports are open but which does not serve until Run.
 func New(s *settings.Settings, log zerolog.Logger) (*Entry, error) {
 	counters := metrics.New()
-	access, err := newAccess(s, counters)
+	access, err := newAccess(s, log, counters)
 	if err != nil {
 		return nil, err
 	}
+	if s.Entry.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.Entry.MemoryMB) << 20 / 100 * memoryLimitPercent)
+	}
 	return newIncarnation(s, log, counters, access)
 }
 
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -53,7 +53,7 @@
 	invalid     *eventlog.InvalidValues
 	incarnation uint64
 	intake      *caller.Intake
-	closures    closureLog
+	closures    *eventlog.Closures
 	run         func(stop <-chan struct{})
 
 	mu sync.Mutex
@@ -82,11 +82,11 @@
 	p.log = zerolog.New(lines).With().Timestamp().Str("node", s.Name).Str("role", string(s.Role)).Logger()
 	p.guard = guard.Guard{Log: p.log, Counters: counters}
 	p.invalid = eventlog.NewInvalidValues(p.log, counters.Counter("stored_values_invalid"))
-	p.closures.log = p.log
+	p.closures = eventlog.NewClosures(p.log, counters)
 	p.intake = caller.NewIntake(caller.IntakeOptions{
 		Bytes:       s.Node.RequestMemory(),
 		Connections: s.Node.MaxConnections(),
-		OnClose:     p.recordClosure,
+		OnClose:     func(reason caller.IntakeReason, remote net.Addr) { p.closures.Record(string(reason), remote) },
 	})
 	debug.SetMemoryLimit(memoryLimit(s.Node.MemoryMB))
 	if s.Role == settings.RoleEntry {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -112,6 +112,11 @@
 	CallerIdle Duration `json:"caller_idle,omitempty"`
 	// CallerConnections is the largest number of connections of callers.
 	CallerConnections int `json:"caller_connections,omitempty"`
+	// MemoryMB is the memory at which the process is killed; 0 means that it is not known.
+	MemoryMB int `json:"memory_mb,omitempty"`
+	// RequestMemoryMB is the memory for requests that are being received or answered, of all
+	// connections together; 0 means a share of MemoryMB, or defaultRequestMemory without it.
+	RequestMemoryMB int `json:"request_memory_mb,omitempty"`
 	// Peers are the peer addresses of some other entries, from which the entry gets the
 	// configuration if the store does not answer at the start.
 	Peers []string `json:"peers,omitempty"`
@@ -120,6 +125,20 @@
 	HandshakeRate int `json:"handshake_rate,omitempty"`
 }
 
+// defaultRequestMemory is the budget for requests of an entry whose memory is not known.
+const defaultRequestMemory = 256 << 20
+
+// RequestMemory returns the budget in bytes for requests in progress.
+func (e *Entry) RequestMemory() int {
+	switch {
+	case e.RequestMemoryMB > 0:
+		return e.RequestMemoryMB << 20
+	case e.MemoryMB > 0:
+		return max(e.MemoryMB<<20/requestMemoryDivisor, minRequestMemory)
+	}
+	return defaultRequestMemory
+}
+
 // Agent holds the settings of the agent role.
 type Agent struct {
 	// Entries are the peer addresses of some entries, from which the agent gets the list of
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -139,6 +139,8 @@
 		countRange.Check("entry.caller_rate", e.CallerRate),
 		durationRange.Check("entry.caller_idle", e.CallerIdle.Std()),
 		countRange.Check("entry.caller_connections", e.CallerConnections),
+		requestMemoryRange.Check("entry.memory_mb", e.MemoryMB),
+		requestMemoryRange.Check("entry.request_memory_mb", e.RequestMemoryMB),
 	)
 }
 
