Win places back from silent links at once

What callers saw: with 300 connections to the peer port that send nothing and come back when they are closed, an agent that restarts was not linked again, and no job completed.

Cause: the bound of 16 links without a hello left all others in the queue of the listener, and the places were free only after a second of silence each.

Now a link is always accepted. If over 64 have sent no hello, one of the address with the most of them is closed for it, the oldest first, and those of addresses of known agents last. Links that end without a hello are counted and logged once a second.

--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,9 +27,6 @@
 	stopReserve = 500 * time.Millisecond
 	// maxRequestLine is what a head may have beyond the limit for its header fields.
 	maxRequestLine = 4 << 10
-	// maxUnknownLinks bounds the links on which no hello has arrived. All agents of an entry may
-	// connect at once, and their hellos arrive within milliseconds.
-	maxUnknownLinks = 16
 	// acceptRetryDelay is the pause after a link could not be accepted, as without descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
 )
@@ -48,6 +44,7 @@
 	callers       *caller.Server
 	status        *caller.Server
 	agentListener net.Listener
+	unknownLinks  *unknownLinks
 	draining      atomic.Bool
 	startedAt     time.Time
 	// deregister begins to delete the registration of the entry; deregistered is closed once it
@@ -57,7 +54,7 @@
 }
 
 func (p *Server) newEntry() error {
-	e := &entry{Server: p, view: &policy.View{}, startedAt: time.Now()}
+	e := &entry{Server: p, view: &policy.View{}, startedAt: time.Now(), unknownLinks: newUnknownLinks()}
 	p.run = e.serve
 	kv := platform.NewStore(p.node.Store, p.node.IP)
 	advertised := p.node.PeerAdvertise
@@ -259,35 +256,43 @@
 	e.callers.Drain(ctx)
 }
 
-// acceptAgents accepts links from agents until the listener is closed. At most maxUnknownLinks of
-// them have not sent their hello; the others wait in the queue of the listener.
+// acceptAgents accepts links from agents until the listener is closed.
 func (e *entry) acceptAgents() {
-	unknown := make(chan struct{}, maxUnknownLinks)
 	for {
-		unknown <- struct{}{}
 		conn, err := e.agentListener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			<-unknown
 			e.log.Warn().Err(err).Msg("cannot accept the link of an agent")
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		unknown, excess := e.unknownLinks.add(conn, time.Now())
+		if excess != nil {
+			e.closures.Record(closureUnknownLink, excess.conn.RemoteAddr())
+			_ = excess.conn.Close()
+		}
 		go e.guard.Run("the link of an agent", func() {
-			known := sync.OnceFunc(func() { <-unknown })
-			defer known()
-			e.serveAgent(conn, known)
+			defer e.unknownLinks.remove(unknown) // after a panic
+			e.serveAgent(unknown)
 		})
 	}
 }
 
-// serveAgent serves one link from an agent. Each side starts with a hello frame. known is called
-// once that of the agent has arrived.
-func (e *entry) serveAgent(conn net.Conn, known func()) {
+// The reasons for which links without a hello are closed.
+const (
+	// closureUnknownLink: others had connected since.
+	closureUnknownLink = "unknown_links"
+	// closureNoHello: the other side closed it, sent nothing in time, or sent a first frame that is
+	// malformed or too large.
+	closureNoHello = "no_hello"
+)
+
+// serveAgent serves one link from an agent. Each side starts with a hello frame.
+func (e *entry) serveAgent(unknown *unknownLink) {
 	var name atomic.Pointer[string]
-	link := peer.NewLink(conn, func(f *peer.Frame) {
+	link := peer.NewLink(unknown.conn, func(f *peer.Frame) {
 		if n := name.Load(); n != nil {
 			e.scheduler.Stamp(*n, f)
 		}
@@ -300,10 +305,12 @@
 	}})
 	f, err := link.Receive()
 	if err != nil || f.Hello == nil {
-		e.log.Warn().Err(err).Str("remote", link.RemoteAddr()).Msg("link refused: no hello frame received")
+		if e.unknownLinks.remove(unknown) {
+			e.closures.Record(closureNoHello, unknown.conn.RemoteAddr())
+		}
 		return
 	}
-	known()
+	e.unknownLinks.identified(unknown, time.Now())
 	agent := f.Hello.Name
 	e.scheduler.Connect(f.Hello, link)
 	defer func() { e.scheduler.Disconnect(agent, link, err) }()
