Bound the memory of first frames of links

Cause: a first frame may have 1.25 MiB and arrives before its sender is known. All were decoded at the same time, and an item of a byte takes up to some hundred.

Now first frames share 4 MiB while they arrive, are decoded one at a time, and may have 16,384 items in each list. Ordinary hellos, up to 4 KiB, are always read.

--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/binary"
 	"io"
 	"net"
@@ -25,8 +24,6 @@
 	conn     net.Conn
 	reader   *bufio.Reader
 	openedAt time.Time
-	// received is set once a valid frame has arrived; Receive alone uses it.
-	received bool
 
 	wake      chan struct{}
 	done      chan struct{}
@@ -131,6 +128,17 @@
 // Receive returns the next frame. It fails if the link is closed, nothing arrives within
 // SilenceLimit, or the frame is too large or malformed.
 func (l *Link) Receive() (*Frame, error) {
+	return l.receive(MaxFrameBytes, nil)
+}
+
+// ReceiveFirst is Receive for the first frame, which arrives before its sender is known. It also fails if
+// the first frames of all links take too much memory.
+func (l *Link) ReceiveFirst(memory *FirstFrames) (*Frame, error) {
+	return l.receive(MaxFirstFrameBytes, memory)
+}
+
+// receive returns the next frame of at most limit bytes.
+func (l *Link) receive(limit uint32, memory *FirstFrames) (*Frame, error) {
 	if err := l.conn.SetReadDeadline(time.Now().Add(SilenceLimit)); err != nil {
 		return nil, eris.Wrap(err, "set read deadline")
 	}
@@ -139,36 +147,44 @@
 		return nil, eris.Wrap(err, "read frame length")
 	}
 	size := binary.BigEndian.Uint32(head[:])
-	if size > MaxFrameBytes {
-		return nil, eris.Errorf("frame of %d bytes exceeds the limit of %d", size, MaxFrameBytes)
+	if size > limit {
+		return nil, eris.Errorf("frame of %d bytes exceeds the limit of %d", size, limit)
 	}
-	if !l.received && size > MaxFirstFrameBytes {
-		return nil, eris.Errorf("first frame of %d bytes exceeds the limit of %d", size, MaxFirstFrameBytes)
-	}
-	body, err := l.readBody(int64(size))
+	charge := memory.charge()
+	defer charge.release()
+	body, err := l.readBody(int(size), charge)
 	if err != nil {
 		return nil, eris.Wrap(err, "read frame")
 	}
 	f := &Frame{}
-	if err := cbor.Unmarshal(body, f); err != nil {
+	if err := memory.decode(body, f); err != nil {
 		return nil, eris.Wrap(err, "decode frame")
 	}
 	if err := f.validate(); err != nil {
 		return nil, eris.Wrap(err, "validate frame")
 	}
-	l.received = true
 	return f, nil
 }
 
 // readBody reads the body of a frame. Its buffer grows with what arrives, since a sender may
 // announce more than it sends.
-func (l *Link) readBody(size int64) ([]byte, error) {
-	var body bytes.Buffer
-	body.Grow(int(min(size, readBufferBytes)))
-	if _, err := io.CopyN(&body, l.reader, size); err != nil {
-		return nil, err
+func (l *Link) readBody(size int, charge *frameCharge) ([]byte, error) {
+	var body []byte
+	for len(body) < size {
+		if len(body) == cap(body) {
+			next := min(size, max(2*cap(body), readBufferBytes))
+			if !charge.grow(next) {
+				return nil, errFirstFrames
+			}
+			body = append(make([]byte, 0, next), body...)
+		}
+		n, err := io.ReadFull(l.reader, body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err != nil {
+			return nil, err
+		}
 	}
-	return body.Bytes(), nil
+	return body, nil
 }
 
 // writeLoop sends pending frames until the link is closed or a write fails.
--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -27,6 +27,8 @@
 	stopReserve = 500 * time.Millisecond
 	// maxRequestLine is what a head may have beyond the limit for its header fields.
 	maxRequestLine = 4 << 10
+	// maxFirstFrameMemory bounds the first frames that are being received or decoded.
+	maxFirstFrameMemory = 4 << 20
 	// acceptRetryDelay is the pause after a link could not be accepted, as without descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
 )
@@ -303,7 +305,7 @@
 		Incarnation: e.incarnation,
 		DataCentre:  e.settings.DataCentre,
 	}})
-	f, err := link.Receive()
+	f, err := link.ReceiveFirst(e.unknownLinks.memory)
 	if err != nil || f.Hello == nil {
 		if e.unknownLinks.remove(unknown) {
 			e.closures.Record(closureNoHello, unknown.conn.RemoteAddr())
--- a/internal/process/server/unknownlinks.go
+++ b/internal/process/server/unknownlinks.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 )
 
 const (
@@ -20,6 +22,9 @@
 // unknownLinks holds the links on which no hello has arrived. A link that is accepted while there are
 // too many takes the place of another one at once, so that silent connections keep no agent out.
 type unknownLinks struct {
+	// memory bounds the first frames of all of them together.
+	memory *peer.FirstFrames
+
 	mu       sync.Mutex
 	links    map[*unknownLink]struct{}
 	bySource map[netip.Addr]int
@@ -36,6 +41,7 @@
 
 func newUnknownLinks() *unknownLinks {
 	return &unknownLinks{
+		memory:   peer.NewFirstFrames(maxFirstFrameMemory),
 		links:    make(map[*unknownLink]struct{}),
 		bySource: make(map[netip.Addr]int),
 		agents:   make(map[netip.Addr]time.Time),
