Bound the status port of the product's agent like the other ports

What the operator saw: 2,000 connections to the status port of an agent took as many descriptors, and 166 MB with heads of 8 KiB that are made of short fields.

Cause: the port was a server of net/http with a limit for heads and time-outs, but none for the number of connections, and decoded each field as it arrived.

Now it has an intake of its own: 256 connections, 8 MiB.

--- a/internal/bench/untrusted/product_test.go
+++ b/internal/bench/untrusted/product_test.go
@@ -143,6 +143,8 @@
 		{"idle connections", productCaller, idleConns, secured(func(net.Conn) error { return nil })},
 		{"agent: head without end", productStatus, senders, repeat(status, "X-More: abcdefgh\r\n")},
 		{"agent: short fields", productStatus, crowd, shortFields(status, defaultHeadLimit)},
+		{"agent: idle connections", productStatus, largeCrowd, func(net.Conn) error { return nil }},
+		{"agent: short fields of a large crowd", productStatus, largeCrowd, shortFields(status, 8<<10)},
 		{"agent: announced body", productStatus, senders, repeat("POST /metrics HTTP/1.1\r\nHost: agent\r\nContent-Length: 31457280\r\n\r\n", "x")},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -17,10 +17,12 @@
 	"github.com/rs/zerolog"
 
 	peerv1 "github.com/rosemarybay/rosemarybay/api/peer/v1"
+	"github.com/rosemarybay/rosemarybay/internal/connection/caller"
 	"github.com/rosemarybay/rosemarybay/internal/connection/identity"
 	"github.com/rosemarybay/rosemarybay/internal/connection/link"
 	"github.com/rosemarybay/rosemarybay/internal/connection/target"
 	"github.com/rosemarybay/rosemarybay/internal/process/attempts"
+	"github.com/rosemarybay/rosemarybay/internal/process/eventlog"
 	"github.com/rosemarybay/rosemarybay/internal/process/metrics"
 	"github.com/rosemarybay/rosemarybay/internal/process/settings"
 	"github.com/rosemarybay/rosemarybay/internal/version/config"
@@ -30,10 +32,21 @@
 const (
 	expireInterval = 5 * time.Second
 	drainInterval  = 10 * time.Millisecond
-	// statusTimeout limits the time to read a request to the status port and to write its
-	// response.
-	statusTimeout     = 5 * time.Second
+	// statusIdle is the time within which the next request on a connection to the status port must
+	// have arrived completely.
+	statusIdle = time.Minute
+	// statusHeaderBytes and statusBodyBytes bound a request to the status port, which needs neither.
 	statusHeaderBytes = 8 << 10
+	statusBodyBytes   = 8 << 10
+	// statusConnections is the number of connections to the status port. From 90 % of it on, idle ones
+	// are closed for new ones.
+	statusConnections = 256
+	// statusMemory is the budget for requests to the status port, and for responses that are not read.
+	statusMemory = 8 << 20
+	// statusResponseBytes is the memory for the text of the counters and the buffers of the response.
+	statusResponseBytes = 256 << 10
+	// statusCloseTimeout bounds the wait for requests to the status port when the agent stops.
+	statusCloseTimeout = 100 * time.Millisecond
 )
 
 // Agent is one agent process; its incarnation is a random number that distinguishes it
@@ -47,7 +60,7 @@
 	keys         *identity.Keys
 	transport    *quic.Transport
 	dialer       *link.Dialer
-	status       *http.Server
+	status       *caller.Server
 	attempts     *attempts.Table
 	target       *target.Client
 	config       *config.View
@@ -73,13 +86,8 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", s.Agent.StatusListen)
-	if err != nil {
-		return nil, eris.Wrap(err, "listen on status port")
-	}
 	transport, err := newTransport(s.Agent.StatusListen)
 	if err != nil {
-		_ = listener.Close()
 		return nil, err
 	}
 	a := &Agent{
@@ -103,14 +111,10 @@
 		dialers:        make(map[string]*entryDialer),
 		runningByEntry: make(map[uint64]int),
 	}
-	a.status = &http.Server{
-		Handler:        a.statusHandler(),
-		ReadTimeout:    statusTimeout,
-		WriteTimeout:   statusTimeout,
-		IdleTimeout:    time.Minute,
-		MaxHeaderBytes: statusHeaderBytes,
+	if a.status, err = a.listenStatus(); err != nil {
+		_ = transport.Close()
+		return nil, eris.Wrap(err, "listen on status port")
 	}
-	go func() { _ = a.status.Serve(listener) }()
 	return a, nil
 }
 
@@ -202,10 +206,32 @@
 		s.link.Close()
 	}
 	_ = a.transport.Close()
-	_ = a.status.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), statusCloseTimeout)
+	defer cancel()
+	a.status.Close(ctx)
 	a.target.Close()
 }
 
+// listenStatus starts the server of the status port.
+func (a *Agent) listenStatus() (*caller.Server, error) {
+	closures := eventlog.NewClosures(a.log, a.counters)
+	return caller.Listen(caller.Options{
+		Address:     a.settings.Agent.StatusListen,
+		Handler:     a.statusHandler(),
+		IdleTimeout: statusIdle,
+		Intake: caller.NewIntake(caller.IntakeOptions{
+			Bytes:       statusMemory,
+			Connections: statusConnections,
+			OnClose:     func(reason caller.IntakeReason, remote net.Addr) { closures.Record(string(reason), remote) },
+		}),
+		Limits: func(*http.Request) caller.MessageLimits {
+			return caller.MessageLimits{Head: statusHeaderBytes, Body: statusBodyBytes}
+		},
+		HandlerBytes: func(_, _ []byte) int { return statusResponseBytes },
+		NoLimits:     true,
+	})
+}
+
 func (a *Agent) statusHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
