Close connections while stopping, and count requests that wait for a start

A stopping server marked a copy of the request as the last one of its connection, so that connections stayed open and their next requests would be lost. Requests that wait for memory were not counted as open, so that a stop would not wait for them.

The context of the intake goes into the request for the handler alone, and requests are counted from their end to their answer. The opening of a connection is also ordered before its input for the memory model; the race detector found that in one of some runs.

--- a/internal/connection/caller/drain_test.go
+++ b/internal/connection/caller/drain_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -55,3 +56,32 @@
 		t.Errorf("response body %q", got)
 	}
 }
+
+// TestConnectionsAreClosedWhileStopping guards against connections that stay open on a server that stops:
+// their next requests would be lost.
+func TestConnectionsAreClosedWhileStopping(t *testing.T) {
+	address := listen(t, Options{NoLimits: true, Handler: http.NotFoundHandler(), IsStopping: func() bool { return true }})
+	conn := openConn(t, address)
+	send(t, conn, get)
+	if b, err := io.ReadAll(conn); err != nil || !strings.HasPrefix(string(b), "HTTP/1.1 404") {
+		t.Errorf("the connection ended with %q (%v), expected one response and its end", b, err)
+	}
+}
+
+// TestDrainWaitsForRequestsWithoutMemory guards against requests that are lost by a stop while they wait
+// for memory.
+func TestDrainWaitsForRequestsWithoutMemory(t *testing.T) {
+	s := &Server{}
+	c := &inbound{server: s, usage: usage{}}
+	in := NewIntake(IntakeOptions{Bytes: 1 << 20})
+	in.conns[c] = struct{}{}
+	in.used, in.large = 1<<20, 1
+	in.received(c, []*message{{weight: 1 << 19}}, 0, nil)
+	if n := s.OpenRequests(); n != 1 {
+		t.Errorf("%d open requests, expected 1", n)
+	}
+	in.closed(c)
+	if n := s.OpenRequests(); n != 0 {
+		t.Errorf("%d open requests after the connection has ended, expected 0", n)
+	}
+}
--- a/internal/connection/caller/inbound.go
+++ b/internal/connection/caller/inbound.go
@@ -149,6 +149,13 @@
 	c.conn.Execute(func() { c.intake.responded(c) })
 }
 
+// countQueued changes the number of requests of the server that wait for their start.
+func (c *inbound) countQueued(n int) {
+	if n != 0 {
+		c.server.queuedRequests.Add(int64(n))
+	}
+}
+
 // close closes the connection, after a status if that is not nil.
 func (c *inbound) close(status []byte) {
 	if status != nil {
--- a/internal/connection/caller/intake.go
+++ b/internal/connection/caller/intake.go
@@ -180,6 +180,8 @@
 	in.mu.Lock()
 	c.closing = true
 	delete(in.conns, c)
+	c.countQueued(-len(c.queue))
+	c.queue = nil
 	in.setUsageLocked(c, usage{})
 	in.wakeLocked(&a)
 	in.mu.Unlock()
@@ -196,6 +198,7 @@
 		return
 	}
 	c.queue = append(c.queue, done...)
+	c.countQueued(len(done))
 	u := c.usage
 	u.input = held
 	for _, m := range done {
@@ -329,6 +332,7 @@
 func (in *Intake) beginLocked(c *inbound, a *actions) {
 	m := c.queue[0]
 	c.queue = c.queue[1:]
+	c.countQueued(-1)
 	u := c.usage
 	u.queued -= m.held()
 	u.running = m.weight
@@ -412,6 +416,7 @@
 	}
 	c.closing = true
 	delete(in.conns, c)
+	c.countQueued(-len(c.queue))
 	c.queue = nil
 	in.setUsageLocked(c, usage{running: c.usage.running})
 	a.closures = append(a.closures, closure{c, reason, status})
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -84,8 +84,12 @@
 	// limiters holds a *rate.Limiter for each open connection.
 	limiters    sync.Map
 	disconnects disconnectWatcher
-	// openRequests counts the requests that are read and whose handler has not returned.
-	openRequests atomic.Int64
+	// openRequests counts the requests whose handler has not returned, queuedRequests those that are
+	// read and wait for their start.
+	openRequests, queuedRequests atomic.Int64
+	// opened counts connections. Reading it before the input of a connection orders the two for the
+	// memory model: the engine orders them by the kernel alone.
+	opened atomic.Int64
 }
 
 // Listen starts a server.
@@ -140,11 +144,17 @@
 			c := newInbound(s, conn, parser)
 			conn.SetSession(c)
 			s.options.Intake.opened(c)
+			s.opened.Add(1)
 		}
 	})
 	s.engine.OnData(func(conn *nbio.Conn, data []byte) {
+		c, ok := conn.Session().(*inbound)
+		if !ok {
+			return
+		}
+		s.opened.Load()
 		conn.DataHandler()(conn, data)
-		if c, ok := conn.Session().(*inbound); ok && s.options.Keys != nil {
+		if s.options.Keys != nil {
 			c.readEncrypted(len(data))
 		}
 	})
@@ -197,7 +207,7 @@
 )
 
 // OpenRequests returns the number of requests in progress.
-func (s *Server) OpenRequests() int { return int(s.openRequests.Load()) }
+func (s *Server) OpenRequests() int { return int(s.openRequests.Load() + s.queuedRequests.Load()) }
 
 // Drain waits until all requests in progress are answered or ctx ends, and reports whether
 // all are answered.
@@ -238,12 +248,13 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		ctx := r.Context()
 		if c := inboundOf(conn); c != nil {
 			defer c.responded()
-			r = r.WithContext(context.WithValue(r.Context(), inboundKey{}, c))
+			ctx = context.WithValue(ctx, inboundKey{}, c)
 		}
 		_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, r.WithContext(ctx))
 		if s.options.IsStopping != nil && s.options.IsStopping() {
 			r.Close = true
 		}
