--- a/internal/process/server/entry.go
+++ b/internal/process/server/entry.go
@@ -272,7 +272,7 @@
 		}
 		unknown, excess := e.unknownLinks.add(conn, time.Now())
 		if excess != nil {
-			e.closures.Record(closureUnknownLink, excess.conn.RemoteAddr())
+			e.closures.Record(string(closureUnknownLink), excess.conn.RemoteAddr())
 			_ = excess.conn.Close()
 		}
 		go e.guard.Run("the link of an agent", func() {
@@ -285,10 +285,10 @@
 // The reasons for which links without a hello are closed.
 const (
 	// closureUnknownLink: others had connected since.
-	closureUnknownLink = "unknown_links"
+	closureUnknownLink caller.IntakeReason = "unknown_links"
 	// closureNoHello: the other side closed it, sent nothing in time, or sent a first frame that is
 	// malformed or too large.
-	closureNoHello = "no_hello"
+	closureNoHello caller.IntakeReason = "no_hello"
 )
 
 // serveAgent serves one link from an agent. Each side starts with a hello frame.
@@ -308,7 +308,7 @@
 	f, err := link.ReceiveFirst(e.unknownLinks.memory)
 	if err != nil || f.Hello == nil {
 		if e.unknownLinks.remove(unknown) {
-			e.closures.Record(closureNoHello, unknown.conn.RemoteAddr())
+			e.closures.Record(string(closureNoHello), unknown.conn.RemoteAddr())
 		}
 		return
 	}
