--- a/internal/bench/untrusted/shapes_test.go
+++ b/internal/bench/untrusted/shapes_test.go
@@ -156,6 +156,8 @@
 	labels := listBody(`{"labels":[`, `""`, "]}", announcementLimit)
 	announced := listBody(`{"service":"pool","address":"`+targetAddress+`","zone":"dc1","state":"ready","sequence":1,"born":1,`+
 		`"capacity":{"cpu":8000,"mem_mb":1000,"gpu":0},"labels":[`, `""`, "]}", announcementLimit)
+	longState := `{"service":"pool","address":"` + targetAddress + `","zone":"dc1","sequence":1,"born":1,"capacity":{"cpu":8000},"state":"` +
+		strings.Repeat("\x7f", announcementLimit-256) + `"}`
 	return []shape{
 		{"short fields", entryCaller, crowd, shortFields(job, headLimit)},
 		{"short fields of one name", entryCaller, crowd, sendAll(job + strings.Repeat("a:\r\n", (headLimit-len(job))/4))},
@@ -169,6 +171,14 @@
 		{"nested steps", entryCaller, crowd, sendBody(jobPath, nested)},
 		{"agent: small labels", agentAnnounce, announcementCrowd, sendBody(beatPath, labels)},
 		{"agent: small labels of a whole announcement", agentAnnounce, announcementCrowd, sendBody(beatPath, announced)},
+		{"agent: long state", agentAnnounce, announcementCrowd, sendBody(beatPath, longState)},
+		{"long numbers", entryCaller, crowd, sendBody(jobPath, `{"steps":[{"count":`+strings.Repeat("1", bodyLimit-32)+"}]}")},
+		{"requests behind a long job", entryCaller, crowd, func(conn net.Conn) error {
+			if err := idleTasks(1, 5*time.Second)(conn); err != nil {
+				return err
+			}
+			return sendAll(strings.Repeat(requestHead("GET", prefix, "X-Long: "+strings.Repeat("x", 4000)+"\r\n\r\n"), 99))(conn)
+		}},
 		{"one-byte chunks", entryCaller, crowd, oneByteChunks},
 		{"metrics not read", entryMetrics, crowd, readNothing},
 		{"agent: metrics not read", agentMetrics, crowd, readNothing},
