--- a/internal/bench/untrusted/shapes_test.go
+++ b/internal/bench/untrusted/shapes_test.go
@@ -231,14 +231,25 @@
 // TestAgentLinksBesideSilentLinks guards against a bound for unknown links that whoever holds them
 // makes the end of all jobs: silent connections that come back when they are closed, while the
 // agent is restarted.
-func TestAgentLinksBesideSilentLinks(t *testing.T) {
+func TestAgentLinksBesideSilentLinks(t *testing.T) { agentLinksBeside(t, "") }
+
+// TestAgentLinksBesideSilentLinksOfItsAddress guards against a choice of links that needs an address of
+// its own for each agent.
+func TestAgentLinksBesideSilentLinksOfItsAddress(t *testing.T) { agentLinksBeside(t, agentIP) }
+
+// agentLinksBeside restarts the agent beside silent links from an address, empty for any.
+func agentLinksBeside(t *testing.T, source string) {
 	p := startProcesses(t)
+	dialer := net.Dialer{Timeout: sendLimit}
+	if source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
 	var stopped atomic.Bool
 	var wait sync.WaitGroup
 	for range reconnectingLinks {
 		wait.Go(func() {
 			for !stopped.Load() {
-				conn, err := net.DialTimeout("tcp", entryPeer, sendLimit)
+				conn, err := dialer.Dial("tcp", entryPeer)
 				if err != nil {
 					time.Sleep(20 * time.Millisecond)
 					continue
--- a/internal/connection/caller/inbound.go
+++ b/internal/connection/caller/inbound.go
@@ -52,8 +52,10 @@
 	ended bool
 
 	// The intake guards the fields below.
-	usage                         usage
-	queue                         []*message
+	usage usage
+	queue []*message
+	// activeAt is the time of the opening or the last answer, startedAt that since when the request in
+	// progress runs or waits.
 	openedAt, activeAt, startedAt time.Time
 	// running is set from the start of a request until its response has been passed on, waiting
 	// while the next one waits for memory. served is set once a request has been answered.
--- a/internal/connection/caller/intake_test.go
+++ b/internal/connection/caller/intake_test.go
@@ -361,6 +361,7 @@
 	served := func(activeAt int) *inbound { return &inbound{served: true, activeAt: at(activeAt)} }
 	unserved := func(openedAt int) *inbound { return &inbound{openedAt: at(openedAt), activeAt: at(openedAt)} }
 	busy := func(startedAt int) *inbound { return &inbound{running: true, startedAt: at(startedAt)} }
+	waiting := &inbound{server: &Server{}, queue: []*message{{}}, waiting: true, openedAt: at(0), startedAt: at(1)}
 	old, fresh := unserved(1), unserved(9)
 	idle, oldestIdle, longest := served(5), served(3), busy(2)
 	for _, c := range []struct {
@@ -372,6 +373,8 @@
 		{"many without a request", 8, []*inbound{oldestIdle, idle, fresh, old, unserved(8)}, old},
 		{"few without a request", 8, []*inbound{oldestIdle, idle, fresh, busy(0)}, oldestIdle},
 		{"only one without a request", 8, []*inbound{fresh, longest}, fresh},
+		{"one waits for memory", 4, []*inbound{waiting, idle, longest}, idle},
+		{"all busy, one of them waiting", 2, []*inbound{waiting, longest}, waiting},
 		{"all busy below the limit", 4, []*inbound{busy(7), longest}, nil},
 		{"all busy at the limit", 2, []*inbound{busy(7), longest}, longest},
 	} {
