Leave memory to small requests beside unfinished ones

Cause: the quarter of the budget that is left to small requests was kept from large running requests only. Unfinished requests filled the whole budget, each was too small to be closed for a request that waits, and none of them released anything.

Now what connections hold beside running requests may use three quarters of the budget. For a small request that waits, connections that hold more than it are closed until it fits, then the one with the largest running request, or with the oldest one if that is over 10 s old. The budget of the product's own port holds at least one of the largest requests.

Evidence: TestUnfinishedRequestsLeaveMemoryToSmallOnes failed before (no answer in 20 s), and TestLongRequestsLeaveMemoryToSmallOnes has the last rule.

--- a/internal/connection/caller/closing.go
+++ b/internal/connection/caller/closing.go
@@ -34,6 +34,9 @@
 	// one of them is closed rather than an idle one. Callers who have just connected are the newest
 	// of them.
 	unservedPercent = 25
+	// longRequest is the time from which on a running request may be closed for a small one that finds no
+	// memory: otherwise jobs whose callers wait for hours would keep all others out.
+	longRequest = 10 * time.Second
 )
 
 // closeOneLocked closes a connection for a new one. Activity counts by requests: a client that sends a
@@ -71,24 +74,44 @@
 	return best
 }
 
-// relieveLocked makes room for a request that waits: it closes the connection that holds the most
-// input or unread responses or, for a small request, the one with the largest running request. Both
-// must be larger than small requests.
-func (in *Intake) relieveLocked(waiting *inbound, bytes int, a *actions) {
-	victim := in.largestLocked(waiting, func(c *inbound) int { return c.usage.input + c.usage.unread })
-	if victim == nil && bytes <= smallRequest {
-		victim = in.largestLocked(waiting, func(c *inbound) int { return c.usage.running })
+// relieveLocked makes room for a request that takes bytes, of which the budget has some already. It closes
+// the connections that hold the most input or unread responses: for a large request those that hold
+// more than a small one, for a small request those that hold more than it. If that is not enough for a
+// small request, the connection with the largest running request is closed too, or that with the oldest
+// one if all are small and it is over longRequest old.
+func (in *Intake) relieveLocked(c *inbound, bytes, have int, a *actions) {
+	least := smallRequest
+	if bytes <= smallRequest {
+		least = min(have, smallRequest)
 	}
-	if victim != nil {
+	waiting := c.waiting
+	for !in.fitsLocked(bytes, bytes-have) {
+		victim := in.largestLocked(c, least, func(c *inbound) int { return c.usage.input + c.usage.unread })
+		if victim == nil && bytes <= smallRequest {
+			victim = in.largestLocked(c, smallRequest, func(c *inbound) int { return c.usage.running })
+			if victim == nil {
+				victim = in.longestRunningLocked(c, time.Now())
+			}
+			if victim != nil {
+				// Its memory is released when its handler returns.
+				in.dropLocked(victim, IntakeReasonMemory, nil, a)
+			}
+			return
+		}
+		if victim == nil {
+			return
+		}
 		in.dropLocked(victim, IntakeReasonMemory, nil, a)
+		if waiting && !c.waiting {
+			return // it has been started with that memory
+		}
 	}
 }
 
-// largestLocked returns the other connection that holds the most, or nil if none holds more than a small
-// request.
-func (in *Intake) largestLocked(except *inbound, size func(*inbound) int) *inbound {
+// largestLocked returns the other connection that holds the most, or nil if none holds more than least.
+func (in *Intake) largestLocked(except *inbound, least int, size func(*inbound) int) *inbound {
 	var largest *inbound
-	most := smallRequest
+	most := least
 	for c := range in.conns {
 		if n := size(c); c != except && n > most {
 			largest, most = c, n
@@ -97,17 +120,24 @@
 	return largest
 }
 
-// shedLocked closes connections until what they hold fits into the budget, those that hold the most
-// first.
-func (in *Intake) shedLocked(a *actions) {
-	for in.options.Bytes > 0 && in.used > in.options.Bytes {
-		var largest *inbound
-		most := 0
-		for c := range in.conns {
-			if n := c.usage.sheddable(); n > most {
-				largest, most = c, n
-			}
+// longestRunningLocked returns the other connection whose request has been running for longest, or nil if
+// none has for longer than longRequest.
+func (in *Intake) longestRunningLocked(except *inbound, now time.Time) *inbound {
+	var longest *inbound
+	for c := range in.conns {
+		if c != except && c.running && now.Sub(c.startedAt) > longRequest {
+			longest = earlier(longest, c, c.startedAt, func(o *inbound) time.Time { return o.startedAt })
 		}
+	}
+	return longest
+}
+
+// shedLocked closes connections until what all hold fits into the budget, and what they hold beside
+// running requests into its share, those that hold the most first.
+func (in *Intake) shedLocked(a *actions) {
+	budget := in.options.Bytes
+	for budget > 0 && (in.used > budget || in.held > budget*largePercent/100) {
+		largest := in.largestLocked(nil, 0, func(c *inbound) int { return c.usage.sheddable() })
 		if largest == nil {
 			return
 		}
--- a/internal/connection/caller/intake.go
+++ b/internal/connection/caller/intake.go
@@ -17,7 +17,8 @@
 const (
 	// smallRequest is the memory up to which a request counts as ordinary.
 	smallRequest = 32 << 10
-	// largePercent is the share of the budget that requests above smallRequest may use.
+	// largePercent is the share of the budget that requests above smallRequest may use, and that
+	// unfinished and waiting requests and unread responses may use together.
 	largePercent = 75
 )
 
@@ -43,8 +44,9 @@
 
 	mu    sync.Mutex
 	conns map[*inbound]struct{}
-	// used is the sum of what the connections take of the budget.
-	used int
+	// used is the sum of what the connections take of the budget, held the part that is released at
+	// once when they are closed.
+	used, held int
 	// large is the number of running requests above smallRequest.
 	large int
 	// smallWaiting and largeWaiting are the connections whose next request waits for memory.
@@ -214,7 +216,7 @@
 		return false
 	}
 	if !fits {
-		in.relieveLocked(c, bytes, &a)
+		in.relieveLocked(c, bytes, u.running, &a)
 	}
 	u.running = bytes
 	in.setUsageLocked(c, u)
@@ -225,6 +227,7 @@
 // setUsageLocked changes what a connection takes.
 func (in *Intake) setUsageLocked(c *inbound, u usage) {
 	in.used += u.sum() - c.usage.sum()
+	in.held += u.sheddable() - c.usage.sheddable()
 	if c.usage.running > smallRequest {
 		in.large--
 	}
@@ -265,7 +268,7 @@
 	} else {
 		in.largeWaiting = append(in.largeWaiting, c)
 	}
-	in.relieveLocked(c, m.weight, a)
+	in.relieveLocked(c, m.weight, m.held(), a)
 }
 
 // beginLocked takes the next request of a connection from its queue and has it started.
--- a/internal/connection/caller/intake_test.go
+++ b/internal/connection/caller/intake_test.go
@@ -273,6 +273,49 @@
 	}
 }
 
+// TestUnfinishedRequestsLeaveMemoryToSmallOnes guards against unfinished requests, each of them small, that
+// take the whole budget, so that a request waits for memory that nobody releases.
+func TestUnfinishedRequestsLeaveMemoryToSmallOnes(t *testing.T) {
+	const budget = 400 << 10
+	intake := NewIntake(IntakeOptions{Bytes: budget})
+	address := listen(t, Options{Intake: intake, NoLimits: true, Handler: http.NotFoundHandler()})
+	for range 100 {
+		conn := openConn(t, address)
+		_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4096\r\n\r\n"+strings.Repeat("x", 4000))
+	}
+	await(t, "the budget is in use", func() bool { return intake.usedBytes() > budget/2 })
+	for i := range 5 {
+		ordinary := openConn(t, address)
+		send(t, ordinary, get)
+		if got := answer(ordinary); got != http.StatusNotFound {
+			t.Fatalf("ordinary request %d got %d", i, got)
+		}
+	}
+}
+
+// TestLongRequestsLeaveMemoryToSmallOnes guards against small requests that together take the whole budget
+// for as long as their senders choose. Younger ones stay: a burst of ordinary requests ends by itself.
+func TestLongRequestsLeaveMemoryToSmallOnes(t *testing.T) {
+	for age, closes := range map[time.Duration]bool{longRequest / 2: false, 2 * longRequest: true} {
+		in := NewIntake(IntakeOptions{Bytes: 100 << 10})
+		s := &Server{}
+		var oldest *inbound
+		for i := range 10 {
+			c := &inbound{server: s, running: true, startedAt: time.Now().Add(-age - time.Duration(i)*time.Millisecond)}
+			in.conns[c] = struct{}{}
+			in.setUsageLocked(c, usage{running: 10 << 10})
+			oldest = c
+		}
+		waiting := &inbound{server: s, queue: []*message{{weight: 10 << 10}}}
+		in.conns[waiting] = struct{}{}
+		var a actions
+		in.offerLocked(waiting, &a)
+		if closed := len(a.closures) == 1 && a.closures[0].c == oldest; closed != closes {
+			t.Errorf("after %v %d connections were closed, the oldest: %v", age, len(a.closures), closed)
+		}
+	}
+}
+
 // TestLargestRequestRunsAlone guards against a budget below the largest request, which then is never
 // served.
 func TestLargestRequestRunsAlone(t *testing.T) {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -125,8 +125,12 @@
 	HandshakeRate int `json:"handshake_rate,omitempty"`
 }
 
-// defaultRequestMemory is the budget for requests of an entry whose memory is not known.
-const defaultRequestMemory = 256 << 20
+const (
+	// defaultRequestMemory is the budget for requests of an entry whose memory is not known.
+	defaultRequestMemory = 256 << 20
+	// minCallerMemory holds one of the largest requests of callers.
+	minCallerMemory = 64 << 20
+)
 
 // RequestMemory returns the budget in bytes for requests in progress.
 func (e *Entry) RequestMemory() int {
@@ -134,7 +138,7 @@
 	case e.RequestMemoryMB > 0:
 		return e.RequestMemoryMB << 20
 	case e.MemoryMB > 0:
-		return max(e.MemoryMB<<20/requestMemoryDivisor, minRequestMemory)
+		return max(e.MemoryMB<<20/requestMemoryDivisor, minCallerMemory)
 	}
 	return defaultRequestMemory
 }
