Close busy connections before the limit of the engine

Cause: the engine refuses connections at its own limit before the intake is asked, and counts a closed connection until its handler has returned. The intake closed a busy one only above the same limit.

Now it does from 95 % of the limit on.

Evidence: TestConnectionsGetInBesideBusyOnes failed before (no answer in 20 s) and passes in three of three runs; TestCallersGetInBesideLongJobs passes in six of six.

--- a/internal/connection/caller/closing.go
+++ b/internal/connection/caller/closing.go
@@ -30,6 +30,10 @@
 	// softConnectionPercent is the share of the connections from which idle ones are closed for
 	// new ones.
 	softConnectionPercent = 90
+	// hardConnectionPercent is the share of the connections from which busy ones are closed for new ones.
+	// It is below the limit of the engine, which refuses connections before the intake is asked and
+	// counts a closed one until its handler has returned.
+	hardConnectionPercent = 95
 	// unservedPercent is the share of the connections that may be without a complete request before
 	// one of them is closed rather than an idle one. Callers who have just connected are the newest
 	// of them.
@@ -61,7 +65,7 @@
 		in.dropLocked(unserved, IntakeReasonIdle, nil, a)
 	case idle != nil:
 		in.dropLocked(idle, IntakeReasonIdle, nil, a)
-	case busy != nil && len(in.conns) > in.options.Connections:
+	case busy != nil && len(in.conns) > in.options.Connections*hardConnectionPercent/100:
 		in.dropLocked(busy, IntakeReasonBusy, nil, a)
 	}
 }
--- a/internal/connection/caller/intake_test.go
+++ b/internal/connection/caller/intake_test.go
@@ -440,6 +440,30 @@
 	}
 }
 
+// TestConnectionsGetInBesideBusyOnes guards against a limit of the engine that refuses new connections
+// before the intake can close another one for them.
+func TestConnectionsGetInBesideBusyOnes(t *testing.T) {
+	const limit = 40
+	intake := NewIntake(IntakeOptions{Connections: limit})
+	var busy atomic.Int64
+	address := listen(t, Options{Intake: intake, NoLimits: true, MaxConnections: limit, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			busy.Add(1)
+			<-r.Context().Done()
+			busy.Add(-1)
+		}
+	})})
+	for range limit {
+		send(t, openConn(t, address), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(10 * time.Millisecond) // the request runs then, or another one has been closed for it
+	}
+	await(t, "a caller is answered", func() bool {
+		conn := openConn(t, address)
+		_, err := io.WriteString(conn, get)
+		return err == nil && answer(conn) == http.StatusOK
+	})
+}
+
 // TestUnfinishedHandshakesAreBounded guards against handshakes that take memory without end.
 func TestUnfinishedHandshakesAreBounded(t *testing.T) {
 	keys, _ := httpsKeys(t)
