Take connections that end off the list of those that wait for memory

Cause: a connection whose request waits for memory stayed on the list after it had ended, until the list was read up to it. While a request at the head waits, a crowd that connects, sends and leaves grows the list without end. Found by reading.

Evidence: TestEndedConnectionsDoNotWait, which fails without the removal.

--- a/internal/bench/untrusted/shapes_test.go
+++ b/internal/bench/untrusted/shapes_test.go
@@ -126,7 +126,7 @@
 // idleTasks sends a job of tasks that need no capacity of a target and run for a time.
 func idleTasks(tasks int, run time.Duration) func(net.Conn) error {
 	return func(conn net.Conn) error {
-		body := fmt.Sprintf(`{"spec":"%d","best_effort":true,"steps":[{"count":%d,"estimate_ms":%d}]}`, run.Milliseconds(), tasks, run.Milliseconds())
+		body := standin.JobBodyStart + fmt.Sprintf(`"spec":"%d","steps":[{"count":%d,"estimate_ms":%d}]}`, run.Milliseconds(), tasks, run.Milliseconds())
 		head := requestHead("POST", jobPath(conn), fmt.Sprintf("%s: %d\r\n", standin.DeadlineHeader, 4*run.Milliseconds()),
 			"Content-Type: application/json\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n")
 		_, err := io.WriteString(conn, head+body)
@@ -164,9 +164,9 @@
 	job := requestHead("POST", prefix+"00000000000000f3")
 	beat := requestHead("POST", "/v1/instances/t1/heartbeat")
 	status := requestHead("GET", "/metrics")
-	steps := listBody(`{"best_effort":true,"steps":[`, "{}", "]}", bodyLimit)
-	dependencies := listBody(`{"best_effort":true,"steps":[{"count":1,"after":[`, "0", "]}]}", bodyLimit)
-	unknown := listBody(`{"best_effort":true,"other":[`, "0", `],"steps":[{"count":1}]}`, bodyLimit)
+	steps := listBody(standin.JobBodyStart+`"steps":[`, "{}", "]}", bodyLimit)
+	dependencies := listBody(standin.JobBodyStart+`"steps":[{"count":1,"after":[`, "0", "]}]}", bodyLimit)
+	unknown := listBody(standin.JobBodyStart+`"other":[`, "0", `],"steps":[{"count":1}]}`, bodyLimit)
 	nested := strings.Repeat(`{"steps":[`, 4000)
 	labels := listBody(`{"labels":[`, `""`, "]}", announcementLimit)
 	announced := listBody(`{"service":"pool","address":"`+targetAddress+`","zone":"dc1","state":"ready","sequence":1,"born":1,`+
--- a/internal/connection/caller/closing.go
+++ b/internal/connection/caller/closing.go
@@ -156,11 +156,7 @@
 	if c.running || len(c.queue) > 0 || c.usage.unread > 0 {
 		status = nil
 	}
-	c.closing = true
-	delete(in.conns, c)
-	c.countQueued(-len(c.queue))
-	c.queue = nil
-	in.setUsageLocked(c, usage{running: c.usage.running})
+	in.removeLocked(c)
 	a.closures = append(a.closures, closure{c, reason, status})
 	in.wakeLocked(a)
 }
--- a/internal/connection/caller/intake.go
+++ b/internal/connection/caller/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -116,16 +117,28 @@
 func (in *Intake) closed(c *inbound) {
 	var a actions
 	in.mu.Lock()
-	c.closing = true
-	delete(in.conns, c)
-	c.countQueued(-len(c.queue))
-	c.queue = nil
+	in.removeLocked(c)
 	in.setUsageLocked(c, usage{})
 	in.wakeLocked(&a)
 	in.mu.Unlock()
 	in.run(a)
 }
 
+// removeLocked takes a connection off all lists. What its running request takes stays charged.
+func (in *Intake) removeLocked(c *inbound) {
+	c.closing = true
+	delete(in.conns, c)
+	c.countQueued(-len(c.queue))
+	c.queue = nil
+	if c.waiting {
+		c.waiting = false
+		isRemoved := func(o *inbound) bool { return o == c }
+		in.smallWaiting = slices.DeleteFunc(in.smallWaiting, isRemoved)
+		in.largeWaiting = slices.DeleteFunc(in.largeWaiting, isRemoved)
+	}
+	in.setUsageLocked(c, usage{running: c.usage.running})
+}
+
 // received accounts for input of a connection: the requests that it has completed, what its unfinished
 // request holds, and the error with which the input ended.
 func (in *Intake) received(c *inbound, done []*message, held int, err error) {
@@ -293,13 +306,11 @@
 func (in *Intake) wakeListLocked(waiting []*inbound, a *actions) []*inbound {
 	for len(waiting) > 0 {
 		c := waiting[0]
-		if !c.closing {
-			m := c.queue[0]
-			if !in.fitsLocked(m.weight, m.weight-m.held()) {
-				return waiting
-			}
-			in.beginLocked(c, a)
+		m := c.queue[0]
+		if !in.fitsLocked(m.weight, m.weight-m.held()) {
+			return waiting
 		}
+		in.beginLocked(c, a)
 		c.waiting = false
 		waiting = waiting[1:]
 	}
--- a/internal/connection/caller/intake_test.go
+++ b/internal/connection/caller/intake_test.go
@@ -316,6 +316,26 @@
 	}
 }
 
+// TestEndedConnectionsDoNotWait guards against a list of connections that wait for memory, which grows with
+// each one that ends meanwhile.
+func TestEndedConnectionsDoNotWait(t *testing.T) {
+	in := NewIntake(IntakeOptions{Bytes: 100 << 10})
+	in.used, in.large = 100<<10, 1
+	s := &Server{}
+	for i := range 10 {
+		c := &inbound{server: s}
+		in.conns[c] = struct{}{}
+		in.received(c, []*message{{weight: 10<<10 + i%2*smallRequest}}, 0, nil)
+		if !c.waiting {
+			t.Fatal("the request does not wait")
+		}
+		in.closed(c)
+	}
+	if n := len(in.smallWaiting) + len(in.largeWaiting); n != 0 || s.OpenRequests() != 0 {
+		t.Errorf("%d connections wait, %d requests are open", n, s.OpenRequests())
+	}
+}
+
 // TestLargestRequestRunsAlone guards against a budget below the largest request, which then is never
 // served.
 func TestLargestRequestRunsAlone(t *testing.T) {
