--- a/internal/bench/untrusted/processes_test.go
+++ b/internal/bench/untrusted/processes_test.go
@@ -132,6 +132,7 @@
 // processes are an entry, an agent and the stand-ins around them.
 type processes struct {
 	entry, agent *process
+	target       *standin.Target
 	// restartAgent kills the agent and starts it again.
 	restartAgent func()
 }
@@ -158,7 +159,7 @@
 	entry.Node.CallerListen, entry.Node.ReadyListen = entryCaller, entryReady
 	agent := nodeSettings(settings.RoleAgent, agentIP, z)
 	agent.Node.AnnounceListen = agentAnnounce
-	p := &processes{entry: startProcess(t, dir, entry, z), agent: startProcess(t, dir, agent, z)}
+	p := &processes{entry: startProcess(t, dir, entry, z), agent: startProcess(t, dir, agent, z), target: target}
 	p.restartAgent = func() {
 		_ = p.agent.cmd.Process.Kill()
 		<-p.agent.ended
--- a/internal/bench/untrusted/shapes_test.go
+++ b/internal/bench/untrusted/shapes_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
 	"github.com/rosemarybay/rosemarybay/internal/request/task"
+	"github.com/rosemarybay/rosemarybay/internal/standin/runtarget"
 	"github.com/rosemarybay/rosemarybay/platform/standin"
 )
 
@@ -33,6 +34,8 @@
 	unreadMetricsPause = 5 * time.Millisecond
 	reconnectingLinks  = 300
 	jobTasks           = 2000
+	// unansweredFor is how long a target answers no start after the crowd has sent its jobs.
+	unansweredFor = 3 * time.Second
 )
 
 // shortFields returns an unfinished head of a length with as many fields as fit, all of them of
@@ -134,6 +137,23 @@
 	}
 }
 
+// longSpecTasks sends a job of tasks that need no capacity of a target and whose spec takes most of the
+// body.
+func longSpecTasks(tasks int) func(net.Conn) error {
+	return func(conn net.Conn) error {
+		_, err := conn.Write(longSpecRequest(jobPath(conn), tasks))
+		return err
+	}
+}
+
+func longSpecRequest(path string, tasks int) []byte {
+	steps := fmt.Sprintf(`","steps":[{"count":%d,"estimate_ms":50}]}`, tasks)
+	start := standin.JobBodyStart + `"spec":"`
+	body := start + strings.Repeat("x", bodyLimit-len(start)-len(steps)) + steps
+	return []byte(requestHead("POST", path, standin.DeadlineHeader+": 4000\r\n",
+		"Content-Type: application/json\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n") + body)
+}
+
 // longHello sends a first frame inside the limit with very many small items.
 func longHello(runs int) func(net.Conn) error {
 	body, err := cbor.Marshal(peer.Frame{Hello: &peer.Hello{Name: "x", Runs: make([]task.Attempt, runs)}})
@@ -202,6 +222,7 @@
 		{"agent: metrics not read", agentMetrics, crowd, readNothing},
 		{"jobs of many tasks", entryCaller, crowd, waitingJob},
 		{"jobs of many tasks without needs", entryCaller, crowd, idleTasks(jobTasks, time.Second)},
+		{"jobs of many tasks with a long spec", entryCaller, senders, longSpecTasks(jobTasks)},
 		{"peer: long hello", entryPeer, crowd, longHello(20_000)},
 		{"peer: small items in the hello", entryPeer, crowd, smallHello()},
 	}
@@ -215,6 +236,35 @@
 	}
 }
 
+// TestUnansweredStartsDoNotEndProcesses guards against an agent that holds all starts that entries send
+// while its target answers none of them.
+func TestUnansweredStartsDoNotEndProcesses(t *testing.T) {
+	p := startProcesses(t)
+	descriptors := watchDescriptors(t, p)
+	var mix runtarget.Mix
+	mix.Chances[runtarget.Start][runtarget.Lost] = 1
+	endFault := p.target.Disturb(mix)
+	defer openCrowd(t, entryCaller, crowd, idleTasks(jobTasks, time.Second))()
+	time.Sleep(unansweredFor)
+	endFault()
+	await(t, "an ordinary job completes after the crowd", ordinaryJobCompletes)
+	most := descriptors()
+	p.entry.check(t, most[0])
+	p.agent.check(t, most[1])
+}
+
+// TestLongSpecOfManyTasksIsServedInCalm guards against starts that are sent together without regard to
+// the size of their spec.
+func TestLongSpecOfManyTasksIsServedInCalm(t *testing.T) {
+	p := startProcesses(t)
+	requestNumber++
+	if !completes(longSpecRequest(fmt.Sprintf("%s%016x", prefix, requestNumber), 100)) {
+		t.Error("a job of many tasks with a long spec is not served")
+	}
+	p.entry.check(t, p.entry.descriptors())
+	p.agent.check(t, p.agent.descriptors())
+}
+
 // TestLargeCrowdsDoNotEndProcessesOnTheSmallestMachine guards against bounds that hold for a small
 // process only.
 func TestLargeCrowdsDoNotEndProcessesOnTheSmallestMachine(t *testing.T) {
