Bound the starts that a target has not answered

A job of many tasks that need little room, with a spec of some 100 KB, was not served, and ended the entry that took it: 48 callers of it made an entry take 1540 MB (bound 64), one alone in calm 86 MB. Cause: the entry sent all starts of a job to a target at once; each carries the spec, and all that wait for a link are encoded as one frame. A frame over 8 MiB ended the link with its agent, again after each reconnection.

An entry now sends a target at most 256 KiB of starts that are not answered, 1 KiB and its spec for each, and one start always. The next ones follow with the answers. Starts of an earlier link do not count, since nothing waits there any more.

--- a/internal/process/scheduler/agentlink.go
+++ b/internal/process/scheduler/agentlink.go
@@ -21,6 +21,7 @@
 	s.opts.Log.Info().Str("agent", hello.Name).Uint64("incarnation", hello.Incarnation).
 		Int("runs", len(hello.Runs)).Int("attempts", len(t.attempts)).Msg("agent linked")
 	t.link, t.unaccounted, t.startsSent = link, nil, 0
+	t.resetWindow()
 	t.agentIncarnation = hello.Incarnation
 	t.reconciled = false
 	// A new process of the agent counts its clock from its own start.
--- a/internal/process/scheduler/isolation.go
+++ b/internal/process/scheduler/isolation.go
@@ -282,6 +282,9 @@
 }
 
 func (s *Scheduler) isolatedFits(it *item, t *target) bool {
+	if !t.window.admits(it) {
+		return false
+	}
 	req := s.requirements(it.step)
 	c := t.candidate()
 	if req.MaxPerTarget > 0 {
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -117,6 +117,8 @@
 	startedAt time.Duration
 	// targetIncarnation is the incarnation of the target for which it was sent.
 	targetIncarnation int64
+	// unanswered is what the attempt counts in the window of its target.
+	unanswered int
 	// startNumber counts the starts on the link, up to this one.
 	startNumber uint64
 	// lateOrderReportedAt is when the agent reported that an order of the attempt may be executed late,
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -132,6 +132,9 @@
 		if r.now < t.refusedUntil || !r.isEligible(t, it.job) || (r.healthReliable && t.probation && !(t.probe && it.mayProbe())) {
 			continue
 		}
+		if !t.window.admits(it) {
+			continue
+		}
 		c := t.candidate()
 		c.Avoid = t.name == it.avoid
 		c.DelayedShare = s.delays.DelayedShare(c.DataCentre, r.now)
--- a/internal/process/scheduler/result.go
+++ b/internal/process/scheduler/result.go
@@ -51,6 +51,7 @@
 // recordStart records the confirmed start of an attempt.
 func (s *Scheduler) recordStart(at *attempt) {
 	at.startedAt = s.now()
+	at.target.window.release(at)
 	at.item.job.ran = true
 	dataCentre := at.target.info.DataCentre
 	before := s.delays.DelayedShare(dataCentre, at.startedAt)
@@ -69,6 +70,7 @@
 	j := it.job
 	delete(at.target.attempts, at.id)
 	at.target.dropUnaccounted(at)
+	at.target.window.release(at)
 	if it.attempt == at {
 		it.attempt = nil
 	}
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -53,6 +53,8 @@
 	lastPool string
 	// unaccounted holds the attempts sent that reportedFree does not include yet.
 	unaccounted []*attempt
+	// window counts the starts sent on the current link that are not answered.
+	window startWindow
 	// startsSent counts the starts sent on the current link.
 	startsSent uint64
 	// slowdown is how much longer runs take there than on the average target; see
@@ -130,6 +132,7 @@
 	at.startNumber = t.startsSent
 	t.attempts[at.id] = at
 	t.unaccounted = append(t.unaccounted, at)
+	t.window.add(at)
 	t.probe = false
 }
 
