--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -314,6 +314,8 @@
 	// MaxFrameBytes limits the size of a frame. It leaves room for several hundred starts
 	// of 4 KB.
 	MaxFrameBytes = 8 << 20
+	// MaxSpecBytes limits the spec of a start, so that a start fits into a frame.
+	MaxSpecBytes = MaxFrameBytes / 2
 	// MaxFirstFrameBytes limits the first frame, which arrives before its sender is known: a hello
 	// with the runs at a target and the results that an entry has not acknowledged.
 	MaxFirstFrameBytes = 1280 << 10
