Bound the runs and pending starts of an agent

The window of an entry bounds what one of them sends. It refuses further ones for want of room, and says in its frames that it accepts none, so that entries keep the tasks instead of sending them again.

--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -136,6 +136,8 @@
 	ExclusiveFor time.Duration `cbor:"9,keyasint,omitempty"`
 	// Queues are those of which runs are at the target, if the agent measures interference.
 	Queues []string `cbor:"10,keyasint,omitempty"`
+	// Full is set while the agent accepts no start, whatever it needs.
+	Full bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Interference has an agent's estimates of the pairs of queues of which one slows down the other at
--- a/internal/process/runs/faketarget_test.go
+++ b/internal/process/runs/faketarget_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rosemarybay/rosemarybay/internal/connection/peer"
@@ -16,6 +17,8 @@
 
 // fakeTarget is a target whose calls a test makes fail one by one.
 type fakeTarget struct {
+	// startDelay is how long each start order takes, in nanoseconds.
+	startDelay atomic.Int64
 	// machine answers the calls that reach it. Tests end and place runs there.
 	machine *runtarget.Target
 	mu      sync.Mutex
@@ -84,6 +87,7 @@
 }
 
 func (f *fakeTarget) Start(_ context.Context, permit Permit, s peer.Start) (Answer, error) {
+	time.Sleep(time.Duration(f.startDelay.Load()))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.beforeStart != nil {
--- a/internal/process/runs/hold.go
+++ b/internal/process/runs/hold.go
@@ -22,7 +22,7 @@
 // mayHoldLocked reports whether a start without capacity should wait here: its entry allows it,
 // and by the runs here and the starts that wait already there will be capacity in time.
 func (m *Manager) mayHoldLocked(s peer.Start) bool {
-	if s.WaitFor <= 0 || s.Isolated || !s.Need.FitsIn(m.target.Capacity) {
+	if s.WaitFor <= 0 || s.Isolated || m.isFullLocked() || !s.Need.FitsIn(m.target.Capacity) {
 		return false
 	}
 	now := m.clock()
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -60,6 +60,8 @@
 	policyConfirmedAt time.Duration
 	owners            map[uint64]*owner
 	runs              map[task.Key]*run
+	// pendingBytes counts the starts that the target has not answered; see maxPendingBytes.
+	pendingBytes int
 	// held are the starts that wait for capacity, in the order of their arrival.
 	held []heldStart
 	// crashes holds the crashes of this target and those reported by other agents.
@@ -204,6 +206,7 @@
 // roomLocked returns the free capacity and health of the target for an entry.
 func (m *Manager) roomLocked(o *owner) *peer.Room {
 	room := &peer.Room{Free: m.freeLocked().Sub(m.heldNeedLocked()), Demand: m.demandOfOthersLocked(o)}
+	room.Full = m.isFullLocked()
 	m.describeIsolationLocked(room)
 	if m.opts.Interference {
 		room.Queues = m.present.queues()
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -65,7 +65,8 @@
 	m.beginPresenceLocked(r)
 	o.runCount++
 	m.markFreeCapacityDirtyLocked()
-	go m.start(m.target, r, s)
+	m.pendingBytes += pendingBytes(&s)
+	go m.executeStart(m.target, r, s)
 }
 
 // awaitEndLocked holds the refusal of a start back until the present run of its task, which
@@ -98,7 +99,7 @@
 		return peer.RefusalUnavailable
 	case !m.isolationAllowsLocked(s):
 		return peer.RefusalIsolation
-	case !s.Need.FitsIn(m.freeLocked()), m.isBehindHeldLocked(s):
+	case m.isFullLocked(), !s.Need.FitsIn(m.freeLocked()), m.isBehindHeldLocked(s):
 		return peer.RefusalNoCapacity
 	case m.endsWithLeaseLocked(s.Expected):
 		return peer.RefusalUnavailable
--- a/internal/process/scheduler/agentlink.go
+++ b/internal/process/scheduler/agentlink.go
@@ -138,7 +138,7 @@
 
 // updateRoom applies the free capacity and health of a target.
 func (s *Scheduler) updateRoom(t *target, room *peer.Room) {
-	t.reportedFree = room.Free
+	t.reportedFree, t.full = room.Free, room.Full
 	t.probation, t.probe = room.Probation, room.Probe
 	t.shared, t.isolated = room.Shared, room.Isolated
 	t.queues = room.Queues
--- a/internal/process/scheduler/isolation.go
+++ b/internal/process/scheduler/isolation.go
@@ -282,7 +282,7 @@
 }
 
 func (s *Scheduler) isolatedFits(it *item, t *target) bool {
-	if !t.window.admits(it) {
+	if !t.takesStart(it) {
 		return false
 	}
 	req := s.requirements(it.step)
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -132,7 +132,7 @@
 		if r.now < t.refusedUntil || !r.isEligible(t, it.job) || (r.healthReliable && t.probation && !(t.probe && it.mayProbe())) {
 			continue
 		}
-		if !t.window.admits(it) {
+		if !t.takesStart(it) {
 			continue
 		}
 		c := t.candidate()
--- a/internal/process/scheduler/startwindow.go
+++ b/internal/process/scheduler/startwindow.go
@@ -33,6 +33,9 @@
 	at.unanswered = 0
 }
 
+// takesStart reports whether a start may be sent to the target now, whatever it needs.
+func (t *target) takesStart(it *item) bool { return !t.full && t.window.admits(it) }
+
 // resetWindow releases all attempts, since nothing sent on an earlier link waits any more.
 func (t *target) resetWindow() {
 	for _, at := range t.attempts {
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -29,6 +29,8 @@
 	// reportedFree is the free capacity in the latest frame, which does not count
 	// starts that the agent had not received by then.
 	reportedFree task.Resources
+	// full is set if that frame said that no start is accepted, whatever it needs.
+	full bool
 	// probation and probe are the values from the latest frame.
 	probation, probe bool
 	// shared and isolated are what the latest frame said about isolated runs.
