Send a target that refuses despite room no equal starts for 20 ms

A target may refuse a start for want of room that fits by its capacity and the runs there as its agent knows them, as after its capacity has shrunk. The agent's next frame still showed the room, and the entries sent the starts again at once: some ten thousand attempts a second in the crowd of jobs without needs.

The agent now refuses starts of the same size or larger ones itself for 20 ms, and reports no room for them. The new test fails without the check.

--- a/internal/process/runs/incarnation.go
+++ b/internal/process/runs/incarnation.go
@@ -45,6 +45,8 @@
 	// run of its task.
 	strays map[task.Attempt]time.Time
 	health load.Health
+	// roomRefusal is the latest start that it refused for want of room although it should fit.
+	roomRefusal roomRefusal
 	// speed is how long runs take here, and speedShared what the entries know of it.
 	speed       load.RunSpeed
 	speedShared sharedSpeed
--- a/internal/process/runs/manager.go
+++ b/internal/process/runs/manager.go
@@ -207,6 +207,9 @@
 func (m *Manager) roomLocked(o *owner) *peer.Room {
 	room := &peer.Room{Free: m.freeLocked().Sub(m.heldNeedLocked()), Demand: m.demandOfOthersLocked(o)}
 	room.Full = m.isFullLocked()
+	if m.target != nil {
+		m.target.roomRefusal.limit(m.clock(), room)
+	}
 	m.describeIsolationLocked(room)
 	if m.opts.Interference {
 		room.Queues = m.present.queues()
--- a/internal/process/runs/start.go
+++ b/internal/process/runs/start.go
@@ -99,7 +99,8 @@
 		return peer.RefusalUnavailable
 	case !m.isolationAllowsLocked(s):
 		return peer.RefusalIsolation
-	case m.isFullLocked(), !s.Need.FitsIn(m.freeLocked()), m.isBehindHeldLocked(s):
+	case m.isFullLocked(), m.target.roomRefusal.refuses(m.clock(), s.Need),
+		!s.Need.FitsIn(m.freeLocked()), m.isBehindHeldLocked(s):
 		return peer.RefusalNoCapacity
 	case m.endsWithLeaseLocked(s.Expected):
 		return peer.RefusalUnavailable
@@ -146,6 +147,9 @@
 			m.raiseToken(t, permit.Token, tokenStep)
 		case answer == AnswerLeaseExpired:
 		default:
+			if answer == AnswerNoRoom {
+				m.recordRoomRefusal(t, s.Need)
+			}
 			m.refuseStart(t, r, refusals[answer])
 			return
 		}
--- a/internal/process/runs/startlimits_test.go
+++ b/internal/process/runs/startlimits_test.go
@@ -51,3 +51,31 @@
 		}
 	})
 }
+
+// A target refuses starts although they fit by what its agent knows, as after its capacity has shrunk.
+// Entries would send them again at once, thousands of times a second.
+func TestTargetThatRefusesDespiteRoomGetsNoFurtherStartsForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.target.set(func() { h.target.rejectsStarts = AnswerNoRoom })
+		need := task.Resources{CPU: 1000}
+		h.start(0, 1, need)
+		h.waitFor(func(f *peer.Frame) bool { return len(f.Results) == 1 && f.Room.Free.CPU < need.CPU })
+		h.target.set(func() { h.target.rejectsStarts = AnswerDone })
+		for i, c := range []struct {
+			need    task.Resources
+			refused bool
+		}{{need, true}, {task.Resources{CPU: 2000}, true}, {task.Resources{CPU: 500}, false}} {
+			a := h.start(i+1, 1, c.need)
+			if !c.refused {
+				h.waitStarted(a)
+				continue
+			}
+			if r := h.waitOutcome(a, peer.OutcomeRefused); r.Refusal != peer.RefusalNoCapacity {
+				t.Errorf("%v is refused for %q", c.need, r.Refusal)
+			}
+		}
+		h.waitFor(func(f *peer.Frame) bool { return f.Room != nil && f.Room.Free.CPU >= need.CPU })
+		h.waitStarted(h.start(9, 1, need))
+	})
+}
--- a/internal/process/runs/sweep.go
+++ b/internal/process/runs/sweep.go
@@ -33,6 +33,7 @@
 	clock := m.clock()
 	m.detectPauseLocked(now, clock)
 	m.offerProbeLocked(clock)
+	m.endRoomRefusalLocked(clock)
 	m.startHeldLocked()
 	m.shareSpeedLocked(clock)
 	m.shareInterferenceLocked(clock)
