Leave out the program in the limit of the heap

400 whole bodies of 256 KiB made an entry take 65 MB once beside other load, bound 64: the limit of the heap was 60 % of the memory, 38 of 64 MB, beside which the program takes some 16 to 18 MB whatever the size of the machine. What the heap exceeds its limit by while a starved collector runs then had 8 MB left.

The limit is 60 % of what is left beside 16 MB: 28 of 64, 76 of 144, 604 of 1024 MB.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -36,9 +36,6 @@
 
 const (
 	drainPollInterval = 10 * time.Millisecond
-	// memoryLimitPercent is the soft limit of the Go runtime, in percent of the memory at which the
-	// process is killed.
-	memoryLimitPercent = 60
 	// retireTimeout bounds how long a lost incarnation may still send answers.
 	retireTimeout = time.Second
 )
@@ -97,7 +94,7 @@
 		return nil, err
 	}
 	if s.Entry.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.Entry.MemoryMB) << 20 / 100 * memoryLimitPercent)
+		debug.SetMemoryLimit(settings.HeapLimit(s.Entry.MemoryMB))
 	}
 	return newIncarnation(s, log, counters, access)
 }
--- a/internal/process/server/reload.go
+++ b/internal/process/server/reload.go
@@ -43,7 +43,7 @@
 		applied = append(applied, "stop_timeout")
 	}
 	if s.Node.MemoryMB != p.live.MemoryMB {
-		debug.SetMemoryLimit(memoryLimit(s.Node.MemoryMB))
+		debug.SetMemoryLimit(settings.HeapLimit(s.Node.MemoryMB))
 		applied = append(applied, "node.memory_mb")
 	}
 	p.live = liveSettingsOf(s)
@@ -81,9 +81,3 @@
 	}
 	return names
 }
-
-// memoryLimit returns the limit of the garbage collector, in bytes, for a process that is
-// killed at memoryMB.
-func memoryLimit(memoryMB int) int64 {
-	return int64(memoryMB) << 20 * memoryLimitPercent / 100
-}
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -26,9 +26,6 @@
 )
 
 const (
-	// memoryLimitPercent is the soft limit of the Go runtime, in percent of the memory at
-	// which the process is killed. Above it the garbage collector runs more often.
-	memoryLimitPercent = 60
 	// logFlushTimeout bounds the flush of queued log lines when the process stops.
 	logFlushTimeout = 200 * time.Millisecond
 	metricsPath     = "/metrics"
@@ -88,7 +85,7 @@
 		Connections: s.Node.MaxConnections(),
 		OnClose:     func(reason caller.IntakeReason, remote net.Addr) { p.closures.Record(string(reason), remote) },
 	})
-	debug.SetMemoryLimit(memoryLimit(s.Node.MemoryMB))
+	debug.SetMemoryLimit(settings.HeapLimit(s.Node.MemoryMB))
 	if s.Role == settings.RoleEntry {
 		err = p.newEntry()
 	} else {
