Serve the largest chunked request of the product's own port in small memory

With entry.memory_mb of 640 or less, a chunked body of more than 32 MiB was closed without an answer: its buffer doubles to 48 MiB, which with the head is over three quarters of the smallest budget, 64 MB, the share that unfinished requests may use. The smallest budget is 72 MB now. The new test, 39 MiB in one chunk with memory_mb 256, failed before (connection closed).

--- a/internal/bench/untrusted/product_test.go
+++ b/internal/bench/untrusted/product_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -33,6 +34,12 @@
 
 // startProduct starts an entry and an agent that do not use the users' platform.
 func startProduct(t *testing.T) (entry, agent *process) {
+	t.Helper()
+	return startProductOf(t, 0)
+}
+
+// startProductOf starts them with a setting for the memory of the entry, 0 for none.
+func startProductOf(t *testing.T, memoryMB int) (entry, agent *process) {
 	t.Helper()
 	dir := t.TempDir()
 	store := standinstore.New()
@@ -48,6 +55,7 @@
 	e := &settings.Settings{
 		Role: settings.RoleEntry, Name: "entry-1", DataCentre: "dc1", TLS: keys("entry-1", identity.RoleEntry),
 		Entry: &settings.Entry{
+			MemoryMB:     memoryMB,
 			CallerListen: productCaller, PeerListen: productIP + ":7000", StoreURL: "http://" + standinIP + ":7300",
 			CallerTLS: &settings.CallerTLS{Cert: server.Cert, Key: server.Key},
 			Callers:   []settings.Caller{{TokenSHA256: hex.EncodeToString(hash[:]), Operator: true}},
@@ -169,19 +177,34 @@
 	startProduct(t)
 	for _, length := range []int{1 << 10, 1 << 20, 8 << 20} {
 		body := `{"filler":"` + strings.Repeat("x", length) + `"}`
-		conn, err := tls.Dial("tcp", productCaller, productTLS())
-		if err != nil {
-			t.Fatal(err)
-		}
-		head := "POST /rosemarybay.v1.FleetService/GetCounters HTTP/1.1\r\nHost: entry\r\nContent-Type: application/json\r\nAuthorization: Bearer " +
-			productToken + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
-		_ = conn.SetDeadline(time.Now().Add(sendLimit))
-		_, _ = io.WriteString(conn, head+body)
-		answer := make([]byte, 12)
-		n, err := io.ReadFull(conn, answer)
-		_ = conn.Close()
-		if got := string(answer[:n]); got != "HTTP/1.1 200" {
-			t.Errorf("a body of %d bytes: %q (%v), expected status 200", length, got, err)
-		}
+		operatorIsServed(t, length, "Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	}
+}
+
+// TestLongChunkedRequestOfOperatorIsServedInCalm guards against a budget that one of the largest requests
+// exceeds while its buffer grows, where its length is not announced.
+func TestLongChunkedRequestOfOperatorIsServedInCalm(t *testing.T) {
+	startProductOf(t, productMemoryMB)
+	const length = 39 << 20
+	body := `{"filler":"` + strings.Repeat("x", length) + `"}`
+	operatorIsServed(t, length, fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body))
+}
+
+// operatorIsServed sends a request with the token of an operator, whose head ends with rest.
+func operatorIsServed(t *testing.T, length int, rest string) {
+	t.Helper()
+	conn, err := tls.Dial("tcp", productCaller, productTLS())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	head := "POST /rosemarybay.v1.FleetService/GetCounters HTTP/1.1\r\nHost: entry\r\nContent-Type: application/json\r\nAuthorization: Bearer " +
+		productToken + "\r\n"
+	_ = conn.SetDeadline(time.Now().Add(sendLimit))
+	_, _ = io.WriteString(conn, head+rest)
+	answer := make([]byte, 12)
+	n, err := io.ReadFull(conn, answer)
+	if got := string(answer[:n]); got != "HTTP/1.1 200" {
+		t.Errorf("a body of %d bytes: %q (%v), expected status 200", length, got, err)
 	}
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -128,8 +128,9 @@
 const (
 	// defaultRequestMemory is the budget for requests of an entry whose memory is not known.
 	defaultRequestMemory = 256 << 20
-	// minCallerMemory holds one of the largest requests of callers.
-	minCallerMemory = 64 << 20
+	// minCallerMemory holds one of the largest requests of callers: its buffer grows to 48 MiB with its
+	// head, which must not exceed three quarters.
+	minCallerMemory = 72 << 20
 )
 
 // RequestMemory returns the budget in bytes for requests in progress.
