--- a/internal/bench/untrusted/shapes_test.go
+++ b/internal/bench/untrusted/shapes_test.go
@@ -34,6 +34,9 @@
 	unreadMetricsPause = 5 * time.Millisecond
 	reconnectingLinks  = 300
 	jobTasks           = 2000
+	// jobsLeft is the number of jobs that a client sends and leaves, each after leaveAfter.
+	jobsLeft   = 100
+	leaveAfter = 10 * time.Millisecond
 	// unansweredFor is how long a target answers no start after the crowd has sent its jobs.
 	unansweredFor = 3 * time.Second
 )
@@ -137,6 +140,24 @@
 	}
 }
 
+// leftJobs sends jobs of many tasks, one after the other, and closes the connection of each soon after.
+func leftJobs(first net.Conn) error {
+	_ = first.Close()
+	for range jobsLeft {
+		conn, err := net.DialTimeout("tcp", entryCaller, sendLimit)
+		if err != nil {
+			return err
+		}
+		err = idleTasks(jobTasks, 10*time.Second)(conn)
+		time.Sleep(leaveAfter)
+		_ = conn.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // longSpecTasks sends a job of tasks that need no capacity of a target and whose spec takes most of the
 // body.
 func longSpecTasks(tasks int) func(net.Conn) error {
@@ -222,6 +243,7 @@
 		{"agent: metrics not read", agentMetrics, crowd, readNothing},
 		{"jobs of many tasks", entryCaller, crowd, waitingJob},
 		{"jobs of many tasks without needs", entryCaller, crowd, idleTasks(jobTasks, time.Second)},
+		{"jobs of many tasks that are left", entryCaller, senders, leftJobs},
 		{"jobs of many tasks with a long spec", entryCaller, senders, longSpecTasks(jobTasks)},
 		{"peer: long hello", entryPeer, crowd, longHello(20_000)},
 		{"peer: small items in the hello", entryPeer, crowd, smallHello()},
