Keep nothing of cancellations that nobody waits for any more

While an entry had no link to an agent, each cancellation left a goroutine for good, which waited for an agent to record it; while the store was away, each left its acknowledgement on a list until the store was back. Clients that cancel jobs again and again, which need not exist, filled the memory of the entry. Found by reading.

Both waits end with the time for which an acknowledgement waits.

--- a/internal/process/server/cancelrecord.go
+++ b/internal/process/server/cancelrecord.go
@@ -32,6 +32,8 @@
 	cancelRecordRetention = 30 * time.Second
 	// maxRecordedCancels bounds the cancellations in the record, the newest of which stay.
 	maxRecordedCancels = 5000
+	// cancelAgentWait is how long an acknowledgement waits for an agent.
+	cancelAgentWait = 3 * time.Second
 )
 
 // cancelRecord stores the cancellations that this entry acknowledges, so that they still hold if
@@ -49,7 +51,13 @@
 
 	mu      sync.Mutex
 	recent  []recordedCancel
-	waiting []chan struct{}
+	waiting []waitingCancel
+}
+
+// waitingCancel is an acknowledgement that waits for the store.
+type waitingCancel struct {
+	stored chan struct{}
+	at     time.Time
 }
 
 // recordedCancel is a cancelled job, and when it was cancelled.
@@ -83,20 +91,30 @@
 	stored := c.add(id, time.Now())
 	both := make(chan struct{})
 	go func() {
-		timeout := time.NewTimer(cancelStoreWait)
-		defer timeout.Stop()
 		select {
 		case <-stored:
-		case <-timeout.C:
+		case <-time.After(cancelStoreWait):
 			c.counters.Counter("cancellations_unstored").Inc(1)
 			c.log.Warn().Str("job", id).Msg("cancellation not stored in time")
 		}
-		<-byAgent
-		close(both)
+		select {
+		case <-byAgent:
+			close(both)
+		case <-time.After(cancelAgentWait):
+		}
 	}()
 	return known, both
 }
 
+// expireLocked removes the cancellations that are too old or too many.
+func (c *cancelRecord) expireLocked(now time.Time) {
+	expired := 0
+	for expired < len(c.recent) && now.Sub(c.recent[expired].at) > cancelRecordRetention {
+		expired++
+	}
+	c.recent = c.recent[max(expired, len(c.recent)-maxRecordedCancels):]
+}
+
 // add adds a cancellation to the record. The channel returned is closed once it is stored.
 func (c *cancelRecord) add(id string, now time.Time) <-chan struct{} {
 	stored := make(chan struct{})
@@ -104,7 +122,7 @@
 	if !slices.ContainsFunc(c.recent, func(r recordedCancel) bool { return r.id == id }) {
 		c.recent = append(c.recent, recordedCancel{id: id, at: now})
 	}
-	c.waiting = append(c.waiting, stored)
+	c.waiting = append(c.waiting, waitingCancel{stored: stored, at: now})
 	c.mu.Unlock()
 	select {
 	case c.wake <- struct{}{}:
@@ -141,8 +159,7 @@
 // save writes the recent cancellations, and releases those that waited for it.
 func (c *cancelRecord) save(ctx context.Context, now time.Time) error {
 	c.mu.Lock()
-	c.recent = slices.DeleteFunc(c.recent, func(r recordedCancel) bool { return now.Sub(r.at) > cancelRecordRetention })
-	c.recent = c.recent[max(len(c.recent)-maxRecordedCancels, 0):]
+	c.expireLocked(now)
 	stored := storedCancels{Jobs: make([]string, 0, len(c.recent))}
 	for _, r := range c.recent {
 		stored.Jobs = append(stored.Jobs, r.id)
@@ -156,12 +173,14 @@
 	}
 	if err != nil {
 		c.mu.Lock()
+		// Nobody waits for the earlier ones any more.
+		waiting = slices.DeleteFunc(waiting, func(w waitingCancel) bool { return now.Sub(w.at) > cancelStoreWait })
 		c.waiting = append(waiting, c.waiting...)
 		c.mu.Unlock()
 		return err
 	}
-	for _, done := range waiting {
-		close(done)
+	for _, w := range waiting {
+		close(w.stored)
 	}
 	return nil
 }
--- a/internal/process/server/cancelrecord_test.go
+++ b/internal/process/server/cancelrecord_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,3 +77,28 @@
 		}
 	})
 }
+
+// Clients cancel jobs that do not exist while the store and all agents are away. Nothing may be kept of
+// such a request beyond its answer but its ID.
+func TestCancellationsWithoutStoreAndAgentsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		record := newTestCancelRecord(f)
+		go record.run(t.Context())
+		time.Sleep(time.Second)
+		f.set(func() { f.down = true })
+		before := runtime.NumGoroutine()
+		for i := range 2 * maxRecordedCancels {
+			record.Cancel(fmt.Sprintf("unknown-%d", i))
+		}
+		time.Sleep(20 * time.Second)
+		if left := runtime.NumGoroutine() - before; left > 5 {
+			t.Errorf("%d goroutines are left", left)
+		}
+		record.mu.Lock()
+		defer record.mu.Unlock()
+		if n := len(record.waiting); n > 0 {
+			t.Errorf("%d acknowledgements still wait for the store", n)
+		}
+	})
+}
