Do not forget acknowledged cancellations for those of unknown jobs

A client may cancel any job, also one that does not exist. Entries and agents kept the latest 20,000 and 2,000 cancellations: whoever sent more in 30 s displaced those that had been acknowledged, and the request of such a job, if it came again, started it. Found by reading; the tests show it for one entry, one agent.

An entry refuses the cancellation of a job that it does not know while it remembers 10,000, or has acknowledged 2,500 itself, in the last 30 s; those of its own jobs have the rest. An agent remembers 20,000 too, and lists the newest 5,000 in the first frame of a link, whose size is limited.

--- a/internal/process/recent/recent.go
+++ b/internal/process/recent/recent.go
@@ -37,6 +37,12 @@
 	return ok && now-at <= s.retention
 }
 
+// Len returns the number of identifiers in the set.
+func (s *IDs) Len(now time.Duration) int {
+	s.expire(now)
+	return len(s.order)
+}
+
 // All returns the identifiers in the set, the oldest first.
 func (s *IDs) All(now time.Duration) []string {
 	s.expire(now)
--- a/internal/process/runs/cancel.go
+++ b/internal/process/runs/cancel.go
@@ -11,7 +11,9 @@
 	// job may still arrive at an entry some seconds after its response.
 	cancelRetention = 30 * time.Second
 	// maxCancelled bounds the cancelled jobs remembered.
-	maxCancelled = 2000
+	maxCancelled = 20_000
+	// maxCancelledInHello bounds those listed in the first frame of a link, whose size is limited.
+	maxCancelledInHello = 5000
 )
 
 // cancelJobsLocked cancels jobs on behalf of an entry, which may not hold them, and forwards those
@@ -37,6 +39,12 @@
 	from.link.Send(peer.Frame{CancelsRecorded: jobs})
 }
 
+// cancelledForHelloLocked returns the jobs cancelled last.
+func (m *Manager) cancelledForHelloLocked() []string {
+	all := m.cancelled.All(m.clock())
+	return all[max(len(all)-maxCancelledInHello, 0):]
+}
+
 // cancelJobLocked stops the runs of a job, whichever entry sent them.
 func (m *Manager) cancelJobLocked(job string) {
 	m.refuseHeldLocked(peer.RefusalCancelled, func(h *heldStart) bool { return h.start.Attempt.Key.Job == job })
--- a/internal/process/runs/cancel_test.go
+++ b/internal/process/runs/cancel_test.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -37,3 +38,24 @@
 		h.waitFor(func(f *peer.Frame) bool { return f.Hello != nil && slices.Contains(f.CancelJobs, "j") })
 	})
 }
+
+// Clients cancel more jobs than fit into the first frame of a link. Those that an agent has confirmed must
+// still be refused.
+func TestManyCancellationsAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		const jobs = 10_000
+		cancelled := []string{"j"}
+		for i := range jobs {
+			cancelled = append(cancelled, fmt.Sprintf("other-%d", i))
+		}
+		h.receive(7, peer.Frame{CancelJobs: cancelled})
+		if r := h.waitOutcome(h.start(0, 1, task.Resources{CPU: 1000}), peer.OutcomeRefused); r.Refusal != peer.RefusalCancelled {
+			t.Errorf("refused for %q", r.Refusal)
+		}
+		h.connect(8)
+		h.waitFor(func(f *peer.Frame) bool {
+			return f.Hello != nil && len(f.CancelJobs) == maxCancelledInHello && slices.Contains(f.CancelJobs, fmt.Sprintf("other-%d", jobs-1))
+		})
+	})
+}
--- a/internal/process/runs/owner.go
+++ b/internal/process/runs/owner.go
@@ -97,7 +97,7 @@
 		Policy:  m.policyLocked(),
 		Crashes: m.crashes.Reports(m.clock()),
 		// The entry may not have been linked when they were cancelled.
-		CancelJobs: m.cancelled.All(m.clock()),
+		CancelJobs: m.cancelledForHelloLocked(),
 		LateOrders: m.lateOrdersLocked(o),
 		// After the reports, so that they end what these bring about.
 		Released: m.crashes.Releases(m.clock()),
--- a/internal/process/scheduler/cancel.go
+++ b/internal/process/scheduler/cancel.go
@@ -14,6 +14,10 @@
 	cancelRetention = 30 * time.Second
 	// maxCancelled bounds the cancelled jobs remembered.
 	maxCancelled = 20_000
+	// maxUnknownCancelled is the number of them from which on a cancellation is refused of a job that is
+	// not known here: clients can cancel any number of such jobs, and the oldest cancellations, which
+	// have been acknowledged, would be forgotten for them.
+	maxUnknownCancelled = maxCancelled / 2
 	// cancelTimeout is how long a cancellation waits to be recorded by an agent.
 	cancelTimeout = 2 * time.Second
 )
@@ -28,10 +32,15 @@
 // Cancel ends a job at its caller's request, and has the agents stop its attempts, whichever
 // entry has sent them, and start no others. known reports whether the job was in progress here
 // or its answer is kept. recorded is closed once an agent has recorded the cancellation: before
-// that, the job may go on at another entry.
+// that, the job may go on at another entry. It is nil if the cancellation is refused, as there are too
+// many of jobs that are not known here.
 func (s *Scheduler) Cancel(id string) (known bool, recorded <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.knows(id) && s.cancelled.Len(s.now()) >= maxUnknownCancelled {
+		s.opts.Counters.Counter("cancellations_refused").Inc(1)
+		return false, nil
+	}
 	c := s.cancels[id]
 	if c == nil {
 		c = &cancellation{recorded: make(chan struct{})}
@@ -49,6 +58,18 @@
 	return known, c.recorded
 }
 
+// Knows reports whether a job is or was here.
+func (s *Scheduler) Knows(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.knows(id)
+}
+
+func (s *Scheduler) knows(id string) bool {
+	now := s.now()
+	return s.jobs[id] != nil || s.closing[id] != nil || s.answers.has(id, now) || s.unfinished.has(id, now) || s.cancelled.Has(id, now)
+}
+
 // receiveCancels cancels jobs on behalf of another entry, and forwards those that were not known here
 // to the other agents: the agent that sent them has links to some of the entries only.
 func (s *Scheduler) receiveCancels(from *target, ids []string) {
--- a/internal/process/scheduler/cancel_test.go
+++ b/internal/process/scheduler/cancel_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,3 +77,34 @@
 		}
 	})
 }
+
+// Clients cancel very many jobs that do not exist. A cancellation that was acknowledged must not be
+// forgotten for them, or the request of its job would start it.
+func TestUnknownCancellationsDoNotDisplaceOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t)
+		tc.submit(tc.job("known", 1, 1000))
+		tc.scheduler.Cancel("first")
+		accepted := 1
+		for i := range 2 * maxCancelled {
+			if _, recorded := tc.scheduler.Cancel(fmt.Sprintf("unknown-%d", i)); recorded != nil {
+				accepted++
+			}
+		}
+		if accepted != maxUnknownCancelled {
+			t.Errorf("%d accepted", accepted)
+		}
+		if _, recorded := tc.scheduler.Cancel("known"); recorded == nil {
+			t.Error("the cancellation of a job in progress is refused")
+		}
+		for _, id := range []string{"first", "known"} {
+			if state, known := tc.scheduler.State(id); !known || state != StateCancelled {
+				t.Errorf("%s: state %v, known %v", id, state, known)
+			}
+		}
+		time.Sleep(cancelRetention + time.Second)
+		if _, recorded := tc.scheduler.Cancel("later"); recorded == nil {
+			t.Error("refused although the others have expired")
+		}
+	})
+}
--- a/internal/process/server/cancelrecord.go
+++ b/internal/process/server/cancelrecord.go
@@ -30,8 +30,10 @@
 	// cancelRecordRetention is how long a cancellation stays in the record: a request of the job may
 	// arrive again some seconds after its response.
 	cancelRecordRetention = 30 * time.Second
-	// maxRecordedCancels bounds the cancellations in the record, the newest of which stay.
+	// maxRecordedCancels bounds the cancellations in the record, the newest of which stay;
+	// maxUnknownRecorded is the number from which on those of jobs that are not known here are refused.
 	maxRecordedCancels = 5000
+	maxUnknownRecorded = maxRecordedCancels / 2
 	// cancelAgentWait is how long an acknowledgement waits for an agent.
 	cancelAgentWait = 3 * time.Second
 )
@@ -85,9 +87,17 @@
 }
 
 // Cancel cancels a job. recorded is closed once an agent has recorded the cancellation and it is
-// stored, or the store has not answered in time.
+// stored, or the store has not answered in time. It is nil if the cancellation is refused, as there are
+// too many of jobs that are not known here.
 func (c *cancelRecord) Cancel(id string) (known bool, recorded <-chan struct{}) {
+	if !c.Knows(id) && c.isFull(time.Now()) {
+		c.counters.Counter("cancellations_refused").Inc(1)
+		return false, nil
+	}
 	known, byAgent := c.Scheduler.Cancel(id)
+	if byAgent == nil {
+		return known, nil
+	}
 	stored := c.add(id, time.Now())
 	both := make(chan struct{})
 	go func() {
@@ -106,6 +116,14 @@
 	return known, both
 }
 
+// isFull reports whether the record has no place for cancellations of jobs that are not known here.
+func (c *cancelRecord) isFull(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expireLocked(now)
+	return len(c.recent) >= maxUnknownRecorded
+}
+
 // expireLocked removes the cancellations that are too old or too many.
 func (c *cancelRecord) expireLocked(now time.Time) {
 	expired := 0
--- a/internal/process/server/cancelrecord_test.go
+++ b/internal/process/server/cancelrecord_test.go
@@ -79,7 +79,7 @@
 }
 
 // Clients cancel jobs that do not exist while the store and all agents are away. Nothing may be kept of
-// such a request beyond its answer but its ID.
+// such a request beyond its answer but its ID, and of that a bounded number.
 func TestCancellationsWithoutStoreAndAgentsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeStore()
@@ -88,8 +88,14 @@
 		time.Sleep(time.Second)
 		f.set(func() { f.down = true })
 		before := runtime.NumGoroutine()
+		accepted := 0
 		for i := range 2 * maxRecordedCancels {
-			record.Cancel(fmt.Sprintf("unknown-%d", i))
+			if _, recorded := record.Cancel(fmt.Sprintf("unknown-%d", i)); recorded != nil {
+				accepted++
+			}
+		}
+		if accepted != maxUnknownRecorded {
+			t.Errorf("%d accepted", accepted)
 		}
 		time.Sleep(20 * time.Second)
 		if left := runtime.NumGoroutine() - before; left > 5 {
