--- a/internal/bench/untrusted/shapes_test.go
+++ b/internal/bench/untrusted/shapes_test.go
@@ -140,6 +140,16 @@
 	}
 }
 
+// cancelUnknown cancels as many jobs that do not exist as a connection may send requests ahead of their
+// responses.
+func cancelUnknown(conn net.Conn) error {
+	var requests strings.Builder
+	for i := range 99 {
+		requests.WriteString(requestHead("DELETE", fmt.Sprintf("%s-%d", jobPath(conn), i), "\r\n"))
+	}
+	return sendAll(requests.String())(conn)
+}
+
 // leftJobs sends jobs of many tasks, one after the other, and closes the connection of each soon after.
 func leftJobs(first net.Conn) error {
 	_ = first.Close()
@@ -243,6 +253,7 @@
 		{"agent: metrics not read", agentMetrics, crowd, readNothing},
 		{"jobs of many tasks", entryCaller, crowd, waitingJob},
 		{"jobs of many tasks without needs", entryCaller, crowd, idleTasks(jobTasks, time.Second)},
+		{"cancellations of unknown jobs", entryCaller, crowd, cancelUnknown},
 		{"jobs of many tasks that are left", entryCaller, senders, leftJobs},
 		{"jobs of many tasks with a long spec", entryCaller, senders, longSpecTasks(jobTasks)},
 		{"peer: long hello", entryPeer, crowd, longHello(20_000)},
