--- a/review/standin-3/check.go
+++ b/review/standin-3/check.go
@@ -37,6 +37,11 @@
 		found = append(found, violation{rule, fmt.Sprintf(format, args...)})
 	}
 	now := time.Now()
+	for _, p := range slices.Concat(w.entries, w.agents) {
+		if p.fell > 0 {
+			add("FELL", "%s ended by itself %d times", p.name, p.fell)
+		}
+	}
 	byTask := make(map[string][]*runRecord)
 	byJob := make(map[*job][]*runRecord)
 	for _, r := range w.records {
--- a/review/standin-3/late.go
+++ b/review/standin-3/late.go
@@ -6,12 +6,11 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
-// playLate plays a case in which orders of one job are left unanswered and carried out late, and the
-// zone of their runner loses power meanwhile.
+// playLate plays a case in which orders of one job are left unanswered and carried out late, and their
+// runner is cut off, crashes behind the cut and starts again meanwhile.
 func playLate(args []string) int {
 	trouble := os.Getenv("TROUBLE") != "0"
 	record := newRecorder(args)
@@ -67,17 +66,15 @@
 	client.Go(func() { w.submitAt(j, 0, 13700*time.Millisecond) })
 	if trouble {
 		r := <-late
-		sent := time.Now()
 		time.Sleep(500 * time.Millisecond)
-		zone := r.zone
-		record.line("%s zone %s loses power", w.at(time.Now()), zone)
-		w.powerOff(zone)
+		record.line("%s %s is cut off", w.at(time.Now()), r.name)
+		r.cut()
 		time.Sleep(time.Second)
-		w.serversBack(zone)
-		record.line("%s the runners of %s are back", w.at(time.Now()), zone)
-		time.Sleep(time.Until(sent.Add(3 * time.Second)))
-		w.machinesBack(zone)
-		record.line("%s the machines of %s are back", w.at(time.Now()), zone)
+		r.rebirth()
+		record.line("%s %s has crashed behind the cut and started again under its id", w.at(time.Now()), r.name)
+		time.Sleep(4500 * time.Millisecond)
+		r.heal()
+		record.line("%s %s is no longer cut off", w.at(time.Now()), r.name)
 	}
 	client.Wait()
 	close(stop)
@@ -100,46 +97,6 @@
 	j.mu.Unlock()
 }
 
-// powerOff kills all processes and runners of a zone.
-func (w *world) powerOff(zone string) {
-	for i := range w.entries {
-		if zoneOf(i) == zone {
-			w.entries[i].signal(syscall.SIGKILL)
-		}
-	}
-	for i := range w.agents {
-		if zoneOf(i) == zone {
-			w.agents[i].signal(syscall.SIGKILL)
-			w.runners[i].crash()
-		}
-	}
-}
-
-// serversBack starts the next life of the runners of a zone, under the ids that they had.
-func (w *world) serversBack(zone string) {
-	for _, r := range w.runners {
-		if r.zone != zone {
-			continue
-		}
-		for r.boot(r.id, r.labels) != nil {
-			time.Sleep(10 * time.Millisecond)
-		}
-	}
-}
-
-func (w *world) machinesBack(zone string) {
-	for i := range w.entries {
-		if zoneOf(i) == zone {
-			_ = w.entries[i].start()
-		}
-	}
-	for i := range w.agents {
-		if zoneOf(i) == zone {
-			_ = w.agents[i].start()
-		}
-	}
-}
-
 // recorder writes record.txt.
 type recorder struct {
 	mu   sync.Mutex
--- a/review/standin-3/mix.go
+++ b/review/standin-3/mix.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-var cases = map[string]func([]string) int{"mix": playMix, "late": playLate}
+var cases = map[string]func([]string) int{"mix": playMix, "late": playLate, "term": playTerm, "serve": playServe}
 
 // drawJob returns a job of one to three steps.
 func drawJob(r *rand.Rand) *job {
@@ -39,7 +39,12 @@
 	seconds, _ := strconv.Atoi(args[1])
 	kinds := strings.Split(args[2], ",")
 	r := rand.New(rand.NewPCG(seed, 3))
-	w, err := newWorld(3, 6, 8000, false)
+	entries, agents := 3, 6
+	if len(args) > 4 {
+		entries, _ = strconv.Atoi(args[3])
+		agents, _ = strconv.Atoi(args[4])
+	}
+	w, err := newWorld(entries, agents, 8000, false)
 	if w != nil {
 		defer w.close()
 	}
@@ -97,7 +102,9 @@
 	if len(found) > 0 {
 		return broken
 	}
-	_ = os.RemoveAll(w.dir)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(w.dir)
+	}
 	return held
 }
 
@@ -109,6 +116,16 @@
 func (w *world) inject(kind string, a, b int) {
 	e, g, r := w.entries[a%len(w.entries)], w.agents[a%len(w.agents)], w.runners[a%len(w.runners)]
 	pause := time.Duration(50+b*4) * time.Millisecond
+	p := e
+	if strings.HasSuffix(kind, "agent") {
+		p = g
+	}
+	if strings.HasSuffix(kind, "entry") || strings.HasSuffix(kind, "agent") {
+		if !p.faulting.TryLock() {
+			return
+		}
+		defer p.faulting.Unlock()
+	}
 	switch kind {
 	case "killentry":
 		e.kill()
@@ -119,10 +136,6 @@
 		time.Sleep(time.Duration(50+b) * time.Millisecond)
 		_ = g.start()
 	case "termentry", "termagent":
-		p := e
-		if kind == "termagent" {
-			p = g
-		}
 		p.signal(syscall.SIGTERM)
 		exited := p.exited
 		select {
@@ -188,6 +201,23 @@
 		r.mu.Lock()
 		r.failing = false
 		r.mu.Unlock()
+	case "shrink":
+		r.resize(8000)
+		time.Sleep(time.Duration(b) * time.Millisecond)
+		r.resize(3000)
+		time.Sleep(6 * time.Second)
+		r.resize(8000)
+	case "hold":
+		// A runner that does not answer the polls of a moment, which are executed.
+		until := time.Now().Add(pause)
+		r.mu.Lock()
+		r.drop = func(kind string) bool { return kind == "hold" && time.Now().Before(until) }
+		r.mu.Unlock()
+	case "answers":
+		until := time.Now().Add(pause)
+		r.mu.Lock()
+		r.drop = func(string) bool { return time.Now().Before(until) }
+		r.mu.Unlock()
 	case "evac":
 		zone := zoneOf(a)
 		w.store.Put("op/evacuate/"+zone, []byte("{}"))
@@ -195,3 +225,24 @@
 		w.store.Delete("op/evacuate/" + zone)
 	}
 }
+
+// playServe starts a deployment and keeps it for some seconds.
+func playServe(args []string) int {
+	seconds, _ := strconv.Atoi(args[0])
+	w, err := newWorld(3, 6, 8000, false)
+	if w != nil {
+		defer w.close()
+	}
+	if err != nil {
+		fmt.Println(err)
+		return cannotRun
+	}
+	for _, p := range w.entries {
+		fmt.Println(p.ip, p.cmd.Process.Pid, w.dir)
+	}
+	time.Sleep(time.Duration(seconds) * time.Second)
+	for _, v := range w.check() {
+		fmt.Println(v.rule, v.text)
+	}
+	return held
+}
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -55,6 +55,9 @@
 	lives    int
 	labels   []string
 	capacity int64
+	// shrunkAt is when the capacity was changed last, before the former one.
+	shrunkAt time.Time
+	before   int64
 	up       bool
 	dark     bool
 	draining bool
@@ -87,24 +90,71 @@
 
 // boot starts the next life under an id.
 func (r *runner) boot(id string, labels []string) error {
+	if err := r.listen(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.beginLocked(id, labels)
+	r.mu.Unlock()
+	go r.beat()
+	return nil
+}
+
+func (r *runner) listen() error {
 	listener, err := net.Listen("tcp", r.address)
 	if err != nil {
 		return err
 	}
+	server := &http.Server{Handler: http.HandlerFunc(r.serve)}
 	r.mu.Lock()
+	r.server = server
+	r.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// beginLocked begins a life that knows nothing of the former one.
+func (r *runner) beginLocked(id string, labels []string) {
 	r.id, r.labels, r.lives = id, labels, r.lives+1
-	r.up, r.dark, r.draining = true, false, false
+	r.up, r.draining = true, false
 	r.bornAt = time.Now()
 	r.born = r.bornAt.UnixMilli()
 	r.token, r.lease, r.ends, r.endCount, r.sequence = 0, time.Time{}, nil, 0, 0
 	r.running, r.highest = make(map[string]*run), make(map[string]uint64)
 	r.changed = make(chan struct{})
-	server := &http.Server{Handler: http.HandlerFunc(r.serve)}
-	r.server = server
+}
+
+// cut cuts the runner off from its machine's process, in both directions.
+func (r *runner) cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dark = true
+}
+
+// rebirth crashes the runner, and starts it again under its id. Nobody sees that while it is cut off.
+func (r *runner) rebirth() {
+	r.mu.Lock()
+	for _, x := range r.running {
+		r.finishLocked(x, "lost")
+	}
+	r.notifyLocked()
+	r.beginLocked(r.id, r.labels)
 	r.mu.Unlock()
-	go func() { _ = server.Serve(listener) }()
 	go r.beat()
-	return nil
+}
+
+// heal ends a cut. Connections to the former life are reset.
+func (r *runner) heal() {
+	r.mu.Lock()
+	server := r.server
+	r.mu.Unlock()
+	_ = server.Close()
+	for r.listen() != nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	r.mu.Lock()
+	r.dark = false
+	r.mu.Unlock()
 }
 
 // crash ends the life without notice.
@@ -320,6 +370,21 @@
 	return http.StatusOK, ""
 }
 
+// roomLocked returns the capacity that counts now: one that has shrunk does after some time.
+func (r *runner) roomLocked() int64 {
+	if time.Since(r.shrunkAt) < roomBound {
+		return max(r.before, r.capacity)
+	}
+	return r.capacity
+}
+
+// resize changes the capacity, which the next status report says.
+func (r *runner) resize(capacity int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.before, r.capacity, r.shrunkAt = r.roomLocked(), capacity, time.Now()
+}
+
 func (r *runner) usedLocked() int64 {
 	var used int64
 	for _, x := range r.running {
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -110,6 +110,11 @@
 	mu             sync.Mutex
 	cmd            *exec.Cmd
 	exited         chan struct{}
+	// faulting is held while the process is away.
+	faulting sync.Mutex
+	// ending is set once a signal that ends the process has been sent; fell counts the ends without one.
+	ending bool
+	fell   int
 }
 
 func (p *process) start() error {
@@ -123,9 +128,14 @@
 		return err
 	}
 	exited := make(chan struct{})
-	p.cmd, p.exited = cmd, exited
+	p.cmd, p.exited, p.ending = cmd, exited, false
 	go func() {
 		_ = cmd.Wait()
+		p.mu.Lock()
+		if !p.ending {
+			p.fell++
+		}
+		p.mu.Unlock()
 		close(exited)
 	}()
 	return nil
@@ -137,6 +147,7 @@
 	select {
 	case <-p.exited:
 	default:
+		p.ending = p.ending || s == syscall.SIGKILL || s == syscall.SIGTERM
 		_ = p.cmd.Process.Signal(s)
 	}
 }
@@ -340,7 +351,7 @@
 // started records the start of a run; the runner is locked.
 func (w *world) started(r *runner, x *run, spec string, late bool) *runRecord {
 	record := &runRecord{job: x.job, task: x.task, step: x.step, number: x.number, runner: r.name, life: r.lives, spec: spec, late: late,
-		begun: x.begun, used: r.usedLocked(), capacity: r.capacity, labels: r.labels}
+		begun: x.begun, used: r.usedLocked(), capacity: r.roomLocked(), labels: r.labels}
 	for _, other := range r.running {
 		if other.job == x.job && other.step == x.step {
 			record.sameStep++
