--- a/review/standin-3/cancelled.go
+++ b/review/standin-3/cancelled.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/rosemarybay/rosemarybay/platform/standin"
 )
 
 const (
@@ -16,10 +18,68 @@
 	repeatAfter = 3500 * time.Millisecond
 )
 
-// playCancelled plays a case in which jobs are cancelled at an entry, the entry is stopped as planned
+// outage is how long the store is down in the case "unstored", and killAfter how long after its
+// beginning all processes are killed.
+const (
+	outage    = 5 * time.Second
+	killAfter = 3500 * time.Millisecond
+)
+
+// playOverwritten plays a case in which jobs are cancelled at an entry, the entry is stopped as planned
 // and started again, another job is cancelled there, all processes are killed once, and the requests of
 // the cancelled jobs arrive again. The argument is the file of the record.
-func playCancelled(args []string) int {
+func playOverwritten(args []string) int {
+	return playCancelled(args, func(w *world, record *recorder, trouble bool) ([]*job, error) {
+		jobs := w.submitAndCancel(record, 8, 0)
+		if trouble {
+			p := w.entries[0]
+			p.signal(syscall.SIGTERM)
+			<-p.exited
+			record.line("%s %s has stopped after SIGTERM", w.at(time.Now()), p.name)
+			time.Sleep(startDelay)
+			if err := p.start(); err != nil {
+				return nil, err
+			}
+		}
+		if err := w.awaitReady(len(w.entries)); err != nil {
+			return nil, err
+		}
+		w.submitAndCancel(record, 1, 0)
+		time.Sleep(300 * time.Millisecond)
+		if !trouble {
+			return jobs, nil
+		}
+		return jobs, w.killAll(record)
+	})
+}
+
+// playUnstored plays a case in which jobs are cancelled while the store is down, all processes are
+// killed once, the store is back, and the requests of the cancelled jobs arrive again. The argument is
+// the file of the record.
+func playUnstored(args []string) int {
+	return playCancelled(args, func(w *world, record *recorder, trouble bool) ([]*job, error) {
+		if !trouble {
+			return w.submitAndCancel(record, 8, 0), nil
+		}
+		begun := time.Now()
+		w.store.SetFault(standin.StoreBusy)
+		record.line("%s the store answers 503", w.at(begun))
+		time.Sleep(500 * time.Millisecond)
+		jobs := w.submitAndCancel(record, 8, 0)
+		time.Sleep(time.Until(begun.Add(killAfter)))
+		if err := w.killAll(record); err != nil {
+			return nil, err
+		}
+		time.Sleep(time.Until(begun.Add(outage)))
+		w.store.SetFault(standin.StoreHealthy)
+		record.line("%s the store serves again", w.at(time.Now()))
+		return jobs, nil
+	})
+}
+
+// playCancelled plays a case whose trouble returns the jobs that were cancelled, and sends their
+// requests again.
+func playCancelled(args []string, play func(w *world, record *recorder, trouble bool) ([]*job, error)) int {
 	if len(args) < 1 {
 		return cannotRun
 	}
@@ -37,38 +97,12 @@
 		record.line("cannot run: %v", err)
 		return cannotRun
 	}
-	trouble := os.Getenv("TROUBLE") != "0"
 	time.Sleep(time.Second)
-	jobs := w.submitAndCancel(record, 8, 0)
-	if trouble {
-		p := w.entries[0]
-		p.signal(syscall.SIGTERM)
-		<-p.exited
-		record.line("%s %s has stopped after SIGTERM", w.at(time.Now()), p.name)
-		time.Sleep(startDelay)
-		if p.start() != nil {
-			return cannotRun
-		}
-	}
-	if w.awaitReady(len(w.entries)) != nil {
+	jobs, err := play(w, record, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		record.line("cannot run: %v", err)
 		return cannotRun
 	}
-	w.submitAndCancel(record, 1, 0)
-	time.Sleep(300 * time.Millisecond)
-	if trouble {
-		record.line("%s all processes are killed", w.at(time.Now()))
-		for _, p := range w.processes() {
-			p.signal(syscall.SIGKILL)
-		}
-		time.Sleep(startDelay)
-		for _, p := range w.processes() {
-			<-p.exited
-			if p.start() != nil {
-				return cannotRun
-			}
-		}
-		record.line("%s all processes have been started again", w.at(time.Now()))
-	}
 	time.Sleep(repeatAfter)
 	if w.awaitReady(len(w.entries)) != nil {
 		return cannotRun
@@ -92,6 +126,23 @@
 	return w.verdict(record, "UNASKED")
 }
 
+// killAll kills all processes at once, and starts them again.
+func (w *world) killAll(record *recorder) error {
+	record.line("%s all processes are killed", w.at(time.Now()))
+	for _, p := range w.processes() {
+		p.signal(syscall.SIGKILL)
+	}
+	time.Sleep(startDelay)
+	for _, p := range w.processes() {
+		<-p.exited
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	record.line("%s all processes have been started again", w.at(time.Now()))
+	return nil
+}
+
 func (w *world) processes() []*process {
 	return append(append([]*process{}, w.entries...), w.agents...)
 }
--- a/review/standin-3/mix.go
+++ b/review/standin-3/mix.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-var cases = map[string]func([]string) int{"mix": playMix, "late": playLate, "term": playTerm, "flood": playFlood, "odd": playOdd, "cancelled": playCancelled}
+var cases = map[string]func([]string) int{"mix": playMix, "late": playLate, "term": playTerm, "flood": playFlood, "odd": playOdd, "overwritten": playOverwritten, "unstored": playUnstored}
 
 // drawJob returns a job of one to three steps.
 func drawJob(r *rand.Rand) *job {
