--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -36,7 +36,7 @@
 	}
 	request.Host = hostName
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Rosemarybay-Deadline-Ms", fmt.Sprint(budget.Milliseconds()))
+	request.Header.Set(wire.Deadline, fmt.Sprint(budget.Milliseconds()))
 	response, err := c.Do(request)
 	a.got = time.Now()
 	if err != nil {
@@ -60,7 +60,7 @@
 }
 
 func (j *job) body() []byte {
-	body, _ := json.Marshal(map[string]any{"spec": j.spec, "steps": j.steps, "best_effort": true})
+	body, _ := json.Marshal(map[string]any{"spec": j.spec, "steps": j.steps, wire.Unstored: true})
 	return body
 }
 
--- a/review/standin-3/flood.go
+++ b/review/standin-3/flood.go
@@ -20,7 +20,7 @@
 	"numbers": func() string { return sized(listOf("0", bodyLimit)) },
 	// A body of the same size, with a long string.
 	"string": func() string {
-		return sized(`{"best_effort":true,"steps":[],"spec":"` + strings.Repeat("x", bodyLimit-100) + `"}`)
+		return sized(`{"` + wire.Unstored + `":true,"steps":[],"spec":"` + strings.Repeat("x", bodyLimit-100) + `"}`)
 	},
 	"announced": func() string { return sized(strings.Repeat("x", 10*bodyLimit)) },
 	"sent": func() string {
@@ -46,7 +46,7 @@
 
 // listOf returns a body of a length whose steps are equal items.
 func listOf(item string, length int) string {
-	start, end := `{"spec":"","best_effort":true,"steps":[`, item+"]}"
+	start, end := `{"spec":"","`+wire.Unstored+`":true,"steps":[`, item+"]}"
 	return start + strings.Repeat(item+",", (length-len(start)-len(end))/(len(item)+1)) + end
 }
 
--- a/review/standin-3/late.go
+++ b/review/standin-3/late.go
@@ -54,7 +54,7 @@
 			}
 		}
 		r.delay = func(kind string, o orderBody) (time.Duration, bool) {
-			if kind != "run-start" {
+			if kind != wire.Start {
 				return 0, false
 			}
 			orders.Add(1)
--- a/review/standin-3/mix.go
+++ b/review/standin-3/mix.go
@@ -211,7 +211,7 @@
 		// A runner that does not answer the polls of a moment, which are executed.
 		until := time.Now().Add(pause)
 		r.mu.Lock()
-		r.drop = func(kind string) bool { return kind == "hold" && time.Now().Before(until) }
+		r.drop = func(kind string) bool { return kind == wire.Poll && time.Now().Before(until) }
 		r.mu.Unlock()
 	case "answers":
 		until := time.Now().Add(pause)
--- a/review/standin-3/odd.go
+++ b/review/standin-3/odd.go
@@ -95,7 +95,7 @@
 
 // items returns all items of the store.
 func (w *world) items() []storedItem {
-	response, err := http.Get(fmt.Sprintf("http://%s:%d/v1/kv-range?path_prefix=", w.ip(70, 0), storePort))
+	response, err := http.Get(fmt.Sprintf("http://%s:%d%s", w.ip(70, 0), storePort, wire.List))
 	if err != nil {
 		return nil
 	}
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -234,7 +234,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	expect := q.Header.Get("Rosemarybay-Expect-Instance")
+	expect := q.Header.Get(wire.Incarnation)
 	r.mu.Lock()
 	rejecting, dark, share := r.rejecting, r.dark || time.Now().Before(r.silentFor), r.lateShare
 	kinds := r.lateKinds
@@ -259,7 +259,7 @@
 			return
 		}
 	}
-	if kind == "hold" {
+	if kind == wire.Poll {
 		r.hold(w, q, expect, o)
 		return
 	}
@@ -293,7 +293,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	status, reason := r.executeLocked(kind, expect, o, late)
-	if r.log != nil && kind != "hold" {
+	if r.log != nil && kind != wire.Poll {
 		r.log(fmt.Sprintf("%s %s run %d token %d until %d at %d late %v: %d %s", kind, o.Task, o.RunID, o.Token, o.UntilMS, r.clock(), late, status, reason))
 	}
 	return status, reason
@@ -308,14 +308,14 @@
 	}
 	r.token = o.Token
 	switch kind {
-	case "run-start":
+	case wire.Start:
 		return r.startLocked(o, late)
-	case "run-stop":
+	case wire.Stop:
 		r.highest[o.Task] = max(r.highest[o.Task], o.RunID)
 		if x := r.running[runKey(o.Task, o.RunID)]; x != nil {
 			r.endLocked(x, "stopped")
 		}
-	case "hold":
+	case wire.Poll:
 		r.renewLocked(o.UntilMS)
 		n := 0
 		for n < len(r.ends) && r.ends[n].n <= o.LastSeen {
@@ -396,7 +396,7 @@
 }
 
 func (r *runner) hold(w http.ResponseWriter, q *http.Request, expect string, o orderBody) {
-	status, reason := r.execute("hold", expect, o, false)
+	status, reason := r.execute(wire.Poll, expect, o, false)
 	if status != http.StatusOK {
 		r.reply(w, status, reason, nil)
 		return
@@ -429,7 +429,7 @@
 	if !up {
 		return
 	}
-	if r.drop != nil && r.drop("hold") {
+	if r.drop != nil && r.drop(wire.Poll) {
 		<-q.Context().Done()
 		return
 	}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -97,7 +97,6 @@
 	mu      sync.Mutex
 	jobs    map[string]*job
 	records []*runRecord
-	log     *os.File
 	servers []*http.Server
 	// noted are the broken rules that a case has found by itself.
 	noted []violation
@@ -255,7 +254,7 @@
 func (w *world) configure(version uint64) {
 	value, _ := json.Marshal(map[string]any{
 		"version": version,
-		"routes": []map[string]any{{"name": "desk", "host": hostName, "path_prefix": prefix, "timeout_ms": 2000, "service": serviceName,
+		"routes": []map[string]any{{"name": "desk", "host": hostName, wire.RoutePrefix: prefix, "timeout_ms": 2000, "service": serviceName,
 			"priority": 0, "max_attempts": 3, "stretch": 1.6, "target_latency_ms": 60}},
 		"services": []map[string]any{{"name": serviceName, "rejects_overload": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 5000, "idle_timeout_ms": 60000},
@@ -308,7 +307,7 @@
 
 func (w *world) isReady(i int) bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get(fmt.Sprintf("http://%s:%d/v1/ready", w.entries[i].ip, readyPort))
+	response, err := client.Get(fmt.Sprintf("http://%s:%d%s", w.entries[i].ip, readyPort, wire.Ready))
 	if err != nil {
 		return false
 	}
