--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -100,7 +100,9 @@
 	servers []*http.Server
 	// noted are the broken rules that a case has found by itself.
 	noted []violation
-	size  worldSize
+	// inTouchFrom is when the last disturbance of a case was contact_ms ago.
+	inTouchFrom time.Time
+	size        worldSize
 }
 
 // process is a process of the project.
